--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of myrtlehook; run as ``python -m bench``."""
--- /dev/null
+++ b/bench/core_drive.py
@@ -0,0 +1,260 @@
+"""Drives many decision cores in one process over small fakes, to compare choices.
+
+A driver for the core's own decisions, not a simulator of a cluster: messages take
+a fixed time, engines run a request for as long as its cost says.
+"""
+
+import heapq
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+
+from myrtlehook_core import (
+    BackendServer,
+    Configuration,
+    ConfigurationVersion,
+    CoreOptions,
+    Pool,
+    PoolKind,
+    RequestSpecification,
+    RouterCore,
+    RouterIdentity,
+    Workspace,
+    actions,
+    encode_envelope,
+    events,
+)
+from myrtlehook_core.process.messages import Envelope
+from myrtlehook_core.request.admission import QueueLimits
+
+POOL = "pool"
+TICK_S = 0.02
+LATENCY_S = 0.001
+ENOUGH_QUEUED = 8
+UNITS_PER_S = 100.0
+"""Service units that one slot gives in a second."""
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """One workspace's load: its share, mean cost, and the routers it comes in by."""
+
+    workspace: str
+    share: float
+    mean_cost_units: float
+    routers: tuple[int, ...]
+
+
+@dataclass(slots=True)
+class DriveResult:
+    """What one drive measured."""
+
+    largest_gap_units: float = 0.0
+    mean_gap_units: float = 0.0
+    utilisation: float = 0.0
+    messages_per_s: float = 0.0
+    bytes_per_s: float = 0.0
+    """Control traffic sent by one router on average."""
+    served_units: dict[str, float] = field(default_factory=dict)
+    gaps_units: list[float] = field(default_factory=list)
+
+
+def make_loads(count: int, routers: int, draw: random.Random) -> list[Load]:
+    """Make workspaces of unequal shares and costs, placed unevenly over the routers."""
+    loads = []
+    for index in range(count):
+        wanted = max(1, round(routers * draw.choice((0.125, 0.25, 0.5, 1.0))))
+        placed = tuple(sorted(draw.sample(range(routers), wanted)))
+        cost_units = draw.choice((30.0, 100.0, 300.0, 500.0))
+        loads.append(Load(f"w{index}", float(draw.choice((1, 2))), cost_units, placed))
+    return loads
+
+
+def make_configuration(loads: list[Load], servers: int, slots: int) -> Configuration:
+    """Make a configuration of one pool."""
+    limits = QueueLimits(1_000_000, 1 << 40, 1e9, 1_000_000)
+    workspaces = {
+        load.workspace: Workspace(load.workspace, load.share, (), frozenset({POOL}), limits)
+        for load in loads
+    }
+    pool = Pool(POOL, PoolKind.MODEL, ("m",), 1.0, 1.0, False, 600.0)
+    backend_servers = {
+        f"s{index}": BackendServer(f"s{index}", POOL, "127.0.0.1:1", "z", slots, False, False)
+        for index in range(servers)
+    }
+    version = ConfigurationVersion(1, "d")
+    return Configuration(version, workspaces, {POOL: pool}, backend_servers)
+
+
+class Drive:
+    """Many cores, their messages in flight, and their engines."""
+
+    def __init__(
+        self, routers: int, servers: int, slots: int, loads: list[Load],
+        options: CoreOptions, seed: int,
+    ) -> None:
+        self.draw = random.Random(seed)
+        self.loads = {load.workspace: load for load in loads}
+        self.configuration = make_configuration(loads, servers, slots)
+        self.slots = servers * slots
+        self.now_s = 0.0
+        self.agenda: list[tuple[float, int, Callable[[], None]]] = []
+        self.steps = 0
+        self.cores: dict[str, RouterCore] = {}
+        self.waiting: dict[tuple[str, str], int] = {}
+        self.running: dict[str, tuple[str, str, float, float]] = {}
+        self.running_on: dict[str, int] = {}
+        self.served_units: dict[str, float] = dict.fromkeys(self.loads, 0.0)
+        self.busy_s = 0.0
+        self.sent_messages = 0
+        self.sent_bytes = 0
+        self.requests = 0
+        self.cut: Callable[[str, str], bool] = lambda sender, receiver: False
+        for index in range(routers):
+            self._add_core(index, routers, options)
+
+    def _add_core(self, index: int, routers: int, options: CoreOptions) -> None:
+        name = f"r{index}"
+        core = RouterCore(RouterIdentity(name, name, 1), options, self.draw.random)
+        core.exchange.current = self.configuration
+        core.add_seeds([(f"r{other}", f"r{other}") for other in range(routers)], 0.0)
+        for member in core.table.members.values():
+            # All are known from the start, so that the drive measures the steady state.
+            member.state = type(member.state).ALIVE
+            member.silent = False
+        core.table.version += 1
+        self.cores[name] = core
+        self._at(self.draw.random() * TICK_S, lambda: self._tick(name))
+
+    def _at(self, when_s: float, step: Callable[[], None]) -> None:
+        self.steps += 1
+        heapq.heappush(self.agenda, (when_s, self.steps, step))
+
+    def _tick(self, name: str) -> None:
+        self.handle(name, events.Tick())
+        self._at(self.now_s + TICK_S, lambda: self._tick(name))
+
+    def handle(self, name: str, event: events.Event) -> None:
+        """Give a core an event and carry out what it asks."""
+        for action in self.cores[name].handle(event, self.now_s):
+            self._carry_out(name, action)
+
+    def _carry_out(self, name: str, action: actions.Action) -> None:
+        if isinstance(action, actions.Send):
+            self._send(name, action)
+        elif isinstance(action, actions.Dispatch):
+            self._start(name, action)
+        elif isinstance(action, actions.PollLoad):
+            server = action.backend_server
+            report = events.LoadReported(server, 1, self.running_on.get(server, 0), False)
+            self._at(self.now_s + LATENCY_S, lambda: self.handle(name, report))
+
+    def _send(self, name: str, action: actions.Send) -> None:
+        self.sent_messages += 1
+        self.sent_bytes += len(encode_envelope(Envelope(name, 1, (action.message,))))
+        if self.cut(name, action.router_id):
+            return
+        event = events.MessageReceived(name, 1, action.message)
+        self._at(self.now_s + LATENCY_S, lambda: self.handle(action.router_id, event))
+
+    def _start(self, name: str, action: actions.Dispatch) -> None:
+        workspace = action.request_id.split("/")[0]
+        load = self.loads[workspace]
+        # Log-normal, with a standard deviation about as large as the mean.
+        cost_units = load.mean_cost_units * self.draw.lognormvariate(-0.35, 0.83)
+        server = action.backend_server
+        self.running_on[server] = self.running_on.get(server, 0) + 1
+        running = self.running_on[server]
+        slots = self.configuration.backend_servers[server].slots
+        slow = max(1.0, running / slots)
+        taken_s = cost_units / UNITS_PER_S * slow
+        self.running[action.request_id] = (workspace, name, self.now_s, cost_units / taken_s)
+        self.waiting[(workspace, name)] -= 1
+        self._top_up(workspace, name)
+        self._at(
+            self.now_s + LATENCY_S + taken_s,
+            lambda: self._finish(name, action.request_id, server, taken_s, cost_units),
+        )
+
+    def _finish(
+        self, name: str, request_id: str, server: str, taken_s: float, cost_units: float
+    ) -> None:
+        workspace, _, _, _ = self.running.pop(request_id)
+        self.running_on[server] -= 1
+        self.served_units[workspace] += cost_units
+        self.busy_s += taken_s
+        self.handle(name, events.RunEnded(request_id, cost_units))
+
+    def _top_up(self, workspace: str, name: str) -> None:
+        while self.waiting.setdefault((workspace, name), 0) < ENOUGH_QUEUED:
+            self.waiting[(workspace, name)] += 1
+            self.requests += 1
+            request = RequestSpecification(
+                f"{workspace}/{self.requests}", workspace, POOL, 100,
+                self.now_s, self.now_s + 1e6,
+            )
+            event = events.RequestArrived(request)
+            self._at(self.now_s, lambda event=event: self.handle(name, event))  # type: ignore[misc]
+
+    def _observe(self) -> None:
+        for request_id, (_, name, started_s, rate) in list(self.running.items()):
+            observed = events.ServiceObserved(request_id, (self.now_s - started_s) * rate)
+            self.handle(name, observed)
+
+    def service_now(self) -> dict[str, float]:
+        """Return service so far in units a share, with what runs counted as it goes."""
+        units = dict(self.served_units)
+        for workspace, _, started_s, rate in self.running.values():
+            units[workspace] += (self.now_s - started_s) * rate
+        return {name: units[name] / self.loads[name].share for name in units}
+
+    def run(self, seconds: float, warm_up_s: float = 2.0) -> DriveResult:
+        """Keep every workspace backlogged for this long and measure."""
+        for load in self.loads.values():
+            for router in load.routers:
+                self._top_up(load.workspace, f"r{router}")
+        self._advance(warm_up_s)
+        start = self.service_now()
+        sent_messages, sent_bytes, busy_s = self.sent_messages, self.sent_bytes, self.busy_s
+        gaps: list[float] = []
+        while self.now_s < warm_up_s + seconds:
+            self._advance(self.now_s + 0.1)
+            now = self.service_now()
+            served = [now[name] - start[name] for name in now]
+            gaps.append(max(served) - min(served))
+        routers = len(self.cores)
+        return DriveResult(
+            largest_gap_units=max(gaps),
+            mean_gap_units=sum(gaps) / len(gaps),
+            utilisation=(self.busy_s - busy_s) / (seconds * self.slots),
+            messages_per_s=(self.sent_messages - sent_messages) / seconds / routers,
+            bytes_per_s=(self.sent_bytes - sent_bytes) / seconds / routers,
+            served_units={name: now[name] - start[name] for name in now},
+            gaps_units=gaps,
+        )
+
+    def _advance(self, until_s: float) -> None:
+        next_observation_s = self.now_s
+        while self.agenda and self.agenda[0][0] <= until_s:
+            when_s, _, step = heapq.heappop(self.agenda)
+            self.now_s = max(self.now_s, when_s)
+            if self.now_s >= next_observation_s:
+                next_observation_s = self.now_s + 0.1
+                self._observe()
+            step()
+        self.now_s = until_s
+
+
+def drive_once(
+    routers: int, servers: int, slots: int, workspaces: int,
+    options: CoreOptions, seed: int, seconds: float,
+) -> DriveResult:
+    """Run one drive with loads drawn from the seed."""
+    loads = make_loads(workspaces, routers, random.Random(seed))
+    return Drive(routers, servers, slots, loads, options, seed).run(seconds)
+
+
+def central_of(workspaces: int, routers: int, seed: int) -> list[Load]:
+    """Return the same loads, all coming in by one router."""
+    loads = make_loads(workspaces, routers, random.Random(seed))
+    return [replace(load, routers=(0,)) for load in loads]
--- /dev/null
+++ b/packages/core/src/myrtlehook_core/__init__.py
@@ -0,0 +1,98 @@
+"""Decision core of myrtlehook: the public surface, re-exported in one place.
+
+Everything below this package is private; import from here.
+"""
+
+from myrtlehook_core.connection.streams import EventVerdict, StreamPosition, judge_event
+from myrtlehook_core.process import actions, events, messages
+from myrtlehook_core.process.actions import Action
+from myrtlehook_core.process.choosers import (
+    Candidate,
+    Chooser,
+    Draw,
+    choose_lowest,
+    make_weighted_chooser,
+)
+from myrtlehook_core.process.events import Event
+from myrtlehook_core.process.members import MemberState, RouterIdentity
+from myrtlehook_core.process.messages import Envelope, decode_envelope, encode_envelope
+from myrtlehook_core.process.options import CoreOptions
+from myrtlehook_core.process.routers import RouterCore
+from myrtlehook_core.process.statuses import RouterStatus, describe_router
+from myrtlehook_core.request.outcomes import DropReason, Outcome, RefusalReason, RetryReason
+from myrtlehook_core.request.requests import PoolKey, RequestSpecification
+from myrtlehook_core.version.assembly import (
+    assemble_configuration,
+    build_configuration,
+    digest_text,
+    find_inconsistencies,
+    join_parts,
+)
+from myrtlehook_core.version.configurations import (
+    BackendServer,
+    Configuration,
+    ConfigurationVersion,
+    Pool,
+    PoolKind,
+    Workspace,
+)
+from myrtlehook_core.version.documents import (
+    Document,
+    ManifestDocument,
+    PartDocument,
+    PartReference,
+    VmDocument,
+    VmListDocument,
+)
+from myrtlehook_core.version.findings import Finding, parse_document, validate_content
+
+__all__ = [
+    "Action",
+    "BackendServer",
+    "Candidate",
+    "Chooser",
+    "Configuration",
+    "ConfigurationVersion",
+    "CoreOptions",
+    "Document",
+    "Draw",
+    "DropReason",
+    "Envelope",
+    "Event",
+    "EventVerdict",
+    "Finding",
+    "ManifestDocument",
+    "MemberState",
+    "Outcome",
+    "PartDocument",
+    "PartReference",
+    "Pool",
+    "PoolKey",
+    "PoolKind",
+    "RefusalReason",
+    "RequestSpecification",
+    "RetryReason",
+    "RouterCore",
+    "RouterIdentity",
+    "RouterStatus",
+    "StreamPosition",
+    "VmDocument",
+    "VmListDocument",
+    "Workspace",
+    "actions",
+    "assemble_configuration",
+    "build_configuration",
+    "choose_lowest",
+    "decode_envelope",
+    "describe_router",
+    "digest_text",
+    "encode_envelope",
+    "events",
+    "find_inconsistencies",
+    "join_parts",
+    "judge_event",
+    "make_weighted_chooser",
+    "messages",
+    "parse_document",
+    "validate_content",
+]
--- /dev/null
+++ b/packages/core/src/myrtlehook_core/process/actions.py
@@ -0,0 +1,129 @@
+"""What the core asks of the shell."""
+
+from dataclasses import dataclass, field
+
+from myrtlehook_core.process.messages import Message
+from myrtlehook_core.request.outcomes import DropReason, RefusalReason, RetryReason
+from myrtlehook_core.version.configurations import Configuration, ServerOrder
+from myrtlehook_core.version.findings import Finding
+
+
+@dataclass(frozen=True, slots=True)
+class Dispatch:
+    """Send this request to this backend server, unless the lease has passed by then."""
+
+    request_id: str
+    backend_server: str
+    attempt: int
+    priority_units: float
+    """Virtual service; the engine serves the lowest first."""
+    lease_deadline_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """Give this request its final answer now: it was not run."""
+
+    request_id: str
+    reason: RefusalReason
+    retry_after_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """Send a message to a router; it may be lost."""
+
+    router_id: str
+    address: str
+    message: Message
+
+
+@dataclass(frozen=True, slots=True)
+class PollLoad:
+    """Ask a backend server for its load report."""
+
+    backend_server: str
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class SendOrder:
+    """Order a backend server to run something, fenced with a configuration number."""
+
+    backend_server: str
+    address: str
+    order: ServerOrder
+    fence: int
+    server_checks_fence: bool
+
+
+@dataclass(frozen=True, slots=True)
+class FetchPart:
+    """Read a configuration part from the platform."""
+
+    key: str
+    digest: str
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationChanged:
+    """A configuration is in force from now on."""
+
+    configuration: Configuration
+    source: str
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationRejected:
+    """A published configuration was kept out; the old one stays in force."""
+
+    number: int
+    findings: tuple[Finding, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class RetryNoted:
+    """A request that was not run is queued again."""
+
+    request_id: str
+    reason: RetryReason
+
+
+@dataclass(frozen=True, slots=True)
+class DropNoted:
+    """A message or a grant was dropped."""
+
+    reason: DropReason
+
+
+@dataclass(frozen=True, slots=True)
+class PauseNoticed:
+    """The process was paused this long and has dropped what it believed."""
+
+    late_s: float
+
+
+Action = (
+    Dispatch
+    | Refuse
+    | Send
+    | PollLoad
+    | SendOrder
+    | FetchPart
+    | ConfigurationChanged
+    | ConfigurationRejected
+    | RetryNoted
+    | DropNoted
+    | PauseNoticed
+)
+
+
+@dataclass(slots=True)
+class Outbox:
+    """Collects the actions of one event, in order."""
+
+    actions: list[Action] = field(default_factory=list)
+
+    def add(self, action: Action) -> None:
+        """Append one action."""
+        self.actions.append(action)
--- /dev/null
+++ b/packages/core/src/myrtlehook_core/process/bidding.py
@@ -0,0 +1,185 @@
+"""When an entry tells owners what waits, renews its leases, and reports service."""
+
+from myrtlehook_core.process.choosers import Draw
+from myrtlehook_core.process.entries import (
+    Entry,
+    account_of,
+    make_bid_row,
+)
+from myrtlehook_core.process.hashing import rank_routers
+from myrtlehook_core.process.ledgers import floor_rows
+from myrtlehook_core.process.messages import (
+    Bid,
+    HoldList,
+    HoldRow,
+    HoldSummary,
+    Report,
+    ReportRow,
+)
+from myrtlehook_core.process.options import CoreOptions
+from myrtlehook_core.process.placements import Placement, find_ledgers
+from myrtlehook_core.process.posts import Post
+from myrtlehook_core.request.requests import PoolKey, RequestSpecification
+
+NO_TOTAL = -1.0
+
+
+def offer_first(
+    entry: Entry,
+    placement: Placement,
+    request: RequestSpecification,
+    preferred: str | None,
+    draw: Draw,
+    post: Post,
+    now_s: float,
+) -> None:
+    """Offer a queue that just became non-empty to one owner.
+
+    One owner is enough while the pool has free slots, and several would each
+    grant a slot for the same request.
+
+    :param preferred: this router, if it owns a free slot of the pool.
+    """
+    owners = placement.pool_owners.get(request.pool, ())
+    if not owners:
+        return
+    if request.prefix_key:
+        # The same prefix finds the same owner, and so the same few engines.
+        owner = rank_routers(f"prefix/{request.prefix_key}", owners, 1)[0]
+    elif preferred is not None:
+        owner = preferred
+    else:
+        owner = owners[int(draw() * len(owners))]
+    key = PoolKey(request.workspace, request.pool)
+    entry.first_offers[key] = owner
+    bid_to(entry, request.pool, owner, post, now_s)
+
+
+def bid_to(entry: Entry, pool: str, owner: str, post: Post, now_s: float) -> None:
+    """Tell one owner now what is already offered to it."""
+    settled = {key for key in entry.told.get(owner, {}) if key.pool == pool}
+    keys = [
+        key
+        for key, queue in entry.queues.items()
+        if queue.waiting and (key in settled or entry.first_offers.get(key) == owner)
+        if key.pool == pool
+    ]
+    _send_bid(entry, pool, owner, keys, post, now_s)
+
+
+def send_bids(
+    entry: Entry, placement: Placement, options: CoreOptions, post: Post, now_s: float
+) -> None:
+    """Tell owners all that waits, pool by pool; silence where nothing does."""
+    settled_s = now_s - options.spread_delay_s
+    told_pools = {key.pool for keys in entry.told.values() for key in keys}
+    pools = {key.pool for key, queue in entry.queues.items() if queue.waiting}
+    for pool in sorted(pools | told_pools):
+        for owner in placement.pool_owners.get(pool, ()):
+            keys = _keys_for(entry, pool, owner, settled_s)
+            told = any(key.pool == pool for key in entry.told.get(owner, {}))
+            if keys or told:
+                _send_bid(entry, pool, owner, keys, post, now_s)
+
+
+def send_reports(
+    entry: Entry,
+    placement: Placement,
+    options: CoreOptions,
+    draw: Draw,
+    post: Post,
+    keys: set[PoolKey],
+) -> None:
+    """Report cumulative service to the ledgers of the given workspaces."""
+    rows: dict[tuple[str, bool], list[ReportRow]] = {}
+    for key in sorted(keys, key=lambda item: (item.workspace, item.pool)):
+        row, waiting = _make_report_row(entry, key, draw)
+        for rank, ledger in enumerate(find_ledgers(placement, key, options.ledger_count)):
+            wants_totals = waiting and rank == 0
+            rows.setdefault((ledger, wants_totals), []).append(row)
+    floors = floor_rows(entry.floors_units)
+    for (ledger, wants_totals), held in rows.items():
+        post.add(ledger, Report(wants_totals, floors, tuple(held)))
+
+
+def keys_to_report(entry: Entry) -> set[PoolKey]:
+    """Return the workspaces whose service changed or that have work waiting."""
+    changed = {key for key, account in entry.accounts.items() if account.changed}
+    waiting = {key for key, queue in entry.queues.items() if queue.waiting}
+    return changed | waiting
+
+
+def send_hold_summaries(entry: Entry, placement: Placement, post: Post) -> None:
+    """Renew the leases on every backend server that runs a request of this router."""
+    counts: dict[str, int] = {}
+    for running in entry.running.values():
+        counts[running.backend_server] = counts.get(running.backend_server, 0) + 1
+    # One last summary of nothing frees a slot whose release was lost.
+    for backend_server in sorted(set(counts) | entry.summarised):
+        owner = placement.server_owners.get(backend_server)
+        if owner is not None:
+            post.add(owner, HoldSummary(backend_server, counts.get(backend_server, 0)))
+    entry.summarised = frozenset(counts)
+
+
+def send_hold_list(entry: Entry, backend_server: str, owner: str, post: Post) -> None:
+    """Tell an owner every slot of one server that this router holds."""
+    rows = tuple(
+        HoldRow(running.grant_id, running.request.workspace)
+        for running in entry.running.values()
+        if running.backend_server == backend_server
+    )
+    post.add(owner, HoldList(backend_server, rows))
+
+
+def send_holds_to_new_owners(
+    entry: Entry, before: dict[str, str], placement: Placement, post: Post
+) -> None:
+    """Tell each new owner of a server what this router runs there."""
+    used = {running.backend_server for running in entry.running.values()}
+    for backend_server in sorted(used):
+        owner = placement.server_owners.get(backend_server)
+        if owner is not None and before.get(backend_server) != owner:
+            send_hold_list(entry, backend_server, owner, post)
+
+
+def _keys_for(entry: Entry, pool: str, owner: str, settled_s: float) -> list[PoolKey]:
+    """Return the queues to show to an owner: old ones, and young ones offered to it."""
+    keys = []
+    for key, queue in entry.queues.items():
+        if key.pool != pool or not queue.waiting:
+            continue
+        settled = (queue.offered_s or 0.0) <= settled_s
+        if settled or entry.first_offers.get(key) == owner:
+            keys.append(key)
+    return keys
+
+
+def _send_bid(
+    entry: Entry, pool: str, owner: str, keys: list[PoolKey], post: Post, now_s: float
+) -> None:
+    entry.bid_sequence += 1
+    others = {key: told for key, told in entry.told.get(owner, {}).items() if key.pool != pool}
+    counts = {key: len(entry.queues[key].waiting) for key in keys}
+    entry.told[owner] = others | counts
+    rows = tuple(make_bid_row(entry, key) for key in keys)
+    post.add(owner, Bid(pool, entry.bid_sequence, now_s, rows))
+
+
+def _make_report_row(entry: Entry, key: PoolKey, draw: Draw) -> tuple[ReportRow, bool]:
+    account = account_of(entry, key, draw)
+    account.report_sequence += 1
+    account.changed = False
+    queue = entry.queues.get(key)
+    waiting = queue is not None and bool(queue.waiting)
+    total = entry.totals.get(key)
+    row = ReportRow(
+        workspace=key.workspace,
+        pool=key.pool,
+        row_id=account.row_id,
+        sequence=account.report_sequence,
+        served_units=account.served_units,
+        waiting=waiting,
+        known_total_units=NO_TOTAL if total is None else total.total_units,
+    )
+    return row, waiting
--- /dev/null
+++ b/packages/core/src/myrtlehook_core/process/events.py
@@ -0,0 +1,117 @@
+"""What the shell tells the core. Times are seconds of the router's monotonic clock."""
+
+from dataclasses import dataclass
+
+from myrtlehook_core.process.messages import Message
+from myrtlehook_core.request.outcomes import RetryReason
+from myrtlehook_core.request.requests import RequestSpecification
+from myrtlehook_core.version.documents import VmDocument
+
+
+@dataclass(frozen=True, slots=True)
+class RequestArrived:
+    """A checked request wants a slot."""
+
+    request: RequestSpecification
+
+
+@dataclass(frozen=True, slots=True)
+class RequestAbandoned:
+    """The caller of a request that waits has gone."""
+
+    request_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceObserved:
+    """A running request has consumed this much so far, in service units."""
+
+    request_id: str
+    observed_units: float
+
+
+@dataclass(frozen=True, slots=True)
+class RunEnded:
+    """A dispatched request has ended, well or badly, with this cost in service units."""
+
+    request_id: str
+    cost_units: float
+
+
+@dataclass(frozen=True, slots=True)
+class RunNotStarted:
+    """A dispatched request certainly was not run."""
+
+    request_id: str
+    reason: RetryReason
+
+
+@dataclass(frozen=True, slots=True)
+class MessageReceived:
+    """An authenticated message from another router."""
+
+    sender: str
+    incarnation: int
+    message: Message
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReported:
+    """A backend server's own, late report of its load."""
+
+    backend_server: str
+    incarnation: int
+    running_requests: int
+    leaving: bool
+    applied_fence: int = 0
+    model: str = ""
+    model_version: str = ""
+    role: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class VmListRead:
+    """The platform's list of router VMs, possibly old."""
+
+    vms: tuple[VmDocument, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ManifestRead:
+    """The platform's manifest, possibly old."""
+
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class PartRead:
+    """A configuration part that was asked for."""
+
+    digest: str
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class DrainStarted:
+    """This router is to stop once all that it holds has ended."""
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    """Time has passed."""
+
+
+Event = (
+    RequestArrived
+    | RequestAbandoned
+    | ServiceObserved
+    | RunEnded
+    | RunNotStarted
+    | MessageReceived
+    | LoadReported
+    | VmListRead
+    | ManifestRead
+    | PartRead
+    | DrainStarted
+    | Tick
+)
--- /dev/null
+++ b/packages/core/src/myrtlehook_core/process/members.py
@@ -0,0 +1,212 @@
+"""The member table: what this router believes of the others."""
+
+import math
+from dataclasses import dataclass, field
+from enum import IntEnum
+
+from myrtlehook_core.process.messages import LeavingRow, MemberRow
+
+NEWS_ROWS = 6
+"""Most member rows that ride on one probe."""
+
+NEWS_FACTOR = 3
+"""Each piece of news rides on this many times log2(fleet) probes."""
+
+
+class MemberState(IntEnum):
+    """Order of precedence within one incarnation: a later state overrides."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    DEAD = 2
+    LEAVING = 3
+    """Draining: still an entry, but owns nothing; never reverts in its incarnation."""
+
+
+@dataclass(frozen=True, slots=True)
+class RouterIdentity:
+    """Who this router is."""
+
+    router_id: str
+    address: str
+    incarnation: int
+    """Greater than that of any earlier process of this router."""
+
+
+@dataclass(slots=True)
+class Member:
+    """One other router."""
+
+    router_id: str
+    address: str
+    incarnation: int
+    state: MemberState
+    suspect_deadline_s: float = math.inf
+    changed_at_s: float = 0.0
+    listed: bool = False
+    """The platform's VM list names it."""
+    news_left: int = 0
+    silent: bool = False
+    """Never heard of but through the VM list."""
+    gone: bool = False
+    """Was leaving and answers no more: nothing is sent to it until it is news again."""
+
+
+@dataclass(slots=True)
+class LeavingServer:
+    """A backend server that said it is leaving."""
+
+    incarnation: int
+    news_left: int
+
+
+@dataclass(slots=True)
+class MemberTable:
+    """All members, with a version that moves whenever ownership may move."""
+
+    identity: RouterIdentity
+    incarnation: int
+    members: dict[str, Member] = field(default_factory=dict)
+    leaving_servers: dict[str, LeavingServer] = field(default_factory=dict)
+    draining: bool = False
+    version: int = 0
+    cached_eligible: tuple[int, tuple[str, ...]] = (-1, ())
+
+
+def eligible_routers(table: MemberTable) -> tuple[str, ...]:
+    """Return the routers that may own backend servers and ledgers, in name order."""
+    if table.cached_eligible[0] == table.version:
+        return table.cached_eligible[1]
+    alive = [
+        member.router_id
+        for member in table.members.values()
+        if member.state in (MemberState.ALIVE, MemberState.SUSPECT)
+    ]
+    if not table.draining or not alive:
+        alive.append(table.identity.router_id)
+    eligible = tuple(sorted(alive))
+    table.cached_eligible = (table.version, eligible)
+    return eligible
+
+
+def is_reachable(table: MemberTable, router_id: str) -> bool:
+    """Tell whether messages to a router are worth sending."""
+    if router_id == table.identity.router_id:
+        return True
+    member = table.members.get(router_id)
+    return member is not None and can_probe(member)
+
+
+def can_probe(member: Member) -> bool:
+    """Tell whether a member may still answer."""
+    return member.state is not MemberState.DEAD and not member.gone
+
+
+def own_row(table: MemberTable) -> MemberRow:
+    """Return this router's news of itself."""
+    state = MemberState.LEAVING if table.draining else MemberState.ALIVE
+    identity = table.identity
+    return MemberRow(identity.router_id, identity.address, table.incarnation, int(state))
+
+
+def member_row(member: Member) -> MemberRow:
+    """Return the news of one member."""
+    return MemberRow(member.router_id, member.address, member.incarnation, int(member.state))
+
+
+def add_candidate(table: MemberTable, router_id: str, address: str, now_s: float) -> None:
+    """Note a router that the VM list or the settings name; it is probed before it counts."""
+    if router_id == table.identity.router_id or router_id in table.members:
+        return
+    table.members[router_id] = Member(
+        router_id, address, 0, MemberState.DEAD, changed_at_s=now_s, listed=True, silent=True
+    )
+
+
+def take_row(table: MemberTable, row: MemberRow, now_s: float, suspicion_s: float) -> None:
+    """Take one row of news into the table.
+
+    A row of this router that says anything but alive is refuted with a greater
+    incarnation.
+    """
+    if row.router_id == table.identity.router_id:
+        _refute(table, row)
+        return
+    try:
+        state = MemberState(row.state)
+    except ValueError:
+        return
+    member = table.members.get(row.router_id)
+    if member is None:
+        member = Member(row.router_id, row.address, -1, MemberState.DEAD, changed_at_s=now_s)
+        table.members[row.router_id] = member
+    if (row.incarnation, state) <= (member.incarnation, member.state) and member.incarnation >= 0:
+        return
+    member.incarnation = row.incarnation
+    member.address = row.address
+    member.silent = False
+    member.gone = False
+    change_state(table, member, state, now_s, suspicion_s)
+
+
+def change_state(
+    table: MemberTable, member: Member, state: MemberState, now_s: float, suspicion_s: float
+) -> None:
+    """Set a member's state and queue the news of it."""
+    member.state = state
+    member.changed_at_s = now_s
+    member.suspect_deadline_s = math.inf
+    if state is MemberState.SUSPECT:
+        member.suspect_deadline_s = now_s + suspicion_s
+    member.news_left = _news_count(table)
+    table.version += 1
+
+
+def note_leaving_server(table: MemberTable, row: LeavingRow) -> bool:
+    """Note that a backend server is leaving; True when that is new."""
+    known = table.leaving_servers.get(row.backend_server)
+    if known is not None and known.incarnation >= row.incarnation:
+        return False
+    table.leaving_servers[row.backend_server] = LeavingServer(row.incarnation, _news_count(table))
+    return True
+
+
+def note_server_incarnation(table: MemberTable, backend_server: str, incarnation: int) -> None:
+    """Forget that a server was leaving once a later incarnation of it reports."""
+    known = table.leaving_servers.get(backend_server)
+    if known is not None and incarnation > known.incarnation:
+        del table.leaving_servers[backend_server]
+
+
+def collect_member_news(table: MemberTable, about: str) -> tuple[MemberRow, ...]:
+    """Pick the rows for one probe: own row, the receiver's if it must refute, fresh news."""
+    rows = [own_row(table)]
+    receiver = table.members.get(about)
+    if receiver is not None and receiver.state in (MemberState.SUSPECT, MemberState.DEAD):
+        rows.append(member_row(receiver))
+    fresh = [member for member in table.members.values() if member.news_left > 0]
+    fresh.sort(key=lambda member: -member.news_left)
+    for member in fresh[:NEWS_ROWS]:
+        member.news_left -= 1
+        rows.append(member_row(member))
+    return tuple(rows)
+
+
+def collect_leaving_news(table: MemberTable) -> tuple[LeavingRow, ...]:
+    """Pick the leaving backend servers that ride on one probe."""
+    rows = []
+    for name, server in table.leaving_servers.items():
+        if server.news_left > 0 and len(rows) < NEWS_ROWS:
+            server.news_left -= 1
+            rows.append(LeavingRow(name, server.incarnation))
+    return tuple(rows)
+
+
+def _refute(table: MemberTable, row: MemberRow) -> None:
+    mine = own_row(table)
+    if (row.incarnation, row.state) > (mine.incarnation, mine.state):
+        table.incarnation = row.incarnation + 1
+
+
+def _news_count(table: MemberTable) -> int:
+    return NEWS_FACTOR * math.ceil(math.log2(len(table.members) + 2))
--- /dev/null
+++ b/packages/core/src/myrtlehook_core/process/messages.py
@@ -0,0 +1,235 @@
+"""Messages between routers: each may be lost, doubled, late or out of order.
+
+They are encoded as MessagePack arrays with a tag a type; the codec validates
+the types of all fields, so a decoded message is well formed.
+"""
+
+import msgspec
+
+
+class BidRow(msgspec.Struct, frozen=True, array_like=True):
+    """One workspace's waiting work at one router."""
+
+    workspace: str
+    waiting_requests: int
+    virtual_service_units: float
+    mean_cost_units: float
+
+
+class Bid(msgspec.Struct, frozen=True, array_like=True, tag=1):
+    """All that waits at the sender for one pool; replaces its earlier bid."""
+
+    pool: str
+    sequence: int
+    sent_at_s: float
+    """Sender's clock; comes back in a grant, so that no clocks are compared."""
+    rows: tuple[BidRow, ...]
+
+
+class Grant(msgspec.Struct, frozen=True, array_like=True, tag=2):
+    """A lease of one slot for one request of a workspace."""
+
+    grant_id: int
+    backend_server: str
+    pool: str
+    workspace: str
+    bid_sent_at_s: float
+    floor_units: float
+    """Lowest virtual service among the workspaces with work waiting, as the owner sees it."""
+
+
+class Release(msgspec.Struct, frozen=True, array_like=True, tag=3):
+    """The slot is free again; ``row`` says what still waits."""
+
+    grant_id: int
+    backend_server: str
+    used: bool
+    bid_sent_at_s: float
+    row: BidRow
+
+
+class HoldSummary(msgspec.Struct, frozen=True, array_like=True, tag=4):
+    """Renews all leases that the sender holds on one backend server."""
+
+    backend_server: str
+    held_slots: int
+
+
+class HoldQuery(msgspec.Struct, frozen=True, array_like=True, tag=5):
+    """The owner's count differs; the holder answers with a list."""
+
+    backend_server: str
+
+
+class HoldRow(msgspec.Struct, frozen=True, array_like=True):
+    """One held slot."""
+
+    grant_id: int
+    workspace: str
+
+
+class HoldList(msgspec.Struct, frozen=True, array_like=True, tag=6):
+    """Every slot of one backend server that the sender holds."""
+
+    backend_server: str
+    rows: tuple[HoldRow, ...]
+
+
+class ReportRow(msgspec.Struct, frozen=True, array_like=True):
+    """What one router has served one workspace in one pool, cumulatively."""
+
+    workspace: str
+    pool: str
+    row_id: int
+    sequence: int
+    served_units: float
+    waiting: bool
+    known_total_units: float
+    """The last total that the sender heard, for a ledger that is new; -1 if none."""
+
+
+class FloorRow(msgspec.Struct, frozen=True, array_like=True):
+    """The lowest virtual service among waiting workspaces of a pool."""
+
+    pool: str
+    floor_units: float
+
+
+class Report(msgspec.Struct, frozen=True, array_like=True, tag=7):
+    """Service reports to a ledger."""
+
+    wants_totals: bool
+    floors: tuple[FloorRow, ...]
+    rows: tuple[ReportRow, ...]
+
+
+class TotalRow(msgspec.Struct, frozen=True, array_like=True):
+    """A workspace's virtual service across the fleet, with the receiver's part of it."""
+
+    workspace: str
+    pool: str
+    total_units: float
+    own_row_id: int
+    own_row_units: float
+
+
+class Totals(msgspec.Struct, frozen=True, array_like=True, tag=8):
+    """A ledger's answer to a report."""
+
+    rows: tuple[TotalRow, ...]
+
+
+class MemberRow(msgspec.Struct, frozen=True, array_like=True):
+    """News of one router."""
+
+    router_id: str
+    address: str
+    incarnation: int
+    state: int
+
+
+class LeavingRow(msgspec.Struct, frozen=True, array_like=True):
+    """A backend server that said it is leaving, in this incarnation of it."""
+
+    backend_server: str
+    incarnation: int
+
+
+class News(msgspec.Struct, frozen=True, array_like=True):
+    """What rides on probes."""
+
+    members: tuple[MemberRow, ...]
+    leaving: tuple[LeavingRow, ...]
+    configuration_number: int
+    configuration_digest: str
+
+
+class Probe(msgspec.Struct, frozen=True, array_like=True, tag=9):
+    """Asks for an acknowledgement."""
+
+    probe_id: int
+    news: News
+
+
+class Ack(msgspec.Struct, frozen=True, array_like=True, tag=10):
+    """Says that ``target`` answered."""
+
+    probe_id: int
+    target: str
+    news: News
+
+
+class IndirectProbe(msgspec.Struct, frozen=True, array_like=True, tag=11):
+    """Asks a helper to probe ``target`` for the sender."""
+
+    probe_id: int
+    target: str
+
+
+class MembersQuery(msgspec.Struct, frozen=True, array_like=True, tag=12):
+    """A router that has just started asks for the whole member table."""
+
+    sender_row: MemberRow
+
+
+class MembersReply(msgspec.Struct, frozen=True, array_like=True, tag=13):
+    """The whole member table, once."""
+
+    news: News
+
+
+class ConfigurationQuery(msgspec.Struct, frozen=True, array_like=True, tag=14):
+    """Asks a peer for published documents by digest."""
+
+    digests: tuple[str, ...]
+
+
+class ConfigurationReply(msgspec.Struct, frozen=True, array_like=True, tag=15):
+    """One published document; the receiver checks its digest."""
+
+    digest: str
+    text: str
+
+
+Message = (
+    Bid
+    | Grant
+    | Release
+    | HoldSummary
+    | HoldQuery
+    | HoldList
+    | Report
+    | Totals
+    | Probe
+    | Ack
+    | IndirectProbe
+    | MembersQuery
+    | MembersReply
+    | ConfigurationQuery
+    | ConfigurationReply
+)
+
+
+class Envelope(msgspec.Struct, frozen=True, array_like=True):
+    """What one router sends another at once."""
+
+    sender: str
+    incarnation: int
+    messages: tuple[Message, ...]
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(Envelope)
+
+
+def encode_envelope(envelope: Envelope) -> bytes:
+    """Return the wire form of an envelope."""
+    return _ENCODER.encode(envelope)
+
+
+def decode_envelope(content: bytes) -> Envelope:
+    """Read an envelope.
+
+    :raises msgspec.DecodeError: when the bytes are no valid envelope.
+    """
+    return _DECODER.decode(content)
--- /dev/null
+++ b/packages/core/src/myrtlehook_core/process/options.py
@@ -0,0 +1,52 @@
+"""The core's tunable constants, with the defaults that the measurements chose."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class CoreOptions:
+    """Intervals and bounds of one router; see docs/operators/settings.md."""
+
+    refresh_interval_s: float = 0.1
+    """How often bids and service reports go out while something changes."""
+    spread_delay_s: float = 0.03
+    """How long a queue is offered to one owner before all owners hear of it."""
+    bid_lease_s: float = 1.0
+    """How long an owner believes a bid that is not refreshed."""
+    grant_lease_s: float = 1.0
+    """How long after its bid was sent a grant may start a request."""
+    hold_interval_s: float = 1.0
+    hold_lease_s: float = 3.5
+    """How long an owner counts a slot as held without hearing from its holder."""
+    adopt_delay_s: float = 0.2
+    """How long a new owner waits for holders to report before it grants."""
+    load_interval_s: float = 0.25
+    probe_interval_s: float = 0.1
+    probe_timeout_s: float = 0.1
+    indirect_timeout_s: float = 0.15
+    suspicion_s: float = 0.35
+    indirect_helpers: int = 2
+    pause_threshold_s: float = 1.0
+    """A loop this late has been paused; what it believed is dropped."""
+    ledger_count: int = 2
+    handover_s: float = 1.0
+    """How long a new ledger account takes over totals that entries hand to it."""
+    idle_grace_s: float = 1.0
+    """A workspace with nothing waiting for this long counts as idle."""
+    idle_drop_s: float = 120.0
+    """An idle account is dropped after this long; its return brings no credit."""
+    cut_memory_s: float = 60.0
+    """How long the share of service beyond a cut is extrapolated."""
+    early_charge: bool = True
+    overfill_slots: int = 0
+    """Requests granted beyond a server's slots, to hide the turn-around of a slot."""
+    choice_spread_units: float = 0.0
+    """H of the weighted random choice; 0 takes two mean requests a share."""
+    weighted_choice: bool = True
+    exchange_totals: bool = True
+    """False only in the bench's baseline that keeps its own counters."""
+    router_requests: int = 20_000
+    router_bytes: int = 512 * 1024 * 1024
+    retry_ratio: float = 0.2
+    retry_burst: float = 10.0
+    attempts: int = 4
--- /dev/null
+++ b/packages/core/src/myrtlehook_core/process/probing.py
@@ -0,0 +1,244 @@
+"""Failure detection by probes whose cost does not grow with the fleet (after SWIM)."""
+
+from dataclasses import dataclass, field
+
+from myrtlehook_core.process.actions import Outbox, Send
+from myrtlehook_core.process.choosers import Draw
+from myrtlehook_core.process.members import (
+    Member,
+    MemberState,
+    MemberTable,
+    can_probe,
+    change_state,
+    collect_leaving_news,
+    collect_member_news,
+    member_row,
+    note_leaving_server,
+    own_row,
+    take_row,
+)
+from myrtlehook_core.process.messages import (
+    Ack,
+    IndirectProbe,
+    MembersQuery,
+    MembersReply,
+    News,
+    Probe,
+)
+from myrtlehook_core.process.options import CoreOptions
+from myrtlehook_core.version.configurations import ConfigurationVersion
+
+REJOIN_EVERY = 4
+"""Every so many probes one goes to a dead member, so that a healed cut is noticed."""
+
+JOIN_QUERIES = 3
+"""How many candidates a starting router asks for the member table at once."""
+
+FORGET_DEAD_S = 3600.0
+"""A dead member that the VM list does not name is forgotten after this long."""
+
+
+@dataclass(slots=True)
+class PendingProbe:
+    """A probe that waits for its acknowledgement."""
+
+    target: str
+    deadline_s: float
+    indirect: bool = False
+    requester: str = ""
+    """The router for which this one probes, or empty."""
+    requester_probe_id: int = 0
+
+
+@dataclass(slots=True)
+class Prober:
+    """The state of failure detection."""
+
+    pending: dict[int, PendingProbe] = field(default_factory=dict)
+    order: list[str] = field(default_factory=list)
+    last_probe_id: int = 0
+    probes_sent: int = 0
+    next_probe_s: float = 0.0
+    next_join_s: float = 0.0
+
+
+@dataclass(slots=True)
+class ProbeContext:
+    """What the probing functions need besides their own state."""
+
+    table: MemberTable
+    options: CoreOptions
+    draw: Draw
+    version: ConfigurationVersion
+    out: Outbox
+
+
+def tick_prober(prober: Prober, context: ProbeContext, now_s: float) -> None:
+    """Send what is due, and judge the probes that went unanswered."""
+    _judge_pending(prober, context, now_s)
+    _expire_suspects(context, now_s)
+    if now_s < prober.next_probe_s:
+        return
+    # A quarter of jitter keeps routers that started together from probing in step.
+    interval_s = context.options.probe_interval_s * (0.875 + 0.25 * context.draw())
+    prober.next_probe_s = now_s + interval_s
+    _ask_to_join(prober, context, now_s)
+    target = _next_target(prober, context)
+    if target is not None:
+        _send_probe(prober, context, target, now_s + context.options.probe_timeout_s)
+
+
+def take_probe(context: ProbeContext, sender: str, probe: Probe, now_s: float) -> None:
+    """Acknowledge a probe and take its news."""
+    take_news(context, probe.news, now_s)
+    _send(context, sender, Ack(probe.probe_id, context.table.identity.router_id, _news_for(context, sender)))
+
+
+def take_ack(prober: Prober, context: ProbeContext, ack: Ack, now_s: float) -> None:
+    """Take an acknowledgement: its target is alive."""
+    take_news(context, ack.news, now_s)
+    pending = prober.pending.pop(ack.probe_id, None)
+    if pending is None or pending.target != ack.target:
+        return
+    if pending.requester:
+        answer = Ack(pending.requester_probe_id, ack.target, _news_for(context, pending.requester))
+        _send(context, pending.requester, answer)
+
+
+def take_indirect_probe(
+    prober: Prober, context: ProbeContext, sender: str, message: IndirectProbe, now_s: float
+) -> None:
+    """Probe a router for another that gets no answer from it."""
+    target = context.table.members.get(message.target)
+    if target is None:
+        return
+    deadline_s = now_s + context.options.indirect_timeout_s
+    probe_id = _send_probe(prober, context, target, deadline_s)
+    pending = prober.pending[probe_id]
+    pending.requester = sender
+    pending.requester_probe_id = message.probe_id
+
+
+def take_members_query(context: ProbeContext, sender: str, query: MembersQuery, now_s: float) -> None:
+    """Give a starting router the whole member table."""
+    take_row(context.table, query.sender_row, now_s, context.options.suspicion_s)
+    rows = [own_row(context.table)]
+    rows += [member_row(member) for member in context.table.members.values() if not member.silent]
+    leaving = collect_leaving_news(context.table)
+    version = context.version
+    _send(context, sender, MembersReply(News(tuple(rows), leaving, version.number, version.digest)))
+
+
+def take_news(context: ProbeContext, news: News, now_s: float) -> None:
+    """Take the members and leaving servers that rode on a message."""
+    for row in news.members:
+        take_row(context.table, row, now_s, context.options.suspicion_s)
+    for leaving in news.leaving:
+        note_leaving_server(context.table, leaving)
+
+
+def announce(context: ProbeContext) -> None:
+    """Tell every reachable member of this router's own state at once."""
+    for member in context.table.members.values():
+        if can_probe(member):
+            _send(context, member.router_id, Probe(0, _news_for(context, member.router_id)))
+
+
+def _ask_to_join(prober: Prober, context: ProbeContext, now_s: float) -> None:
+    members = context.table.members.values()
+    silent = [member for member in members if member.silent]
+    alone = all(member.silent for member in members)
+    if not silent or not alone or now_s < prober.next_join_s:
+        return
+    prober.next_join_s = now_s + 3 * context.options.probe_interval_s
+    for _ in range(min(JOIN_QUERIES, len(silent))):
+        member = silent.pop(int(context.draw() * len(silent)))
+        _send(context, member.router_id, MembersQuery(own_row(context.table)))
+
+
+def _next_target(prober: Prober, context: ProbeContext) -> Member | None:
+    prober.probes_sent += 1
+    table = context.table
+    if prober.probes_sent % REJOIN_EVERY == 0:
+        dead = [member for member in table.members.values() if member.state is MemberState.DEAD]
+        if dead:
+            return dead[int(context.draw() * len(dead))]
+    while prober.order:
+        member = table.members.get(prober.order.pop())
+        if member is not None and can_probe(member):
+            return member
+    prober.order = [member.router_id for member in table.members.values() if can_probe(member)]
+    _shuffle(prober.order, context.draw)
+    return table.members[prober.order.pop()] if prober.order else None
+
+
+def _shuffle(names: list[str], draw: Draw) -> None:
+    for index in range(len(names) - 1, 0, -1):
+        other = int(draw() * (index + 1))
+        names[index], names[other] = names[other], names[index]
+
+
+def _send_probe(prober: Prober, context: ProbeContext, target: Member, deadline_s: float) -> int:
+    prober.last_probe_id += 1
+    probe_id = prober.last_probe_id
+    prober.pending[probe_id] = PendingProbe(target.router_id, deadline_s)
+    _send(context, target.router_id, Probe(probe_id, _news_for(context, target.router_id)))
+    return probe_id
+
+
+def _judge_pending(prober: Prober, context: ProbeContext, now_s: float) -> None:
+    late = [key for key, pending in prober.pending.items() if now_s >= pending.deadline_s]
+    for probe_id in late:
+        pending = prober.pending.pop(probe_id)
+        member = context.table.members.get(pending.target)
+        if member is None or pending.requester:
+            continue
+        if member.state is MemberState.LEAVING:
+            member.gone = True
+        if member.state is not MemberState.ALIVE:
+            continue
+        helpers = _pick_helpers(context, pending.target)
+        if pending.indirect or not helpers:
+            options = context.options
+            change_state(context.table, member, MemberState.SUSPECT, now_s, options.suspicion_s)
+            continue
+        pending.indirect = True
+        pending.deadline_s = now_s + context.options.indirect_timeout_s
+        prober.pending[probe_id] = pending
+        for helper in helpers:
+            _send(context, helper, IndirectProbe(probe_id, pending.target))
+
+
+def _pick_helpers(context: ProbeContext, target: str) -> list[str]:
+    others = [
+        member.router_id
+        for member in context.table.members.values()
+        if member.state is MemberState.ALIVE and member.router_id != target
+    ]
+    _shuffle(others, context.draw)
+    return others[: context.options.indirect_helpers]
+
+
+def _expire_suspects(context: ProbeContext, now_s: float) -> None:
+    table = context.table
+    for member in list(table.members.values()):
+        if member.state is MemberState.SUSPECT and now_s >= member.suspect_deadline_s:
+            change_state(table, member, MemberState.DEAD, now_s, context.options.suspicion_s)
+        gone = member.state in (MemberState.DEAD, MemberState.LEAVING) and not member.listed
+        if gone and now_s - member.changed_at_s > FORGET_DEAD_S:
+            del table.members[member.router_id]
+
+
+def _news_for(context: ProbeContext, receiver: str) -> News:
+    return News(
+        members=collect_member_news(context.table, receiver),
+        leaving=collect_leaving_news(context.table),
+        configuration_number=context.version.number,
+        configuration_digest=context.version.digest,
+    )
+
+
+def _send(context: ProbeContext, router_id: str, message: object) -> None:
+    member = context.table.members.get(router_id)
+    if member is not None:
+        context.out.add(Send(router_id, member.address, message))  # type: ignore[arg-type]
--- /dev/null
+++ b/packages/core/src/myrtlehook_core/request/admission.py
@@ -0,0 +1,73 @@
+"""Whether a new request may join its queue, and when a refused caller should return."""
+
+from dataclasses import dataclass
+
+from myrtlehook_core.request.outcomes import RefusalReason
+from myrtlehook_core.request.queues import WorkspaceQueue, expected_wait_s
+
+MINIMUM_RETRY_AFTER_S = 1.0
+MAXIMUM_RETRY_AFTER_S = 600.0
+
+GIVE_UP_FACTOR = 2.0
+"""A queued request is given up only when its expected wait exceeds what is left
+by this factor, because the measured rate of a queue is noisy."""
+
+
+@dataclass(frozen=True, slots=True)
+class QueueLimits:
+    """The bounds of one workspace's queues at one router."""
+
+    queued_requests: int
+    queued_bytes: int
+    requests_per_s: float
+    burst_requests: int
+
+
+@dataclass(slots=True)
+class TokenBucket:
+    """The admission rate of one workspace at one router."""
+
+    level_requests: float
+    filled_at_s: float
+
+
+def take_token(bucket: TokenBucket, limits: QueueLimits, now_s: float) -> bool:
+    """Take one request's token; False when the workspace comes too fast."""
+    refill = max(now_s - bucket.filled_at_s, 0.0) * limits.requests_per_s
+    bucket.level_requests = min(float(limits.burst_requests), bucket.level_requests + refill)
+    bucket.filled_at_s = now_s
+    if bucket.level_requests < 1.0:
+        return False
+    bucket.level_requests -= 1.0
+    return True
+
+
+def find_queue_refusal(
+    queue: WorkspaceQueue, limits: QueueLimits, body_bytes: int
+) -> RefusalReason | None:
+    """Return the bound that one more request would break, if any."""
+    if len(queue.waiting) >= limits.queued_requests:
+        return RefusalReason.QUEUE_FULL
+    if queue.queued_bytes + body_bytes > limits.queued_bytes:
+        return RefusalReason.QUEUE_BYTES_FULL
+    return None
+
+
+def can_meet_deadline(
+    queue: WorkspaceQueue, position: int, deadline_s: float, now_s: float
+) -> bool:
+    """Tell whether the request at ``position`` may still be dispatched in time."""
+    if deadline_s <= now_s:
+        return False
+    wait_s = expected_wait_s(queue, position, now_s)
+    return wait_s is None or wait_s <= GIVE_UP_FACTOR * (deadline_s - now_s)
+
+
+def retry_after_s(queue: WorkspaceQueue | None, now_s: float) -> float:
+    """Work out when to come back, from the workspace's own backlog and rate."""
+    if queue is None:
+        return MINIMUM_RETRY_AFTER_S
+    wait_s = expected_wait_s(queue, len(queue.waiting), now_s)
+    if wait_s is None:
+        return MINIMUM_RETRY_AFTER_S
+    return min(max(wait_s, MINIMUM_RETRY_AFTER_S), MAXIMUM_RETRY_AFTER_S)
--- /dev/null
+++ b/packages/core/src/myrtlehook_core/version/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one configuration version: documents, manifests, plans."""
--- /dev/null
+++ b/packages/core/src/myrtlehook_core/version/assembly.py
@@ -0,0 +1,181 @@
+"""Joining a manifest and its parts into one configuration, or into findings."""
+
+import hashlib
+from collections import Counter
+from collections.abc import Iterable, Mapping
+
+from result import Err, Ok, Result
+
+from myrtlehook_core.request.admission import QueueLimits
+from myrtlehook_core.version.configurations import (
+    BackendServer,
+    Configuration,
+    ConfigurationVersion,
+    Pool,
+    PoolKind,
+    ServerOrder,
+    Workspace,
+)
+from myrtlehook_core.version.documents import (
+    BackendServerDocument,
+    ManifestDocument,
+    PartDocument,
+    PoolDocument,
+    WorkspaceDocument,
+)
+from myrtlehook_core.version.findings import Finding, parse_document
+
+
+def digest_text(text: str) -> str:
+    """Return the digest that names a document: SHA-256 of its UTF-8 bytes, in hex."""
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+def assemble_configuration(
+    manifest_text: str, part_texts: Mapping[str, str]
+) -> Result[Configuration, list[Finding]]:
+    """Build a configuration from published texts.
+
+    :param part_texts: part text by digest.
+    :returns: the configuration, or every finding in the manifest and all parts.
+    """
+    parsed = parse_document(ManifestDocument, manifest_text, "manifest")
+    if isinstance(parsed, Err):
+        return parsed
+    manifest = parsed.ok_value
+    findings: list[Finding] = []
+    parts: list[PartDocument] = []
+    for reference in manifest.parts:
+        _collect_part(reference.key, reference.digest, part_texts, parts, findings)
+    if findings:
+        return Err(findings)
+    joined = join_parts(parts)
+    findings = find_inconsistencies(joined)
+    if findings:
+        return Err(findings)
+    version = ConfigurationVersion(manifest.version, digest_text(manifest_text))
+    return Ok(build_configuration(version, joined))
+
+
+def join_parts(parts: Iterable[PartDocument]) -> PartDocument:
+    """Concatenate parts into one document."""
+    held = list(parts)
+    return PartDocument(
+        workspaces=tuple(item for part in held for item in part.workspaces),
+        pools=tuple(item for part in held for item in part.pools),
+        backend_servers=tuple(item for part in held for item in part.backend_servers),
+    )
+
+
+def find_inconsistencies(part: PartDocument) -> list[Finding]:
+    """Return every fault that no single field shows: repeats and dangling names."""
+    findings: list[Finding] = []
+    findings += _find_repeats("workspaces", [item.name for item in part.workspaces])
+    findings += _find_repeats("pools", [item.name for item in part.pools])
+    findings += _find_repeats("backend_servers", [item.name for item in part.backend_servers])
+    findings += _find_repeats("models", [name for pool in part.pools for name in pool.models])
+    digests = [digest for item in part.workspaces for digest in item.key_digests]
+    findings += _find_repeats("workspaces.key_digests", digests)
+    pools = {pool.name for pool in part.pools}
+    for workspace in part.workspaces:
+        place = f"workspaces.{workspace.name}.pools"
+        findings += [_unknown_pool(place, name) for name in workspace.pools if name not in pools]
+    for server in part.backend_servers:
+        if server.pool not in pools:
+            findings.append(_unknown_pool(f"backend_servers.{server.name}.pool", server.pool))
+    return findings
+
+
+def build_configuration(version: ConfigurationVersion, part: PartDocument) -> Configuration:
+    """Turn validated documents into the data classes that the router works with."""
+    return Configuration(
+        version=version,
+        workspaces={item.name: _build_workspace(item) for item in part.workspaces},
+        pools={item.name: _build_pool(item) for item in part.pools},
+        backend_servers={item.name: _build_server(item) for item in part.backend_servers},
+        model_pools={
+            model: pool.name
+            for pool in part.pools
+            if pool.kind is PoolKind.MODEL
+            for model in pool.models
+        },
+        key_workspaces={
+            digest: item.name for item in part.workspaces for digest in item.key_digests
+        },
+    )
+
+
+def _collect_part(
+    key: str,
+    digest: str,
+    part_texts: Mapping[str, str],
+    parts: list[PartDocument],
+    findings: list[Finding],
+) -> None:
+    text = part_texts.get(digest)
+    if text is None:
+        findings.append(
+            Finding(f"part {key}", "nothing", f"text of digest {digest}", "publish the part")
+        )
+        return
+    seen_digest = digest_text(text)
+    if seen_digest != digest:
+        findings.append(
+            Finding(f"part {key}", f"digest {seen_digest}", digest, "publish the planned text")
+        )
+        return
+    parsed = parse_document(PartDocument, text, f"part {key}")
+    if isinstance(parsed, Err):
+        findings.extend(parsed.err_value)
+        return
+    parts.append(parsed.ok_value)
+
+
+def _find_repeats(place: str, names: list[str]) -> list[Finding]:
+    repeated = [name for name, count in Counter(names).items() if count > 1]
+    return [
+        Finding(place, f"{name!r} more than once", "each name once", "remove the repeats")
+        for name in repeated
+    ]
+
+
+def _unknown_pool(place: str, name: str) -> Finding:
+    return Finding(place, repr(name), "the name of a declared pool", "declare it or correct it")
+
+
+def _build_workspace(item: WorkspaceDocument) -> Workspace:
+    limits = QueueLimits(
+        queued_requests=item.limits.queued_requests,
+        queued_bytes=item.limits.queued_bytes,
+        requests_per_s=item.limits.requests_per_s,
+        burst_requests=item.limits.burst_requests,
+    )
+    return Workspace(item.name, item.share, item.key_digests, frozenset(item.pools), limits)
+
+
+def _build_pool(item: PoolDocument) -> Pool:
+    return Pool(
+        name=item.name,
+        kind=item.kind,
+        models=item.models,
+        input_token_weight=item.input_token_weight,
+        output_token_weight=item.output_token_weight,
+        no_repeat=item.no_repeat,
+        default_timeout_s=item.default_timeout_s,
+    )
+
+
+def _build_server(item: BackendServerDocument) -> BackendServer:
+    order = None
+    if item.order is not None:
+        order = ServerOrder(item.order.role, item.order.model, item.order.model_version)
+    return BackendServer(
+        name=item.name,
+        pool=item.pool,
+        address=item.address,
+        availability_zone=item.availability_zone,
+        slots=item.slots,
+        checks_orders=item.checks_orders,
+        leaving=item.leaving,
+        order=order,
+    )
--- /dev/null
+++ b/packages/core/src/myrtlehook_core/version/documents.py
@@ -0,0 +1,113 @@
+"""The published documents: validated models of the manifest and its parts."""
+
+from typing import Annotated
+
+from pydantic import BaseModel, ConfigDict, Field
+
+from myrtlehook_core.version.configurations import PoolKind
+
+NAME_PATTERN = r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"
+DIGEST_PATTERN = r"^[0-9a-f]{64}$"
+ADDRESS_PATTERN = r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$"
+
+Name = Annotated[str, Field(pattern=NAME_PATTERN)]
+Digest = Annotated[str, Field(pattern=DIGEST_PATTERN)]
+Address = Annotated[str, Field(pattern=ADDRESS_PATTERN)]
+"""An IP number and a port; names are never looked up."""
+
+
+class Document(BaseModel):
+    """Base of all documents: unknown fields are findings, not surprises."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class PartReference(Document):
+    """Where the manifest says a part is, and what its bytes must hash to."""
+
+    key: str
+    digest: Digest
+
+
+class ManifestDocument(Document):
+    """Names the parts of one configuration version."""
+
+    version: int = Field(ge=1)
+    parts: tuple[PartReference, ...]
+    base_digest: str = ""
+    """Digest of the manifest that this version was planned from."""
+
+
+class LimitsDocument(Document):
+    """The queue bounds of a workspace at each router."""
+
+    queued_requests: int = Field(default=1000, ge=1)
+    queued_bytes: int = Field(default=64 * 1024 * 1024, ge=1024)
+    requests_per_s: float = Field(default=200.0, gt=0)
+    burst_requests: int = Field(default=400, ge=1)
+
+
+class WorkspaceDocument(Document):
+    """A workspace as an operator declares it."""
+
+    name: Name
+    share: float = Field(gt=0)
+    key_digests: tuple[Digest, ...] = ()
+    pools: tuple[Name, ...] = ()
+    limits: LimitsDocument = LimitsDocument()
+
+
+class PoolDocument(Document):
+    """A pool as an operator declares it."""
+
+    name: Name
+    kind: PoolKind
+    models: tuple[Name, ...] = ()
+    input_token_weight: float = Field(default=0.2, ge=0)
+    output_token_weight: float = Field(default=1.0, gt=0)
+    no_repeat: bool = False
+    default_timeout_s: float = Field(default=600.0, gt=0)
+
+
+class OrderDocument(Document):
+    """What a backend server should run."""
+
+    role: Name = "serve"
+    model: Name
+    model_version: Name
+
+
+class BackendServerDocument(Document):
+    """A backend server as an operator declares it."""
+
+    name: Name
+    pool: Name
+    address: Address
+    availability_zone: Name
+    slots: int = Field(ge=1, le=4096)
+    checks_orders: bool = False
+    leaving: bool = False
+    order: OrderDocument | None = None
+
+
+class PartDocument(Document):
+    """One part of a configuration; parts are joined and must not repeat a name."""
+
+    workspaces: tuple[WorkspaceDocument, ...] = ()
+    pools: tuple[PoolDocument, ...] = ()
+    backend_servers: tuple[BackendServerDocument, ...] = ()
+
+
+class VmDocument(Document):
+    """One VM of the platform's list."""
+
+    vm: Name
+    address: Address
+    availability_zone: Name
+    state: str = Field(pattern="^(live|leaving)$")
+
+
+class VmListDocument(Document):
+    """The platform's lagging list of router VMs."""
+
+    vms: tuple[VmDocument, ...]
--- /dev/null
+++ b/packages/core/src/myrtlehook_core/version/exchange.py
@@ -0,0 +1,159 @@
+"""How a router comes to know the configuration in force, and never goes back.
+
+Documents come from the platform or from peers and are named by their digest, so
+it does not matter who gave them. The router keeps the texts of the version in
+force in order to give them to peers.
+"""
+
+from dataclasses import dataclass, field
+
+from result import Err
+
+from myrtlehook_core.version.assembly import assemble_configuration, digest_text
+from myrtlehook_core.version.configurations import (
+    EMPTY_CONFIGURATION,
+    Configuration,
+    ConfigurationVersion,
+)
+from myrtlehook_core.version.documents import ManifestDocument, PartReference
+from myrtlehook_core.version.findings import Finding, parse_document
+
+QUERY_DIGESTS = 16
+"""Most documents asked of a peer at once."""
+
+
+@dataclass(slots=True)
+class Offer:
+    """A newer configuration that is being collected."""
+
+    version: ConfigurationVersion
+    source: str
+    manifest_text: str = ""
+    parts: tuple[PartReference, ...] = ()
+    texts: dict[str, str] = field(default_factory=dict)
+    next_query_s: float = 0.0
+
+
+@dataclass(slots=True)
+class ConfigurationExchange:
+    """The configuration in force, its texts, and the offer being collected."""
+
+    current: Configuration = EMPTY_CONFIGURATION
+    texts: dict[str, str] = field(default_factory=dict)
+    """Text by digest, of the manifest and parts in force."""
+    source: str = "none"
+    offer: Offer | None = None
+    rejected: set[str] = field(default_factory=set)
+    """Digests of manifests that were kept out."""
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """A configuration came into force."""
+
+    configuration: Configuration
+    source: str
+
+
+@dataclass(frozen=True, slots=True)
+class Rejected:
+    """A published configuration was kept out."""
+
+    number: int
+    findings: tuple[Finding, ...]
+
+
+def hear_version(
+    exchange: ConfigurationExchange, version: ConfigurationVersion, source: str
+) -> bool:
+    """Start to collect a newer version that a peer knows; True when it is newer."""
+    if not _is_wanted(exchange, version):
+        return False
+    if exchange.offer is None or exchange.offer.version != version:
+        exchange.offer = Offer(version, source)
+    else:
+        exchange.offer.source = source
+    return True
+
+
+def take_manifest(
+    exchange: ConfigurationExchange, text: str, source: str
+) -> Accepted | Rejected | None:
+    """Take a manifest, from the platform or a peer."""
+    digest = digest_text(text)
+    if digest in exchange.texts or digest in exchange.rejected:
+        return None
+    parsed = parse_document(ManifestDocument, text, "manifest")
+    if isinstance(parsed, Err):
+        exchange.rejected.add(digest)
+        return Rejected(0, tuple(parsed.err_value))
+    manifest = parsed.ok_value
+    version = ConfigurationVersion(manifest.version, digest)
+    if not _is_wanted(exchange, version):
+        return None
+    offer = exchange.offer
+    if offer is None or offer.version != version:
+        offer = Offer(version, source)
+        exchange.offer = offer
+    offer.manifest_text = text
+    offer.parts = manifest.parts
+    for part in manifest.parts:
+        if part.digest in exchange.texts:
+            offer.texts[part.digest] = exchange.texts[part.digest]
+    return _try_to_accept(exchange, offer)
+
+
+def take_document(
+    exchange: ConfigurationExchange, text: str, source: str
+) -> Accepted | Rejected | None:
+    """Take a document that was asked for, whichever it is."""
+    offer = exchange.offer
+    if offer is None:
+        return None
+    digest = digest_text(text)
+    if digest == offer.version.digest:
+        return take_manifest(exchange, text, source)
+    if digest not in {part.digest for part in offer.parts}:
+        return None
+    offer.texts[digest] = text
+    return _try_to_accept(exchange, offer)
+
+
+def missing_parts(exchange: ConfigurationExchange) -> list[PartReference]:
+    """Return the parts of the offer that have not come yet."""
+    offer = exchange.offer
+    if offer is None:
+        return []
+    return [part for part in offer.parts if part.digest not in offer.texts]
+
+
+def missing_digests(exchange: ConfigurationExchange) -> tuple[str, ...]:
+    """Return the digests to ask a peer for."""
+    offer = exchange.offer
+    if offer is None:
+        return ()
+    if not offer.manifest_text:
+        return (offer.version.digest,)
+    return tuple(part.digest for part in missing_parts(exchange))[:QUERY_DIGESTS]
+
+
+def _is_wanted(exchange: ConfigurationExchange, version: ConfigurationVersion) -> bool:
+    if version <= exchange.current.version or version.digest in exchange.rejected:
+        return False
+    return exchange.offer is None or version >= exchange.offer.version
+
+
+def _try_to_accept(
+    exchange: ConfigurationExchange, offer: Offer
+) -> Accepted | Rejected | None:
+    if missing_parts(exchange):
+        return None
+    exchange.offer = None
+    assembled = assemble_configuration(offer.manifest_text, offer.texts)
+    if isinstance(assembled, Err):
+        exchange.rejected.add(offer.version.digest)
+        return Rejected(offer.version.number, tuple(assembled.err_value))
+    exchange.current = assembled.ok_value
+    exchange.texts = {offer.version.digest: offer.manifest_text, **offer.texts}
+    exchange.source = offer.source
+    return Accepted(exchange.current, offer.source)
