--- a/bench/core_drive.py
+++ b/bench/core_drive.py
@@ -90,8 +90,13 @@
     """Many cores, their messages in flight, and their engines."""
 
     def __init__(
-        self, routers: int, servers: int, slots: int, loads: list[Load],
-        options: CoreOptions, seed: int,
+        self,
+        routers: int,
+        servers: int,
+        slots: int,
+        loads: list[Load],
+        options: CoreOptions,
+        seed: int,
     ) -> None:
         self.draw = random.Random(seed)
         self.loads = {load.workspace: load for load in loads}
@@ -190,8 +195,12 @@
             self.waiting[(workspace, name)] += 1
             self.requests += 1
             request = RequestSpecification(
-                f"{workspace}/{self.requests}", workspace, POOL, 100,
-                self.now_s, self.now_s + 1e6,
+                f"{workspace}/{self.requests}",
+                workspace,
+                POOL,
+                100,
+                self.now_s,
+                self.now_s + 1e6,
             )
             event = events.RequestArrived(request)
             self._at(self.now_s, lambda event=event: self.handle(name, event))  # type: ignore[misc]
@@ -246,8 +255,13 @@
 
 
 def drive_once(
-    routers: int, servers: int, slots: int, workspaces: int,
-    options: CoreOptions, seed: int, seconds: float,
+    routers: int,
+    servers: int,
+    slots: int,
+    workspaces: int,
+    options: CoreOptions,
+    seed: int,
+    seconds: float,
 ) -> DriveResult:
     """Run one drive with loads drawn from the seed."""
     loads = make_loads(workspaces, routers, random.Random(seed))
--- a/packages/core/src/myrtlehook_core/__init__.py
+++ b/packages/core/src/myrtlehook_core/__init__.py
@@ -18,6 +18,13 @@
 from myrtlehook_core.process.messages import Envelope, decode_envelope, encode_envelope
 from myrtlehook_core.process.options import CoreOptions
 from myrtlehook_core.process.routers import RouterCore
+from myrtlehook_core.process.settings import (
+    LimitSettings,
+    ListenSettings,
+    Settings,
+    core_options,
+    load_settings,
+)
 from myrtlehook_core.process.statuses import RouterStatus, describe_router
 from myrtlehook_core.request.outcomes import DropReason, Outcome, RefusalReason, RetryReason
 from myrtlehook_core.request.requests import PoolKey, RequestSpecification
@@ -47,6 +54,11 @@
 from myrtlehook_core.version.findings import Finding, parse_document, validate_content
 
 __all__ = [
+    "load_settings",
+    "core_options",
+    "Settings",
+    "ListenSettings",
+    "LimitSettings",
     "Action",
     "BackendServer",
     "Candidate",
--- a/packages/core/src/myrtlehook_core/process/entries.py
+++ b/packages/core/src/myrtlehook_core/process/entries.py
@@ -253,9 +253,7 @@
                 doomed.append((request, RefusalReason.CONFIGURATION_REMOVED))
             elif request.deadline_s <= now_s:
                 doomed.append((request, RefusalReason.DEADLINE_PASSED))
-            elif not can_meet_deadline(
-                queue, position - len(doomed), request.deadline_s, now_s
-            ):
+            elif not can_meet_deadline(queue, position - len(doomed), request.deadline_s, now_s):
                 doomed.append((request, RefusalReason.DEADLINE_UNREACHABLE))
         for request, reason in doomed:
             remove_request(queue, request.request_id)
@@ -392,9 +390,7 @@
     return True
 
 
-def _release_running(
-    entry: Entry, key: PoolKey, running: RunningRequest, now_s: float
-) -> Release:
+def _release_running(entry: Entry, key: PoolKey, running: RunningRequest, now_s: float) -> Release:
     row = make_bid_row(entry, key)
     return Release(running.grant_id, running.backend_server, True, now_s, row)
 
--- a/packages/core/src/myrtlehook_core/process/ledgers.py
+++ b/packages/core/src/myrtlehook_core/process/ledgers.py
@@ -76,9 +76,7 @@
     for floor in report.floors:
         known_units = ledger.floors_units.get(floor.pool, 0.0)
         ledger.floors_units[floor.pool] = max(known_units, floor.floor_units)
-    return tuple(
-        _take_row(ledger, sender, row, now_s, options, reachable) for row in report.rows
-    )
+    return tuple(_take_row(ledger, sender, row, now_s, options, reachable) for row in report.rows)
 
 
 def floor_rows(floors_units: dict[str, float]) -> tuple[FloorRow, ...]:
--- a/packages/core/src/myrtlehook_core/process/members.py
+++ b/packages/core/src/myrtlehook_core/process/members.py
@@ -194,7 +194,7 @@
 
 def collect_leaving_news(table: MemberTable) -> tuple[LeavingRow, ...]:
     """Pick the leaving backend servers that ride on one probe."""
-    rows = []
+    rows: list[LeavingRow] = []
     for name, server in table.leaving_servers.items():
         if server.news_left > 0 and len(rows) < NEWS_ROWS:
             server.news_left -= 1
--- a/packages/core/src/myrtlehook_core/process/owners.py
+++ b/packages/core/src/myrtlehook_core/process/owners.py
@@ -226,9 +226,7 @@
     context.post.add(router, message)
 
 
-def _free_slots(
-    owner: SlotOwner, context: OwnerContext, pool: str, now_s: float
-) -> dict[str, int]:
+def _free_slots(owner: SlotOwner, context: OwnerContext, pool: str, now_s: float) -> dict[str, int]:
     free: dict[str, int] = {}
     for name, server in owner.servers.items():
         configured = context.configuration.backend_servers.get(name)
--- a/packages/core/src/myrtlehook_core/process/probing.py
+++ b/packages/core/src/myrtlehook_core/process/probing.py
@@ -91,7 +91,11 @@
 def take_probe(context: ProbeContext, sender: str, probe: Probe, now_s: float) -> None:
     """Acknowledge a probe and take its news."""
     take_news(context, probe.news, now_s)
-    _send(context, sender, Ack(probe.probe_id, context.table.identity.router_id, _news_for(context, sender)))
+    _send(
+        context,
+        sender,
+        Ack(probe.probe_id, context.table.identity.router_id, _news_for(context, sender)),
+    )
 
 
 def take_ack(prober: Prober, context: ProbeContext, ack: Ack, now_s: float) -> None:
@@ -119,7 +123,9 @@
     pending.requester_probe_id = message.probe_id
 
 
-def take_members_query(context: ProbeContext, sender: str, query: MembersQuery, now_s: float) -> None:
+def take_members_query(
+    context: ProbeContext, sender: str, query: MembersQuery, now_s: float
+) -> None:
     """Give a starting router the whole member table."""
     take_row(context.table, query.sender_row, now_s, context.options.suspicion_s)
     rows = [own_row(context.table)]
--- a/packages/core/src/myrtlehook_core/process/routers.py
+++ b/packages/core/src/myrtlehook_core/process/routers.py
@@ -67,7 +67,6 @@
     LeavingRow,
     MembersQuery,
     MembersReply,
-    Message,
     News,
     Probe,
     Release,
@@ -259,9 +258,7 @@
         context = self.owner_context()
         free = count_free_in_pool(self.owner, context, key.pool, now_s)
         preferred = self.identity.router_id if free > 0 else None
-        offer_first(
-            entry, self.placement, event.request, preferred, self.draw, self._post, now_s
-        )
+        offer_first(entry, self.placement, event.request, preferred, self.draw, self._post, now_s)
 
     def _on_abandoned(self, event: events.RequestAbandoned, now_s: float) -> None:
         abandon_request(self.entry, event.request_id)
@@ -400,9 +397,7 @@
         receive_hold_list(self.owner, self.owner_context(), sender, message, now_s)
 
     def _take_report(self, sender: str, message: Report, now_s: float) -> None:
-        rows = take_report(
-            self.ledger, sender, message, now_s, self.options, self.reachable
-        )
+        rows = take_report(self.ledger, sender, message, now_s, self.options, self.reachable)
         if message.wants_totals:
             self._post.add(sender, Totals(rows))
 
--- a/packages/core/src/myrtlehook_core/version/exchange.py
+++ b/packages/core/src/myrtlehook_core/version/exchange.py
@@ -143,9 +143,7 @@
     return exchange.offer is None or version >= exchange.offer.version
 
 
-def _try_to_accept(
-    exchange: ConfigurationExchange, offer: Offer
-) -> Accepted | Rejected | None:
+def _try_to_accept(exchange: ConfigurationExchange, offer: Offer) -> Accepted | Rejected | None:
     if missing_parts(exchange):
         return None
     exchange.offer = None
--- a/packages/core/src/myrtlehook_core/version/findings.py
+++ b/packages/core/src/myrtlehook_core/version/findings.py
@@ -41,9 +41,7 @@
     return validate_content(model, content, source)
 
 
-def validate_content(
-    model: type[Model], content: Any, source: str
-) -> Result[Model, list[Finding]]:
+def validate_content(model: type[Model], content: Any, source: str) -> Result[Model, list[Finding]]:
     """Validate decoded JSON, and collect every finding with its place."""
     try:
         return Ok(model.model_validate(content))
--- /dev/null
+++ b/packages/operator/src/myrtlehook_operator/process/commands.py
@@ -0,0 +1,208 @@
+"""The commands of the operator's tool."""
+
+from dataclasses import asdict
+from pathlib import Path
+from typing import Annotated, NoReturn
+
+import typer
+import urllib3
+from result import Err, Result
+
+from myrtlehook_core import Finding, load_settings
+from myrtlehook_operator.process.reports import (
+    OUT,
+    print_error,
+    print_findings,
+    print_json,
+    print_plan,
+    print_statuses,
+)
+from myrtlehook_operator.version.intents import apply_intent, load_intent
+from myrtlehook_operator.version.plans import (
+    Plan,
+    base_has_moved,
+    load_plan,
+    make_plan,
+    plan_digest,
+    write_documents,
+)
+from myrtlehook_operator.version.published import Published, Unreachable, read_published
+
+EXIT_REFUSED = 1
+EXIT_BAD_INPUT = 2
+EXIT_UNREACHABLE = 3
+
+STATUS_TIMEOUT_S = 3.0
+
+app = typer.Typer(
+    help="Operate a myrtlehook fleet: state an intent, read the plan, confirm it.",
+    no_args_is_help=True,
+    add_completion=False,
+    pretty_exceptions_enable=False,
+)
+
+Json = Annotated[bool, typer.Option("--json", help="Print JSON for programs.")]
+PlatformAddress = Annotated[
+    str, typer.Option(help="IP number and port of the configuration service.")
+]
+
+
+def main() -> None:
+    """Run the tool."""
+    app()
+
+
+@app.command(epilog="Example: myrtlehook check intent.json --kind intent")
+def check(
+    file: Annotated[Path, typer.Argument(help="JSON with comments.")],
+    kind: Annotated[str, typer.Option(help="intent, plan or settings")] = "intent",
+    as_json: Json = False,
+) -> None:
+    """Check a file and print every finding with its place; exit 2 if there are any."""
+    checks = {"intent": load_intent, "plan": load_plan, "settings": load_settings}
+    if kind not in checks:
+        print_error(f"--kind: saw {kind!r}, expected one of {', '.join(checks)}")
+        raise typer.Exit(EXIT_BAD_INPUT)
+    loaded: Result[object, list[Finding]] = checks[kind](_read_file(file), file.name)
+    findings = loaded.err_value if isinstance(loaded, Err) else []
+    if as_json:
+        print_json({"findings": [asdict(finding) for finding in findings]})
+    elif findings:
+        print_findings(findings)
+    else:
+        OUT.print(f"{file.name}: nothing found")
+    if findings:
+        raise typer.Exit(EXIT_BAD_INPUT)
+
+
+@app.command(epilog="Example: myrtlehook plan intent.json --platform 10.0.0.5:8500 --out plan.json")
+def plan(
+    intent: Annotated[Path, typer.Argument(help="The intent: JSON with comments.")],
+    platform: PlatformAddress,
+    out: Annotated[Path, typer.Option(help="Where the plan file goes.")] = Path("plan.json"),
+    as_json: Json = False,
+) -> None:
+    """Show what an intent would change, and write the plan file; nothing takes effect."""
+    loaded = load_intent(_read_file(intent), intent.name)
+    if isinstance(loaded, Err):
+        _stop_with_findings(loaded.err_value)
+    base = _read_base(platform)
+    applied = apply_intent(base.part, loaded.ok_value, intent.name)
+    if isinstance(applied, Err):
+        _stop_with_findings(applied.err_value)
+    made = make_plan(base, applied.ok_value)
+    if not made.document.changes:
+        _print_made(made, as_json)
+        OUT.print("nothing changes; no plan file was written")
+        return
+    _write_plan(out, made)
+    _print_made(made, as_json)
+    if not as_json:
+        OUT.print(f"plan written to {out}; confirm it with: myrtlehook confirm {out}")
+
+
+@app.command(
+    epilog="Example: myrtlehook confirm plan.json --platform 10.0.0.5:8500 --out published"
+)
+def confirm(
+    plan_file: Annotated[Path, typer.Argument(help="A file that `myrtlehook plan` wrote.")],
+    platform: PlatformAddress,
+    out: Annotated[Path, typer.Option(help="Folder under version control.")] = Path("published"),
+    as_json: Json = False,
+) -> None:
+    """Write a plan's documents for version control, unless its base has moved."""
+    loaded = load_plan(_read_file(plan_file), plan_file.name)
+    if isinstance(loaded, Err):
+        _stop_with_findings(loaded.err_value)
+    document = loaded.ok_value
+    base = _read_base(platform)
+    if base_has_moved(document, base):
+        print_error(
+            f"refused: the plan's base is version {document.base_number} "
+            f"({document.base_digest[:12] or 'nothing'}), but version {base.number} "
+            f"({base.digest[:12] or 'nothing'}) is published; plan again"
+        )
+        raise typer.Exit(EXIT_REFUSED)
+    written = write_documents(document, out)
+    if isinstance(written, Err):
+        print_error(written.err_value)
+        raise typer.Exit(EXIT_BAD_INPUT)
+    paths = [str(path) for path in written.ok_value]
+    if as_json:
+        print_json({"version": document.number, "digest": plan_digest(document), "written": paths})
+        return
+    for path in paths:
+        OUT.print(f"wrote {path}", markup=False, highlight=False)
+    OUT.print(f"commit these; version {document.number} is in force once they are published")
+
+
+@app.command(epilog="Example: myrtlehook status 10.0.0.11:8081 10.0.0.12:8081")
+def status(
+    routers: Annotated[list[str], typer.Argument(help="Operators' addresses of routers.")],
+    as_json: Json = False,
+) -> None:
+    """Show who owns what, who waits, and which configuration is in force."""
+    answers = {address: _read_status(address) for address in routers}
+    seen = [answer for answer in answers.values() if answer is not None]
+    silent = [address for address, answer in answers.items() if answer is None]
+    if as_json:
+        print_json({"routers": seen, "silent": silent})
+    else:
+        print_statuses(seen, silent)
+    if silent:
+        raise typer.Exit(EXIT_UNREACHABLE)
+
+
+def _read_status(address: str) -> dict[str, object] | None:
+    url = f"http://{address}/status"
+    try:
+        response = urllib3.request("GET", url, timeout=STATUS_TIMEOUT_S, retries=False)
+    except urllib3.exceptions.HTTPError:
+        return None
+    return response.json() if response.status == 200 else None
+
+
+def _read_file(path: Path) -> str:
+    try:
+        return path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        print_error(f"{path}: {error}")
+        raise typer.Exit(EXIT_BAD_INPUT) from error
+
+
+def _read_base(platform: str) -> Published:
+    read = read_published(platform)
+    if isinstance(read, Err) and isinstance(read.err_value, Unreachable):
+        print_error(read.err_value.message)
+        raise typer.Exit(EXIT_UNREACHABLE)
+    if isinstance(read, Err):
+        _stop_with_findings(read.err_value)
+    return read.ok_value
+
+
+def _write_plan(path: Path, made: Plan) -> None:
+    try:
+        path.write_text(made.document.model_dump_json(indent=1) + "\n", encoding="utf-8")
+    except OSError as error:
+        print_error(f"{path}: {error}")
+        raise typer.Exit(EXIT_BAD_INPUT) from error
+
+
+def _print_made(made: Plan, as_json: bool) -> None:
+    if not as_json:
+        print_plan(made)
+        return
+    print_json(
+        {
+            "base_number": made.document.base_number,
+            "number": made.document.number,
+            "changes": made.document.changes,
+            "entitlements": [asdict(item) for item in made.entitlements],
+            "warnings": made.document.warnings,
+        }
+    )
+
+
+def _stop_with_findings(findings: list[Finding]) -> NoReturn:
+    print_findings(findings)
+    raise typer.Exit(EXIT_BAD_INPUT)
--- /dev/null
+++ b/packages/operator/src/myrtlehook_operator/process/reports.py
@@ -0,0 +1,120 @@
+"""What the tool prints: tables for people, JSON for programs."""
+
+import json
+from collections.abc import Sequence
+from typing import Any
+
+from rich.console import Console
+from rich.table import Table
+
+from myrtlehook_core import Finding
+from myrtlehook_operator.version.plans import Plan
+
+OUT = Console()
+ERR = Console(stderr=True)
+
+
+def print_json(content: Any) -> None:
+    """Print one JSON value."""
+    print(json.dumps(content, indent=2))
+
+
+def print_findings(findings: Sequence[Finding]) -> None:
+    """Print every finding, a line each."""
+    for finding in findings:
+        ERR.print(str(finding), markup=False, highlight=False, soft_wrap=True)
+
+
+def print_error(message: str) -> None:
+    """Print one error."""
+    ERR.print(message, markup=False, highlight=False, soft_wrap=True)
+
+
+def print_plan(plan: Plan) -> None:
+    """Print what a plan changes, who gains or loses, and what to look at twice."""
+    document = plan.document
+    OUT.print(f"version {document.base_number} -> {document.number}")
+    for change in document.changes:
+        OUT.print(f"  {change}", markup=False, highlight=False, soft_wrap=True)
+    if plan.entitlements:
+        OUT.print(_entitlement_table(plan))
+    for warning in document.warnings:
+        OUT.print(f"warning: {warning}", markup=False, highlight=False, soft_wrap=True)
+
+
+def print_statuses(statuses: Sequence[dict[str, Any]], silent: Sequence[str]) -> None:
+    """Print routers, backend servers and queues of a fleet."""
+    OUT.print(_router_table(statuses))
+    OUT.print(_server_table(statuses))
+    OUT.print(_queue_table(statuses))
+    for address in silent:
+        OUT.print(f"no answer from {address}", markup=False, highlight=False)
+    versions = {
+        (status["configuration_number"], status["configuration_digest"]) for status in statuses
+    }
+    if len(versions) > 1:
+        OUT.print(f"warning: {len(versions)} configuration versions are in force")
+
+
+def _entitlement_table(plan: Plan) -> Table:
+    table = Table("workspace", "pool", "slots before", "slots after", "change")
+    for item in plan.entitlements:
+        change = item.slots_after - item.slots_before
+        table.add_row(
+            item.workspace,
+            item.pool,
+            f"{item.slots_before:.2f}",
+            f"{item.slots_after:.2f}",
+            f"{change:+.2f}",
+        )
+    return table
+
+
+def _router_table(statuses: Sequence[dict[str, Any]]) -> Table:
+    table = Table("vm", "version", "from", "queued", "running", "peers alive", "draining")
+    for status in statuses:
+        alive = sum(1 for peer in status["peers"] if peer["state"] == "alive")
+        table.add_row(
+            status["vm"],
+            f"{status['configuration_number']} {status['configuration_digest'][:8]}",
+            status["configuration_source"],
+            str(status["queued_requests"]),
+            str(status["running_requests"]),
+            f"{alive} of {len(status['peers'])}",
+            "yes" if status["draining"] else "no",
+        )
+    return table
+
+
+def _server_table(statuses: Sequence[dict[str, Any]]) -> Table:
+    table = Table("backend server", "pool", "owner", "held", "slots", "foreign", "leaving")
+    for status in statuses:
+        for server in status["servers"]:
+            if server["owner"] != status["vm"]:
+                continue
+            table.add_row(
+                server["backend_server"],
+                server["pool"],
+                server["owner"],
+                str(server["held_slots"]),
+                str(server["slots"]),
+                str(server["foreign_requests"]),
+                "yes" if server["leaving"] else "no",
+            )
+    return table
+
+
+def _queue_table(statuses: Sequence[dict[str, Any]]) -> Table:
+    table = Table("workspace", "pool", "vm", "queued", "running", "virtual service", "served here")
+    rows = [(queue, status["vm"]) for status in statuses for queue in status["queues"]]
+    for queue, vm in sorted(rows, key=lambda row: (row[0]["pool"], row[0]["workspace"], row[1])):
+        table.add_row(
+            queue["workspace"],
+            queue["pool"],
+            vm,
+            str(queue["queued_requests"]),
+            str(queue["running_requests"]),
+            f"{queue['virtual_service_units']:.0f}",
+            f"{queue['served_here_units']:.0f}",
+        )
+    return table
--- /dev/null
+++ b/packages/router/src/myrtlehook_router/connection/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one connection: towards callers, backend servers and the platform."""
--- /dev/null
+++ b/packages/router/src/myrtlehook_router/connection/listeners.py
@@ -0,0 +1,73 @@
+"""The HTTP listeners: bounds on connections and headers, and what is over them refused."""
+
+import logging
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import eventlet
+from eventlet import wsgi
+
+from myrtlehook_core import LimitSettings, ListenSettings
+from myrtlehook_router.process.counters import Counters
+
+BACKLOG = 1024
+SPARE_CONNECTIONS = 64
+"""Connections above the bound that are taken only to be told so."""
+
+TOO_MANY_CONNECTIONS = (
+    b"HTTP/1.1 503 Service Unavailable\r\n"
+    b"Content-Type: application/json\r\n"
+    b"Retry-After: 1\r\n"
+    b"X-Outcome: not-run\r\n"
+    b"Connection: close\r\n"
+    b"Content-Length: 74\r\n\r\n"
+    b'{"error":{"code":"connections_full","message":"too many open connections"}}'
+)
+
+Application = Callable[..., Iterable[bytes]]
+
+
+def serve_http(
+    listener: ListenSettings, application: Application, limits: LimitSettings, counters: Counters
+) -> None:
+    """Serve an application until the process ends; the loop of this task."""
+    wsgi.MAX_TOTAL_HEADER_SIZE = limits.header_bytes
+    wsgi.MAX_HEADER_LINE = min(limits.header_bytes, 8192)
+    socket = eventlet.listen((listener.address, listener.port), backlog=BACKLOG, reuse_port=False)
+    silent = logging.getLogger("eventlet.wsgi")
+    silent.disabled = True
+    wsgi.server(
+        socket,
+        application,
+        log=silent,
+        log_output=False,
+        debug=False,
+        protocol=_make_protocol(limits, counters),
+        custom_pool=eventlet.GreenPool(limits.connections + SPARE_CONNECTIONS),
+        socket_timeout=limits.idle_connection_s,
+    )
+
+
+def _make_protocol(limits: LimitSettings, counters: Counters) -> type:
+    """Make a protocol class that counts connections and refuses those over the bound."""
+    open_connections = [0]
+
+    class BoundedProtocol(wsgi.HttpProtocol):
+        """One connection of a caller."""
+
+        def handle(self) -> None:
+            if open_connections[0] >= limits.connections:
+                counters.add("refusal.connections_full")
+                self.wfile.write(TOO_MANY_CONNECTIONS)
+                return
+            open_connections[0] += 1
+            try:
+                super().handle()
+            finally:
+                open_connections[0] -= 1
+
+        def send_error(self, *arguments: Any, **keywords: Any) -> None:
+            counters.add("refusal.malformed_head")
+            super().send_error(*arguments, **keywords)
+
+    return BoundedProtocol
--- /dev/null
+++ b/packages/router/src/myrtlehook_router/process/__init__.py
@@ -0,0 +1,1 @@
+"""What lives as long as the process: settings, logs, counters, tasks."""
--- /dev/null
+++ b/packages/router/src/myrtlehook_router/process/core_tasks.py
@@ -0,0 +1,181 @@
+"""The task that owns the decision core and carries out what it asks."""
+
+import time
+from collections.abc import Callable
+from typing import Any
+
+import eventlet
+
+from myrtlehook_core import (
+    Configuration,
+    DropReason,
+    Event,
+    RouterCore,
+    actions,
+    events,
+)
+from myrtlehook_router.connection.engines import fetch_load, send_order
+from myrtlehook_router.connection.platforms import Platform
+from myrtlehook_router.process.counters import Counters
+from myrtlehook_router.process.logs import get_logger
+from myrtlehook_router.process.mailboxes import Mailbox
+from myrtlehook_router.process.peers import PeerSockets
+from myrtlehook_router.request.tickets import TicketBook
+
+TICK_S = 0.02
+EVENTS_PER_TURN = 200
+"""After so many events the messages they made go out and other tasks get their turn."""
+
+_log = get_logger("core")
+
+
+class CoreTask:
+    """Feeds events to the core, one at a time."""
+
+    def __init__(
+        self,
+        core: RouterCore,
+        mailbox: Mailbox,
+        peers: PeerSockets,
+        platform: Platform,
+        tickets: TicketBook,
+        counters: Counters,
+    ) -> None:
+        self.core = core
+        self._mailbox = mailbox
+        self._peers = peers
+        self._platform = platform
+        self._tickets = tickets
+        self._counters = counters
+        self._unsent: dict[tuple[str, str], list[actions.Message]] = {}
+        self._polling: set[str] = set()
+        self.cpu_s = 0.0
+        """Processor time spent deciding and encoding, in seconds."""
+
+    @property
+    def configuration(self) -> Configuration:
+        """The configuration in force."""
+        return self.core.configuration
+
+    def run_forever(self) -> None:
+        """Take events until the process ends; the loop of this task."""
+        next_tick_s = time.monotonic()
+        while True:
+            now_s = time.monotonic()
+            event = self._mailbox.take(max(next_tick_s - now_s, 0.0))
+            started_s = time.thread_time()
+            self._take_turn(event)
+            now_s = time.monotonic()
+            if now_s >= next_tick_s:
+                next_tick_s = now_s + TICK_S
+                self._handle(events.Tick())
+            self._flush()
+            self.cpu_s += time.thread_time() - started_s
+            eventlet.sleep(0)
+
+    def _take_turn(self, event: Event | None) -> None:
+        taken = 0
+        while event is not None:
+            self._handle(event)
+            taken += 1
+            if taken >= EVENTS_PER_TURN:
+                return
+            event = self._mailbox.take(0.0)
+
+    def _handle(self, event: Event) -> None:
+        for action in self.core.handle(event, time.monotonic()):
+            _CARRY_OUT[type(action)](self, action)
+
+    def _flush(self) -> None:
+        unsent, self._unsent = self._unsent, {}
+        for (router_id, address), messages in unsent.items():
+            self._peers.send(router_id, address, tuple(messages))
+
+    # -- actions --------------------------------------------------------------------
+
+    def _decide(self, action: actions.Dispatch | actions.Refuse) -> None:
+        ticket = self._tickets.find(action.request_id)
+        if ticket is not None:
+            ticket.decide(action)
+
+    def _send(self, action: actions.Send) -> None:
+        self._unsent.setdefault((action.router_id, action.address), []).append(action.message)
+
+    def _poll_load(self, action: actions.PollLoad) -> None:
+        if action.backend_server in self._polling:
+            return
+        self._polling.add(action.backend_server)
+        eventlet.spawn_n(self._poll, action)
+
+    def _poll(self, action: actions.PollLoad) -> None:
+        try:
+            report = fetch_load(action.backend_server, action.address)
+            if report is None:
+                self._counters.add("backend.load_unreadable")
+            else:
+                self._mailbox.post(report)
+        finally:
+            self._polling.discard(action.backend_server)
+
+    def _send_order(self, action: actions.SendOrder) -> None:
+        eventlet.spawn_n(self._order, action)
+
+    def _order(self, action: actions.SendOrder) -> None:
+        outcome = send_order(action)
+        self._counters.add(f"order.{outcome}")
+        _log.info(
+            "order", backend_server=action.backend_server, fence=action.fence, outcome=outcome
+        )
+
+    def _fetch_part(self, action: actions.FetchPart) -> None:
+        eventlet.spawn_n(self._fetch, action)
+
+    def _fetch(self, action: actions.FetchPart) -> None:
+        text = self._platform.read_part(action.key)
+        if text is not None:
+            self._mailbox.post(events.PartRead(action.digest, text))
+
+    def _note_configuration(self, action: actions.ConfigurationChanged) -> None:
+        version = action.configuration.version
+        self._counters.add("configuration.accepted")
+        _log.info(
+            "configuration accepted",
+            number=version.number,
+            digest=version.digest,
+            source=action.source,
+        )
+
+    def _note_rejection(self, action: actions.ConfigurationRejected) -> None:
+        self._counters.add("configuration.rejected")
+        _log.error(
+            "configuration rejected",
+            number=action.number,
+            findings=[str(finding) for finding in action.findings],
+        )
+
+    def _note_retry(self, action: actions.RetryNoted) -> None:
+        self._counters.add(f"retry.{action.reason}")
+        _log.info("retry", request_id=action.request_id, reason=action.reason)
+
+    def _note_drop(self, action: actions.DropNoted) -> None:
+        self._counters.add(f"drop.{DropReason(action.reason)}")
+
+    def _note_pause(self, action: actions.PauseNoticed) -> None:
+        self._counters.add("process.paused")
+        _log.warning("woke late", late_s=round(action.late_s, 3))
+
+
+# Each method's own signature types its action; the table only pairs the two.
+_CARRY_OUT: dict[type, Callable[[CoreTask, Any], None]] = {
+    actions.Dispatch: CoreTask._decide,
+    actions.Refuse: CoreTask._decide,
+    actions.Send: CoreTask._send,
+    actions.PollLoad: CoreTask._poll_load,
+    actions.SendOrder: CoreTask._send_order,
+    actions.FetchPart: CoreTask._fetch_part,
+    actions.ConfigurationChanged: CoreTask._note_configuration,
+    actions.ConfigurationRejected: CoreTask._note_rejection,
+    actions.RetryNoted: CoreTask._note_retry,
+    actions.DropNoted: CoreTask._note_drop,
+    actions.PauseNoticed: CoreTask._note_pause,
+}
--- /dev/null
+++ b/packages/router/src/myrtlehook_router/process/counters.py
@@ -0,0 +1,30 @@
+"""Counters: kept in the process for operators, and sent to statsd."""
+
+from collections import Counter
+
+import statsd
+
+from myrtlehook_core import ListenSettings
+
+PREFIX = "myrtlehook"
+
+
+class Counters:
+    """Counts by dotted name, such as ``refusal.queue_full``."""
+
+    def __init__(self, address: ListenSettings | None) -> None:
+        self.values: Counter[str] = Counter()
+        self._client: statsd.StatsClient | None = None
+        if address is not None:
+            self._client = statsd.StatsClient(address.address, address.port, prefix=PREFIX)
+
+    def add(self, name: str, count: int = 1) -> None:
+        """Count something that happened."""
+        self.values[name] += count
+        if self._client is not None:
+            self._client.incr(name, count)
+
+    def time(self, name: str, elapsed_s: float) -> None:
+        """Send a duration to statsd."""
+        if self._client is not None:
+            self._client.timing(name, elapsed_s * 1000.0)
--- /dev/null
+++ b/packages/router/src/myrtlehook_router/process/logs.py
@@ -0,0 +1,32 @@
+"""Logs: one JSON object a line on standard error."""
+
+import sys
+
+import structlog
+from structlog.typing import EventDict
+
+
+def set_up_logs(vm: str) -> None:
+    """Make every log line a JSON object that names this VM."""
+
+    def add_vm(logger: object, method: str, event: EventDict) -> EventDict:
+        # Context variables would be lost from one green thread to the next.
+        event["vm"] = vm
+        return event
+
+    structlog.configure(
+        processors=[
+            add_vm,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.dict_tracebacks,
+            structlog.processors.JSONRenderer(),
+        ],
+        logger_factory=structlog.PrintLoggerFactory(file=sys.stderr),
+        cache_logger_on_first_use=True,
+    )
+
+
+def get_logger(name: str) -> structlog.typing.FilteringBoundLogger:
+    """Return a logger whose lines name the part that they come from."""
+    return structlog.get_logger(part=name)
--- /dev/null
+++ b/packages/router/src/myrtlehook_router/process/operators.py
@@ -0,0 +1,84 @@
+"""The operators' endpoints, on an address that callers never reach."""
+
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import asdict, dataclass
+from typing import Any
+
+import msgspec
+
+from myrtlehook_core import describe_router
+from myrtlehook_router.connection.platforms import Platform
+from myrtlehook_router.process.core_tasks import CoreTask
+from myrtlehook_router.process.counters import Counters
+from myrtlehook_router.process.peers import PeerSockets
+from myrtlehook_router.request.answers import JSON_TYPE, status_line
+
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+
+
+class CutOrder(msgspec.Struct, frozen=True):
+    """What a failure test wants cut; an empty order heals."""
+
+    peers: list[str] = []
+    platform: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class OperatorServices:
+    """What the endpoints read."""
+
+    core_task: CoreTask
+    counters: Counters
+    peers: PeerSockets
+    platform: Platform
+    is_ready: Callable[[], bool]
+    cut_allowed: bool
+
+
+def make_operator_application(
+    services: OperatorServices,
+) -> Callable[[dict[str, Any], StartResponse], Iterable[bytes]]:
+    """Make the WSGI application for operators and the balancer."""
+
+    def application(environ: dict[str, Any], start_response: StartResponse) -> Iterable[bytes]:
+        status, content = _answer(services, environ)
+        body = msgspec.json.encode(content)
+        headers = [("Content-Type", JSON_TYPE), ("Content-Length", str(len(body)))]
+        start_response(status_line(status), headers)
+        return [body]
+
+    return application
+
+
+def _answer(services: OperatorServices, environ: dict[str, Any]) -> tuple[int, object]:
+    path = environ.get("PATH_INFO", "/")
+    if path == "/healthz":
+        ready = services.is_ready()
+        return (200 if ready else 503), {"ready": ready}
+    if path == "/status":
+        return 200, asdict(describe_router(services.core_task.core))
+    if path == "/metrics":
+        return 200, _describe_metrics(services)
+    if path == "/test/cut" and environ["REQUEST_METHOD"] == "POST" and services.cut_allowed:
+        return _cut(services, environ["wsgi.input"].read())
+    return 404, {"error": f"nothing at {path}"}
+
+
+def _describe_metrics(services: OperatorServices) -> dict[str, object]:
+    return {
+        "counters": dict(services.counters.values),
+        "core_cpu_s": services.core_task.cpu_s,
+        "process_cpu_s": time.process_time(),
+        "monotonic_s": time.monotonic(),
+    }
+
+
+def _cut(services: OperatorServices, content: bytes) -> tuple[int, object]:
+    try:
+        order = msgspec.json.decode(content, type=CutOrder)
+    except msgspec.DecodeError as error:
+        return 400, {"error": str(error)}
+    services.peers.cut_peers = frozenset(order.peers)
+    services.platform.cut = order.platform
+    return 200, {"cut": order.peers}
--- /dev/null
+++ b/packages/router/src/myrtlehook_router/request/answers.py
@@ -0,0 +1,115 @@
+"""Answers to callers: typed refusals and failures as JSON, with the outcome named."""
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from myrtlehook_core import Outcome, RefusalReason
+
+REQUEST_ID_HEADER = "X-Request-Id"
+OUTCOME_HEADER = "X-Outcome"
+JSON_TYPE = "application/json"
+
+STATUS_TEXTS = {
+    200: "OK",
+    400: "Bad Request",
+    401: "Unauthorized",
+    403: "Forbidden",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    409: "Conflict",
+    411: "Length Required",
+    413: "Content Too Large",
+    429: "Too Many Requests",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+REFUSAL_STATUSES = {
+    RefusalReason.UNAUTHENTICATED: 401,
+    RefusalReason.UNKNOWN_MODEL: 404,
+    RefusalReason.UNKNOWN_SERVICE: 404,
+    RefusalReason.UNKNOWN_PATH: 404,
+    RefusalReason.POOL_NOT_ALLOWED: 403,
+    RefusalReason.CONFIGURATION_REMOVED: 403,
+    RefusalReason.MALFORMED_BODY: 400,
+    RefusalReason.BODY_TOO_LARGE: 413,
+    RefusalReason.LENGTH_REQUIRED: 411,
+    RefusalReason.DUPLICATE_REQUEST_ID: 409,
+    RefusalReason.QUEUE_FULL: 429,
+    RefusalReason.QUEUE_BYTES_FULL: 429,
+    RefusalReason.RATE_LIMITED: 429,
+}
+"""Status of each refusal; every other reason is a 503."""
+
+TRY_LATER_STATUSES = frozenset({429, 503})
+
+Headers = list[tuple[str, str]]
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """What goes back to a caller."""
+
+    status: int
+    body: Iterable[bytes]
+    headers: Headers = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """A refusal with what the caller may do about it."""
+
+    reason: RefusalReason
+    message: str
+    retry_after_s: float = 1.0
+
+
+def refuse(request_id: str, refusal: Refusal) -> Answer:
+    """Make the final answer to a request that was not run."""
+    status = REFUSAL_STATUSES.get(refusal.reason, 503)
+    headers = _answer_headers(request_id, Outcome.NOT_RUN)
+    if status in TRY_LATER_STATUSES:
+        headers.append(("Retry-After", str(math.ceil(refusal.retry_after_s))))
+    body = error_body(refusal.reason, refusal.message, request_id, Outcome.NOT_RUN)
+    return Answer(status, [body], headers)
+
+
+def fail(request_id: str, status: int, code: str, message: str) -> Answer:
+    """Make the answer to a request of which no one can tell how far it got."""
+    body = error_body(code, message, request_id, Outcome.UNKNOWN)
+    return Answer(status, [body], _answer_headers(request_id, Outcome.UNKNOWN))
+
+
+def complete_json(request_id: str, content: object) -> Answer:
+    """Make a whole answer of JSON."""
+    body = msgspec.json.encode(content)
+    return Answer(200, [body], _answer_headers(request_id, Outcome.COMPLETED))
+
+
+def error_body(code: str, message: str, request_id: str, outcome: Outcome) -> bytes:
+    """Encode an error in the shape that callers' libraries of the model API expect."""
+    error = {
+        "type": "myrtlehook",
+        "code": str(code),
+        "message": message,
+        "request_id": request_id,
+        "outcome": str(outcome),
+    }
+    return msgspec.json.encode({"error": error})
+
+
+def status_line(status: int) -> str:
+    """Return a status with its text, as WSGI wants it."""
+    return f"{status} {STATUS_TEXTS.get(status, 'Status')}"
+
+
+def _answer_headers(request_id: str, outcome: Outcome) -> Headers:
+    return [
+        ("Content-Type", JSON_TYPE),
+        (REQUEST_ID_HEADER, request_id),
+        (OUTCOME_HEADER, str(outcome)),
+    ]
--- /dev/null
+++ b/packages/router/src/myrtlehook_router/request/callers.py
@@ -0,0 +1,113 @@
+"""A caller's HTTP request, read from WSGI within its bounds."""
+
+import re
+import uuid
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Any
+
+from eventlet import patcher
+from result import Err, Ok, Result
+
+from myrtlehook_core import RefusalReason
+from myrtlehook_router.request.answers import Refusal
+
+REQUEST_ID_PATTERN = re.compile(r"^[A-Za-z0-9._-]{1,128}$")
+TIMEOUT_HEADER = "HTTP_X_TIMEOUT_MS"
+NO_REPEAT_HEADER = "HTTP_X_NO_REPEAT"
+READ_BYTES = 64 * 1024
+LONGEST_TIMEOUT_MS = 24 * 3600 * 1000
+
+_select = patcher.original("select")
+"""The patched module has no ``poll``; one that does not wait needs no patching."""
+
+_CLOSED_EVENTS = _select.POLLRDHUP | _select.POLLHUP | _select.POLLERR
+
+
+@dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """One request as its caller sent it."""
+
+    environ: dict[str, Any]
+    method: str
+    path: str
+    request_id: str
+    authorization: str
+    timeout_ms: int | None
+    no_repeat: bool
+
+
+def parse_request(environ: dict[str, Any]) -> Result[CallerRequest, Refusal]:
+    """Read a request's head."""
+    given_id = environ.get("HTTP_X_REQUEST_ID", "")
+    if given_id and not REQUEST_ID_PATTERN.match(given_id):
+        return Err(_malformed("X-Request-Id must be 1 to 128 letters, digits, '.', '_' or '-'"))
+    if "HTTP_TRANSFER_ENCODING" in environ and environ.get("CONTENT_LENGTH"):
+        # Two lengths for one body are how requests are smuggled.
+        return Err(_malformed("send Content-Length or Transfer-Encoding, not both"))
+    timeout_text = environ.get(TIMEOUT_HEADER, "")
+    if timeout_text and not (timeout_text.isascii() and timeout_text.isdigit()):
+        return Err(_malformed(f"X-Timeout-Ms must be a whole number, not {timeout_text[:40]!r}"))
+    timeout_ms = min(int(timeout_text[:12]), LONGEST_TIMEOUT_MS) if timeout_text else None
+    return Ok(
+        CallerRequest(
+            environ=environ,
+            method=environ["REQUEST_METHOD"],
+            path=environ.get("PATH_INFO", "/"),
+            request_id=given_id or uuid.uuid4().hex,
+            authorization=environ.get("HTTP_AUTHORIZATION", ""),
+            timeout_ms=timeout_ms,
+            no_repeat=environ.get(NO_REPEAT_HEADER, "").lower() in ("1", "true", "yes"),
+        )
+    )
+
+
+def read_body(request: CallerRequest, limit_bytes: int) -> Result[bytes, Refusal]:
+    """Read a request's body, which must stay within its bound."""
+    length_text = request.environ.get("CONTENT_LENGTH") or ""
+    if length_text and not length_text.isdigit():
+        return Err(_malformed("Content-Length must be a whole number"))
+    if length_text and int(length_text) > limit_bytes:
+        return Err(_too_large(int(length_text), limit_bytes))
+    body = bytearray()
+    try:
+        for chunk in _read_chunks(request.environ["wsgi.input"]):
+            body += chunk
+            if len(body) > limit_bytes:
+                return Err(_too_large(len(body), limit_bytes))
+    except (OSError, ValueError) as error:
+        return Err(_malformed(f"the body broke off: {type(error).__name__}"))
+    if length_text and len(body) != int(length_text):
+        return Err(_malformed(f"got {len(body)} of {length_text} bytes"))
+    return Ok(bytes(body))
+
+
+def caller_has_gone(request: CallerRequest) -> bool:
+    """Tell whether the caller has closed its connection."""
+    get_socket = getattr(request.environ.get("wsgi.input"), "get_socket", None)
+    if get_socket is None:
+        return False
+    connection = get_socket()
+    try:
+        descriptor = connection.fileno()
+        if descriptor < 0:
+            return True
+        poller = _select.poll()
+        poller.register(descriptor, _CLOSED_EVENTS)
+        return bool(poller.poll(0))
+    except OSError:
+        return True
+
+
+def _read_chunks(stream: Any) -> Iterator[bytes]:
+    while chunk := stream.read(READ_BYTES):
+        yield chunk
+
+
+def _malformed(message: str) -> Refusal:
+    return Refusal(RefusalReason.MALFORMED_BODY, message)
+
+
+def _too_large(seen_bytes: int, limit_bytes: int) -> Refusal:
+    message = f"the body has {seen_bytes} bytes or more; at most {limit_bytes} are taken"
+    return Refusal(RefusalReason.BODY_TOO_LARGE, message)
--- /dev/null
+++ b/packages/router/src/myrtlehook_router/request/chats.py
@@ -0,0 +1,341 @@
+"""Chat completions: one request to a model engine, streamed or whole."""
+
+import hashlib
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Annotated
+
+import msgspec
+from pydantic import BaseModel, ConfigDict, Field
+from result import Err, Ok, Result
+
+from myrtlehook_core import Outcome, Pool, RefusalReason, RetryReason, Workspace, parse_document
+from myrtlehook_router.connection.engines import (
+    EngineEvent,
+    RunOrder,
+    StartFailure,
+    start_run,
+)
+from myrtlehook_router.connection.runs import (
+    EngineRun,
+    StreamLostError,
+    deliver_events,
+    read_timeout_s,
+    stop_run,
+)
+from myrtlehook_router.request.answers import (
+    OUTCOME_HEADER,
+    REQUEST_ID_HEADER,
+    Answer,
+    Refusal,
+    complete_json,
+    error_body,
+    fail,
+    refuse,
+)
+from myrtlehook_router.request.callers import CallerRequest, read_body
+from myrtlehook_router.request.placements import (
+    Place,
+    close_place,
+    end_place,
+    not_started,
+    observe,
+    open_place,
+    server_address,
+    wait_for_slot,
+)
+from myrtlehook_router.request.services import RequestServices
+
+PREFIX_CHARACTERS = 512
+"""Prompts that agree in so many characters are sent to the same engine if it is free."""
+
+CHARACTERS_A_TOKEN = 4
+"""Estimate of input tokens until the engine has counted them."""
+
+OBSERVE_INTERVAL_S = 0.1
+DEFAULT_MAXIMUM_TOKENS = 1024
+
+RETRY_REASONS = {
+    StartFailure.NOT_SENT: RetryReason.CONNECT_FAILED,
+    StartFailure.REFUSED: RetryReason.SERVER_REFUSED,
+    StartFailure.LEAVING: RetryReason.SERVER_LEAVING,
+}
+
+
+class ChatMessage(BaseModel):
+    """One message of a conversation; content in parts is not taken."""
+
+    model_config = ConfigDict(extra="ignore")
+    role: str = Field(max_length=64)
+    content: str
+
+
+class ChatBody(BaseModel):
+    """What a caller may send; fields unknown here are passed over, as callers expect."""
+
+    model_config = ConfigDict(extra="ignore")
+    model: str
+    messages: Annotated[list[ChatMessage], Field(min_length=1)]
+    stream: bool = False
+    max_tokens: int | None = Field(default=None, ge=1)
+
+
+@dataclass(slots=True)
+class Chat:
+    """One chat completion on its way."""
+
+    request_id: str
+    body: ChatBody
+    pool: Pool
+    place: Place
+    created_at_s: int
+    """Wall-clock time, as the model API has it."""
+    input_tokens: int
+    output_tokens: int = 0
+    next_observation_s: float = 0.0
+
+
+def answer_chat(services: RequestServices, request: CallerRequest, workspace: Workspace) -> Answer:
+    """Answer one ``POST /v1/chat/completions``."""
+    opened = _open_chat(services, request, workspace)
+    if isinstance(opened, Err):
+        return _refuse(services, request, opened.err_value)
+    chat = opened.ok_value
+    started = _start(chat)
+    if isinstance(started, Err):
+        return started.err_value
+    if chat.body.stream:
+        return _answer_streamed(chat, started.ok_value)
+    return _answer_whole(chat, started.ok_value)
+
+
+def _open_chat(
+    services: RequestServices, request: CallerRequest, workspace: Workspace
+) -> Result[Chat, Refusal]:
+    content = read_body(request, services.body_limit_bytes)
+    if isinstance(content, Err):
+        return content
+    parsed = _parse_body(content.ok_value)
+    if isinstance(parsed, Err):
+        return parsed
+    body = parsed.ok_value
+    configuration = services.configuration()
+    pool_name = configuration.model_pools.get(body.model)
+    if pool_name is None:
+        return Err(Refusal(RefusalReason.UNKNOWN_MODEL, f"no model {body.model[:80]!r} is served"))
+    if pool_name not in workspace.pools:
+        message = f"this workspace may not use model {body.model!r}"
+        return Err(Refusal(RefusalReason.POOL_NOT_ALLOWED, message))
+    pool = configuration.pools[pool_name]
+    size = len(content.ok_value)
+    opened = open_place(services, request, workspace, pool, size, _prefix_key(workspace, body))
+    if isinstance(opened, Err):
+        return opened
+    characters = sum(len(message.content) for message in body.messages)
+    return Ok(
+        Chat(
+            request_id=request.request_id,
+            body=body,
+            pool=pool,
+            place=opened.ok_value,
+            created_at_s=int(time.time()),
+            input_tokens=characters // CHARACTERS_A_TOKEN,
+        )
+    )
+
+
+def _parse_body(content: bytes) -> Result[ChatBody, Refusal]:
+    try:
+        text = content.decode()
+    except UnicodeDecodeError:
+        return Err(Refusal(RefusalReason.MALFORMED_BODY, "the body is not UTF-8"))
+    parsed = parse_document(ChatBody, text, "body")
+    if isinstance(parsed, Err):
+        message = "; ".join(str(finding) for finding in parsed.err_value)
+        return Err(Refusal(RefusalReason.MALFORMED_BODY, message))
+    return parsed
+
+
+def _prefix_key(workspace: Workspace, body: ChatBody) -> str:
+    # Workspaces do not trust one another, so they never share a prefix.
+    text = "\n".join(message.content for message in body.messages)[:PREFIX_CHARACTERS]
+    if len(text) < PREFIX_CHARACTERS:
+        return ""
+    return hashlib.blake2b(f"{workspace.name}\n{text}".encode(), digest_size=8).hexdigest()
+
+
+def _refuse(services: RequestServices, request: CallerRequest, refusal: Refusal) -> Answer:
+    services.counters.add(f"refusal.{refusal.reason}")
+    return refuse(request.request_id, refusal)
+
+
+def _start(chat: Chat) -> Result[EngineRun, Answer]:
+    """Get a slot and start the run there, as often as it certainly was not run."""
+    place = chat.place
+    while True:
+        slot = wait_for_slot(place)
+        if isinstance(slot, Err):
+            close_place(place, Outcome.NOT_RUN)
+            return Err(_refuse(place.services, place.request, slot.err_value))
+        dispatch = slot.ok_value
+        address = server_address(place, dispatch.backend_server)
+        if address is None:
+            not_started(place, RetryReason.SERVER_LEAVING)
+            continue
+        deadline_s = place.specification.deadline_s
+        order = _make_order(chat, dispatch.attempt, dispatch.priority_units)
+        started = start_run(address, order, read_timeout_s(deadline_s))
+        if isinstance(started, Ok):
+            run = EngineRun(
+                address, order.request_id, deadline_s, started.ok_value, place.services.counters.add
+            )
+            return Ok(run)
+        if started.err_value is not StartFailure.UNKNOWN:
+            not_started(place, RETRY_REASONS[started.err_value])
+            continue
+        # The engine may have begun; its stream can still be had if it did.
+        return Ok(
+            EngineRun(address, order.request_id, deadline_s, None, place.services.counters.add)
+        )
+
+
+def _make_order(chat: Chat, attempt: int, priority_units: float) -> RunOrder:
+    specification = chat.place.specification
+    remaining_s = max(specification.deadline_s - time.monotonic(), 0.0)
+    return RunOrder(
+        request_id=specification.request_id,
+        attempt=attempt,
+        priority=priority_units,
+        remaining_ms=int(remaining_s * 1000),
+        model=chat.body.model,
+        messages=[message.model_dump() for message in chat.body.messages],
+        max_tokens=chat.body.max_tokens or DEFAULT_MAXIMUM_TOKENS,
+    )
+
+
+def _answer_whole(chat: Chat, run: EngineRun) -> Answer:
+    texts: list[str] = []
+    finish = "stop"
+    try:
+        for event in deliver_events(run):
+            _note_event(chat, event)
+            texts.append(event.text)
+            finish = event.finish or finish
+    except StreamLostError:
+        _end(chat, Outcome.UNKNOWN)
+        message = "the engine broke off and the answer could not be resumed"
+        return fail(chat.request_id, 502, "engine_lost", message)
+    _end(chat, Outcome.COMPLETED)
+    choice = {
+        "index": 0,
+        "message": {"role": "assistant", "content": "".join(texts)},
+        "finish_reason": finish,
+    }
+    return complete_json(chat.request_id, _completion(chat, "chat.completion", choice, True))
+
+
+def _answer_streamed(chat: Chat, run: EngineRun) -> Answer:
+    headers = [
+        ("Content-Type", "text/event-stream"),
+        ("Cache-Control", "no-store"),
+        (REQUEST_ID_HEADER, chat.request_id),
+        # The outcome of a stream is in its last event; this header says so.
+        (OUTCOME_HEADER, "in-stream"),
+    ]
+    return Answer(200, ChatStream(chat, run), headers)
+
+
+class ChatStream:
+    """The body of a streamed answer; ``close`` ends the run if the caller has gone."""
+
+    def __init__(self, chat: Chat, run: EngineRun) -> None:
+        self._chat = chat
+        self._run = run
+        self._pieces = _stream_pieces(chat, run)
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self
+
+    def __next__(self) -> bytes:
+        return next(self._pieces)
+
+    def close(self) -> None:
+        """Free the slot whatever happened; called by the server at the very end."""
+        if not self._chat.place.closed:
+            self._chat.place.services.counters.add("stream.caller_gone")
+            stop_run(self._run)
+            _end(self._chat, Outcome.UNKNOWN)
+
+
+def _stream_pieces(chat: Chat, run: EngineRun) -> Iterator[bytes]:
+    try:
+        for event in deliver_events(run):
+            _note_event(chat, event)
+            if event.finish:
+                _end(chat, Outcome.COMPLETED)
+                yield _last_piece(chat, event)
+            elif event.text:
+                yield _piece(chat, event)
+    except StreamLostError:
+        _end(chat, Outcome.UNKNOWN)
+        message = "the engine broke off and the stream could not be resumed"
+        error = error_body("engine_lost", message, chat.request_id, Outcome.UNKNOWN)
+        yield b"event: error\ndata: " + error + b"\n\n"
+        return
+    yield b"data: [DONE]\n\n"
+
+
+def _piece(chat: Chat, event: EngineEvent) -> bytes:
+    choice = {"index": 0, "delta": {"content": event.text}, "finish_reason": None}
+    return _encode_piece(_completion(chat, "chat.completion.chunk", choice, False))
+
+
+def _last_piece(chat: Chat, event: EngineEvent) -> bytes:
+    delta = {"content": event.text} if event.text else {}
+    choice = {"index": 0, "delta": delta, "finish_reason": event.finish}
+    return _encode_piece(_completion(chat, "chat.completion.chunk", choice, True))
+
+
+def _encode_piece(content: dict[str, object]) -> bytes:
+    return b"data: " + msgspec.json.encode(content) + b"\n\n"
+
+
+def _completion(chat: Chat, kind: str, choice: dict[str, object], last: bool) -> dict[str, object]:
+    content: dict[str, object] = {
+        "id": chat.request_id,
+        "object": kind,
+        "created": chat.created_at_s,
+        "model": chat.body.model,
+        "choices": [choice],
+    }
+    if last:
+        content["usage"] = {
+            "prompt_tokens": chat.input_tokens,
+            "completion_tokens": chat.output_tokens,
+            "total_tokens": chat.input_tokens + chat.output_tokens,
+        }
+        content["outcome"] = str(Outcome.COMPLETED)
+    return content
+
+
+def _note_event(chat: Chat, event: EngineEvent) -> None:
+    if event.finish:
+        chat.input_tokens = event.input_tokens or chat.input_tokens
+        chat.output_tokens = event.output_tokens or chat.output_tokens
+        return
+    chat.output_tokens += event.tokens
+    now_s = time.monotonic()
+    if now_s >= chat.next_observation_s:
+        chat.next_observation_s = now_s + OBSERVE_INTERVAL_S
+        observe(chat.place, _cost_units(chat))
+
+
+def _cost_units(chat: Chat) -> float:
+    pool = chat.pool
+    input_units = chat.input_tokens * pool.input_token_weight
+    return input_units + chat.output_tokens * pool.output_token_weight
+
+
+def _end(chat: Chat, outcome: Outcome) -> None:
+    end_place(chat.place, _cost_units(chat), outcome)
--- /dev/null
+++ b/packages/router/src/myrtlehook_router/request/services.py
@@ -0,0 +1,21 @@
+"""What the handling of every request needs from the process."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from myrtlehook_core import Configuration
+from myrtlehook_router.process.counters import Counters
+from myrtlehook_router.process.mailboxes import Mailbox
+from myrtlehook_router.request.tickets import TicketBook
+
+
+@dataclass(frozen=True, slots=True)
+class RequestServices:
+    """Handed to each request's task; the tasks share nothing else."""
+
+    mailbox: Mailbox
+    tickets: TicketBook
+    counters: Counters
+    configuration: Callable[[], Configuration]
+    is_ready: Callable[[], bool]
+    body_limit_bytes: int
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside, started as programs by demo, bench and tests."""
--- /dev/null
+++ b/tests/standins/engine.py
@@ -0,0 +1,271 @@
+"""Stand-in for a model engine: steps, slots, priorities, resumable streams, a run ledger.
+
+The answer to a prompt repeats the prompt's first word with a number, so that a
+test sees whose answer it got. Tests set faults by ``POST /test/faults``:
+``refuse`` and ``die_before_answer`` (how many), ``break_after`` (events, once),
+``duplicate``, ``foreign`` and ``lose_runs`` (switches), ``leaving``, ``load_lag_ms``.
+"""
+
+import argparse
+import json
+import time
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import parse_qs
+
+import eventlet
+from eventlet.event import Event
+
+from standins.programs import Body, read_json, reply, serve
+
+ORPHAN_S = 3.0
+"""A run whose stream nobody reads is cancelled after this long."""
+
+
+@dataclass(slots=True)
+class Run:
+    """One run."""
+
+    request_id: str
+    priority: float
+    word: str
+    input_tokens: int
+    max_tokens: int
+    events: list[bytes] = field(default_factory=list)
+    tokens: int = 0
+    finished: bool = False
+    cancelled: bool = False
+    readers: int = 0
+    unread_since_s: float = 0.0
+    changed: Event = field(default_factory=Event)
+
+
+class Engine:
+    """The engine's state."""
+
+    def __init__(self, slots: int, step_ms: float, tokens_per_event: int) -> None:
+        self.slots = slots
+        self.step_s = step_ms * tokens_per_event / 1000.0
+        self.tokens_per_event = tokens_per_event
+        self.incarnation = int(time.time() * 1000)
+        self.waiting: list[Run] = []
+        self.running: list[Run] = []
+        self.runs: dict[str, Run] = {}
+        self.started: dict[str, int] = {}
+        self.busy_slot_s = 0.0
+        self.tokens_out = 0
+        self.faults: dict[str, Any] = {}
+        self.order: dict[str, Any] = {"fence": 0, "role": "", "model": "", "model_version": ""}
+        self.load: dict[str, Any] = {}
+
+    def accept(self, order: dict[str, Any]) -> Run:
+        """Take a run; the run ledger counts it."""
+        content = order["messages"][-1]["content"]
+        words = content.split() or ["-"]
+        run = Run(
+            request_id=order["request_id"],
+            priority=order["priority"],
+            word=words[0],
+            input_tokens=max(1, len(content) // 4),
+            max_tokens=order["max_tokens"],
+            unread_since_s=time.monotonic(),
+        )
+        self.started[run.request_id] = self.started.get(run.request_id, 0) + 1
+        self.runs[run.request_id] = run
+        self.waiting.append(run)
+        return run
+
+    def step_forever(self) -> None:
+        """Run one step after another."""
+        next_s = time.monotonic()
+        while True:
+            self._admit()
+            started_s = time.monotonic()
+            next_s = max(next_s + self.step_s, started_s)
+            eventlet.sleep(max(next_s - started_s, 0.0))
+            self.busy_slot_s += len(self.running) * (time.monotonic() - started_s)
+            for run in list(self.running):
+                self._step(run)
+
+    def report_load_forever(self) -> None:
+        """Refresh the load report, which lags."""
+        while True:
+            self.load = {
+                "running": len(self.running) + len(self.waiting),
+                "incarnation": self.incarnation,
+                "leaving": bool(self.faults.get("leaving")),
+                **self.order,
+            }
+            eventlet.sleep(self.faults.get("load_lag_ms", 100) / 1000.0)
+
+    def _admit(self) -> None:
+        self.waiting.sort(key=lambda run: run.priority)
+        while self.waiting and len(self.running) < self.slots:
+            self.running.append(self.waiting.pop(0))
+
+    def _step(self, run: Run) -> None:
+        unread = run.readers == 0 and time.monotonic() - run.unread_since_s > ORPHAN_S
+        if run.cancelled or unread:
+            run.finished = True
+            self.running.remove(run)
+            self._wake(run)
+            return
+        count = min(self.tokens_per_event, run.max_tokens - run.tokens)
+        text = "".join(f"{run.word}:{run.tokens + index} " for index in range(count))
+        run.tokens += count
+        self.tokens_out += count
+        self._emit(run, {"text": text, "tokens": count})
+        if run.tokens >= run.max_tokens:
+            usage = {"input_tokens": run.input_tokens, "output_tokens": run.tokens}
+            self._emit(run, {"finish": "stop", **usage})
+            run.finished = True
+            self.running.remove(run)
+        self._wake(run)
+
+    def _emit(self, run: Run, content: dict[str, Any]) -> None:
+        event = {"request_id": run.request_id, "offset": len(run.events), **content}
+        run.events.append(b"data: " + json.dumps(event).encode() + b"\n\n")
+
+    def _wake(self, run: Run) -> None:
+        changed, run.changed = run.changed, Event()
+        changed.send()
+
+
+class Stream:
+    """A reader of a run's events."""
+
+    def __init__(self, engine: Engine, run: Run, offset: int) -> None:
+        self.engine = engine
+        self.run = run
+        self.offset = offset
+        self.sent = 0
+        self.pending: list[bytes] = []
+        run.readers += 1
+
+    def __iter__(self) -> "Stream":
+        return self
+
+    def __next__(self) -> bytes:
+        if self.pending:
+            return self.pending.pop()
+        run = self.run
+        while self.offset >= len(run.events):
+            if run.finished:
+                raise StopIteration
+            run.changed.wait()
+        self._break_if_told()
+        event = run.events[self.offset]
+        self.offset += 1
+        self.sent += 1
+        faults = self.engine.faults
+        if faults.get("duplicate"):
+            self.pending.append(event)
+        if faults.get("foreign") and self.sent == 2:
+            faults["foreign"] = False
+            self.pending.append(event)
+            return event.replace(run.request_id.encode(), b"other/request")
+        return event
+
+    def close(self) -> None:
+        """Note that nobody reads any more."""
+        self.run.readers -= 1
+        self.run.unread_since_s = time.monotonic()
+
+    def _break_if_told(self) -> None:
+        faults = self.engine.faults
+        if "break_after" in faults and self.sent >= faults["break_after"]:
+            del faults["break_after"]
+            if faults.get("lose_runs"):
+                self.engine.runs.pop(self.run.request_id, None)
+                self.run.cancelled = True
+            raise ConnectionError("told to break")
+
+
+def make_application(engine: Engine) -> Any:
+    """Make the WSGI application."""
+
+    def application(environ: dict[str, Any], start_response: Any) -> Body:
+        environ["eventlet.minimum_write_chunk_size"] = 0
+        method, path = environ["REQUEST_METHOD"], environ["PATH_INFO"]
+        if path == "/v1/runs" and method == "POST":
+            return _start(engine, environ, start_response)
+        if path.startswith("/v1/runs/"):
+            return _existing(engine, environ, start_response)
+        if path == "/load":
+            return reply(start_response, 200, engine.load, [])
+        if path == "/orders":
+            return _order(engine, read_json(environ), start_response)
+        if path == "/test/faults":
+            engine.faults = read_json(environ)
+            return reply(start_response, 200, {}, [])
+        if path == "/test/ledger":
+            ledger = {
+                "started": engine.started,
+                "busy_slot_s": engine.busy_slot_s,
+                "tokens_out": engine.tokens_out,
+                "running": len(engine.running) + len(engine.waiting),
+                "monotonic_s": time.monotonic(),
+                "cpu_s": time.process_time(),
+                "order": engine.order,
+            }
+            return reply(start_response, 200, ledger, [])
+        return reply(start_response, 404, {"error": "no such path"}, [])
+
+    return application
+
+
+def _start(engine: Engine, environ: dict[str, Any], start_response: Any) -> Body:
+    order = read_json(environ)
+    if engine.faults.get("leaving"):
+        return reply(start_response, 503, {"started": False, "reason": "leaving"}, [])
+    if engine.faults.get("refuse", 0) > 0:
+        engine.faults["refuse"] -= 1
+        return reply(start_response, 503, {"started": False, "reason": "full"}, [])
+    if order["request_id"] in engine.runs and not engine.runs[order["request_id"]].finished:
+        return reply(start_response, 409, {"started": True, "reason": "duplicate"}, [])
+    run = engine.accept(order)
+    if engine.faults.get("die_before_answer", 0) > 0:
+        engine.faults["die_before_answer"] -= 1
+        raise ConnectionError("told to die before the answer")
+    return _stream(engine, run, 0, start_response)
+
+
+def _existing(engine: Engine, environ: dict[str, Any], start_response: Any) -> Body:
+    run = engine.runs.get(environ["PATH_INFO"].removeprefix("/v1/runs/"))
+    if run is None:
+        return reply(start_response, 404, {"error": "no such run"}, [])
+    if environ["REQUEST_METHOD"] == "DELETE":
+        run.cancelled = True
+        return reply(start_response, 200, {}, [])
+    query = parse_qs(environ.get("QUERY_STRING", ""))
+    return _stream(engine, run, int(query.get("from", ["0"])[0]), start_response)
+
+
+def _stream(engine: Engine, run: Run, offset: int, start_response: Any) -> Body:
+    start_response("200 OK", [("Content-Type", "text/event-stream")])
+    return Stream(engine, run, offset)
+
+
+def _order(engine: Engine, order: dict[str, Any], start_response: Any) -> Body:
+    if engine.faults.get("checks_orders") and order["fence"] < engine.order["fence"]:
+        return reply(start_response, 409, {"error": "old fence"}, [])
+    engine.order = order
+    return reply(start_response, 200, {}, [])
+
+
+def main() -> None:
+    """Run the stand-in."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--port", type=int, default=0)
+    parser.add_argument("--slots", type=int, default=4)
+    parser.add_argument("--step-ms", type=float, default=5.0)
+    parser.add_argument("--tokens-per-event", type=int, default=1)
+    arguments = parser.parse_args()
+    engine = Engine(arguments.slots, arguments.step_ms, arguments.tokens_per_event)
+    eventlet.spawn(engine.step_forever)
+    eventlet.spawn(engine.report_load_forever)
+    serve(make_application(engine), arguments.port)
+
+
+if __name__ == "__main__":
+    main()
