Add the benches, and mend what they found

Cause of 40 ms in every whole answer: small writes held back for delayed acknowledgements, in the router's listeners and in the stand-ins.

Cause of a router that never came up among eight: the harness handed out a port twice. It now keeps each port bound while it runs.

An idle router among eight used 5.2% of a core and sent 2,510 bytes/s: load reports were polled 4 times a second, probes carried a digest of 64 characters and went out 10 times a second, the tick came 50 times a second.

--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,92 @@
+"""The command line of the benchmarks: ``python -m bench COMMAND``."""
+
+import argparse
+import json
+import sys
+from dataclasses import asdict
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "tests"))
+
+POLICIES = ("fleet", "local", "single")
+"""Totals exchanged; every router its own counters only; one router for all."""
+
+
+def main() -> None:
+    """Run one benchmark."""
+    parser = argparse.ArgumentParser(prog="python -m bench", description=__doc__)
+    commands = parser.add_subparsers(dest="command", required=True)
+    router = commands.add_parser("router", help="one router: latency, streams, memory")
+    router.add_argument("--json", type=Path, help="write the figures here as well")
+    fleet = commands.add_parser("fleet", help="a fleet beside its baselines")
+    _add_fleet_options(fleet)
+    arguments = parser.parse_args()
+    if arguments.command == "router":
+        _run_router(arguments)
+    else:
+        _run_fleet(arguments)
+
+
+def _add_fleet_options(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("--routers", type=int, default=8)
+    parser.add_argument("--engines", type=int, default=9)
+    parser.add_argument("--workspaces", type=int, default=10)
+    parser.add_argument("--seconds", type=float, default=30.0)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument(
+        "--policy", nargs="+", default=list(POLICIES), choices=POLICIES, help="all by default"
+    )
+    parser.add_argument("--fault", default="none", help="none, cut, kill-owner, freeze, ...")
+    parser.add_argument("--fault-at", type=float, default=10.0, help="seconds into the run")
+    parser.add_argument("--fault-for", type=float, default=10.0, help="seconds")
+    parser.add_argument("--refresh-ms", type=float, default=0.0, help="cadence of reports")
+    parser.add_argument("--json", type=Path, help="write all figures here")
+    parser.add_argument("--plot", type=Path, help="write a PNG here")
+
+
+def _run_router(arguments: argparse.Namespace) -> None:
+    from bench.router_bench import measure_router
+
+    figures = measure_router()
+    print(json.dumps(figures, indent=1))
+    if arguments.json is not None:
+        arguments.json.write_text(json.dumps(figures, indent=1) + "\n")
+
+
+def _run_fleet(arguments: argparse.Namespace) -> None:
+    from bench.bounds import judge
+    from bench.fleet_bench import FleetOrder, measure_policy
+    from bench.plots import plot_figures
+
+    order = FleetOrder(
+        routers=arguments.routers,
+        engines=arguments.engines,
+        workspaces=arguments.workspaces,
+        seconds=arguments.seconds,
+        seed=arguments.seed,
+        fault=arguments.fault,
+        fault_at_s=arguments.fault_at,
+        fault_for_s=arguments.fault_for,
+        refresh_interval_s=arguments.refresh_ms / 1000.0,
+    )
+    figures = []
+    for policy in arguments.policy:
+        measured = measure_policy(order, policy)
+        figures.append(measured)
+        short = asdict(measured)
+        del short["gaps"], short["service"]
+        print(json.dumps(short), flush=True)
+    results = judge(figures)
+    for result in results:
+        verdict = "holds" if result.holds else "BROKEN"
+        print(f"{result.name}: {result.measured} against {result.bound}: {verdict}")
+    if arguments.json is not None:
+        arguments.json.write_text(json.dumps([asdict(item) for item in figures]) + "\n")
+    if arguments.plot is not None:
+        plot_figures(figures, arguments.plot)
+    if not all(result.holds for result in results):
+        sys.exit(1)
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/core/src/myrtlehook_core/process/options.py
+++ b/packages/core/src/myrtlehook_core/process/options.py
@@ -20,11 +20,11 @@
     """How long an owner counts a slot as held without hearing from its holder."""
     adopt_delay_s: float = 0.2
     """How long a new owner waits for holders to report before it grants."""
-    load_interval_s: float = 0.25
-    probe_interval_s: float = 0.1
+    load_interval_s: float = 1.0
+    probe_interval_s: float = 0.15
     probe_timeout_s: float = 0.1
     indirect_timeout_s: float = 0.15
-    suspicion_s: float = 0.35
+    suspicion_s: float = 0.3
     indirect_helpers: int = 2
     pause_threshold_s: float = 1.0
     """A loop this late has been paused; what it believed is dropped."""
--- a/packages/core/src/myrtlehook_core/version/assembly.py
+++ b/packages/core/src/myrtlehook_core/version/assembly.py
@@ -25,12 +25,22 @@
 )
 from myrtlehook_core.version.findings import Finding, parse_document
 
+VERSION_DIGEST_CHARACTERS = 16
+
 
 def digest_text(text: str) -> str:
     """Return the digest that names a document: SHA-256 of its UTF-8 bytes, in hex."""
     return hashlib.sha256(text.encode()).hexdigest()
 
 
+def digest_manifest(text: str) -> str:
+    """Return the short digest that orders and names a configuration between routers.
+
+    It rides on every probe; 64 bits tell apart the few versions that are ever about.
+    """
+    return digest_text(text)[:VERSION_DIGEST_CHARACTERS]
+
+
 def assemble_configuration(
     manifest_text: str, part_texts: Mapping[str, str]
 ) -> Result[Configuration, list[Finding]]:
@@ -53,7 +63,7 @@
     findings = find_inconsistencies(joined)
     if findings:
         return Err(findings)
-    version = ConfigurationVersion(manifest.version, digest_text(manifest_text))
+    version = ConfigurationVersion(manifest.version, digest_manifest(manifest_text))
     return Ok(build_configuration(version, joined))
 
 
--- a/packages/core/src/myrtlehook_core/version/exchange.py
+++ b/packages/core/src/myrtlehook_core/version/exchange.py
@@ -9,7 +9,7 @@
 
 from result import Err
 
-from myrtlehook_core.version.assembly import assemble_configuration, digest_text
+from myrtlehook_core.version.assembly import assemble_configuration, digest_manifest, digest_text
 from myrtlehook_core.version.configurations import (
     EMPTY_CONFIGURATION,
     Configuration,
@@ -80,7 +80,7 @@
     exchange: ConfigurationExchange, text: str, source: str
 ) -> Accepted | Rejected | None:
     """Take a manifest, from the platform or a peer."""
-    digest = digest_text(text)
+    digest = digest_manifest(text)
     if digest in exchange.texts or digest in exchange.rejected:
         return None
     parsed = parse_document(ManifestDocument, text, "manifest")
@@ -110,9 +110,9 @@
     offer = exchange.offer
     if offer is None:
         return None
-    digest = digest_text(text)
-    if digest == offer.version.digest:
+    if digest_manifest(text) == offer.version.digest:
         return take_manifest(exchange, text, source)
+    digest = digest_text(text)
     if digest not in {part.digest for part in offer.parts}:
         return None
     offer.texts[digest] = text
--- a/packages/router/src/myrtlehook_router/connection/listeners.py
+++ b/packages/router/src/myrtlehook_router/connection/listeners.py
@@ -1,7 +1,9 @@
 """The HTTP listeners: bounds on connections and headers, and what is over them refused."""
 
 import logging
+import socket
 from collections.abc import Callable, Iterable
+from typing import Any
 
 import eventlet
 from eventlet import wsgi
@@ -32,11 +34,10 @@
     """Serve an application until the process ends; the loop of this task."""
     wsgi.MAX_TOTAL_HEADER_SIZE = limits.header_bytes
     wsgi.MAX_HEADER_LINE = min(limits.header_bytes, 8192)
-    socket = eventlet.listen((listener.address, listener.port), backlog=BACKLOG, reuse_port=False)
     silent = logging.getLogger("eventlet.wsgi")
     silent.disabled = True
     wsgi.server(
-        socket,
+        open_listener(listener),
         application,
         log=silent,
         log_output=False,
@@ -47,6 +48,15 @@
     )
 
 
+def open_listener(listener: ListenSettings) -> Any:
+    """Open a listening socket whose connections send every write at once."""
+    opened = eventlet.listen((listener.address, listener.port), backlog=BACKLOG, reuse_port=False)
+    # Accepted connections inherit this. Without it the kernel holds the last small
+    # write of an answer back for the peer's delayed acknowledgement, some 40 ms.
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return opened
+
+
 def _make_protocol(limits: LimitSettings, counters: Counters) -> type:
     """Make a protocol class that counts connections and refuses those over the bound."""
     open_connections = [0]
--- a/packages/router/src/myrtlehook_router/process/core_tasks.py
+++ b/packages/router/src/myrtlehook_router/process/core_tasks.py
@@ -22,7 +22,10 @@
 from myrtlehook_router.process.peers import PeerSockets
 from myrtlehook_router.request.tickets import TicketBook
 
-TICK_S = 0.02
+BUSY_TICK_S = 0.02
+IDLE_TICK_S = 0.05
+"""While nothing waits here, only probes and leases need the time."""
+
 EVENTS_PER_TURN = 200
 """After so many events the messages they made go out and other tasks get their turn."""
 
@@ -67,7 +70,8 @@
             self._take_turn(event)
             now_s = time.monotonic()
             if now_s >= next_tick_s:
-                next_tick_s = now_s + TICK_S
+                waiting = self.core.entry.queued_requests > 0
+                next_tick_s = now_s + (BUSY_TICK_S if waiting else IDLE_TICK_S)
                 self._handle(events.Tick())
             self._flush()
             self.cpu_s += time.thread_time() - started_s
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -54,6 +54,7 @@
         self.started: dict[str, int] = {}
         self.busy_slot_s = 0.0
         self.tokens_out = 0
+        self.served_tokens: dict[str, int] = {}
         self.faults: dict[str, Any] = {}
         self.order: dict[str, Any] = {"fence": 0, "role": "", "model": "", "model_version": ""}
         self.load: dict[str, Any] = {}
@@ -114,6 +115,8 @@
         text = "".join(f"{run.word}:{run.tokens + index} " for index in range(count))
         run.tokens += count
         self.tokens_out += count
+        workspace = run.request_id.partition("/")[0]
+        self.served_tokens[workspace] = self.served_tokens.get(workspace, 0) + count
         self._emit(run, {"text": text, "tokens": count})
         if run.tokens >= run.max_tokens:
             usage = {"input_tokens": run.input_tokens, "output_tokens": run.tokens}
@@ -198,14 +201,19 @@
         if path == "/test/faults":
             engine.faults = read_json(environ)
             return reply(start_response, 200, {}, [])
+        if path == "/test/service":
+            service = {
+                "served_tokens": engine.served_tokens,
+                "busy_slot_s": engine.busy_slot_s,
+                "cpu_s": time.process_time(),
+                "monotonic_s": time.monotonic(),
+            }
+            return reply(start_response, 200, service, [])
         if path == "/test/ledger":
             ledger = {
                 "started": engine.started,
-                "busy_slot_s": engine.busy_slot_s,
                 "tokens_out": engine.tokens_out,
                 "running": len(engine.running) + len(engine.waiting),
-                "monotonic_s": time.monotonic(),
-                "cpu_s": time.process_time(),
                 "order": engine.order,
             }
             return reply(start_response, 200, ledger, [])
--- a/tests/standins/fleets.py
+++ b/tests/standins/fleets.py
@@ -28,6 +28,7 @@
 STOP_WAIT_S = 20.0
 TESTS_FOLDER = Path(__file__).resolve().parent.parent
 
+_HELD_PORTS: list[socket.socket] = []
 _HTTP = urllib3.PoolManager(maxsize=64, retries=False)
 
 
@@ -309,13 +310,19 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Ask the OS for ports that nothing listens on."""
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind(("127.0.0.1", 0))
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
+    """Ask the OS for ports, and keep them from being given to anyone else.
+
+    A socket stays bound to each, without listening, until this process ends: one
+    that was closed again could be given to a connection or to the next asker, as
+    happened with eight routers.
+    """
+    ports = []
+    for _ in range(count):
+        held = socket.socket()
+        held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        held.bind(("127.0.0.1", 0))
+        _HELD_PORTS.append(held)
+        ports.append(held.getsockname()[1])
     return ports
 
 
--- a/tests/standins/programs.py
+++ b/tests/standins/programs.py
@@ -20,6 +20,7 @@
 def serve(application: Callable[..., Body], port: int) -> None:
     """Serve until ended, and print the port once it listens."""
     listener = eventlet.listen(("127.0.0.1", port), backlog=1024)
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     print(f"listening {listener.getsockname()[1]}", flush=True)
     silent = logging.getLogger("standin")
     silent.disabled = True
