Tell early charges to a pool's other owners; keep locks native; halve control traffic

Cause: between two refreshes every owner feeds the workspace that was lowest at the last one; 16 grants a second make 2 to 3 unseen ones of up to 500 units each. Ruled out: poor cost means at each entry (an oracle mean changed nothing). Change: an owner tells its early charges to the other owners at once (up to 16 of them), bids follow reports by 10 ms so that they carry fresh totals, strictly lowest first where owners hear each other, weighted random beyond.

Failure: a router that stayed deaf to its peers, 1 of some 40 starts. Cause: a cooperative lock taken in a thread of pynng starts an event loop there, and the connection being accepted never completes. Seen by dumping the threads of such a process.

--- a/packages/core/src/myrtlehook_core/process/bidding.py
+++ b/packages/core/src/myrtlehook_core/process/bidding.py
@@ -7,9 +7,9 @@
     make_bid_row,
 )
 from myrtlehook_core.process.hashing import rank_routers
-from myrtlehook_core.process.ledgers import floor_rows
 from myrtlehook_core.process.messages import (
     Bid,
+    FloorRow,
     HoldList,
     HoldRow,
     HoldSummary,
@@ -21,7 +21,10 @@
 from myrtlehook_core.process.posts import Post
 from myrtlehook_core.request.requests import PoolKey, RequestSpecification
 
-NO_TOTAL = -1.0
+NO_TOTAL = -1
+
+STANDBY_EVERY = 5
+"""Every so many refreshes the standing-by ledgers hear as well."""
 
 
 def offer_first(
@@ -89,22 +92,35 @@
     draw: Draw,
     post: Post,
     keys: set[PoolKey],
+    now_s: float,
 ) -> None:
-    """Report cumulative service to the ledgers of the given workspaces."""
+    """Report cumulative service to the ledgers of the given workspaces.
+
+    The first ledger answers and hears everything; the others stand by, and hear
+    less often what they would have to go on from.
+    """
+    entry.refreshes += 1
+    standby = entry.refreshes % STANDBY_EVERY == 0 or now_s < entry.handover_until_s
+    ranks = options.ledger_count if standby else 1
     rows: dict[tuple[str, bool], list[ReportRow]] = {}
     for key in sorted(keys, key=lambda item: (item.workspace, item.pool)):
-        row, waiting = _make_report_row(entry, key, draw)
+        row, waiting = _make_report_row(entry, key, draw, now_s)
         for rank, ledger in enumerate(find_ledgers(placement, key, options.ledger_count)):
-            wants_totals = waiting and rank == 0
-            rows.setdefault((ledger, wants_totals), []).append(row)
-    floors = floor_rows(entry.floors_units)
+            if rank < ranks:
+                rows.setdefault((ledger, waiting and rank == 0), []).append(row)
     for (ledger, wants_totals), held in rows.items():
+        floors = _floors_of(entry, {row.pool for row in held})
         post.add(ledger, Report(wants_totals, floors, tuple(held)))
 
 
 def keys_to_report(entry: Entry) -> set[PoolKey]:
     """Return the workspaces whose service changed or that have work waiting."""
-    changed = {key for key, account in entry.accounts.items() if account.changed}
+    standby = entry.refreshes % STANDBY_EVERY == STANDBY_EVERY - 1
+    changed = {
+        key
+        for key, account in entry.accounts.items()
+        if account.changed or (standby and account.standby_changed)
+    }
     waiting = {key for key, queue in entry.queues.items() if queue.waiting}
     return changed | waiting
 
@@ -158,28 +174,35 @@
 def _send_bid(
     entry: Entry, pool: str, owner: str, keys: list[PoolKey], post: Post, now_s: float
 ) -> None:
-    entry.bid_sequence += 1
     others = {key: told for key, told in entry.told.get(owner, {}).items() if key.pool != pool}
     counts = {key: len(entry.queues[key].waiting) for key in keys}
     entry.told[owner] = others | counts
     rows = tuple(make_bid_row(entry, key) for key in keys)
-    post.add(owner, Bid(pool, entry.bid_sequence, now_s, rows))
+    post.add(owner, Bid(pool, now_s, rows))
+
+
+def _floors_of(entry: Entry, pools: set[str]) -> tuple[FloorRow, ...]:
+    known = sorted(pools & entry.floors_units.keys())
+    return tuple(FloorRow(pool, entry.floors_units[pool]) for pool in known)
 
 
-def _make_report_row(entry: Entry, key: PoolKey, draw: Draw) -> tuple[ReportRow, bool]:
+def _make_report_row(
+    entry: Entry, key: PoolKey, draw: Draw, now_s: float
+) -> tuple[ReportRow, bool]:
     account = account_of(entry, key, draw)
     account.report_sequence += 1
+    account.standby_changed = account.changed
     account.changed = False
     queue = entry.queues.get(key)
     waiting = queue is not None and bool(queue.waiting)
-    total = entry.totals.get(key)
+    total = entry.totals.get(key) if now_s < entry.handover_until_s else None
     row = ReportRow(
         workspace=key.workspace,
         pool=key.pool,
         row_id=account.row_id,
         sequence=account.report_sequence,
-        served_units=account.served_units,
+        served_units=round(account.served_units),
         waiting=waiting,
-        known_total_units=NO_TOTAL if total is None else total.total_units,
+        known_total_units=NO_TOTAL if total is None else round(total.total_units),
     )
     return row, waiting
--- a/packages/core/src/myrtlehook_core/process/bids.py
+++ b/packages/core/src/myrtlehook_core/process/bids.py
@@ -7,7 +7,7 @@
 from myrtlehook_core.process.choosers import Candidate, Draw
 from myrtlehook_core.process.messages import Bid, BidRow
 
-REFLECT_REFRESHES = 2.5
+REFLECT_REFRESHES = 1.0
 """After so many refresh intervals a grant's early charge has come back in the totals."""
 
 
@@ -24,7 +24,6 @@
 class RouterBid:
     """The last bid of one router for one pool."""
 
-    sequence: int
     sent_at_s: float
     """The bidder's clock."""
     deadline_s: float
@@ -44,10 +43,10 @@
 def take_bid(bids: PoolBids, sender: str, bid: Bid, deadline_s: float) -> bool:
     """Replace a router's bid; False when the one known is newer."""
     known = bids.routers.get(sender)
-    if known is not None and known.sequence >= bid.sequence:
+    if known is not None and known.sent_at_s > bid.sent_at_s:
         return False
     lines = {row.workspace: _make_line(row) for row in bid.rows}
-    bids.routers[sender] = RouterBid(bid.sequence, bid.sent_at_s, deadline_s, lines)
+    bids.routers[sender] = RouterBid(bid.sent_at_s, deadline_s, lines)
     return True
 
 
@@ -57,7 +56,7 @@
     """Take the one row that came with a released slot."""
     known = bids.routers.get(sender)
     if known is None:
-        known = RouterBid(0, sent_at_s, deadline_s, {})
+        known = RouterBid(sent_at_s, deadline_s, {})
         bids.routers[sender] = known
     if sent_at_s < known.sent_at_s:
         return
@@ -113,14 +112,16 @@
     return next(reversed(waiting))
 
 
-def note_granted(
-    bids: PoolBids, router: str, candidate: Candidate, reflected_at_s: float, charge: bool
+def note_granted(bids: PoolBids, router: str, workspace: str) -> None:
+    """Count a grant against the bid."""
+    bids.routers[router].lines[workspace].waiting_requests -= 1
+
+
+def note_early_charge(
+    bids: PoolBids, workspace: str, virtual_units: float, reflected_at_s: float
 ) -> None:
-    """Count a grant against the bid and, with early charging, against the workspace."""
-    bids.routers[router].lines[candidate.workspace].waiting_requests -= 1
-    if charge:
-        units = candidate.mean_cost_units / candidate.share
-        bids.unreflected.append((reflected_at_s, candidate.workspace, units))
+    """Charge a workspace for a grant until its bids can show it."""
+    bids.unreflected.append((reflected_at_s, workspace, virtual_units))
 
 
 def _make_line(row: BidRow) -> BidLine:
--- a/packages/core/src/myrtlehook_core/process/entries.py
+++ b/packages/core/src/myrtlehook_core/process/entries.py
@@ -4,6 +4,7 @@
 that one process knows.
 """
 
+import math
 from dataclasses import dataclass, field
 
 from myrtlehook_core.process.actions import Dispatch, DropNoted, Outbox, Refuse, RetryNoted
@@ -36,7 +37,7 @@
 from myrtlehook_core.request.requests import PoolKey, RequestSpecification
 from myrtlehook_core.version.configurations import Configuration, Workspace, servers_of_pool
 
-ROW_ID_SPACE = 1 << 48
+ROW_ID_SPACE = 1 << 32
 
 SAFE_TO_REPEAT = frozenset({RetryReason.CONNECT_FAILED, RetryReason.LEASE_EXPIRED})
 """Retry reasons at which not even one byte was sent; only then is a request that
@@ -67,7 +68,6 @@
 class Entry:
     """All requests at this router, with what it knows of their workspaces' service."""
 
-    bid_sequence: int
     retry_budget: float
     queues: dict[PoolKey, WorkspaceQueue] = field(default_factory=dict)
     accounts: dict[PoolKey, ServiceAccount] = field(default_factory=dict)
@@ -76,7 +76,7 @@
     attempts: dict[str, int] = field(default_factory=dict)
     """Dispatches so far of every request that is queued or running."""
     totals: dict[PoolKey, KnownTotal] = field(default_factory=dict)
-    floors_units: dict[str, float] = field(default_factory=dict)
+    floors_units: dict[str, int] = field(default_factory=dict)
     first_offers: dict[PoolKey, str] = field(default_factory=dict)
     """The one owner that a young queue was offered to."""
     told: dict[str, dict[PoolKey, int]] = field(default_factory=dict)
@@ -86,6 +86,10 @@
     queued_requests: int = 0
     queued_bytes: int = 0
     next_refresh_s: float = 0.0
+    next_bid_s: float = math.inf
+    refreshes: int = 0
+    handover_until_s: float = 0.0
+    """Until then reports carry the totals that a new ledger may need."""
     next_hold_s: float = 0.0
     next_sweep_s: float = 0.0
     summarised: frozenset[str] = frozenset()
@@ -138,7 +142,7 @@
 
     :returns: whether the owner now believes that nothing waits, though more does.
     """
-    floor_units = entry.floors_units.get(grant.pool, 0.0)
+    floor_units = entry.floors_units.get(grant.pool, 0)
     entry.floors_units[grant.pool] = max(floor_units, grant.floor_units)
     key = PoolKey(grant.workspace, grant.pool)
     queue = entry.queues.get(key)
@@ -240,7 +244,8 @@
     waiting = 0 if queue is None else len(queue.waiting)
     account = entry.accounts.get(key)
     mean_units = ServiceAccount(0).cost.mean_units if account is None else account.cost.mean_units
-    return BidRow(key.workspace, waiting, virtual_service_units(entry, key), mean_units)
+    virtual_units = round(virtual_service_units(entry, key))
+    return BidRow(key.workspace, waiting, virtual_units, max(1, round(mean_units)))
 
 
 def refuse_hopeless(entry: Entry, context: EntryContext, now_s: float) -> None:
--- a/packages/core/src/myrtlehook_core/process/ledgers.py
+++ b/packages/core/src/myrtlehook_core/process/ledgers.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from myrtlehook_core.process.messages import FloorRow, Report, ReportRow, TotalRow
+from myrtlehook_core.process.messages import Report, ReportRow, TotalRow
 from myrtlehook_core.process.options import CoreOptions
 from myrtlehook_core.request.requests import PoolKey
 
@@ -27,7 +27,7 @@
 
     router_id: str
     sequence: int
-    served_units: float
+    served_units: int
     reported_at_s: float
     growth_units_per_s: float = 0.0
     waiting_until_s: float = -math.inf
@@ -38,7 +38,7 @@
     """One workspace in one pool, across the fleet."""
 
     created_at_s: float
-    rows: dict[int, LedgerRow] = field(default_factory=dict)
+    rows: dict[tuple[str, int], LedgerRow] = field(default_factory=dict)
     base_units: float = 0.0
     lift_units: float = 0.0
     active_until_s: float = -math.inf
@@ -52,7 +52,7 @@
     """All accounts that this router keeps, and the floors it has heard of."""
 
     accounts: dict[PoolKey, LedgerAccount] = field(default_factory=dict)
-    floors_units: dict[str, float] = field(default_factory=dict)
+    floors_units: dict[str, int] = field(default_factory=dict)
 
 
 Reachable = Callable[[str], bool]
@@ -74,16 +74,11 @@
 ) -> tuple[TotalRow, ...]:
     """Merge a report and return the totals of its rows."""
     for floor in report.floors:
-        known_units = ledger.floors_units.get(floor.pool, 0.0)
+        known_units = ledger.floors_units.get(floor.pool, 0)
         ledger.floors_units[floor.pool] = max(known_units, floor.floor_units)
     return tuple(_take_row(ledger, sender, row, now_s, options, reachable) for row in report.rows)
 
 
-def floor_rows(floors_units: dict[str, float]) -> tuple[FloorRow, ...]:
-    """Return the known floors as message rows."""
-    return tuple(FloorRow(pool, units) for pool, units in sorted(floors_units.items()))
-
-
 def drop_idle_accounts(ledger: Ledger, now_s: float, options: CoreOptions) -> None:
     """Forget accounts that no router has reported for a while, to bound memory."""
     idle = [
@@ -111,9 +106,10 @@
     account.reported_at_s = now_s
     _merge_row(account, sender, row, now_s, options, reachable)
     _take_over_total(account, row, now_s, options)
-    _note_waiting(account, ledger.floors_units.get(row.pool, 0.0), row, now_s, options)
-    served_units = account.rows[row.row_id].served_units
-    return TotalRow(row.workspace, row.pool, total_units(account), row.row_id, served_units)
+    _note_waiting(account, ledger.floors_units.get(row.pool, 0), row, now_s, options)
+    served_units = account.rows[sender, row.row_id].served_units
+    total = round(total_units(account))
+    return TotalRow(row.workspace, row.pool, total, row.row_id, served_units)
 
 
 def _merge_row(
@@ -124,10 +120,10 @@
     options: CoreOptions,
     reachable: Reachable,
 ) -> None:
-    known = account.rows.get(row.row_id)
+    known = account.rows.get((sender, row.row_id))
     if known is None:
         known = LedgerRow(sender, row.sequence, row.served_units, now_s)
-        account.rows[row.row_id] = known
+        account.rows[sender, row.row_id] = known
         # What this row brings was part of the total that was handed over.
         account.base_units = max(0.0, account.base_units - row.served_units)
     elif row.sequence > known.sequence:
@@ -180,7 +176,7 @@
 
 
 def _note_waiting(
-    account: LedgerAccount, floor_units: float, row: ReportRow, now_s: float, options: CoreOptions
+    account: LedgerAccount, floor_units: int, row: ReportRow, now_s: float, options: CoreOptions
 ) -> None:
     if not row.waiting:
         return
--- a/packages/core/src/myrtlehook_core/process/messages.py
+++ b/packages/core/src/myrtlehook_core/process/messages.py
@@ -1,7 +1,8 @@
 """Messages between routers: each may be lost, doubled, late or out of order.
 
 They are encoded as MessagePack arrays with a tag a type; the codec validates
-the types of all fields, so a decoded message is well formed.
+the types of all fields, so a decoded message is well formed. Service travels in
+whole units, which are short; a share is expected to be of the order of 1 to 100.
 """
 
 import msgspec
@@ -12,15 +13,14 @@
 
     workspace: str
     waiting_requests: int
-    virtual_service_units: float
-    mean_cost_units: float
+    virtual_service_units: int
+    mean_cost_units: int
 
 
 class Bid(msgspec.Struct, frozen=True, array_like=True, tag=1):
     """All that waits at the sender for one pool; replaces its earlier bid."""
 
     pool: str
-    sequence: int
     sent_at_s: float
     """Sender's clock; comes back in a grant, so that no clocks are compared."""
     rows: tuple[BidRow, ...]
@@ -34,7 +34,7 @@
     pool: str
     workspace: str
     bid_sent_at_s: float
-    floor_units: float
+    floor_units: int
     """Lowest virtual service among the workspaces with work waiting, as the owner sees it."""
 
 
@@ -82,9 +82,9 @@
     pool: str
     row_id: int
     sequence: int
-    served_units: float
+    served_units: int
     waiting: bool
-    known_total_units: float
+    known_total_units: int
     """The last total that the sender heard, for a ledger that is new; -1 if none."""
 
 
@@ -92,7 +92,7 @@
     """The lowest virtual service among waiting workspaces of a pool."""
 
     pool: str
-    floor_units: float
+    floor_units: int
 
 
 class Report(msgspec.Struct, frozen=True, array_like=True, tag=7):
@@ -108,9 +108,9 @@
 
     workspace: str
     pool: str
-    total_units: float
+    total_units: int
     own_row_id: int
-    own_row_units: float
+    own_row_units: int
 
 
 class Totals(msgspec.Struct, frozen=True, array_like=True, tag=8):
@@ -191,8 +191,17 @@
     text: str
 
 
+class EarlyCharge(msgspec.Struct, frozen=True, array_like=True, tag=16):
+    """An owner tells the pool's other owners what it has just granted."""
+
+    pool: str
+    workspace: str
+    virtual_units: float
+
+
 Message = (
-    Bid
+    EarlyCharge
+    | Bid
     | Grant
     | Release
     | HoldSummary
--- a/packages/core/src/myrtlehook_core/process/options.py
+++ b/packages/core/src/myrtlehook_core/process/options.py
@@ -7,7 +7,7 @@
 class CoreOptions:
     """Intervals and bounds of one router; see docs/operators/settings.md."""
 
-    refresh_interval_s: float = 0.1
+    refresh_interval_s: float = 0.2
     """How often bids and service reports go out while something changes."""
     spread_delay_s: float = 0.03
     """How long a queue is offered to one owner before all owners hear of it."""
@@ -38,6 +38,8 @@
     cut_memory_s: float = 60.0
     """How long the share of service beyond a cut is extrapolated."""
     early_charge: bool = True
+    charge_fanout: int = 16
+    """An owner tells its early charges to the pool's other owners up to so many."""
     overfill_slots: int = 0
     """Requests granted beyond a server's slots, to hide the turn-around of a slot."""
     choice_spread_units: float = 0.0
--- a/packages/core/src/myrtlehook_core/process/owners.py
+++ b/packages/core/src/myrtlehook_core/process/owners.py
@@ -9,6 +9,7 @@
     PoolBids,
     expire_bids,
     list_candidates,
+    note_early_charge,
     note_granted,
     pick_bidder,
     take_bid,
@@ -24,6 +25,7 @@
 from myrtlehook_core.process.events import LoadReported
 from myrtlehook_core.process.messages import (
     Bid,
+    EarlyCharge,
     Grant,
     HoldList,
     HoldQuery,
@@ -64,8 +66,8 @@
 
     options: CoreOptions
     configuration: Configuration
-    sole_owner: bool
-    """This router owns every server of the fleet, so strictly lowest first is exact."""
+    other_owners: Callable[[str], tuple[str, ...]]
+    """The other routers that own servers of a pool."""
     leaving: frozenset[str]
     draw: Draw
     out: Outbox
@@ -160,6 +162,17 @@
         grant_slots(owner, context, configured.pool, now_s)
 
 
+def receive_early_charge(
+    owner: SlotOwner, context: OwnerContext, message: EarlyCharge, now_s: float
+) -> None:
+    """Take another owner's grant into account until bids show it."""
+    bids = owner.bids.get(message.pool)
+    if bids is None:
+        return
+    reflected_at_s = now_s + REFLECT_REFRESHES * context.options.refresh_interval_s
+    note_early_charge(bids, message.workspace, message.virtual_units, reflected_at_s)
+
+
 def tick_owner(owner: SlotOwner, context: OwnerContext, now_s: float) -> None:
     """Expire leases and bids, poll load reports, and grant what has become free."""
     for server in owner.servers.values():
@@ -183,7 +196,7 @@
     free = _free_slots(owner, context, pool, now_s)
     if not free:
         return
-    choose = _chooser(context)
+    choose = _chooser(context, pool)
     while free:
         candidates = list_candidates(bids, _share_lookup(context.configuration))
         if not candidates:
@@ -210,22 +223,40 @@
 ) -> None:
     options = context.options
     router = pick_bidder(bids, candidate.workspace, context.draw)
-    reflected_at_s = now_s + REFLECT_REFRESHES * options.refresh_interval_s
-    note_granted(bids, router, candidate, reflected_at_s, options.early_charge)
+    note_granted(bids, router, candidate.workspace)
+    pool = context.configuration.backend_servers[backend_server].pool
+    if options.early_charge:
+        _charge_early(context, bids, pool, candidate, now_s)
     grant_id = owner.next_grant_id
     owner.next_grant_id += 1
     # The holder's next summary renews the lease; a grant that is lost expires soon.
     first_deadline_s = now_s + options.grant_lease_s + options.hold_interval_s
     hold = Hold(router, candidate.workspace, now_s, first_deadline_s)
     owner.servers[backend_server].holds[grant_id] = hold
-    pool = context.configuration.backend_servers[backend_server].pool
     sent_at_s = bids.routers[router].sent_at_s
-    message = Grant(
-        grant_id, backend_server, pool, candidate.workspace, sent_at_s, bids.floor_units
-    )
+    floor_units = round(bids.floor_units)
+    message = Grant(grant_id, backend_server, pool, candidate.workspace, sent_at_s, floor_units)
     context.post.add(router, message)
 
 
+def _charge_early(
+    context: OwnerContext, bids: PoolBids, pool: str, candidate: Candidate, now_s: float
+) -> None:
+    """Charge a grant here at once and, in a small pool, at its other owners too.
+
+    Between two refreshes the owners would otherwise all feed the workspace that
+    was lowest at the last one.
+    """
+    virtual_units = candidate.mean_cost_units / candidate.share
+    reflected_at_s = now_s + REFLECT_REFRESHES * context.options.refresh_interval_s
+    note_early_charge(bids, candidate.workspace, virtual_units, reflected_at_s)
+    others = context.other_owners(pool)
+    if len(others) > context.options.charge_fanout:
+        return
+    for owner in others:
+        context.post.add(owner, EarlyCharge(pool, candidate.workspace, virtual_units))
+
+
 def _free_slots(owner: SlotOwner, context: OwnerContext, pool: str, now_s: float) -> dict[str, int]:
     free: dict[str, int] = {}
     for name, server in owner.servers.items():
@@ -249,8 +280,11 @@
     return now_s >= server.owned_since_s + context.options.adopt_delay_s
 
 
-def _chooser(context: OwnerContext) -> Chooser:
-    if context.sole_owner or not context.options.weighted_choice:
+def _chooser(context: OwnerContext, pool: str) -> Chooser:
+    # Owners that hear of each other's grants at once do not herd, so strictly
+    # lowest first is best there; where they do not, chance must spread them.
+    few = len(context.other_owners(pool)) <= context.options.charge_fanout
+    if few or not context.options.weighted_choice:
         return choose_lowest
     return make_weighted_chooser(context.options.choice_spread_units)
 
--- a/packages/core/src/myrtlehook_core/process/routers.py
+++ b/packages/core/src/myrtlehook_core/process/routers.py
@@ -4,6 +4,7 @@
 test or a bench can drive many routers at once, in any order.
 """
 
+import math
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -59,6 +60,7 @@
     Bid,
     ConfigurationQuery,
     ConfigurationReply,
+    EarlyCharge,
     Grant,
     HoldList,
     HoldQuery,
@@ -82,6 +84,7 @@
     count_free_in_pool,
     drop_beliefs,
     receive_bid,
+    receive_early_charge,
     receive_hold_list,
     receive_hold_summary,
     receive_load,
@@ -118,6 +121,9 @@
 SWEEP_INTERVAL_S = 0.25
 """How often queues are searched for requests that cannot be run in time."""
 
+BID_AFTER_REPORT_S = 0.01
+"""Bids follow reports by this much, so that they carry the totals of the answers."""
+
 QUERY_INTERVAL_S = 0.5
 """How often a peer is asked again for documents that have not come."""
 
@@ -136,7 +142,7 @@
         self.prober = Prober()
         self.placement = Placement()
         self.exchange = ConfigurationExchange()
-        self.entry = Entry(identity.incarnation * 1000, options.retry_burst)
+        self.entry = Entry(options.retry_burst)
         self.owner = SlotOwner(int(draw() * GRANT_ID_SPACE))
         self.ledger = Ledger()
         self.last_tick_s: float | None = None
@@ -180,7 +186,7 @@
         return OwnerContext(
             options=self.options,
             configuration=self.configuration,
-            sole_owner=self.placement.eligible == (self.identity.router_id,),
+            other_owners=self._other_owners,
             leaving=frozenset(self.table.leaving_servers),
             draw=self.draw,
             out=self._out,
@@ -201,6 +207,10 @@
         """Tell whether a router is worth sending to."""
         return is_reachable(self.table, router_id)
 
+    def _other_owners(self, pool: str) -> tuple[str, ...]:
+        owners = self.placement.pool_owners.get(pool, ())
+        return tuple(owner for owner in owners if owner != self.identity.router_id)
+
     # -- the end of every event ---------------------------------------------------
 
     def _settle(self, now_s: float) -> None:
@@ -223,6 +233,7 @@
         owned = owned_servers(self.placement, self.identity.router_id)
         set_owned_servers(self.owner, owned, now_s)
         send_holds_to_new_owners(self.entry, before, self.placement, self._post)
+        self.entry.handover_until_s = now_s + self.options.handover_s
         for account in self.entry.accounts.values():
             account.changed = True
 
@@ -254,7 +265,7 @@
         entry.fresh_keys.discard(key)
         if self.options.exchange_totals:
             # The ledger lifts a workspace that returns from idle before it is served.
-            send_reports(entry, self.placement, self.options, self.draw, self._post, {key})
+            send_reports(entry, self.placement, self.options, self.draw, self._post, {key}, now_s)
         context = self.owner_context()
         free = count_free_in_pool(self.owner, context, key.pool, now_s)
         preferred = self.identity.router_id if free > 0 else None
@@ -332,7 +343,11 @@
         entry = self.entry
         if now_s >= entry.next_refresh_s:
             entry.next_refresh_s = now_s + self.options.refresh_interval_s
-            self._refresh(now_s)
+            entry.next_bid_s = now_s + BID_AFTER_REPORT_S
+            self._report(now_s)
+        if now_s >= entry.next_bid_s:
+            entry.next_bid_s = math.inf
+            send_bids(entry, self.placement, self.options, self._post, now_s)
         if now_s >= entry.next_hold_s:
             entry.next_hold_s = now_s + self.options.hold_interval_s
             send_hold_summaries(entry, self.placement, self._post)
@@ -340,12 +355,12 @@
             entry.next_sweep_s = now_s + SWEEP_INTERVAL_S
             self._sweep(now_s)
 
-    def _refresh(self, now_s: float) -> None:
-        entry = self.entry
-        send_bids(entry, self.placement, self.options, self._post, now_s)
+    def _report(self, now_s: float) -> None:
         if self.options.exchange_totals:
-            keys = keys_to_report(entry)
-            send_reports(entry, self.placement, self.options, self.draw, self._post, keys)
+            keys = keys_to_report(self.entry)
+            send_reports(
+                self.entry, self.placement, self.options, self.draw, self._post, keys, now_s
+            )
 
     def _sweep(self, now_s: float) -> None:
         refuse_hopeless(self.entry, self.entry_context(), now_s)
@@ -379,6 +394,9 @@
         if not receive_bid(self.owner, self.owner_context(), sender, message, now_s):
             self._out.add(DropNoted(DropReason.STALE_MESSAGE))
 
+    def _take_early_charge(self, sender: str, message: EarlyCharge, now_s: float) -> None:
+        receive_early_charge(self.owner, self.owner_context(), message, now_s)
+
     def _take_grant(self, sender: str, message: Grant, now_s: float) -> None:
         hungry = spend_grant(self.entry, self.entry_context(), sender, message, now_s)
         if hungry:
@@ -457,6 +475,7 @@
 }
 
 _MESSAGE_HANDLERS: dict[type, Callable[[RouterCore, str, Any, float], None]] = {
+    EarlyCharge: RouterCore._take_early_charge,
     Bid: RouterCore._take_bid,
     Grant: RouterCore._take_grant,
     Release: RouterCore._take_release,
--- a/packages/core/src/myrtlehook_core/request/charges.py
+++ b/packages/core/src/myrtlehook_core/request/charges.py
@@ -43,6 +43,8 @@
     cost: RunningMean = field(default_factory=RunningMean)
     charges: dict[str, "Charge"] = field(default_factory=dict)
     changed: bool = False
+    standby_changed: bool = False
+    """Changed since the standing-by ledgers last heard."""
     last_active_s: float = 0.0
 
 
--- a/packages/router/src/myrtlehook_router/__init__.py
+++ b/packages/router/src/myrtlehook_router/__init__.py
@@ -1,14 +1,23 @@
-"""The router daemon ``myrtlehookd``; its public surface is the ``main`` function."""
+"""The router daemon ``myrtlehookd``; its public surface."""
 
 import eventlet
 
-__all__ = ["main"]
+__all__ = ["main", "patch_standard_library"]
+
+
+def patch_standard_library() -> None:
+    """Make sockets and sleeps cooperative, before any library takes hold of them.
+
+    Locks stay those of the operating system: pynng calls back from threads of its
+    own, and a cooperative lock would start an event loop there that never ends,
+    with the connection that was being accepted stuck in it.
+    """
+    eventlet.monkey_patch(thread=False)
 
 
 def main() -> None:
     """Run the router until it is told to stop."""
-    # Sockets, sleeps and locks must be patched before any library takes hold of them.
-    eventlet.monkey_patch()
+    patch_standard_library()
     from myrtlehook_router.process.commands import run_command
 
     run_command()
