Refresh each 100 ms by default; split long test modules; revert bids between refreshes

Tried and reverted: showing a queue that just became non-empty to all owners between two refreshes, on the thought that short queues are served too little.

--- a/packages/core/src/myrtlehook_core/process/bidding.py
+++ b/packages/core/src/myrtlehook_core/process/bidding.py
@@ -80,9 +80,6 @@
 ) -> None:
     """Tell owners all that waits, pool by pool; silence where nothing does."""
     settled_s = now_s - options.spread_delay_s
-    entry.bid_at_s = now_s
-    for queue in entry.queues.values():
-        queue.shown = queue.shown or _is_settled(queue, settled_s)
     told_pools = {key.pool for keys in entry.told.values() for key in keys}
     pools = {key.pool for key, queue in entry.queues.items() if queue.waiting}
     for pool in sorted(pools | told_pools):
@@ -93,21 +90,6 @@
                 _send_bid(entry, pool, owner, keys, post, now_s)
 
 
-def has_hidden_queue(entry: Entry, options: CoreOptions, now_s: float) -> bool:
-    """Tell whether a queue has waited long enough to be shown to every owner now.
-
-    Under contention queues that are short come and go between two refreshes; left
-    to the next one, their workspaces would be served late and too little.
-    """
-    if now_s < entry.bid_at_s + options.bid_spacing_s:
-        return False
-    settled_s = now_s - options.spread_delay_s
-    return any(
-        queue.waiting and not queue.shown and _is_settled(queue, settled_s)
-        for queue in entry.queues.values()
-    )
-
-
 def _is_settled(queue: WorkspaceQueue, settled_s: float) -> bool:
     return queue.offered_s is not None and queue.offered_s <= settled_s
 
--- a/packages/core/src/myrtlehook_core/process/entries.py
+++ b/packages/core/src/myrtlehook_core/process/entries.py
@@ -68,7 +68,6 @@
     queued_bytes: int = 0
     next_refresh_s: float = 0.0
     next_bid_s: float = math.inf
-    bid_at_s: float = -math.inf
     refreshes: int = 0
     handover_until_s: float = 0.0
     """Until then reports carry the totals that a new ledger may need."""
--- a/packages/core/src/myrtlehook_core/process/event_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/event_handlers.py
@@ -11,7 +11,6 @@
     FetchPart,
 )
 from myrtlehook_core.process.bidding import (
-    has_hidden_queue,
     keys_to_report,
     offer_first,
     repeat_releases,
@@ -167,7 +166,7 @@
         entry.next_refresh_s = now_s + core.options.refresh_interval_s
         entry.next_bid_s = now_s + BID_AFTER_REPORT_S
         _report(core, now_s)
-    if now_s >= entry.next_bid_s or has_hidden_queue(entry, core.options, now_s):
+    if now_s >= entry.next_bid_s:
         entry.next_bid_s = math.inf
         repeat_releases(entry, core.placement, core.post)
         send_bids(entry, core.placement, core.options, core.post, now_s)
--- a/packages/core/src/myrtlehook_core/process/options.py
+++ b/packages/core/src/myrtlehook_core/process/options.py
@@ -7,12 +7,10 @@
 class CoreOptions:
     """Intervals and bounds of one router; see docs/operators/settings.md."""
 
-    refresh_interval_s: float = 0.2
+    refresh_interval_s: float = 0.1
     """How often bids and service reports go out while something changes."""
     spread_delay_s: float = 0.03
     """How long a queue is offered to one owner before all owners hear of it."""
-    bid_spacing_s: float = 0.1
-    """Between refreshes, bids that show a new queue keep this far apart."""
     bid_lease_s: float = 0.7
     """How long an owner believes a bid that is not refreshed."""
     grant_lease_s: float = 1.0
--- a/packages/core/src/myrtlehook_core/request/queues.py
+++ b/packages/core/src/myrtlehook_core/request/queues.py
@@ -20,15 +20,12 @@
     seconds_per_dispatch_s: float | None = None
     offered_s: float | None = None
     """When the queue last became non-empty; every owner hears of it soon after."""
-    shown: bool = False
-    """Every owner has heard of it since."""
 
 
 def push_request(queue: WorkspaceQueue, request: RequestSpecification, now_s: float) -> None:
     """Put a request at the end of the queue."""
     if not queue.waiting:
         queue.offered_s = now_s
-        queue.shown = False
         queue.busy_since_s = now_s
         queue.last_dispatch_s = None
     queue.waiting.append(request)
@@ -39,7 +36,6 @@
     """Put a request that must be retried back at the head of the queue."""
     if not queue.waiting:
         queue.offered_s = now_s
-        queue.shown = False
     queue.waiting.appendleft(request)
     queue.queued_bytes += request.body_bytes
 
--- /dev/null
+++ b/tests/steps/raw_caller_steps.py
@@ -0,0 +1,90 @@
+"""Steps of callers that speak raw HTTP: hostile heads and bodies, and leaving early."""
+
+import json
+import re
+import socket
+import time
+from typing import Any
+
+from behave import then, when
+from serving_steps import router
+
+
+def _raw(context: Any, number: int, content: bytes, more: bytes = b"", times: int = 0) -> None:
+    connection = socket.create_connection(("127.0.0.1", router(context, number).port), 20)
+    try:
+        connection.sendall(content)
+        for _ in range(times):
+            connection.sendall(more)
+    except OSError:
+        pass  # The router has hung up on what it will not read.
+    try:
+        context.raw_answer = connection.recv(4096)
+    except OSError:
+        context.raw_answer = b""
+    connection.close()
+
+
+def _raw_head(context: Any, extra: str) -> bytes:
+    key = context.fleet.workspaces["planners"].key
+    head = "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
+    return (head + f"Authorization: Bearer {key}\r\n{extra}\r\n").encode()
+
+
+@when("a raw caller streams an endless chunked body to router {number:d}")
+def raw_endless(context: Any, number: int) -> None:
+    chunk = b"10000\r\n" + b"x" * 65536 + b"\r\n"
+    head = _raw_head(context, "Transfer-Encoding: chunked\r\n")
+    _raw(context, number, head, chunk, 200)
+
+
+@when("a raw caller sends both Content-Length and Transfer-Encoding to router {number:d}")
+def raw_both(context: Any, number: int) -> None:
+    head = _raw_head(context, "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n")
+    _raw(context, number, head + b"0\r\n\r\n")
+
+
+@when("a raw caller sends 100 KB of headers to router {number:d}")
+def raw_headers(context: Any, number: int) -> None:
+    extra = "".join(f"X-Filler-{index}: {'y' * 1000}\r\n" for index in range(100))
+    _raw(context, number, _raw_head(context, extra))
+
+
+@then("the raw answer says {status:d}")
+def check_raw(context: Any, status: int) -> None:
+    assert re.match(rb"HTTP/1\.[01] %d" % status, context.raw_answer), context.raw_answer
+
+
+def _leave_after(context: Any, workspace: str, number: int, tokens: int, size: int) -> None:
+    content = {
+        "model": "diagnosis",
+        "messages": [{"role": "user", "content": "long"}],
+        "max_tokens": tokens,
+        "stream": True,
+    }
+    body = json.dumps(content).encode()
+    key = context.fleet.workspaces[workspace].key
+    head = (
+        f"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {key}\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    )
+    connection = socket.create_connection(("127.0.0.1", router(context, number).port), 20)
+    connection.sendall(head.encode() + body)
+    seen = b""
+    while seen.count(b"data: ") < size:
+        seen += connection.recv(4096)
+    if size == 0:
+        time.sleep(0.3)
+    connection.close()
+
+
+@when(
+    'a caller of "{workspace}" leaves router {number:d} after {size:d} pieces of {tokens:d} tokens'
+)
+def leave_stream(context: Any, workspace: str, number: int, size: int, tokens: int) -> None:
+    _leave_after(context, workspace, number, tokens, size)
+
+
+@when('a caller of "{workspace}" leaves router {number:d} while it waits')
+def leave_queue(context: Any, workspace: str, number: int) -> None:
+    _leave_after(context, workspace, number, 10, 0)
