Do not take a workspace that waited beyond a cut for idle

Cause: their ledger, on the other side, had not heard of them and lifted them to the floor of its own side when they reported again, though they had waited all along. Ruled out: a missing repayment (those ahead were held back as they should). Change: a report says whether the workspace came back from idle within the last second or has waited for longer; only the former may be lifted.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -104,9 +104,7 @@
 def _measure_ledger() -> list[Slope]:
     ledger = Ledger()
     options = CoreOptions()
-    rows = tuple(
-        ReportRow(f"workspace-{index}", POOL, 5, 1, 1000, True, -1) for index in range(100)
-    )
+    rows = tuple(ReportRow(f"workspace-{index}", POOL, 5, 1, 1000, 2, -1) for index in range(100))
     sequence = 1
     gc.collect()
     tracemalloc.start()
@@ -121,7 +119,7 @@
         nonlocal sequence
         sequence += 1
         again = tuple(
-            ReportRow(row.workspace, POOL, 5, sequence, 1000 + sequence, True, -1) for row in rows
+            ReportRow(row.workspace, POOL, 5, sequence, 1000 + sequence, 2, -1) for row in rows
         )
         report = Report(True, (), again)
         take_report(ledger, "r7", report, sequence * 0.2, options, _reach_all)
@@ -185,7 +183,7 @@
     member_rows = collect_member_news(core.table, "r7")
     name = "workspace-1234"
     row = BidRow(name, 50, 1_000_000, 300)
-    report = ReportRow(name, POOL, 2**31, 5000, 1_000_000, True, -1)
+    report = ReportRow(name, POOL, 2**31, 5000, 1_000_000, 2, -1)
     samples: dict[str, tuple[Message, int]] = {
         "probe": (Probe(1, News(member_rows, (), 5, "0" * 16)), 1),
         "bid row": (Bid(POOL, 1e5, (row,) * 100), 100),
--- a/packages/core/src/myrtlehook_core/process/bidding.py
+++ b/packages/core/src/myrtlehook_core/process/bidding.py
@@ -15,10 +15,12 @@
     HoldSummary,
     Report,
     ReportRow,
+    WaitingState,
 )
 from myrtlehook_core.process.options import CoreOptions
 from myrtlehook_core.process.placements import Placement, find_ledgers
 from myrtlehook_core.process.posts import Post
+from myrtlehook_core.request.charges import ServiceAccount
 from myrtlehook_core.request.queues import WorkspaceQueue
 from myrtlehook_core.request.requests import PoolKey, RequestSpecification
 
@@ -113,7 +115,7 @@
     ranks = options.ledger_count if standby else 1
     rows: dict[tuple[str, bool], list[ReportRow]] = {}
     for key in sorted(keys, key=lambda item: (item.workspace, item.pool)):
-        row, waiting = _make_report_row(entry, key, draw, now_s)
+        row, waiting = _make_report_row(entry, key, options, draw, now_s)
         for rank, ledger in enumerate(find_ledgers(placement, key, options.ledger_count)):
             if rank < ranks:
                 rows.setdefault((ledger, waiting and rank == 0), []).append(row)
@@ -209,7 +211,7 @@
 
 
 def _make_report_row(
-    entry: Entry, key: PoolKey, draw: Draw, now_s: float
+    entry: Entry, key: PoolKey, options: CoreOptions, draw: Draw, now_s: float
 ) -> tuple[ReportRow, bool]:
     account = account_of(entry, key, draw)
     account.report_sequence += 1
@@ -224,7 +226,19 @@
         row_id=account.row_id,
         sequence=account.report_sequence,
         served_units=round(account.served_units),
-        waiting=waiting,
+        waiting=int(_note_waiting(account, waiting, options, now_s)),
         known_total_units=NO_TOTAL if total is None else round(total.total_units),
     )
     return row, waiting
+
+
+def _note_waiting(
+    account: ServiceAccount, waiting: bool, options: CoreOptions, now_s: float
+) -> WaitingState:
+    if not waiting:
+        return WaitingState.NOTHING
+    if now_s - account.waiting_seen_s > options.idle_grace_s:
+        account.waiting_since_s = now_s
+    account.waiting_seen_s = now_s
+    returned = now_s - account.waiting_since_s <= options.idle_grace_s
+    return WaitingState.RETURNED if returned else WaitingState.STEADY
--- a/packages/core/src/myrtlehook_core/process/ledgers.py
+++ b/packages/core/src/myrtlehook_core/process/ledgers.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from myrtlehook_core.process.messages import Report, ReportRow, TotalRow
+from myrtlehook_core.process.messages import Report, ReportRow, TotalRow, WaitingState
 from myrtlehook_core.process.options import CoreOptions
 from myrtlehook_core.request.requests import PoolKey
 
@@ -30,7 +30,6 @@
     served_units: int
     reported_at_s: float
     growth_units_per_s: float = 0.0
-    waiting_until_s: float = -math.inf
 
 
 @dataclass(slots=True)
@@ -131,8 +130,6 @@
         known.sequence = row.sequence
         known.served_units = row.served_units
         _note_growth(account, known, growth_units, now_s, options, reachable)
-    if row.waiting:
-        known.waiting_until_s = now_s + options.idle_grace_s
 
 
 def _note_growth(
@@ -178,9 +175,10 @@
 def _note_waiting(
     account: LedgerAccount, floor_units: int, row: ReportRow, now_s: float, options: CoreOptions
 ) -> None:
-    if not row.waiting:
+    if row.waiting == WaitingState.NOTHING:
         return
-    was_idle = now_s > account.active_until_s
+    # A cut may have kept a ledger from hearing of a workspace that waited all along.
+    was_idle = now_s > account.active_until_s and row.waiting == WaitingState.RETURNED
     account.active_until_s = now_s + options.idle_grace_s
     if was_idle:
         account.lift_units += max(0.0, floor_units - total_units(account))
--- a/packages/core/src/myrtlehook_core/process/messages.py
+++ b/packages/core/src/myrtlehook_core/process/messages.py
@@ -5,6 +5,8 @@
 whole units, which are short; a share is expected to be of the order of 1 to 100.
 """
 
+from enum import IntEnum
+
 import msgspec
 
 
@@ -75,6 +77,16 @@
     rows: tuple[HoldRow, ...]
 
 
+class WaitingState(IntEnum):
+    """Whether a workspace has work waiting at the reporting router."""
+
+    NOTHING = 0
+    RETURNED = 1
+    """It has come back from idle a short while ago, and may be lifted to the floor."""
+    STEADY = 2
+    """It has waited for longer: a ledger that did not hear of it must not lift it."""
+
+
 class ReportRow(msgspec.Struct, frozen=True, array_like=True):
     """What one router has served one workspace in one pool, cumulatively."""
 
@@ -83,7 +95,8 @@
     row_id: int
     sequence: int
     served_units: int
-    waiting: bool
+    waiting: int
+    """A ``WaitingState``."""
     known_total_units: int
     """The last total that the sender heard, for a ledger that is new; -1 if none."""
 
--- a/packages/core/src/myrtlehook_core/request/charges.py
+++ b/packages/core/src/myrtlehook_core/request/charges.py
@@ -5,6 +5,7 @@
 early charge a workspace takes every slot before its first bill arrives.
 """
 
+import math
 from dataclasses import dataclass, field
 
 INITIAL_MEAN_UNITS = 100.0
@@ -46,6 +47,9 @@
     standby_changed: bool = False
     """Changed since the standing-by ledgers last heard."""
     last_active_s: float = 0.0
+    waiting_since_s: float = -math.inf
+    """When the workspace last came back from idle at this router."""
+    waiting_seen_s: float = -math.inf
 
 
 @dataclass(slots=True)
--- a/tests/features/properties.feature
+++ b/tests/features/properties.feature
@@ -7,6 +7,9 @@
   Scenario: A workspace that returns from idle brings no credit
     Then for any floor, a returning workspace starts at the floor or above
 
+  Scenario: A workspace that waited beyond a cut is not taken for idle
+    Then for any silence, a workspace that waited all along is not lifted
+
   Scenario: A new ledger forgets nothing that entries hand to it
     Then for any service by living and dead routers, a new ledger's total is the old one
 
--- a/tests/steps/property_steps.py
+++ b/tests/steps/property_steps.py
@@ -36,6 +36,7 @@
     MemberRow,
     Report,
     ReportRow,
+    WaitingState,
 )
 from myrtlehook_core.process.placements import Placement, find_ledgers, refresh_placement
 from myrtlehook_core.request.admission import QueueLimits
@@ -55,8 +56,14 @@
 SERVICE = st.integers(0, 10_000)
 
 
-def _row(row_id: int, sequence: int, served: int, known_total: int = -1) -> ReportRow:
-    return ReportRow("w", "p", row_id, sequence, served, True, known_total)
+def _row(
+    row_id: int,
+    sequence: int,
+    served: int,
+    known_total: int = -1,
+    waiting: WaitingState = WaitingState.RETURNED,
+) -> ReportRow:
+    return ReportRow("w", "p", row_id, sequence, served, int(waiting), known_total)
 
 
 def _report(ledger: Ledger, sender: str, row: ReportRow, now_s: float, floor: int = 0) -> int:
@@ -108,6 +115,18 @@
     check()
 
 
+@then("for any silence, a workspace that waited all along is not lifted")
+def no_lift(context: Any) -> None:
+    @given(SERVICE, SERVICE, st.integers(0, 500), st.floats(1.1, 100.0))
+    def check(served: int, floor: int, more: int, silent_s: float) -> None:
+        ledger = Ledger()
+        _report(ledger, "r", _row(1, 1, served), 0.0)
+        steady = _row(1, 2, served + more, waiting=WaitingState.STEADY)
+        assert _report(ledger, "r", steady, silent_s, floor) == served + more
+
+    check()
+
+
 @then("for any service by living and dead routers, a new ledger's total is the old one")
 def handover(context: Any) -> None:
     @given(SERVICE, st.lists(SERVICE, min_size=1, max_size=6), st.randoms(use_true_random=False))
@@ -260,7 +279,9 @@
     text = st.text(max_size=8)
     count = st.integers(0, 2**40)
     grants = st.builds(Grant, count, text, text, text, st.floats(0, 1e9), count)
-    rows = st.builds(ReportRow, text, text, count, count, count, st.booleans(), st.integers(-1, 9))
+    rows = st.builds(
+        ReportRow, text, text, count, count, count, st.integers(0, 2), st.integers(-1, 9)
+    )
     reports = st.builds(Report, st.booleans(), st.just(()), st.lists(rows, max_size=3).map(tuple))
 
     @given(text, count, st.lists(grants | reports, max_size=4).map(tuple))
