--- a/packages/router/src/myrtlehook_router/process/operators.py
+++ b/packages/router/src/myrtlehook_router/process/operators.py
@@ -24,6 +24,14 @@
     platform: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class OperatorAnswer:
+    """A status and what is sent as JSON."""
+
+    status: int
+    content: object
+
+
 @dataclass(frozen=True, slots=True)
 class OperatorServices:
     """What the endpoints read."""
@@ -42,27 +50,27 @@
     """Make the WSGI application for operators and the balancer."""
 
     def application(environ: dict[str, Any], start_response: StartResponse) -> Iterable[bytes]:
-        status, content = _answer(services, environ)
-        body = msgspec.json.encode(content)
+        answer = _answer(services, environ)
+        body = msgspec.json.encode(answer.content)
         headers = [("Content-Type", JSON_TYPE), ("Content-Length", str(len(body)))]
-        start_response(status_line(status), headers)
+        start_response(status_line(answer.status), headers)
         return [body]
 
     return application
 
 
-def _answer(services: OperatorServices, environ: dict[str, Any]) -> tuple[int, object]:
+def _answer(services: OperatorServices, environ: dict[str, Any]) -> OperatorAnswer:
     path = environ.get("PATH_INFO", "/")
     if path == "/healthz":
         ready = services.is_ready()
-        return (200 if ready else 503), {"ready": ready}
+        return OperatorAnswer(200 if ready else 503, {"ready": ready})
     if path == "/status":
-        return 200, asdict(describe_router(services.core_task.core))
+        return OperatorAnswer(200, asdict(describe_router(services.core_task.core)))
     if path == "/metrics":
-        return 200, _describe_metrics(services)
+        return OperatorAnswer(200, _describe_metrics(services))
     if path == "/test/cut" and environ["REQUEST_METHOD"] == "POST" and services.cut_allowed:
         return _cut(services, environ["wsgi.input"].read())
-    return 404, {"error": f"nothing at {path}"}
+    return OperatorAnswer(404, {"error": f"nothing at {path}"})
 
 
 def _describe_metrics(services: OperatorServices) -> dict[str, object]:
@@ -74,11 +82,11 @@
     }
 
 
-def _cut(services: OperatorServices, content: bytes) -> tuple[int, object]:
+def _cut(services: OperatorServices, content: bytes) -> OperatorAnswer:
     try:
         order = msgspec.json.decode(content, type=CutOrder)
     except msgspec.DecodeError as error:
-        return 400, {"error": str(error)}
+        return OperatorAnswer(400, {"error": str(error)})
     services.peers.cut_peers = frozenset(order.peers)
     services.platform.cut = order.platform
-    return 200, {"cut": order.peers}
+    return OperatorAnswer(200, {"cut": order.peers})
