Say the right length when connections are full, and prove that bound

Cause: the fixed answer named 74 bytes and had 75, so a caller read broken JSON. Found by counting; the new scenario reads the answer whole.

--- a/packages/router/src/myrtlehook_router/connection/listeners.py
+++ b/packages/router/src/myrtlehook_router/connection/listeners.py
@@ -15,14 +15,14 @@
 SPARE_CONNECTIONS = 64
 """Connections above the bound that are taken only to be told so."""
 
+_FULL_BODY = b'{"error":{"code":"connections_full","message":"too many open connections"}}'
 TOO_MANY_CONNECTIONS = (
     b"HTTP/1.1 503 Service Unavailable\r\n"
     b"Content-Type: application/json\r\n"
     b"Retry-After: 1\r\n"
     b"X-Outcome: not-run\r\n"
     b"Connection: close\r\n"
-    b"Content-Length: 74\r\n\r\n"
-    b'{"error":{"code":"connections_full","message":"too many open connections"}}'
+    b"Content-Length: %d\r\n\r\n%b" % (len(_FULL_BODY), _FULL_BODY)
 )
 
 Application = Callable[..., Iterable[bytes]]
--- a/tests/features/refusals.feature
+++ b/tests/features/refusals.feature
@@ -73,3 +73,9 @@
     Then the answer is a refusal with status 503 and reason "deadline_unreachable" or "deadline_passed"
     And the answer says when to come back
     And it came within 2 seconds
+
+  Scenario: A connection over the bound is told so, and others go on
+    Given a router that takes 2 connections
+    When 2 connections to it are held open
+    Then a third is refused with status 503 and reason "connections_full"
+    And the router takes a connection again once one is closed
--- a/tests/steps/raw_caller_steps.py
+++ b/tests/steps/raw_caller_steps.py
@@ -6,8 +6,10 @@
 import time
 from typing import Any
 
-from behave import then, when
-from serving_steps import router
+from behave import given, then, when
+from serving_steps import caller_of, router
+
+from standins.fleets import http, wait_for
 
 
 def _raw(context: Any, number: int, content: bytes, more: bytes = b"", times: int = 0) -> None:
@@ -88,3 +90,48 @@
 @when('a caller of "{workspace}" leaves router {number:d} while it waits')
 def leave_queue(context: Any, workspace: str, number: int) -> None:
     _leave_after(context, workspace, number, 10, 0)
+
+
+@given("a router that takes {count:d} connections")
+def small_router(context: Any, count: int) -> None:
+    fleet = context.fleet
+    settings = fleet.make_settings("vm-small")
+    settings["limits"] = {"connections": count}
+    program = fleet.start_router("vm-small", settings)
+    context.add_cleanup(fleet.routers.pop, "vm-small")
+    context.add_cleanup(fleet.kill, program)
+    context.small = program
+
+    def is_healthy() -> bool:
+        answer = http("GET", program.operators_address, "/healthz")
+        return answer is not None and answer.status == 200
+
+    wait_for(is_healthy, "the small router to be healthy")
+
+
+@when("{count:d} connections to it are held open")
+def hold_connections(context: Any, count: int) -> None:
+    context.held = [
+        socket.create_connection(("127.0.0.1", context.small.port), 20) for _ in range(count)
+    ]
+    context.add_cleanup(lambda: [held.close() for held in context.held])
+
+
+@then('a third is refused with status {status:d} and reason "{reason}"')
+def check_third(context: Any, status: int, reason: str) -> None:
+    def is_refused() -> bool:
+        result = caller_of(context, "planners").chat(context.small.address, "third", 2)
+        return result.status == status and result.error["code"] == reason
+
+    wait_for(is_refused, "the third connection to be refused", 10)
+
+
+@then("the router takes a connection again once one is closed")
+def check_again(context: Any) -> None:
+    context.held.pop().close()
+
+    def is_served() -> bool:
+        result = caller_of(context, "planners").chat(context.small.address, "again", 2)
+        return result.status == 200
+
+    wait_for(is_served, "a connection to be taken again", 10)
