--- a/bench/fleet_bench.py
+++ b/bench/fleet_bench.py
@@ -251,10 +251,19 @@
     figures.gap_after_fault_tokens = max(
         (gap for at_s, gap in figures.gaps if at_s >= order.fault_at_s), default=0.0
     )
-    over = [at_s for at_s, gap in figures.gaps if at_s >= healed_s and gap > bound]
-    settled = [at_s for at_s, gap in figures.gaps if at_s >= healed_s and gap <= bound]
-    if settled:
-        figures.recovered_s = max(0.0, (max(over) if over else healed_s) - healed_s)
+    after = [(at_s, gap) for at_s, gap in figures.gaps if at_s >= healed_s]
+    figures.recovered_s = find_recovery_s(after, healed_s, bound)
+
+
+def find_recovery_s(gaps: list[tuple[float, float]], healed_s: float, bound: float) -> float | None:
+    """Return how long after the fault's end the gap was last over its bound.
+
+    :returns: seconds, or None when the last gap measured is still over the bound.
+    """
+    if not gaps or gaps[-1][1] > bound:
+        return None
+    over = [at_s for at_s, gap in gaps if gap > bound]
+    return max(over) - healed_s if over else 0.0
 
 
 @dataclass(slots=True)
--- a/packages/core/src/myrtlehook_core/process/bidding.py
+++ b/packages/core/src/myrtlehook_core/process/bidding.py
@@ -116,6 +116,7 @@
     rows: dict[tuple[str, bool], list[ReportRow]] = {}
     for key in sorted(keys, key=lambda item: (item.workspace, item.pool)):
         row, waiting = _make_report_row(entry, key, options, draw, now_s)
+        _note_owed(entry.accounts[key], standby)
         for rank, ledger in enumerate(find_ledgers(placement, key, options.ledger_count)):
             if rank < ranks:
                 rows.setdefault((ledger, waiting and rank == 0), []).append(row)
@@ -205,6 +206,12 @@
     post.add(owner, Bid(pool, now_s, rows))
 
 
+def _note_owed(account: ServiceAccount, standby: bool) -> None:
+    """Remember a change until the standing-by ledgers have heard of it too."""
+    account.standby_changed = not standby and (account.changed or account.standby_changed)
+    account.changed = False
+
+
 def _floors_of(entry: Entry, pools: set[str]) -> tuple[FloorRow, ...]:
     known = sorted(pools & entry.floors_units.keys())
     return tuple(FloorRow(pool, entry.floors_units[pool]) for pool in known)
@@ -215,8 +222,6 @@
 ) -> tuple[ReportRow, bool]:
     account = account_of(entry, key, draw)
     account.report_sequence += 1
-    account.standby_changed = account.changed
-    account.changed = False
     queue = entry.queues.get(key)
     waiting = queue is not None and bool(queue.waiting)
     total = entry.totals.get(key) if now_s < entry.handover_until_s else None
--- a/tests/features/regressions.feature
+++ b/tests/features/regressions.feature
@@ -17,3 +17,12 @@
   Scenario: A doubled grant started two requests on one slot
     When a core with two waiting requests gets one grant twice
     Then one request is started
+
+  Scenario: The bench called a gap recovered that was over its bound to the end
+    When the gap is over its bound until the end of a run
+    Then the bench reports no recovery
+    And it reports 1.5 seconds for one that was last over its bound then
+
+  Scenario: The ledger that stands by never heard of a change that an unchanged report followed
+    When service changes once, and an unchanged report follows before the other ledger's turn
+    Then both ledgers have heard of it after a few refreshes
--- a/tests/steps/regression_steps.py
+++ b/tests/steps/regression_steps.py
@@ -9,8 +9,10 @@
 from behave import then, when
 
 from bench.core_drive import POOL, Load, make_configuration
+from bench.fleet_bench import find_recovery_s
 from myrtlehook_core import (
     CoreOptions,
+    PoolKey,
     RequestSpecification,
     RouterCore,
     RouterIdentity,
@@ -19,6 +21,10 @@
     events,
     messages,
 )
+from myrtlehook_core.process.bidding import keys_to_report, send_reports
+from myrtlehook_core.process.entries import Entry, account_of
+from myrtlehook_core.process.placements import Placement, find_ledgers
+from myrtlehook_core.process.posts import Post
 
 PART = '{"pools": []}'
 MANIFEST = {"version": 1, "parts": [{"key": "k", "digest": digest_text(PART)}]}
@@ -104,3 +110,41 @@
 def check_one_started(context: Any) -> None:
     started = [item for item in context.done if isinstance(item, actions.Dispatch)]
     assert len(started) == 1, context.done
+
+
+@when("the gap is over its bound until the end of a run")
+def gap_over(context: Any) -> None:
+    context.recovery_s = find_recovery_s([(12.0, 90.0), (20.0, 700.0)], 12.0, 100.0)
+
+
+@then("the bench reports no recovery")
+def check_no_recovery(context: Any) -> None:
+    assert context.recovery_s is None, context.recovery_s
+
+
+@then("it reports 1.5 seconds for one that was last over its bound then")
+def check_recovery(context: Any) -> None:
+    gaps = [(12.0, 700.0), (13.5, 101.0), (14.0, 99.0), (20.0, 50.0)]
+    assert find_recovery_s(gaps, 12.0, 100.0) == 1.5
+
+
+@when("service changes once, and an unchanged report follows before the other ledger's turn")
+def report_unchanged(context: Any) -> None:
+    key = PoolKey("w0", POOL)
+    entry = Entry(10.0)
+    context.placement = Placement(eligible=("r1", "r2", "r3"))
+    draw = random.Random(1).random
+    account_of(entry, key, draw).changed = True
+    context.heard = set()
+    for turn in range(10):
+        # Work waits at the first two refreshes only, so that the second reports no change.
+        keys = keys_to_report(entry) | ({key} if turn < 2 else set())
+        post = Post()
+        send_reports(entry, context.placement, CoreOptions(), draw, post, keys, 10.0 + turn)
+        context.heard |= {router for router, _ in post.messages}
+
+
+@then("both ledgers have heard of it after a few refreshes")
+def check_both_heard(context: Any) -> None:
+    ledgers = set(find_ledgers(context.placement, PoolKey("w0", POOL), 2))
+    assert context.heard == ledgers, (context.heard, ledgers)
