Keep max-min shares of tokens across the fleet, and refuse at arrival what would come late

Change: an accountant (rendezvous) adds up what each workspace asks of a pool in a sliding window and tells the level; an entry marks what is above it as excess, which an owner serves last. A new request is refused at once if it would come late or make an accepted one late; one that was refused and came back leads.

--- a/packages/core/src/myrtlehook_core/process/admissions.py
+++ b/packages/core/src/myrtlehook_core/process/admissions.py
@@ -31,6 +31,7 @@
 )
 from myrtlehook_core.process.refusals import find_refusal, refuse_request, refuse_with
 from myrtlehook_core.process.runs import may_retry
+from myrtlehook_core.process.shares import Shares, note_asked
 from myrtlehook_core.request.charges import (
     cancel_charge,
     charge_known,
@@ -55,6 +56,8 @@
     """A request that waits for an engine, or runs at one."""
 
     request: RequestSpecification
+    excess: bool = False
+    """More than its workspace's share."""
     backend_server: str = ""
     asked_at_s: float = 0.0
     next_ask_s: float = 0.0
@@ -81,6 +84,7 @@
 
     entry: Entry
     entry_context: EntryContext
+    shares: Shares
     owner_of: Callable[[str], str | None]
     leaving: frozenset[str]
 
@@ -102,7 +106,10 @@
         return
     entry.attempts[request.request_id] = 0
     count_queued(entry, request, 1)
-    admission = Admission(request)
+    excess = note_asked(
+        context.shares, request.pool, request.workspace, expected_tokens(request), now_s
+    )
+    admission = Admission(request, excess)
     admissions.open[request.request_id] = admission
     ask_next(admissions, context, admission, now_s)
 
@@ -288,7 +295,6 @@
     owner = context.owner_of(admission.backend_server)
     if owner is None:
         return
-    units = virtual_service_units(context.entry, key_of(request))
     message = AdmissionRequest(
         request_id=request.request_id,
         backend_server=admission.backend_server,
@@ -299,7 +305,7 @@
         aim_left_ms=round((request.aim_deadline_s - now_s) * 1000.0),
         deadline_left_ms=round((request.deadline_s - now_s) * 1000.0),
         priority=request.priority,
-        virtual_service_units=round(units),
+        excess=admission.excess,
         hop=admission.hop,
     )
     context.entry_context.post.add(owner, message)
@@ -322,7 +328,7 @@
     priority_units = virtual_service_units(entry, key_of(request))
     workspace = context.entry_context.configuration.workspaces.get(request.workspace)
     share = 1.0 if workspace is None else workspace.share
-    charge_known(account, request.request_id, _expected_units(request), share)
+    charge_known(account, request.request_id, float(expected_tokens(request)), share)
     attempt = entry.attempts.get(request.request_id, 0) + 1
     entry.attempts[request.request_id] = attempt
     entry.retry_budget = min(entry.retry_budget + options.retry_ratio, options.retry_burst)
@@ -338,8 +344,9 @@
     )
 
 
-def _expected_units(request: RequestSpecification) -> float:
-    return float(request.prompt_tokens + 2 * request.output_tokens)
+def expected_tokens(request: RequestSpecification) -> int:
+    """Return a request's size as shares count it: a token made counts twice."""
+    return request.prompt_tokens + 2 * request.output_tokens
 
 
 def _remember_parts(admissions: Admissions, admission: Admission) -> None:
--- a/packages/core/src/myrtlehook_core/process/engine_loads.py
+++ b/packages/core/src/myrtlehook_core/process/engine_loads.py
@@ -8,6 +8,7 @@
 FIRST_RATE_TOKENS_PER_S = 30_000.0
 """Assumed until an engine's answers have shown how fast it reads."""
 
+FIRST_DELAY_S = 0.04
 HIGHEST_RATE_TOKENS_PER_S = 100_000.0
 SHORTEST_READ_S = 0.01
 SMALLEST_READ_TOKENS = 500
@@ -35,8 +36,10 @@
     aim_deadline_s: float
     deadline_s: float
     priority: int
-    virtual_service_units: float
+    excess: bool
     hop: int
+    returned: bool = False
+    """It was refused before and its caller has come back."""
 
 
 @dataclass(slots=True)
@@ -61,6 +64,8 @@
     waiting: dict[str, WaitingAdmission] = field(default_factory=dict)
     granted: dict[str, GrantedAdmission] = field(default_factory=dict)
     """In the order of granting, which is the order in which the engine reads."""
+    answer_delay_s: float = FIRST_DELAY_S
+    """From the end of reading to the first event at the router."""
     rate_tokens_per_s: float = FIRST_RATE_TOKENS_PER_S
     read_until_s: float = 0.0
     """When the prompt that was read last was done."""
--- a/packages/core/src/myrtlehook_core/process/engine_queues.py
+++ b/packages/core/src/myrtlehook_core/process/engine_queues.py
@@ -92,8 +92,9 @@
     if message.request_id in load.waiting:
         return
     waiting = _make_waiting(sender, message, now_s)
+    waiting.returned = _fingerprint(waiting) in queues.refused
     load.waiting[message.request_id] = waiting
-    if not _refuse_if_late(queues, context, message.backend_server, load, waiting, now_s):
+    if _admit_or_refuse(queues, context, message.backend_server, load, waiting, now_s):
         grant_waiting(context, message.backend_server, load, now_s)
 
 
@@ -157,7 +158,7 @@
     for name, load in queues.loads.items():
         expired += expire_granted(load, now_s)
         _drop_unreachable(load, context)
-        _refuse_late(queues, context, name, load, now_s)
+        _refuse_hopeless(queues, context, name, load, now_s)
         grant_waiting(context, name, load, now_s)
     for fingerprint in [key for key, end_s in queues.refused.items() if now_s >= end_s]:
         del queues.refused[fingerprint]
@@ -177,19 +178,34 @@
         context.post.add(waiting.router_id, grant)
 
 
-def expected_wait_s(load: EngineLoad, waiting: WaitingAdmission) -> float:
-    """Estimate how long until an answer to a waiting request begins."""
+@dataclass(frozen=True, slots=True)
+class Forecast:
+    """When the answer to a waiting request is expected to begin."""
+
+    waiting: WaitingAdmission
+    begin_s: float
+
+
+def forecast_waiting(load: EngineLoad, now_s: float) -> list[Forecast]:
+    """Estimate when the answers to all waiting requests begin, in their order."""
+    found = []
     ahead = unread_tokens(load)
-    for other in _in_order(load):
-        if other.request_id == waiting.request_id:
-            break
-        ahead += estimate_unread(load, other)
-    return (ahead + estimate_unread(load, waiting)) / load.rate_tokens_per_s
+    for waiting in _in_order(load):
+        ahead += estimate_unread(load, waiting)
+        begin_s = now_s + load.answer_delay_s + ahead / load.rate_tokens_per_s
+        found.append(Forecast(waiting, begin_s))
+    return found
 
 
 def _in_order(load: EngineLoad) -> list[WaitingAdmission]:
-    """Return the waiting requests, the next one first."""
-    return sorted(load.waiting.values(), key=lambda item: (item.priority, item.aim_deadline_s))
+    """Return the waiting requests, the next one first.
+
+    What exceeds its workspace's share comes last, refused ones that came back lead.
+    """
+    return sorted(
+        load.waiting.values(),
+        key=lambda item: (item.excess, item.priority, not item.returned, item.aim_deadline_s),
+    )
 
 
 def _may_grant(
@@ -214,38 +230,85 @@
     return ahead + estimate_unread(load, waiting) <= context.options.read_ahead_tokens
 
 
-def _refuse_late(
+def _admit_or_refuse(
+    queues: EngineQueues,
+    context: QueueContext,
+    name: str,
+    load: EngineLoad,
+    waiting: WaitingAdmission,
+    now_s: float,
+) -> bool:
+    """Refuse a new request at once that cannot be served in time; True when it stays.
+
+    A request is also refused when it would make one late that was taken before: a
+    refusal helps its caller only while it is young.
+    """
+    if not _is_usable(context, name):
+        _refuse(queues, context, name, load, waiting, now_s, now_s)
+        return False
+    if waiting.returned and waiting.hop == 0 and not waiting.excess:
+        return True
+    own_s = estimate_unread(load, waiting) / load.rate_tokens_per_s
+    late_s = 0.0
+    behind = False
+    for forecast in forecast_waiting(load, now_s):
+        other = forecast.waiting
+        behind = behind or other is waiting
+        if not behind:
+            continue
+        if other is not waiting and (other.returned or other.excess):
+            continue
+        limit_s = _limit_s(context, other)
+        if other is not waiting and forecast.begin_s - own_s > limit_s:
+            # It is late without this one as well.
+            continue
+        late_s = max(late_s, forecast.begin_s - limit_s)
+    if late_s <= 0.0:
+        return True
+    _refuse(queues, context, name, load, waiting, now_s, now_s + late_s)
+    return False
+
+
+def _limit_s(context: QueueContext, waiting: WaitingAdmission) -> float:
+    """Return until when an answer should begin for its request to be worth taking."""
+    options = context.options
+    part = options.aim_slack_part if waiting.hop == 0 else options.stranger_aim_part
+    return waiting.asked_at_s + part * (waiting.aim_deadline_s - waiting.asked_at_s)
+
+
+def _refuse_hopeless(
     queues: EngineQueues, context: QueueContext, name: str, load: EngineLoad, now_s: float
 ) -> None:
-    for waiting in _in_order(load):
-        _refuse_if_late(queues, context, name, load, waiting, now_s)
+    """Refuse what waits at an engine that takes nothing, past its deadline, or in excess."""
+    usable = _is_usable(context, name)
+    for waiting in list(load.waiting.values()):
+        if not usable or now_s >= waiting.deadline_s:
+            _refuse(queues, context, name, load, waiting, now_s, now_s)
+    for forecast in forecast_waiting(load, now_s):
+        limit_s = _limit_s(context, forecast.waiting)
+        if forecast.waiting.excess and forecast.begin_s > limit_s:
+            _refuse(queues, context, name, load, forecast.waiting, now_s, forecast.begin_s)
+
+
+def _is_usable(context: QueueContext, name: str) -> bool:
+    server = context.configuration.backend_servers.get(name)
+    return server is not None and not server.leaving and name not in context.leaving
 
 
-def _refuse_if_late(
+def _refuse(
     queues: EngineQueues,
     context: QueueContext,
     name: str,
     load: EngineLoad,
     waiting: WaitingAdmission,
     now_s: float,
-) -> bool:
-    """Refuse a request whose answer would begin too late to be worth its place."""
-    end_s = now_s + expected_wait_s(load, waiting)
-    returned = _fingerprint(waiting) in queues.refused
-    factor = 1.0 if waiting.hop == 0 else context.options.stranger_aim_part
-    limit_s = waiting.asked_at_s + factor * (waiting.aim_deadline_s - waiting.asked_at_s)
-    if returned and waiting.hop == 0:
-        limit_s = waiting.deadline_s
-    server = context.configuration.backend_servers.get(name)
-    usable = server is not None and not server.leaving and name not in context.leaving
-    if usable and end_s <= limit_s:
-        return False
+    free_s: float,
+) -> None:
+    """Refuse a request, with the time at which it would fit."""
     del load.waiting[waiting.request_id]
     queues.refused[_fingerprint(waiting)] = now_s + RETURN_MEMORY_S
-    late_ms = round((end_s - limit_s) * 1000.0)
-    refusal = AdmissionRefusal(waiting.request_id, name, max(late_ms, SHORTEST_RETRY_MS))
-    context.post.add(waiting.router_id, refusal)
-    return True
+    wait_ms = max(round((free_s - now_s) * 1000.0), SHORTEST_RETRY_MS)
+    context.post.add(waiting.router_id, AdmissionRefusal(waiting.request_id, name, wait_ms))
 
 
 def _drop_unreachable(load: EngineLoad, context: QueueContext) -> None:
@@ -276,6 +339,6 @@
         aim_deadline_s=now_s + message.aim_left_ms / 1000.0,
         deadline_s=now_s + message.deadline_left_ms / 1000.0,
         priority=message.priority,
-        virtual_service_units=float(message.virtual_service_units),
+        excess=message.excess,
         hop=message.hop,
     )
--- a/packages/core/src/myrtlehook_core/process/event_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/event_handlers.py
@@ -64,6 +64,7 @@
     observe_service,
     retry_run,
 )
+from myrtlehook_core.process.shares import send_demands
 from myrtlehook_core.version.discovery import expire_lapsed, take_servers
 from myrtlehook_core.version.exchange import (
     Accepted,
@@ -201,6 +202,10 @@
     tick_owner(core.owner, core.owner_context(), now_s)
     tick_queues(core.queues, core.queue_context(), now_s)
     tick_admissions(core.admissions, core.admission_context(), now_s)
+    if now_s >= core.shares.next_report_s:
+        core.shares.next_report_s = now_s + core.options.demand_interval_s
+        routers = core.placement.eligible
+        send_demands(core.shares, routers, core.options.quota_window_s, core.post, now_s)
     entry = core.entry
     if now_s >= entry.next_refresh_s:
         entry.next_refresh_s = now_s + core.options.refresh_interval_s
--- a/packages/core/src/myrtlehook_core/process/message_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/message_handlers.py
@@ -32,6 +32,7 @@
     Bid,
     ConfigurationQuery,
     ConfigurationReply,
+    DemandReport,
     EarlyCharge,
     Grant,
     HeldAdmissions,
@@ -45,6 +46,7 @@
     Probe,
     Release,
     Report,
+    ShareLevel,
     Totals,
 )
 from myrtlehook_core.process.owners import (
@@ -64,6 +66,7 @@
 from myrtlehook_core.process.runs import (
     spend_grant,
 )
+from myrtlehook_core.process.shares import take_demand, take_level
 from myrtlehook_core.request.outcomes import DropReason
 from myrtlehook_core.version.configurations import ConfigurationVersion
 from myrtlehook_core.version.exchange import (
@@ -204,8 +207,23 @@
     receive_held(core.queues, core.queue_context(), sender, message, now_s)
 
 
+def _take_demand(core: "RouterCore", sender: str, message: DemandReport, now_s: float) -> None:
+    limits = core.configuration.limits
+    options = core.options
+    if limits.tokens_per_s <= 0:
+        return
+    capacity = limits.tokens_per_s * options.quota_window_s * options.capacity_factor
+    core.post.add(sender, take_demand(core.shares, sender, message, capacity, now_s))
+
+
+def _take_level(core: "RouterCore", sender: str, message: ShareLevel, now_s: float) -> None:
+    take_level(core.shares, message, now_s)
+
+
 # Typed per handler by its own signature; the table only pairs each type with its handler.
 MESSAGE_HANDLERS: dict[type, Callable[["RouterCore", str, Any, float], None]] = {
+    DemandReport: _take_demand,
+    ShareLevel: _take_level,
     AdmissionRequest: _take_admission_request,
     AdmissionGrant: _take_admission_grant,
     AdmissionRefusal: _take_admission_refusal,
--- a/packages/core/src/myrtlehook_core/process/messages.py
+++ b/packages/core/src/myrtlehook_core/process/messages.py
@@ -232,7 +232,8 @@
     """Times are relative, so that no clocks are compared."""
     deadline_left_ms: int
     priority: int
-    virtual_service_units: int
+    excess: bool
+    """The workspace has asked for more than its share: served only where there is room."""
     hop: int
     """How many other engines were asked before."""
 
@@ -289,8 +290,33 @@
     """Parts that the sender has seen used there lately, the oldest first."""
 
 
+class DemandRow(msgspec.Struct, frozen=True, array_like=True):
+    """What one workspace has asked for."""
+
+    workspace: str
+    asked_tokens: int
+
+
+class DemandReport(msgspec.Struct, frozen=True, array_like=True, tag=23):
+    """All that was asked of a pool at the sender within the window; replaces its last one."""
+
+    pool: str
+    rows: tuple[DemandRow, ...]
+
+
+class ShareLevel(msgspec.Struct, frozen=True, array_like=True, tag=24):
+    """The equal part of a pool's capacity that no workspace may exceed within the window."""
+
+    pool: str
+    level_tokens: int
+    rows: tuple[DemandRow, ...]
+    """The workspaces that ask for more, with all that they ask across the fleet."""
+
+
 Message = (
-    AdmissionRequest
+    DemandReport
+    | ShareLevel
+    | AdmissionRequest
     | AdmissionGrant
     | AdmissionRefusal
     | AdmissionProgress
--- a/packages/core/src/myrtlehook_core/process/options.py
+++ b/packages/core/src/myrtlehook_core/process/options.py
@@ -51,9 +51,18 @@
     """Prompt tokens granted ahead at one engine, so that it always has some to read."""
     engines_asked: int = 3
     """How many engines a request asks for before it is refused."""
-    stranger_aim_part: float = 0.5
+    aim_slack_part: float = 0.85
+    """A request is taken only if its answer is expected to begin within this part of its
+    aim; estimates err."""
+    stranger_aim_part: float = 0.7
     """An engine takes a request whose prompt another one keeps only if its answer begins
     within this part of its aim."""
+    quota_window_s: float = 4.0
+    """Shares of a pool's capacity are kept within every window of this length."""
+    demand_interval_s: float = 0.2
+    """How often routers report what was asked of model engines."""
+    capacity_factor: float = 1.0
+    """Corrects what a configuration says that its engines produce."""
     exchange_totals: bool = True
     """False only in the bench's baseline that keeps its own counters."""
     router_requests: int = 20_000
--- a/packages/core/src/myrtlehook_core/process/routers.py
+++ b/packages/core/src/myrtlehook_core/process/routers.py
@@ -58,6 +58,7 @@
     Prober,
 )
 from myrtlehook_core.process.refusals import refuse_hopeless
+from myrtlehook_core.process.shares import Shares
 from myrtlehook_core.version.configurations import Configuration
 from myrtlehook_core.version.discovery import Discovery, apply_discovery
 from myrtlehook_core.version.exchange import (
@@ -92,6 +93,7 @@
         self.ledger = Ledger()
         self.admissions = Admissions()
         self.queues = EngineQueues()
+        self.shares = Shares()
         self.last_tick_s: float | None = None
         self.out = Outbox()
         """The actions of the event being handled."""
@@ -157,6 +159,7 @@
         return AdmissionContext(
             entry=self.entry,
             entry_context=self.entry_context(),
+            shares=self.shares,
             owner_of=self.placement.server_owners.get,
             leaving=frozenset(self.table.leaving_servers),
         )
--- /dev/null
+++ b/packages/core/src/myrtlehook_core/process/shares.py
@@ -0,0 +1,152 @@
+"""Max-min shares of a pool's capacity, from what all routers were asked for.
+
+Each router reports what its callers asked of a pool within a sliding window to one
+router, the pool's accountant (the highest rendezvous hash). The accountant works out the
+level at which workspaces that ask for more are held, so that together they get what the
+pool can do. An entry marks the requests above a workspace's part as excess: they are
+served where there is room, and give way to everything else.
+"""
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from myrtlehook_core.process.hashing import rank_routers
+from myrtlehook_core.process.messages import DemandReport, DemandRow, ShareLevel
+from myrtlehook_core.process.posts import Post
+
+BUCKET_S = 0.25
+"""The window slides in steps of this length."""
+
+REPORT_LEASE_S = 1.0
+"""A report, or a level, that is not refreshed for this long counts no more."""
+
+UNLIMITED = -1
+
+
+@dataclass(slots=True)
+class DemandBucket:
+    """What was asked within one step of the window."""
+
+    begins_at_s: float
+    asked_tokens: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class PoolDemand:
+    """What this router's callers have asked of one pool, and what it may serve of it."""
+
+    buckets: deque[DemandBucket] = field(default_factory=deque)
+    level: ShareLevel | None = None
+    level_deadline_s: float = 0.0
+    parts: dict[str, float] = field(default_factory=dict)
+    """For each workspace that asks for too much, the part of it within its share."""
+    credits_tokens: dict[str, float] = field(default_factory=dict)
+    """What each of them has not used yet of that part."""
+
+
+@dataclass(slots=True)
+class HeardReport:
+    """The last report of one router."""
+
+    rows: tuple[DemandRow, ...]
+    deadline_s: float
+
+
+@dataclass(slots=True)
+class Shares:
+    """Both sides: this router's demand, and the reports it adds up as accountant."""
+
+    demands: dict[str, PoolDemand] = field(default_factory=dict)
+    heard: dict[str, dict[str, HeardReport]] = field(default_factory=dict)
+    """By pool and router."""
+    next_report_s: float = 0.0
+
+
+def note_asked(shares: Shares, pool: str, workspace: str, tokens: int, now_s: float) -> bool:
+    """Count a new request; True when it is more than its workspace's share."""
+    demand = shares.demands.setdefault(pool, PoolDemand())
+    if not demand.buckets or now_s - demand.buckets[-1].begins_at_s >= BUCKET_S:
+        demand.buckets.append(DemandBucket(now_s))
+    asked = demand.buckets[-1].asked_tokens
+    asked[workspace] = asked.get(workspace, 0) + tokens
+    part = demand.parts.get(workspace)
+    if part is None or now_s >= demand.level_deadline_s:
+        return False
+    credit = demand.credits_tokens.get(workspace, 0.0) + part * tokens
+    within = credit >= tokens / 2.0
+    demand.credits_tokens[workspace] = credit - tokens if within else credit
+    return not within
+
+
+def send_demands(
+    shares: Shares, routers: tuple[str, ...], window_s: float, post: Post, now_s: float
+) -> None:
+    """Report to each pool's accountant."""
+    for pool, demand in shares.demands.items():
+        while demand.buckets and now_s - demand.buckets[0].begins_at_s > window_s:
+            demand.buckets.popleft()
+        rows = _sum_rows(row for bucket in demand.buckets for row in bucket.asked_tokens.items())
+        accountant = find_accountant(pool, routers)
+        if accountant is not None:
+            post.add(accountant, DemandReport(pool, rows))
+
+
+def find_accountant(pool: str, routers: tuple[str, ...]) -> str | None:
+    """Return the router that adds up a pool's demand."""
+    found = rank_routers(f"shares/{pool}", routers, 1)
+    return found[0] if found else None
+
+
+def take_demand(
+    shares: Shares, sender: str, report: DemandReport, capacity_tokens: float, now_s: float
+) -> ShareLevel:
+    """Take a router's report as accountant and return the level in force."""
+    heard = shares.heard.setdefault(report.pool, {})
+    heard[sender] = HeardReport(report.rows, now_s + REPORT_LEASE_S)
+    for router in [router for router, known in heard.items() if now_s >= known.deadline_s]:
+        del heard[router]
+    rows = _sum_rows(
+        (row.workspace, row.asked_tokens) for known in heard.values() for row in known.rows
+    )
+    level = find_level([row.asked_tokens for row in rows], capacity_tokens)
+    if level is None:
+        return ShareLevel(report.pool, UNLIMITED, ())
+    above = tuple(row for row in rows if row.asked_tokens > level)
+    return ShareLevel(report.pool, round(level), above)
+
+
+def take_level(shares: Shares, level: ShareLevel, now_s: float) -> None:
+    """Take the level that the accountant worked out."""
+    demand = shares.demands.setdefault(level.pool, PoolDemand())
+    demand.level = level
+    demand.level_deadline_s = now_s + REPORT_LEASE_S
+    demand.parts = {
+        row.workspace: level.level_tokens / row.asked_tokens
+        for row in level.rows
+        if level.level_tokens >= 0 and row.asked_tokens > 0
+    }
+    for workspace in demand.credits_tokens.keys() - demand.parts.keys():
+        del demand.credits_tokens[workspace]
+
+
+def find_level(demands: list[int], capacity: float) -> float | None:
+    """Return the most that each may get so that all together get the capacity.
+
+    :returns: None when everyone can have all that they ask for.
+    """
+    left = capacity
+    rising = sorted(demands)
+    for index, demand in enumerate(rising):
+        equal = left / (len(rising) - index)
+        if demand > equal:
+            return equal
+        left -= demand
+    return None
+
+
+def _sum_rows(rows: Iterable[tuple[str, int]]) -> tuple[DemandRow, ...]:
+    sums: dict[str, int] = {}
+    for workspace, tokens in rows:
+        sums[workspace] = sums.get(workspace, 0) + tokens
+    return tuple(DemandRow(workspace, tokens) for workspace, tokens in sorted(sums.items()))
