Prove the platform path without the kit: an emulator, 35 scenarios, and two faults mended

Cause of the faults, each found by a scenario that failed first: a caller that left while its stream was being read had the response closed under the reader (RuntimeError: reentrant call inside BufferedReader), and the request's task died; an exchange now shuts the socket down and lets its reader close it. A fleet's fixed metrics port clashed within the emulator's own tests; each fleet has addresses of its own.

--- /dev/null
+++ b/emulator/control.py
@@ -0,0 +1,46 @@
+"""How a test changes the site while it runs, and reads what it saw."""
+
+import json
+from collections.abc import Callable
+from typing import Any
+
+from emulator.sites import MODEL_SERVICE, PLAIN_SERVICE, Site, describe, put_server
+
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+
+
+def make_control(site: Site) -> Callable[[dict[str, Any], StartResponse], list[bytes]]:
+    """Make the WSGI application: ``GET /`` describes, ``POST /`` takes an order."""
+
+    def application(environ: dict[str, Any], start_response: StartResponse) -> list[bytes]:
+        if environ["REQUEST_METHOD"] == "POST":
+            take_order(site, json.loads(environ["wsgi.input"].read()))
+        body = json.dumps(describe(site)).encode()
+        headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
+        start_response("200 OK", headers)
+        return [body]
+
+    return application
+
+
+def take_order(site: Site, order: dict[str, Any]) -> None:
+    """Change the site as a test asks."""
+    targets: dict[str, Any] = {"store": site.store.faults, "engines": site.engine_faults}
+    targets |= {name: engine.faults for name, engine in site.engines.items()}
+    targets |= {name: service.faults for name, service in site.services.items()}
+    for name, faults in order.get("faults", {}).items():
+        target = targets[name]
+        for fault, value in faults.items():
+            setattr(target, fault, value)
+    if "configuration" in order:
+        site.store.put("op/config", json.dumps(order["configuration"]))
+    if "configuration_text" in order:
+        site.store.put("op/config", order["configuration_text"])
+    for name, state in order.get("servers", {}).items():
+        if state == "gone":
+            site.store.drop(f"servers/{name}")
+            continue
+        service = MODEL_SERVICE if name in site.engines else PLAIN_SERVICE
+        put_server(site, name, service, 16 if name in site.engines else 6, state)
+    if order.get("forget_history"):
+        site.store.forget_history()
--- /dev/null
+++ b/emulator/services.py
@@ -0,0 +1,74 @@
+"""A plain service: a few slots, a fixed time of work, seals, and faults."""
+
+import hashlib
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import eventlet
+
+from emulator.engines import break_connection
+
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+
+
+@dataclass(slots=True)
+class ServiceFaults:
+    """What is wrong with a service at present; counts fall as they strike."""
+
+    reset_answers: int = 0
+    refusals: int = 0
+    errors: int = 0
+    work_ms: float = 5.0
+
+
+class PlainService:
+    """One server of a plain service."""
+
+    def __init__(self, identifier: str, slots: int) -> None:
+        self.identifier = identifier
+        self.slots = slots
+        self.busy = 0
+        self.faults = ServiceFaults()
+        self.runs: Counter[str] = Counter()
+        self.seen_headers: dict[str, dict[str, str]] = {}
+
+    def answer(self, environ: dict[str, Any], start_response: StartResponse) -> list[bytes]:
+        """Serve one request; a WSGI application."""
+        attempt_id = environ.get("HTTP_ATTEMPT_ID", "")
+        expected = environ.get("HTTP_EXPECTED_INSTANCE")
+        body = environ["wsgi.input"].read()
+        if expected and expected != self.identifier:
+            return self._decline("421 Misdirected Request", attempt_id, start_response)
+        if self.faults.refusals > 0 or self.busy >= self.slots:
+            self.faults.refusals = max(self.faults.refusals - 1, 0)
+            return self._decline("503 Service Unavailable", attempt_id, start_response)
+        self.runs[attempt_id] += 1
+        self.seen_headers[attempt_id] = {
+            name.title(): value for name, value in environ["headers_raw"]
+        }
+        self.busy += 1
+        try:
+            eventlet.sleep(self.faults.work_ms / 1000.0)
+        finally:
+            self.busy -= 1
+        if self.faults.reset_answers > 0:
+            self.faults.reset_answers -= 1
+            break_connection(environ)
+        failed = self.faults.errors > 0
+        self.faults.errors = max(self.faults.errors - 1, 0)
+        content = f"{environ['REQUEST_METHOD']} {environ['RAW_PATH_INFO']} ".encode() + body
+        seal = hashlib.sha256(f"{self.identifier}/{attempt_id}".encode()).hexdigest()[:16]
+        headers = [
+            ("Content-Length", str(len(content))),
+            ("Attempt-Id", attempt_id),
+            ("Response-Seal", seal),
+        ]
+        start_response("500 Internal Server Error" if failed else "200 OK", headers)
+        return [content]
+
+    def _decline(self, status: str, attempt_id: str, start_response: StartResponse) -> list[bytes]:
+        headers = [("Content-Length", "0"), ("Attempt-Id", attempt_id), ("Not-Executed", "1")]
+        start_response(status, headers)
+        return []
--- /dev/null
+++ b/emulator/store.py
@@ -0,0 +1,126 @@
+"""The platform's store: items with revisions, ranges, watches, and its failures."""
+
+import base64
+import json
+from collections import Counter, deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import parse_qs
+
+import eventlet
+from eventlet.event import Event
+
+HISTORY_ITEMS = 1000
+PAGE_ITEMS = 50
+
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+
+
+@dataclass(slots=True)
+class StoreFaults:
+    """What is wrong with the store at present."""
+
+    status: int = 0
+    """Every call is answered with this, such as 503 or 429."""
+    silent: bool = False
+    slow_ms: float = 0.0
+
+
+@dataclass(slots=True)
+class Store:
+    """All items, with the history that watches read."""
+
+    items: dict[str, dict[str, Any]] = field(default_factory=dict)
+    history: deque[dict[str, Any]] = field(default_factory=lambda: deque(maxlen=HISTORY_ITEMS))
+    forgotten_revision: int = 0
+    revision: int = 0
+    changed: Event = field(default_factory=Event)
+    faults: StoreFaults = field(default_factory=StoreFaults)
+    calls: Counter[str] = field(default_factory=Counter)
+
+    def put(self, key: str, text: str) -> None:
+        """Write an item."""
+        self.revision += 1
+        made = self.items.get(key, {}).get("made", self.revision)
+        item = {
+            "PrivateKey": key,
+            "Value": base64.b64encode(text.encode()).decode(),
+            "Revision": self.revision,
+            "made": made,
+            "lease": 0,
+        }
+        self.items[key] = item
+        self._tell(item)
+
+    def drop(self, key: str) -> None:
+        """Remove an item."""
+        if self.items.pop(key, None) is None:
+            return
+        self.revision += 1
+        self._tell({"PrivateKey": key, "Revision": self.revision, "gone": True})
+
+    def forget_history(self) -> None:
+        """Make every earlier revision unknown to watches."""
+        self.history.clear()
+        self.forgotten_revision = self.revision
+        self._wake()
+
+    def answer(self, environ: dict[str, Any], start_response: StartResponse) -> list[bytes]:
+        """Serve one call; a WSGI application."""
+        query = {name: values[0] for name, values in parse_qs(environ["QUERY_STRING"]).items()}
+        name = environ["PATH_INFO"].rpartition("/")[2]
+        self.calls[name] += 1
+        if self.faults.silent:
+            eventlet.sleep(60.0)
+        eventlet.sleep(self.faults.slow_ms / 1000.0)
+        if self.faults.status:
+            start_response(f"{self.faults.status} Fault", [("Content-Length", "0")])
+            return []
+        answers = {"kv-range": self._range, "kv-watch": self._watch, "kv-key": self._key}
+        status, content = answers[name](query)
+        body = json.dumps(content).encode()
+        headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
+        start_response(status, headers)
+        return [body]
+
+    def _range(self, query: dict[str, str]) -> tuple[str, dict[str, Any]]:
+        prefix, after = query["PathPrefix"], query.get("After", "")
+        keys = sorted(key for key in self.items if key.startswith(prefix) and key > after)
+        entries = [self.items[key] for key in keys[:PAGE_ITEMS]]
+        more = len(keys) > PAGE_ITEMS
+        return "200 OK", {"Entries": entries, "more": more, "at": self.revision}
+
+    def _key(self, query: dict[str, str]) -> tuple[str, dict[str, Any]]:
+        item = self.items.get(query["PrivateKey"])
+        if item is None:
+            return "404 Not Found", {"at": self.revision}
+        return "200 OK", {**item, "at": self.revision}
+
+    def _watch(self, query: dict[str, str]) -> tuple[str, dict[str, Any]]:
+        after, prefix = int(query["After"]), query["PathPrefix"]
+        timeout = eventlet.Timeout(int(query.get("WaitMs", "0")) / 1000.0, False)
+        with timeout:
+            while True:
+                if after < self.forgotten_revision:
+                    return "410 Gone", {"at": self.revision}
+                found = self._since(prefix, after)
+                if found:
+                    return "200 OK", {"events": found, "at": self.revision}
+                self.changed.wait()
+        return "200 OK", {"events": [], "at": self.revision}
+
+    def _since(self, prefix: str, after: int) -> list[dict[str, Any]]:
+        return [
+            item
+            for item in self.history
+            if item["Revision"] > after and item["PrivateKey"].startswith(prefix)
+        ]
+
+    def _tell(self, item: dict[str, Any]) -> None:
+        self.history.append(item)
+        self._wake()
+
+    def _wake(self) -> None:
+        changed, self.changed = self.changed, Event()
+        changed.send()
--- a/packages/router/src/myrtlehook_router/connection/clients.py
+++ b/packages/router/src/myrtlehook_router/connection/clients.py
@@ -11,7 +11,8 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any
+from http.client import HTTPException
+from typing import Any, TypeVar
 
 import urllib3
 from eventlet import patcher
@@ -34,7 +35,10 @@
 """Bytes that nobody acknowledges for this long end a connection."""
 
 _select = patcher.original("select")
-_ERRORS = (HTTPError, OSError, ValueError)
+_ERRORS = (HTTPError, HTTPException, OSError, ValueError)
+"""What urllib3, http.client and sockets raise for broken connections and answers."""
+
+Answered = TypeVar("Answered")
 _NODELAY: list[tuple[int, int, int | bytes]] = [
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNSENT_TIMEOUT_MS),
@@ -78,6 +82,7 @@
         """Kept beside the connection, which lets go of it when the answer says close."""
         self._response: urllib3.HTTPResponse | None = None
         self._done = False
+        self._reading = False
         self.aborted = False
 
     def send(self, deadline_s: float, fresh: bool) -> Result[urllib3.HTTPResponse, SendFailure]:
@@ -92,53 +97,72 @@
                 return Err(SendFailure.NOT_SENT)
         self._connection = connection
         self._socket = connection.sock
-        try:
-            _set_timeout(connection, self._socket, deadline_s)
-            _send_on(connection, self._request)
-            self._response = connection.getresponse()
-        except (TimeoutError, ReadTimeoutError):
-            self.abort()
-            return Err(SendFailure.TIMED_OUT)
-        except Exception as error:
-            # http.client raises classes of its own for bytes that are no answer.
-            self.abort()
-            if not isinstance(error, _ERRORS) and not _is_http_error(error):
-                raise
-            return Err(SendFailure.BROKEN)
-        assert self._response is not None
-        return Ok(self._response)
+        answered = self._guarded(lambda: self._request_answer(connection, deadline_s))
+        if isinstance(answered, Err):
+            return answered
+        self._response = answered.ok_value
+        return answered
 
     def read_some(self, size_bytes: int, deadline_s: float) -> Result[bytes, SendFailure]:
         """Read what has arrived of the body; empty bytes are its proper end."""
-        assert self._response is not None and self._connection is not None
+        if self.aborted:
+            return Err(SendFailure.BROKEN)
         if self._done:
             return Ok(b"")
+        read = self._guarded(lambda: self._read_piece(size_bytes, deadline_s))
+        if isinstance(read, Ok) and not read.ok_value:
+            self._finish()
+        return read
+
+    def _request_answer(
+        self, connection: HTTPConnection, deadline_s: float
+    ) -> urllib3.HTTPResponse:
+        _set_timeout(connection, self._socket, deadline_s)
+        _send_on(connection, self._request)
+        return connection.getresponse()
+
+    def _read_piece(self, size_bytes: int, deadline_s: float) -> bytes:
+        assert self._response is not None and self._connection is not None
+        _set_timeout(self._connection, self._socket, deadline_s)
+        return self._response.read1(size_bytes)
+
+    def _guarded(self, work: Callable[[], Answered]) -> Result[Answered, SendFailure]:
+        """Do work on the connection; whatever breaks it ends the exchange."""
+        self._reading = True
+        failure = SendFailure.BROKEN
         try:
-            _set_timeout(self._connection, self._socket, deadline_s)
-            piece = self._response.read1(size_bytes)
+            answered = work()
+            if not self.aborted:
+                return Ok(answered)
         except (TimeoutError, ReadTimeoutError):
-            self.abort()
-            return Err(SendFailure.TIMED_OUT)
+            failure = SendFailure.TIMED_OUT
         except _ERRORS:
-            self.abort()
-            return Err(SendFailure.BROKEN)
-        if self.aborted:
-            return Err(SendFailure.BROKEN)
-        if not piece:
-            self._finish()
-        return Ok(piece)
+            pass
+        finally:
+            self._reading = False
+        self.abort()
+        self._close()
+        return Err(failure)
 
     def abort(self) -> None:
-        """Close the connection; a read that waits on it ends at once."""
+        """End the exchange; a task that reads from it finds it broken at once.
+
+        The connection is only shut down here while another task reads from it: that
+        task's buffer must not be closed under it.
+        """
         if self._done:
             return
         self.aborted = True
         self._done = True
-        if self._connection is None:
-            return
-        with contextlib.suppress(OSError):
-            self._socket.shutdown(socket.SHUT_RDWR)
-        self._connection.close()
+        if self._socket is not None:
+            with contextlib.suppress(OSError):
+                self._socket.shutdown(socket.SHUT_RDWR)
+        if not self._reading:
+            self._close()
+
+    def _close(self) -> None:
+        if self._connection is not None:
+            self._connection.close()
         if self._response is not None:
             self._response.close()
 
@@ -232,7 +256,3 @@
         if name.lower() == "timeout" and value.isdigit():
             return min(IDLE_S, int(value) - IDLE_MARGIN_S)
     return IDLE_S
-
-
-def _is_http_error(error: Exception) -> bool:
-    return type(error).__module__ == "http.client"
--- a/tests/environment.py
+++ b/tests/environment.py
@@ -14,6 +14,7 @@
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
 from standins.fleets import Fleet  # noqa: E402
+from standins.nodes import NodeFleet  # noqa: E402
 
 # The same verdict every time: examples are derived from the property, not drawn.
 settings.register_profile(
@@ -59,6 +60,18 @@
         fleet.stop()
 
 
+@fixture  # type: ignore[untyped-decorator]
+def running_nodes(context: Any, routers: int, empty: bool) -> Any:
+    """Start routers on the emulated platform, and stop them afterwards."""
+    nodes = NodeFleet()
+    try:
+        nodes.start(routers=routers, empty=empty)
+        context.nodes = nodes
+        yield nodes
+    finally:
+        nodes.stop()
+
+
 def before_all(context: Any) -> None:
     """Install the count as the last reporter."""
     context.config.reporters.append(CountReporter(context.config))
@@ -69,12 +82,17 @@
     if tag.startswith("fleet."):
         routers, engines = tag.removeprefix("fleet.").split("x")
         use_fixture(running_fleet, context, int(routers), int(engines))
+    if tag.startswith("nodes."):
+        routers, _, option = tag.removeprefix("nodes.").partition(".")
+        use_fixture(running_nodes, context, int(routers), option == "empty")
 
 
 def before_scenario(context: Any, scenario: Any) -> None:
     """Give each scenario its own results and a place for what it must undo."""
     context.results = {}
     context.threads = []
+    if hasattr(context, "nodes"):
+        context.nodes.order(faults={"store": {"status": 0}})
 
 
 def after_scenario(context: Any, scenario: Any) -> None:
@@ -86,6 +104,9 @@
         thread.join(max(deadline_s - time.monotonic(), 0.1))
     if scenario.status != Status.passed and hasattr(context, "fleet"):
         _print_logs(context.fleet)
+    if scenario.status != Status.passed and hasattr(context, "nodes"):
+        for node in context.nodes.nodes:
+            print(f"--- {node.name}\n{node.log_path.read_text()[-2500:]}")
 
 
 def _print_logs(fleet: Fleet) -> None:
--- /dev/null
+++ b/tests/features/platform.feature
@@ -0,0 +1,154 @@
+@nodes.2
+Feature: The router serves the users' platform
+  Routers and the emulated platform are processes of their own; nobody lists routers.
+
+  Scenario Outline: A request of each kind is answered whole, with the server's seal
+    When "planners" sends "<method>" "<path>" with "<tokens>" tokens to router <router>
+    Then the attempt has status 200 and a seal
+    And the attempt was run 1 time
+
+    Examples:
+      | method | path           | tokens | router |
+      | POST   | /diagnosis/a%7e | 900,30 | 1      |
+      | POST   | /summary/a     | 900,30 | 2      |
+      | POST   | /valve/a       |        | 1      |
+      | GET    | /setpoint/a?q=1 |       | 2      |
+
+  Scenario: A server sees the workspace and its own instance, and never the key
+    When "planners" sends "POST" "/valve/a" with forged headers to router 1
+    Then the attempt has status 200 and a seal
+    And the server saw "Tenant-Name" as "planners"
+    And the server saw its own instance expected
+    And the server did not see "Authorization"
+
+  Scenario: A body in chunks arrives whole
+    When "planners" sends "POST" "/valve/a" with a body in chunks to router 1
+    Then the attempt has status 200 and a seal
+    And the body that came back ends with "one two three"
+
+  Scenario Outline: What cannot be served is told by its status
+    When "<workspace>" sends "GET" "<path>" with "" tokens to router 1
+    Then the attempt has status <status> and no seal
+    And the attempt was run 0 times
+
+    Examples:
+      | workspace | path        | status |
+      | planners  | /nowhere/a  | 404    |
+      | a-stranger | /setpoint/a | 401   |
+
+  Scenario: An open route needs no key
+    When nobody sends "GET" "/open/a" to router 1
+    Then the attempt has status 200 and a seal
+    And the server did not see "Tenant-Name"
+
+  Scenario Outline: A head that two readers might take differently is refused
+    When a caller sends the head "<head>" to router 1
+    Then the raw answer has status <status>
+
+    Examples:
+      | head                                                     | status |
+      | GET /open/a HTTP/1.1;Host: site.example;Content-Length: 1;Transfer-Encoding: chunked | 400 |
+      | GET /open/a HTTP/1.1;Host: site.example;Content-Length: 1;Content-Length: 1 | 400 |
+      | GET /open/a HTTP/1.1;Host: site.example;X: a; folded | 400 |
+      | GET http://site.example/open/a HTTP/1.1;Host: site.example | 400 |
+      | GET /open/a HTTP/1.1;Host: site.example;Bad Name: a | 400 |
+      | GET /open/a HTTP/1.1;Host: site.example | 400 |
+      | GET /open/a HTTP/1.1;Host: site.example;Attempt-Id: a;Attempt-Id: b | 400 |
+
+  Scenario: A bare line feed is refused
+    When a caller sends a head with bare line feeds to router 1
+    Then the raw answer has status 400
+
+  Scenario: A head over the bound is refused
+    When a caller sends a head of 9000 bytes to router 1
+    Then the raw answer has status 431
+
+  Scenario: A head that never ends is refused
+    When a caller sends half a head and waits at router 1
+    Then the raw answer has status 408
+
+  Scenario: A body over the bound is refused
+    When "planners" sends "POST" "/valve/a" with a body of 70000 bytes to router 1
+    Then the attempt has status 413 and no seal
+
+  Scenario: A request that was refused by one server runs at another
+    Given server "i-engine-1" refuses 1 request
+    And server "i-engine-2" refuses 1 request
+    When "planners" sends "POST" "/diagnosis/a" with "900,30" tokens to router 1
+    Then the attempt has status 503 and a time to come back
+    And the attempt was run 0 times
+
+  Scenario: A request that may not be repeated is not sent again after its answer is lost
+    Given server "i-desk-1" loses 1 answer
+    When "planners" sends "POST" "/valve/a" with "" tokens to router 1
+    Then the attempt has status 502 and no seal
+    And the attempt was run 1 time
+
+  Scenario: A request that may be repeated is sent again after its answer is lost
+    Given server "i-desk-1" loses 1 answer
+    When "planners" sends "GET" "/setpoint/a" with "" tokens to router 1
+    Then the attempt has status 200 and a seal
+    And the attempt was run 2 times
+
+  Scenario: A resumable stream goes on at another server from its last whole event
+    Given the next stream breaks off after 4 events
+    When "planners" sends "POST" "/diagnosis/a" with "900,60" tokens to router 1
+    Then the attempt has status 200 and a seal
+    And its events are numbered from 1 to 20 without a gap
+
+  Scenario: A broken stream that cannot be resumed never looks complete
+    Given the next stream breaks off after 4 events
+    When "planners" sends "POST" "/summary/a" with "900,60" tokens to router 1
+    Then the answer ended without its proper end
+
+  Scenario: An answer with another request's id reaches nobody
+    Given every engine answers 1 request under a wrong id
+    When "planners" sends "POST" "/summary/a" with "900,30" tokens to router 1
+    Then the attempt has status 502 and no seal
+
+  Scenario: A caller that leaves ends its run
+    Given every engine holds its streams after 2 events
+    When "planners" opens a stream at router 1 and leaves after the first event
+    Then the engines cancel that run
+
+  Scenario: A stopping router ends what it runs and is not ready meanwhile
+    Given every engine holds its streams after 2 events
+    When "planners" opens a stream at router 1
+    And the platform stops router 1
+    Then router 1 is not ready
+    And the stream goes on to its whole end once the engines go on
+
+  Scenario: A configuration that cannot be read leaves the old one in force
+    When the operator publishes "{ no configuration"
+    And "planners" sends "GET" "/setpoint/a" with "" tokens to router 1
+    Then the attempt has status 200 and a seal
+    And the log of router 1 tells "configuration rejected"
+
+  Scenario: A new version is in force at every router, also after history was lost
+    When the store forgets its history
+    And the operator publishes version 7 without the route "open"
+    Then every router answers "/open/a" with 404
+
+  Scenario: The last good state stays in use while the store is away
+    Given the store answers every call with 503
+    When "planners" sends "GET" "/setpoint/a" with "" tokens to router 2
+    Then the attempt has status 200 and a seal
+
+  Scenario: A draining server gets no new requests
+    When server "i-engine-1" is draining
+    And "planners" sends 8 requests to "/summary/a" through both routers
+    Then server "i-engine-1" ran none of them
+
+  Scenario: The metrics address tells counters
+    When "a-stranger" sends "GET" "/setpoint/a" with "" tokens to router 1
+    Then the metrics of router 1 count "refusal.unauthenticated"
+
+  @nodes.1.empty
+  Scenario: Without a configuration a router says that it knows none
+    When "planners" sends "GET" "/setpoint/a" with "" tokens to router 1
+    Then the attempt has status 503 and a time to come back
+    And router 1 is not ready
+
+  Scenario: Bad settings are all found at once
+    When a router starts with the settings "IpAddress=here;Zone;NodeName=n"
+    Then it ends with status 2 and names "IpAddress, line 2, ListenAddresses, Platform"
--- /dev/null
+++ b/tests/standins/nodes.py
@@ -0,0 +1,192 @@
+"""Starts the emulator and routers on it as plain processes, and stops them."""
+
+import http.client
+import itertools
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+ROOT = Path(__file__).parent.parent.parent
+START_S = 30.0
+POLL_S = 0.02
+_FLEETS = itertools.count(1)
+
+
+@dataclass(slots=True)
+class Node:
+    """One router process."""
+
+    name: str
+    ip: str
+    process: subprocess.Popen[bytes]
+    log_path: Path
+    settings_path: Path
+    front_port: int
+    ready_port: int
+
+
+@dataclass(slots=True)
+class NodeFleet:
+    """The emulator and the routers of one scenario."""
+
+    folder: Path = field(default_factory=lambda: Path(tempfile.mkdtemp(prefix="nodes-")))
+    nodes: list[Node] = field(default_factory=list)
+    addresses: dict[str, str] = field(default_factory=dict)
+    processes: list[subprocess.Popen[bytes]] = field(default_factory=list)
+    ports: dict[str, int] = field(default_factory=dict)
+
+    def start(self, routers: int, engines: int = 2, empty: bool = False) -> None:
+        """Start everything, and wait until all routers answer; ``empty``: no configuration."""
+        options = ["--engines", str(engines)] + (["--empty"] if empty else [])
+        self.addresses = self._start_emulator(options)
+        ips = _free_ips(routers)
+        self.ports = {name: _free_port(ips) for name in ("front", "ready", "control", "peer")}
+        for number, ip in enumerate(ips, start=1):
+            self.start_node(f"edge-{number}", ip, ips)
+        self.wait_ready(503 if empty else 200)
+
+    def start_node(self, name: str, ip: str, ips: list[str]) -> Node:
+        """Start one router."""
+        path = self.folder / f"{name}.conf"
+        path.write_text(self.settings_text(name, ip, ips))
+        log_path = self.folder / f"{name}.log"
+        with log_path.open("ab") as log:
+            process = subprocess.Popen(
+                [sys.executable, "-W", "ignore", "-m", "myrtlehook_platform"],
+                stdout=log,
+                stderr=log,
+                env=os.environ | {"MYRTLEHOOK_NODE_FILE": str(path)},
+            )
+        self.processes.append(process)
+        node = Node(name, ip, process, log_path, path, self.ports["front"], self.ports["ready"])
+        self.nodes.append(node)
+        return node
+
+    def settings_text(self, name: str, ip: str, ips: list[str]) -> str:
+        """Return the text of a settings file."""
+        ports = self.ports
+        seeds = ",".join(f"{seed}:{ports['control']}" for seed in ips[:3])
+        lines = {
+            "NodeName": name,
+            "IpAddress": ip,
+            "Zone": "hall-1",
+            "ListenAddresses.Frontend": f"{ip}:{ports['front']}",
+            "ListenAddresses.Ready": f"{ip}:{ports['ready']}",
+            "ListenAddresses.ControlPlane": f"{ip}:{ports['control']}",
+            "InternalPortRange": f"{ports['peer']},{ports['peer'] + 1}",
+            "SeedNodes": seeds,
+            "Limits.FileDescriptorLimit": "4100",
+            "Bounds.GracePeriodS": "8",
+            "Bounds.QuotaWindowS": "4",
+            "Platform.Address": self.addresses["store"],
+            "SomethingNew": "passed over",
+        }
+        return "".join(f"{key}={value}\n" for key, value in lines.items())
+
+    def wait_ready(self, wanted: int = 200) -> None:
+        """Wait until every router answers its readiness question with a status."""
+        for node in self.nodes:
+            wait_for(lambda node=node: self.readiness(node) == wanted, f"{node.name} {wanted}")
+
+    def readiness(self, node: Node) -> int:
+        """Return the status of a router's readiness; 0 without an answer."""
+        try:
+            return fetch(node.ip, node.ready_port, "/v1/readiness")[0]
+        except OSError:
+            return 0
+
+    def order(self, **order: Any) -> None:
+        """Change the emulated site."""
+        ip, _, port = self.addresses["control"].rpartition(":")
+        connection = http.client.HTTPConnection(ip, int(port), timeout=START_S)
+        connection.request("POST", "/", json.dumps(order))
+        connection.getresponse().read()
+        connection.close()
+
+    def describe(self) -> dict[str, Any]:
+        """Return what the emulated site has seen."""
+        ip, _, port = self.addresses["control"].rpartition(":")
+        described: dict[str, Any] = json.loads(fetch(ip, int(port), "/")[1])
+        return described
+
+    def count_runs(self, attempt_id: str) -> int:
+        """Return how often an attempt was run, at all servers together."""
+        servers = self.describe()["servers"].values()
+        return sum(server["runs"].get(attempt_id, 0) for server in servers)
+
+    def stop(self) -> None:
+        """End every process that was started."""
+        for process in self.processes:
+            if process.poll() is None:
+                process.send_signal(signal.SIGKILL)
+        for process in self.processes:
+            process.wait()
+
+    def _start_emulator(self, options: list[str]) -> dict[str, str]:
+        with (self.folder / "emulator.log").open("ab") as log:
+            process = subprocess.Popen(
+                [sys.executable, "-W", "ignore", "-m", "emulator", *options],
+                stdout=subprocess.PIPE,
+                stderr=log,
+                cwd=ROOT,
+            )
+        self.processes.append(process)
+        assert process.stdout is not None
+        addresses: dict[str, str] = json.loads(process.stdout.readline())
+        return addresses
+
+
+def fetch(ip: str, port: int, path: str) -> tuple[int, bytes]:
+    """Read one path."""
+    connection = http.client.HTTPConnection(ip, port, timeout=START_S)
+    try:
+        connection.request("GET", path)
+        response = connection.getresponse()
+        return response.status, response.read()
+    finally:
+        connection.close()
+
+
+def wait_for(holds: Any, what: str) -> None:
+    """Wait until something holds."""
+    deadline_s = time.monotonic() + START_S
+    while not holds():
+        if time.monotonic() >= deadline_s:
+            raise AssertionError(f"waited {START_S} s in vain: {what}")
+        time.sleep(POLL_S)
+
+
+def _free_ips(count: int) -> list[str]:
+    """Return loopback addresses of this process's own: the metrics port is fixed."""
+    number = os.getpid()
+    first = 10 * next(_FLEETS)
+    network = f"127.{number >> 8 & 255}.{number & 255}"
+    return [f"{network}.{last}" for last in range(first, first + count)]
+
+
+def _free_port(ips: list[str]) -> int:
+    """Return a port that the system gives, free on all addresses."""
+    while True:
+        opened = []
+        try:
+            with socket.socket() as first:
+                first.bind((ips[0], 0))
+                port = int(first.getsockname()[1])
+            for ip in ips:
+                other = socket.socket()
+                opened.append(other)
+                other.bind((ip, port))
+            return port
+        except OSError:
+            continue
+        finally:
+            for other in opened:
+                other.close()
