--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -21,11 +21,15 @@
     fleet = commands.add_parser("fleet", help="a fleet beside its baselines")
     _add_fleet_options(fleet)
     commands.add_parser("slopes", help="the core alone at full table sizes")
+    load = commands.add_parser("load", help="the routed interface on the emulated platform")
+    _add_load_options(load)
     arguments = parser.parse_args()
     if arguments.command == "router":
         _run_router(arguments)
     elif arguments.command == "slopes":
         _run_slopes()
+    elif arguments.command == "load":
+        _run_load(arguments)
     else:
         _run_fleet(arguments)
 
@@ -47,6 +51,40 @@
     parser.add_argument("--plot", type=Path, help="write a PNG here")
 
 
+def _add_load_options(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("--routers", type=int, default=3)
+    parser.add_argument("--engines", type=int, default=3)
+    parser.add_argument("--rate", type=float, default=30.0, help="requests a second")
+    parser.add_argument("--seconds", type=float, default=10.0)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--flood", type=float, default=0.5, help="one workspace's part of it")
+    parser.add_argument("--json", type=Path, help="write all figures here")
+    parser.add_argument("--plot", type=Path, help="write a PNG here")
+
+
+def _run_load(arguments: argparse.Namespace) -> None:
+    from bench.platform_load import LoadOrder, measure_load, plot_load
+
+    figures = measure_load(
+        LoadOrder(
+            routers=arguments.routers,
+            engines=arguments.engines,
+            rate_per_s=arguments.rate,
+            seconds=arguments.seconds,
+            seed=arguments.seed,
+            flood_part=arguments.flood,
+        )
+    )
+    for way, routes in figures.items():
+        for route, seen in routes.items():
+            short = {key: value for key, value in seen.items() if key != "curve_ms"}
+            print(way, route, json.dumps(short))
+    if arguments.json is not None:
+        arguments.json.write_text(json.dumps(figures) + "\n")
+    if arguments.plot is not None:
+        plot_load(figures, arguments.plot)
+
+
 def _run_router(arguments: argparse.Namespace) -> None:
     from bench.router_bench import measure_router
 
--- a/packages/core/src/myrtlehook_core/process/event_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/event_handlers.py
@@ -241,7 +241,10 @@
 
 def _report(core: "RouterCore", now_s: float) -> None:
     if core.options.exchange_totals:
-        keys = keys_to_report(core.entry)
+        pools = core.configuration.pools
+        # Shares of pools that are admitted to by tokens come from their accountants.
+        by_tokens = {name for name, pool in pools.items() if pool.engine is not None}
+        keys = {key for key in keys_to_report(core.entry) if key.pool not in by_tokens}
         send_reports(core.entry, core.placement, core.options, core.draw, core.post, keys, now_s)
 
 
