--- a/packages/core/src/myrtlehook_core/process/admissions.py
+++ b/packages/core/src/myrtlehook_core/process/admissions.py
@@ -57,8 +57,8 @@
     """A request that waits for an engine, or runs at one."""
 
     request: RequestSpecification
-    excess: bool = False
-    """More than its workspace's share."""
+    tier: int = 0
+    """How many times over its workspace has asked for its share."""
     backend_server: str = ""
     asked_at_s: float = 0.0
     next_ask_s: float = 0.0
@@ -107,10 +107,10 @@
         return
     entry.attempts[request.request_id] = 0
     count_queued(entry, request, 1)
-    excess = note_asked(
+    tier = note_asked(
         context.shares, request.pool, request.workspace, expected_tokens(request), now_s
     )
-    admission = Admission(request, excess)
+    admission = Admission(request, tier)
     admissions.open[request.request_id] = admission
     ask_next(admissions, context, admission, now_s)
 
@@ -311,7 +311,7 @@
         aim_left_ms=round((request.aim_deadline_s - now_s) * 1000.0),
         deadline_left_ms=round((request.deadline_s - now_s) * 1000.0),
         priority=request.priority,
-        excess=admission.excess,
+        tier=admission.tier,
         hop=admission.hop,
     )
     context.entry_context.post.add(owner, message)
--- a/packages/core/src/myrtlehook_core/process/engine_loads.py
+++ b/packages/core/src/myrtlehook_core/process/engine_loads.py
@@ -37,7 +37,7 @@
     aim_deadline_s: float
     deadline_s: float
     priority: int
-    excess: bool
+    tier: int
     hop: int
     returned: bool = False
     """It was refused before and its caller has come back."""
--- a/packages/core/src/myrtlehook_core/process/engine_queues.py
+++ b/packages/core/src/myrtlehook_core/process/engine_queues.py
@@ -112,6 +112,8 @@
     load = queues.loads.get(message.backend_server)
     if load is not None:
         note_begun(load, message.request_id, now_s)
+        # A suspect engine has proved itself by beginning an answer.
+        note_end(load.health, False, now_s)
         grant_waiting(context, message.backend_server, load, now_s)
 
 
@@ -213,14 +215,14 @@
 def _in_order(load: EngineLoad, now_s: float) -> list[WaitingAdmission]:
     """Return the waiting requests, the next one first.
 
-    What exceeds its workspace's share comes last; requests that can only be late come
-    after those that can be in time, until a part of their time is over.
+    What exceeds its workspace's share comes later, the more the later; requests that can
+    only be late come after those that can be in time, until a part of their time is over.
     """
 
-    def rank(item: WaitingAdmission) -> tuple[bool, int, bool, bool, float]:
+    def rank(item: WaitingAdmission) -> tuple[int, int, bool, bool, float]:
         patient_s = PATIENT_PART * (item.deadline_s - item.asked_at_s)
         patient = item.oversized and now_s < item.asked_at_s + patient_s
-        return (item.excess, item.priority, patient, not item.returned, item.latest_start_s)
+        return (item.tier, item.priority, patient, not item.returned, item.latest_start_s)
 
     return sorted(load.waiting.values(), key=rank)
 
@@ -280,7 +282,7 @@
     if not _is_usable(context, name) or not may_use(load.health, len(load.granted), now_s):
         _refuse(queues, context, name, load, waiting, now_s, now_s)
         return False
-    if (waiting.returned or waiting.oversized) and waiting.hop == 0 and not waiting.excess:
+    if (waiting.returned or waiting.oversized) and waiting.hop == 0 and waiting.tier == 0:
         return True
     own_s = estimate_unread(load, waiting) / load.rate_tokens_per_s
     late_s = 0.0
@@ -290,8 +292,11 @@
         behind = behind or other is waiting
         if not behind:
             continue
-        if other is not waiting and (other.returned or other.excess or other.oversized):
+        if other is not waiting and (other.returned or other.oversized):
             continue
+        if other.tier > waiting.tier:
+            # What exceeds a share gives way.
+            break
         limit_s = _limit_s(context, other)
         if other is not waiting and forecast.begin_s - own_s > limit_s:
             # It is late without this one as well.
@@ -320,7 +325,7 @@
             _refuse(queues, context, name, load, waiting, now_s, now_s)
     for forecast in forecast_waiting(load, now_s):
         limit_s = _limit_s(context, forecast.waiting)
-        if forecast.waiting.excess and forecast.begin_s > limit_s:
+        if forecast.waiting.tier > 0 and forecast.begin_s > limit_s:
             _refuse(queues, context, name, load, forecast.waiting, now_s, forecast.begin_s)
 
 
@@ -373,6 +378,6 @@
         aim_deadline_s=now_s + message.aim_left_ms / 1000.0,
         deadline_s=now_s + message.deadline_left_ms / 1000.0,
         priority=message.priority,
-        excess=message.excess,
+        tier=message.tier,
         hop=message.hop,
     )
--- a/packages/core/src/myrtlehook_core/process/messages.py
+++ b/packages/core/src/myrtlehook_core/process/messages.py
@@ -234,8 +234,8 @@
     """Times are relative, so that no clocks are compared."""
     deadline_left_ms: int
     priority: int
-    excess: bool
-    """The workspace has asked for more than its share: served only where there is room."""
+    tier: int
+    """How many times over the workspace has asked for its share; 0 is within it."""
     hop: int
     """How many other engines were asked before."""
 
--- a/packages/core/src/myrtlehook_core/process/shares.py
+++ b/packages/core/src/myrtlehook_core/process/shares.py
@@ -3,10 +3,12 @@
 Each router reports what its callers asked of a pool within a sliding window to one
 router, the pool's accountant (the highest rendezvous hash). The accountant works out the
 level at which workspaces that ask for more are held, so that together they get what the
-pool can do. An entry marks the requests above a workspace's part as excess: they are
-served where there is room, and give way to everything else.
+pool can do. An entry gives each request a tier: 0 within its workspace's level, 1 up to
+twice the level, and so on. Lower tiers are served first, so that room that is left over
+is shared alike as well, whatever the engines can really do.
 """
 
+import math
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -23,6 +25,9 @@
 
 UNLIMITED = -1
 
+HIGHEST_TIER = 15
+"""Everything beyond so many levels counts alike."""
+
 
 @dataclass(slots=True)
 class DemandBucket:
@@ -40,9 +45,9 @@
     level: ShareLevel | None = None
     level_deadline_s: float = 0.0
     parts: dict[str, float] = field(default_factory=dict)
-    """For each workspace that asks for too much, the part of it within its share."""
-    credits_tokens: dict[str, float] = field(default_factory=dict)
-    """What each of them has not used yet of that part."""
+    """For each workspace that asks for too much, the part of it that one level holds."""
+    credits_tokens: dict[str, list[float]] = field(default_factory=dict)
+    """What each of them has not used yet of each tier."""
 
 
 @dataclass(slots=True)
@@ -63,8 +68,8 @@
     next_report_s: float = 0.0
 
 
-def note_asked(shares: Shares, pool: str, workspace: str, tokens: int, now_s: float) -> bool:
-    """Count a new request; True when it is more than its workspace's share."""
+def note_asked(shares: Shares, pool: str, workspace: str, tokens: int, now_s: float) -> int:
+    """Count a new request and return its tier."""
     demand = shares.demands.setdefault(pool, PoolDemand())
     if not demand.buckets or now_s - demand.buckets[-1].begins_at_s >= BUCKET_S:
         demand.buckets.append(DemandBucket(now_s))
@@ -72,11 +77,26 @@
     asked[workspace] = asked.get(workspace, 0) + tokens
     part = demand.parts.get(workspace)
     if part is None or now_s >= demand.level_deadline_s:
-        return False
-    credit = demand.credits_tokens.get(workspace, 0.0) + part * tokens
-    within = credit >= tokens / 2.0
-    demand.credits_tokens[workspace] = credit - tokens if within else credit
-    return not within
+        return 0
+    return _spend_credit(demand, workspace, part, tokens)
+
+
+def _spend_credit(demand: PoolDemand, workspace: str, part: float, tokens: int) -> int:
+    """Spread a workspace's requests over its tiers, each up to one level.
+
+    Every request earns each tier its part of credit; the lowest tier that can pay at
+    least half of the request takes it.
+    """
+    tiers = min(math.ceil(1.0 / part), HIGHEST_TIER + 1)
+    credits_tokens = demand.credits_tokens.setdefault(workspace, [])
+    credits_tokens.extend([0.0] * (tiers - len(credits_tokens)))
+    for tier in range(tiers):
+        credits_tokens[tier] += part * tokens
+    for tier in range(tiers):
+        if credits_tokens[tier] >= tokens / 2.0:
+            credits_tokens[tier] -= tokens
+            return tier
+    return tiers - 1
 
 
 def send_demands(
@@ -124,7 +144,7 @@
     demand.parts = {
         row.workspace: level.level_tokens / row.asked_tokens
         for row in level.rows
-        if level.level_tokens >= 0 and row.asked_tokens > 0
+        if level.level_tokens > 0 and row.asked_tokens > 0
     }
     for workspace in demand.credits_tokens.keys() - demand.parts.keys():
         del demand.credits_tokens[workspace]
