Split the large modules of relaying and admission; a caller that leaves blames no server

Cause: a request whose caller left was told to the core as a broken answer, so three callers in a row that gave up before their first byte ejected a sound engine for half a second. The scenario 'Callers that leave do not make a server suspect' failed first.

Change: relays, attempts, answer streams and answering stand apart; so do asking, handing over, messages, forecasts and decisions of admission. Behaviour is otherwise unchanged.

--- a/emulator/engines.py
+++ b/emulator/engines.py
@@ -42,6 +42,8 @@
     refusals: int = 0
     hold_after_events: int = 0
     """Streams stand still after so many events until this is 0 again."""
+    silent: bool = False
+    """Nothing is made for anyone, though requests are taken."""
     leaving: bool = False
 
 
@@ -178,7 +180,7 @@
         if run.cancelled:
             self.running.remove(run)
             return
-        if run.unread_tokens > 0 or self._stands_still(run):
+        if run.unread_tokens > 0 or self.faults.silent or self._stands_still(run):
             return
         run.made_tokens += 1
         if run.made_tokens % self.speed.event_tokens == 0 or run.made_tokens >= run.output_tokens:
--- /dev/null
+++ b/packages/core/src/myrtlehook_core/process/admission_asking.py
@@ -0,0 +1,115 @@
+"""Requests that ask for an engine: their state, the engines' order, and the asking itself."""
+
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from myrtlehook_core.process.admission_messages import (
+    AdmissionProgress,
+    AdmissionRelease,
+    AdmissionRequest,
+    PartRow,
+)
+from myrtlehook_core.process.entries import Entry, EntryContext
+from myrtlehook_core.process.hashing import rank_routers
+from myrtlehook_core.process.shares import Shares
+from myrtlehook_core.request.requests import RequestSpecification
+
+ASK_INTERVAL_S = 0.1
+"""A request that has no answer is asked for again after this long."""
+
+
+@dataclass(slots=True)
+class Admission:
+    """A request that waits for an engine, or runs at one."""
+
+    request: RequestSpecification
+    tier: int = 0
+    """How many times over its workspace has asked for its share."""
+    backend_server: str = ""
+    asked_at_s: float = 0.0
+    next_ask_s: float = 0.0
+    hop: int = 0
+    tried: set[str] = field(default_factory=set)
+    retry_after_s: float = 0.0
+    granted: bool = False
+    begun: bool = False
+    unread_tokens: int = 0
+
+
+@dataclass(slots=True)
+class Admissions:
+    """All requests for model engines at this router."""
+
+    open: dict[str, Admission] = field(default_factory=dict)
+    recent_parts: dict[str, OrderedDict[str, int]] = field(default_factory=dict)
+    """For each engine, the parts of prompts that this router has sent there."""
+
+
+@dataclass(slots=True)
+class AdmissionContext:
+    """What the functions here need besides their own state."""
+
+    entry: Entry
+    entry_context: EntryContext
+    shares: Shares
+    owner_of: Callable[[str], str | None]
+    leaving: frozenset[str]
+
+
+def rank_engines(context: AdmissionContext, request: RequestSpecification) -> list[str]:
+    """Return the pool's usable engines, the one that likely keeps the prompt's parts first."""
+    names = [
+        server.name
+        for server in context.entry_context.configuration.backend_servers.values()
+        if server.pool == request.pool and is_usable_engine(context, server.name)
+    ]
+    return list(rank_routers(f"engine/{affinity_key(request)}", names, len(names)))
+
+
+def affinity_key(request: RequestSpecification) -> str:
+    """Return what requests share that are best served by the same engine."""
+    parts = request.prompt_parts
+    if len(parts) >= 2:
+        return parts[-2].part_id
+    return parts[0].part_id if parts else request.request_id
+
+
+def is_usable_engine(context: AdmissionContext, name: str) -> bool:
+    """Tell whether an engine is known and not leaving."""
+    server = context.entry_context.configuration.backend_servers.get(name)
+    return server is not None and not server.leaving and name not in context.leaving
+
+
+def ask_owner(context: AdmissionContext, admission: Admission, now_s: float) -> None:
+    """Ask an engine's owner to admit a request, or ask again."""
+    request = admission.request
+    admission.next_ask_s = now_s + ASK_INTERVAL_S
+    owner = context.owner_of(admission.backend_server)
+    if owner is None:
+        return
+    message = AdmissionRequest(
+        request_id=request.request_id,
+        backend_server=admission.backend_server,
+        workspace=request.workspace,
+        parts=tuple(PartRow(part.part_id, part.tokens) for part in request.prompt_parts),
+        prompt_tokens=request.prompt_tokens,
+        output_tokens=request.output_tokens,
+        aim_left_ms=round((request.aim_deadline_s - now_s) * 1000.0),
+        deadline_left_ms=round((request.deadline_s - now_s) * 1000.0),
+        priority=request.priority,
+        tier=admission.tier,
+        hop=admission.hop,
+    )
+    context.entry_context.post.add(owner, message)
+
+
+def tell_owner(
+    context: AdmissionContext,
+    admission: Admission,
+    message: AdmissionProgress | AdmissionRelease,
+) -> None:
+    """Tell an engine's owner what became of a request."""
+    owner = context.owner_of(admission.backend_server)
+    if owner is not None:
+        context.entry_context.post.add(owner, message)
--- /dev/null
+++ b/packages/core/src/myrtlehook_core/process/engine_decisions.py
@@ -0,0 +1,177 @@
+"""What an engine's owner grants and refuses, and the state that it decides from."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from myrtlehook_core.process.actions import Outbox
+from myrtlehook_core.process.admission_messages import AdmissionGrant, AdmissionRefusal
+from myrtlehook_core.process.ejections import may_use
+from myrtlehook_core.process.engine_forecasts import forecast_waiting, order_waiting
+from myrtlehook_core.process.engine_loads import (
+    MEMORY_PART,
+    EngineLoad,
+    WaitingAdmission,
+    estimate_unread,
+    grant_admission,
+    held_tokens,
+    unread_tokens,
+)
+from myrtlehook_core.process.options import CoreOptions
+from myrtlehook_core.process.posts import Post
+from myrtlehook_core.version.configurations import BackendServer, Configuration
+
+RETURN_MEMORY_S = 10.0
+"""A refused request is known again for this long when its caller comes back."""
+
+SHORTEST_RETRY_MS = 50
+
+
+@dataclass(slots=True)
+class EngineQueues:
+    """The engines that this router owns."""
+
+    loads: dict[str, EngineLoad] = field(default_factory=dict)
+    refused: dict[str, float] = field(default_factory=dict)
+    """Fingerprints of refused requests, and when each is forgotten."""
+
+
+@dataclass(slots=True)
+class QueueContext:
+    """What the queues' functions need besides their own state."""
+
+    options: CoreOptions
+    configuration: Configuration
+    leaving: frozenset[str]
+    reachable: Callable[[str], bool]
+    out: Outbox
+    post: Post
+
+
+def grant_waiting(context: QueueContext, name: str, load: EngineLoad, now_s: float) -> None:
+    """Grant waiting requests while the engine can take them."""
+    server = context.configuration.backend_servers.get(name)
+    if server is None or not load.waiting or not _may_grant(context, server, load, now_s):
+        return
+    for waiting in order_waiting(load, now_s):
+        if not _fits(context, server, load, waiting):
+            return
+        unread = grant_admission(load, waiting, now_s)
+        grant = AdmissionGrant(waiting.request_id, name, unread)
+        context.post.add(waiting.router_id, grant)
+        if load.health.suspect:
+            # One request at a time tries a server that failed.
+            return
+
+
+def admit_or_refuse(
+    queues: EngineQueues,
+    context: QueueContext,
+    name: str,
+    load: EngineLoad,
+    waiting: WaitingAdmission,
+    now_s: float,
+) -> bool:
+    """Refuse a new request at once that cannot be served in time; True when it stays.
+
+    A request is also refused when it would make one late that was taken before: a
+    refusal helps its caller only while it is young.
+    """
+    if not _is_usable(context, name) or not may_use(load.health, len(load.granted), now_s):
+        _refuse(queues, context, name, load, waiting, now_s, now_s)
+        return False
+    if (waiting.returned or waiting.oversized) and waiting.hop == 0 and waiting.tier == 0:
+        return True
+    own_s = estimate_unread(load, waiting) / load.rate_tokens_per_s
+    late_s = 0.0
+    behind = False
+    for forecast in forecast_waiting(load, now_s):
+        other = forecast.waiting
+        behind = behind or other is waiting
+        if not behind:
+            continue
+        if other is not waiting and (other.returned or other.oversized):
+            continue
+        if other.tier > waiting.tier:
+            # What exceeds a share gives way.
+            break
+        limit_s = _limit_s(context, other)
+        if other is not waiting and forecast.begin_s - own_s > limit_s:
+            # It is late without this one as well.
+            continue
+        late_s = max(late_s, forecast.begin_s - limit_s)
+    if late_s <= 0.0:
+        return True
+    _refuse(queues, context, name, load, waiting, now_s, now_s + late_s)
+    return False
+
+
+def refuse_hopeless_admissions(
+    queues: EngineQueues, context: QueueContext, name: str, load: EngineLoad, now_s: float
+) -> None:
+    """Refuse what waits at an engine that takes nothing, past its deadline, or in excess."""
+    usable = _is_usable(context, name) and now_s >= load.health.ejected_until_s
+    for waiting in list(load.waiting.values()):
+        if not usable or now_s >= waiting.deadline_s:
+            _refuse(queues, context, name, load, waiting, now_s, now_s)
+    for forecast in forecast_waiting(load, now_s):
+        limit_s = _limit_s(context, forecast.waiting)
+        if forecast.waiting.tier > 0 and forecast.begin_s > limit_s:
+            _refuse(queues, context, name, load, forecast.waiting, now_s, forecast.begin_s)
+
+
+def fingerprint(waiting: WaitingAdmission) -> str:
+    """Name a request alike when its caller sends it again under another id."""
+    last = waiting.parts[-1].part_id if waiting.parts else ""
+    return f"{waiting.workspace}/{last}/{waiting.prompt_tokens}/{waiting.output_tokens}"
+
+
+def _may_grant(
+    context: QueueContext, server: BackendServer, load: EngineLoad, now_s: float
+) -> bool:
+    if not may_use(load.health, len(load.granted), now_s):
+        return False
+    if server.leaving or server.name in context.leaving:
+        return False
+    return now_s >= load.owned_since_s + context.options.adopt_delay_s
+
+
+def _fits(
+    context: QueueContext, server: BackendServer, load: EngineLoad, waiting: WaitingAdmission
+) -> bool:
+    if len(load.granted) >= server.slots:
+        return False
+    total = waiting.prompt_tokens + waiting.output_tokens
+    if load.granted and held_tokens(load) + total > MEMORY_PART * load.cache.capacity_tokens:
+        return False
+    ahead = unread_tokens(load)
+    if ahead == 0:
+        return True
+    return ahead + estimate_unread(load, waiting) <= context.options.read_ahead_tokens
+
+
+def _limit_s(context: QueueContext, waiting: WaitingAdmission) -> float:
+    """Return until when an answer should begin for its request to be worth taking."""
+    options = context.options
+    part = options.aim_slack_part if waiting.hop == 0 else options.stranger_aim_part
+    return waiting.asked_at_s + part * (waiting.aim_deadline_s - waiting.asked_at_s)
+
+
+def _is_usable(context: QueueContext, name: str) -> bool:
+    server = context.configuration.backend_servers.get(name)
+    return server is not None and not server.leaving and name not in context.leaving
+
+
+def _refuse(
+    queues: EngineQueues,
+    context: QueueContext,
+    name: str,
+    load: EngineLoad,
+    waiting: WaitingAdmission,
+    now_s: float,
+    free_s: float,
+) -> None:
+    """Refuse a request, with the time at which it would fit."""
+    del load.waiting[waiting.request_id]
+    queues.refused[fingerprint(waiting)] = now_s + RETURN_MEMORY_S
+    wait_ms = max(round((free_s - now_s) * 1000.0), SHORTEST_RETRY_MS)
+    context.post.add(waiting.router_id, AdmissionRefusal(waiting.request_id, name, wait_ms))
--- a/packages/core/src/myrtlehook_core/process/engine_loads.py
+++ b/packages/core/src/myrtlehook_core/process/engine_loads.py
@@ -2,8 +2,10 @@
 
 from dataclasses import dataclass, field
 
+from myrtlehook_core.process.admission_messages import (
+    PartRow,
+)
 from myrtlehook_core.process.ejections import ServerHealth
-from myrtlehook_core.process.messages import PartRow
 from myrtlehook_core.process.prompt_caches import PromptCache, count_unread, use_parts
 
 FIRST_RATE_TOKENS_PER_S = 30_000.0
--- a/packages/core/src/myrtlehook_core/process/message_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/message_handlers.py
@@ -6,6 +6,16 @@
 from myrtlehook_core.process.actions import (
     DropNoted,
 )
+from myrtlehook_core.process.admission_messages import (
+    AdmissionGrant,
+    AdmissionProgress,
+    AdmissionRefusal,
+    AdmissionRelease,
+    AdmissionRequest,
+    DemandReport,
+    HeldAdmissions,
+    ShareLevel,
+)
 from myrtlehook_core.process.admissions import take_grant, take_refusal
 from myrtlehook_core.process.bidding import (
     bid_to,
@@ -24,18 +34,11 @@
 from myrtlehook_core.process.ledgers import take_report
 from myrtlehook_core.process.messages import (
     Ack,
-    AdmissionGrant,
-    AdmissionProgress,
-    AdmissionRefusal,
-    AdmissionRelease,
-    AdmissionRequest,
     Bid,
     ConfigurationQuery,
     ConfigurationReply,
-    DemandReport,
     EarlyCharge,
     Grant,
-    HeldAdmissions,
     HoldList,
     HoldQuery,
     HoldSummary,
@@ -46,7 +49,6 @@
     Probe,
     Release,
     Report,
-    ShareLevel,
     Totals,
 )
 from myrtlehook_core.process.owners import (
--- a/packages/core/src/myrtlehook_core/process/routers.py
+++ b/packages/core/src/myrtlehook_core/process/routers.py
@@ -13,22 +13,14 @@
     PauseNoticed,
     Send,
 )
-from myrtlehook_core.process.admissions import (
-    AdmissionContext,
-    Admissions,
-    announce_admissions,
-    forget_engines,
-)
+from myrtlehook_core.process.admission_asking import AdmissionContext, Admissions
+from myrtlehook_core.process.admission_handover import announce_admissions, forget_engines
 from myrtlehook_core.process.bidding import (
     send_holds_to_new_owners,
 )
 from myrtlehook_core.process.choosers import Draw
-from myrtlehook_core.process.engine_queues import (
-    EngineQueues,
-    QueueContext,
-    drop_queue_beliefs,
-    set_owned_engines,
-)
+from myrtlehook_core.process.engine_decisions import EngineQueues, QueueContext
+from myrtlehook_core.process.engine_queues import drop_queue_beliefs, set_owned_engines
 from myrtlehook_core.process.entries import (
     Entry,
     EntryContext,
--- a/packages/core/src/myrtlehook_core/process/shares.py
+++ b/packages/core/src/myrtlehook_core/process/shares.py
@@ -13,8 +13,12 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from myrtlehook_core.process.admission_messages import (
+    DemandReport,
+    DemandRow,
+    ShareLevel,
+)
 from myrtlehook_core.process.hashing import rank_routers
-from myrtlehook_core.process.messages import DemandReport, DemandRow, ShareLevel
 from myrtlehook_core.process.posts import Post
 
 BUCKET_S = 0.25
--- a/packages/router/src/myrtlehook_router/request/gateways.py
+++ b/packages/router/src/myrtlehook_router/request/gateways.py
@@ -13,13 +13,14 @@
 from myrtlehook_router.connection.clients import ClientPool
 from myrtlehook_router.connection.watches import CallerWatch
 from myrtlehook_router.process.logs import get_logger
+from myrtlehook_router.request.answering import run_relay
 from myrtlehook_router.request.answers import Answer, Refusal
 from myrtlehook_router.request.callers import caller_connection, read_body
 from myrtlehook_router.request.headers import HeaderNames, find_header
 from myrtlehook_router.request.placements import queue_request, scope_id
 from myrtlehook_router.request.prompts import read_prompt
 from myrtlehook_router.request.refusals import answer_refusal
-from myrtlehook_router.request.relays import Relay, note_caller_left, run_relay
+from myrtlehook_router.request.relays import Relay, note_caller_left
 from myrtlehook_router.request.routed import RoutedRequest, read_request
 from myrtlehook_router.request.services import RequestServices
 
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -116,6 +116,12 @@
     When "planners" opens a stream at router 1 and leaves after the first event
     Then the engines cancel that run
 
+  Scenario: Callers that leave do not make a server suspect
+    Given every engine is silent
+    When "planners" leaves 7 requests at router 1 once an engine runs them
+    Then the engines cancel that run
+    And no router has ejected an engine
+
   Scenario: A stopping router ends what it runs and is not ready meanwhile
     Given every engine holds its streams after 2 events
     When "planners" opens a stream at router 1
--- a/tests/steps/admission_steps.py
+++ b/tests/steps/admission_steps.py
@@ -19,12 +19,12 @@
     choose_pool,
     find_route,
 )
+from myrtlehook_core.process.admission_messages import DemandReport, DemandRow
 from myrtlehook_core.process.ejections import (
     FAILURES_IN_A_ROW,
     LONGEST_EJECTION_S,
     note_end,
 )
-from myrtlehook_core.process.messages import DemandReport, DemandRow
 from myrtlehook_core.process.prompt_caches import PromptCache, count_unread, use_parts
 from myrtlehook_core.process.shares import (
     Shares,
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -246,6 +246,32 @@
     context.connection.close()
 
 
+@given("every engine is silent")
+def silence_engines(context: Any) -> None:
+    _fault_engines(context, silent=True)
+
+
+@when('"{workspace}" leaves {count:d} requests at router {router:d} once an engine runs them')
+def leave_many(context: Any, workspace: str, count: int, router: int) -> None:
+    found = node(context, router)
+    for _ in range(count):
+        headers = make_headers(new_id(), workspace, "300,60", f"{new_id()}:300")
+        context.attempt = Attempt(headers["Attempt-Id"])
+        connection = http.client.HTTPConnection(found.ip, found.front_port, timeout=30)
+        connection.request("POST", "/diagnosis/a", body=b"body", headers=headers)
+        attempt_id = context.attempt.attempt_id
+        wait_for(lambda wanted=attempt_id: context.nodes.count_runs(wanted) > 0, "a run")
+        connection.close()
+
+
+@then("no router has ejected an engine")
+def check_none_ejected(context: Any) -> None:
+    for found in context.nodes.nodes:
+        lines = found.log_path.read_text().splitlines()
+        ejected = [line for line in lines if '"ejected"' in line and "i-engine" in line]
+        assert not ejected, ejected
+
+
 @then("the engines cancel that run")
 def check_cancelled(context: Any) -> None:
     def cancelled() -> bool:
@@ -253,7 +279,7 @@
         return any(context.attempt.attempt_id in server["cancelled"] for server in servers)
 
     wait_for(cancelled, "the run is cancelled")
-    _fault_engines(context, hold_after_events=0)
+    _fault_engines(context, hold_after_events=0, silent=False)
 
 
 @when("the platform stops router {router:d}")
@@ -269,7 +295,7 @@
 
 @then("the stream goes on to its whole end once the engines go on")
 def check_stream_ends(context: Any) -> None:
-    _fault_engines(context, hold_after_events=0)
+    _fault_engines(context, hold_after_events=0, silent=False)
     body = context.first + context.response.read()
     seen = [int(number) for number in EVENT_ID.findall(body)]
     assert seen == list(range(1, 21)), seen
