Eject a crashed server once and briefly, and no plain service for failures it answers itself

Change: ends of requests that were sent before an ejection count no more; a sealed failure counts only against model engines.

--- a/packages/core/src/myrtlehook_core/process/ejections.py
+++ b/packages/core/src/myrtlehook_core/process/ejections.py
@@ -32,8 +32,11 @@
         health.failures = 0
         health.ejected_until_s = 0.0
         return False
+    if now_s < health.ejected_until_s:
+        # It was sent before, and tells nothing new: a crash ends many requests at once.
+        return False
     health.failures += 1
-    if not health.suspect or now_s < health.ejected_until_s:
+    if not health.suspect:
         return False
     doublings = health.failures - FAILURES_IN_A_ROW
     ejection_s = min(FIRST_EJECTION_S * 2.0**doublings, LONGEST_EJECTION_S)
--- a/packages/router/src/myrtlehook_router/request/answering.py
+++ b/packages/router/src/myrtlehook_router/request/answering.py
@@ -77,7 +77,9 @@
         if len(body) > BUFFERED_BYTES:
             headers = _answer_headers(relay, response)
             return Ok(Answer(response.status, PlainStream(relay, bytes(body)), headers))
-    failed = response.status >= LOWEST_FAILURE_STATUS
+    # A plain service's own failure is an answer like any other, and says little of it.
+    streamed = relay.request.route.kind is RequestKind.STREAMING
+    failed = streamed and response.status >= LOWEST_FAILURE_STATUS
     end_relay(relay, Outcome.COMPLETED, f"status {response.status}", failed)
     return Ok(Answer(response.status, [bytes(body)], _answer_headers(relay, response)))
 
--- a/tests/features/admission.feature
+++ b/tests/features/admission.feature
@@ -24,3 +24,4 @@
 
   Scenario: Ejection
     Then an engine that failed three times is trusted again once an answer begins
+    And a crash that ends many requests at once ejects a server once, and for the shortest time
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -168,6 +168,12 @@
     When "planners" sends 6 requests to "/valve/a" through router 1
     Then the log of router 1 or 2 tells "ejected"
 
+  Scenario: Failures that a plain service answers itself do not make it suspect
+    Given server "i-desk-1" answers 5 requests with a failure of its own
+    When "planners" sends 5 requests to "/valve/a" through router 1
+    Then every one of them has status 500 and a seal
+    And "planners" is served at "/valve/a" by router 1 at once
+
   @nodes.1.empty
   Scenario: Without a configuration a router says that it knows none
     When "planners" sends "GET" "/setpoint/a" with "" tokens to router 1
--- a/tests/steps/admission_steps.py
+++ b/tests/steps/admission_steps.py
@@ -22,7 +22,9 @@
 from myrtlehook_core.process.admission_messages import DemandReport, DemandRow
 from myrtlehook_core.process.ejections import (
     FAILURES_IN_A_ROW,
+    FIRST_EJECTION_S,
     LONGEST_EJECTION_S,
+    ServerHealth,
     note_end,
 )
 from myrtlehook_core.process.prompt_caches import PromptCache, count_unread, use_parts
@@ -259,3 +261,13 @@
     history.run_until(history.now_s + 1.0)
     assert history.outcomes["first"].ended_at_s is not None
     assert history.outcomes["second"].ended_at_s is not None, history.outcomes["second"]
+
+
+@then("a crash that ends many requests at once ejects a server once, and for the shortest time")
+def check_burst(context: Any) -> None:
+    health = ServerHealth()
+    ejections = [note_end(health, True, 1.0) for _ in range(20)]
+    assert ejections.count(True) == 1, ejections
+    assert health.ejected_until_s == 1.0 + FIRST_EJECTION_S, health
+    assert note_end(health, True, 2.0)
+    assert health.ejected_until_s == 2.0 + 2 * FIRST_EJECTION_S, health
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -338,8 +338,35 @@
 
 @when('"{workspace}" sends {count:d} requests to "{path}" through router {router:d}')
 def send_through_one(context: Any, workspace: str, count: int, path: str, router: int) -> None:
-    for _ in range(count):
-        _send(context, router, workspace, "POST", path, "", b"body")
+    context.attempts = [
+        _send(context, router, workspace, "POST", path, "", b"body") for _ in range(count)
+    ]
+
+
+@given('server "{name}" answers {count:d} requests with a failure of its own')
+def fail_many(context: Any, name: str, count: int) -> None:
+    context.nodes.order(faults={name: {"errors": count}})
+    context.log_sizes = {found.name: found.log_path.stat().st_size for found in context.nodes.nodes}
+
+
+@then("every one of them has status {status:d} and a seal")
+def check_all_sealed(context: Any, status: int) -> None:
+    for attempt in context.attempts:
+        assert attempt.status == status and "Response-Seal" in attempt.headers, attempt
+
+
+@then('"{workspace}" is served at "{path}" by router {router:d} at once')
+def check_served(context: Any, workspace: str, path: str, router: int) -> None:
+    _send(context, router, workspace, "POST", path, "", b"body")
+    check_sealed(context, 200)
+    for found in context.nodes.nodes:
+        assert not _ejections_since(context, found), found.log_path.read_text()[-2000:]
+
+
+def _ejections_since(context: Any, found: Node) -> list[str]:
+    """Return the ejections that a router logged since the scenario's servers turned bad."""
+    text = found.log_path.read_bytes()[context.log_sizes[found.name] :].decode()
+    return [line for line in text.splitlines() if '"ejected"' in line]
 
 
 @then('the log of router 1 or 2 tells "{text}"')
