--- a/packages/operator/src/myrtlehook_operator/process/commands.py
+++ b/packages/operator/src/myrtlehook_operator/process/commands.py
@@ -16,7 +16,9 @@
     print_json,
     print_plan,
     print_statuses,
+    print_story,
 )
+from myrtlehook_operator.request.stories import tell_story
 from myrtlehook_operator.version.intents import apply_intent, load_intent
 from myrtlehook_operator.version.plans import (
     Plan,
@@ -75,6 +77,23 @@
         raise typer.Exit(EXIT_BAD_INPUT)
 
 
+@app.command(epilog="Example: myrtlehook explain 9c41d07be2a35f68 logs/*.log")
+def explain(
+    request_id: Annotated[str, typer.Argument(help="The id that the answer carries.")],
+    logs: Annotated[list[Path], typer.Argument(help="Log files of the routers.")],
+    as_json: Json = False,
+) -> None:
+    """Tell a request's story from log files; exit 1 if they tell nothing of it."""
+    story = tell_story(request_id, [_read_file(path).splitlines() for path in logs])
+    if as_json:
+        print_json({"story": [asdict(line) for line in story]})
+    else:
+        print_story(story)
+    if not story:
+        print_error(f"{request_id}: no line of {len(logs)} logs tells of it")
+        raise typer.Exit(EXIT_REFUSED)
+
+
 @app.command(epilog="Example: myrtlehook plan intent.json --platform 10.0.0.5:8500 --out plan.json")
 def plan(
     intent: Annotated[Path, typer.Argument(help="The intent: JSON with comments.")],
--- a/packages/operator/src/myrtlehook_operator/process/reports.py
+++ b/packages/operator/src/myrtlehook_operator/process/reports.py
@@ -8,6 +8,7 @@
 from rich.table import Table
 
 from myrtlehook_core import Finding
+from myrtlehook_operator.request.stories import StoryLine
 from myrtlehook_operator.version.plans import Plan
 
 OUT = Console()
@@ -118,3 +119,10 @@
             f"{queue['served_here_units']:.0f}",
         )
     return table
+
+
+def print_story(story: list[StoryLine]) -> None:
+    """Print what routers logged of a request, a line each."""
+    for line in story:
+        facts = "  ".join(f"{name}={value}" for name, value in line.facts)
+        OUT.print(f"{line.timestamp}  {line.vm}  {line.event}: {facts}", soft_wrap=True)
--- /dev/null
+++ b/packages/operator/src/myrtlehook_operator/request/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one request: its story, told from logs."""
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -90,6 +90,11 @@
     Then the attempt has status 200 and a seal
     And the attempt was run 2 times
 
+  Scenario: The operator's tool tells a failed request's story from the logs
+    Given server "i-desk-1" loses 1 answer
+    When "planners" sends "POST" "/valve/a" with "" tokens to router 1
+    Then the tool explains the attempt with "answer_broken" before "status 502"
+
   Scenario: A resumable stream goes on at another server from its last whole event
     Given the next stream breaks off after 4 events
     When "planners" sends "POST" "/diagnosis/a" with "900,60" tokens to router 1
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -455,6 +455,22 @@
     context.nodes.order(servers={name: "ready"})
 
 
+@then('the tool explains the attempt with "{first}" before "{second}"')
+def check_story(context: Any, first: str, second: str) -> None:
+    logs = [str(found.log_path) for found in context.nodes.nodes]
+    command = [sys.executable, "-m", "myrtlehook_operator", "explain", context.attempt.attempt_id]
+
+    def told() -> bool:
+        context.command = subprocess.run(
+            [*command, *logs], capture_output=True, text=True, timeout=60, check=False
+        )
+        return second in context.command.stdout
+
+    wait_for(told, f"the story tells {second!r}")
+    story = context.command.stdout
+    assert -1 < story.find(first) < story.find(second), story
+
+
 @then('the metrics of router {router:d} count "{name}"')
 def check_metrics(context: Any, router: int, name: str) -> None:
     _, body = fetch(node(context, router).ip, METRICS_PORT, "/metrics")
