Keep test fleets apart, leave no process behind, and split the large test modules

Every test fleet had the same key, so when the system gave an address of theirs to a new fleet, vm-2 of three routers took the configuration of a vm-4, with servers that were gone.

Ruled out: retries and ejection in the core: the failing routers' logs show the foreign configuration ('source: vm-4') 0.37 s before the first failed connection.

Change: each test fleet has a key of its own, and whatever tests start ends with the run, also when it is told to end.

--- a/bench/fleet_bench.py
+++ b/bench/fleet_bench.py
@@ -12,7 +12,8 @@
 
 from bench.faults import make_fault
 from bench.processes import LoadRun, cpu_s, percentile
-from standins.fleets import Fleet, WorkspacePlan, get_json
+from standins.fleets import Fleet, WorkspacePlan
+from standins.network import get_json
 
 SLOTS = 4
 STEP_MS = 5.0
--- a/bench/router_bench.py
+++ b/bench/router_bench.py
@@ -5,7 +5,8 @@
 from typing import Any
 
 from bench.processes import LoadRun, cpu_s, percentile, resident_mb
-from standins.fleets import Fleet, Program, WorkspacePlan, wait_for
+from standins.fleets import Fleet, Program, WorkspacePlan
+from standins.network import wait_for
 
 LATENCY_S = 8.0
 STREAM_S = 5.0
--- a/tests/environment.py
+++ b/tests/environment.py
@@ -15,6 +15,7 @@
 
 from standins.fleets import Fleet  # noqa: E402
 from standins.nodes import NodeFleet  # noqa: E402
+from standins.processes import end_processes_at_exit  # noqa: E402
 
 # The same verdict every time: examples are derived from the property, not drawn.
 settings.register_profile(
@@ -73,7 +74,8 @@
 
 
 def before_all(context: Any) -> None:
-    """Install the count as the last reporter."""
+    """Install the count as the last reporter; leave no process behind, whatever happens."""
+    end_processes_at_exit()
     context.config.reporters.append(CountReporter(context.config))
 
 
--- a/tests/features/regressions.feature
+++ b/tests/features/regressions.feature
@@ -30,3 +30,12 @@
   Scenario: A message from a connection that had just closed ended the router
     When a router reads a message whose sender's connection has closed
     Then the message is dropped as from an unlisted address
+
+  @fleet.1x1
+  Scenario: Routers of an interrupted test run were believed by a later one's
+    When a router of another fleet takes router 1 for its seed
+    Then router 1 drops its messages and knows no peer
+
+  Scenario: A test run that was told to end left its processes behind
+    When a program that started a process is told to end
+    Then that process has ended as well
--- a/tests/standins/fleets.py
+++ b/tests/standins/fleets.py
@@ -6,31 +6,26 @@
 import hashlib
 import json
 import os
+import secrets
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
-import time
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from functools import partial
 from pathlib import Path
 from typing import Any
 
-import urllib3
+from standins.network import free_ports, get_json, http, wait_for
+from standins.processes import start_process
 
-FLEET_KEY = "a-secret-of-this-fleet-only"
 MODEL = "diagnosis"
 MODEL_POOL = "inference"
 SERVICE_POOL = "terminal"
-START_WAIT_S = 60.0
 STOP_WAIT_S = 20.0
 TESTS_FOLDER = Path(__file__).resolve().parent.parent
 
-_HELD_PORTS: list[socket.socket] = []
-_HTTP = urllib3.PoolManager(maxsize=64, retries=False)
-
 
 @dataclass(slots=True)
 class Program:
@@ -80,6 +75,8 @@
     def __init__(self, workspaces: Sequence[WorkspacePlan] = DEFAULT_WORKSPACES) -> None:
         self.workspaces = {plan.name: plan for plan in workspaces}
         self.folder = Path(tempfile.mkdtemp(prefix="fleet-"))
+        self.fleet_key = secrets.token_hex(16)
+        """A fleet's own: routers that an interrupted run left behind must not be believed."""
         self.platform: Program | None = None
         self.engines: dict[str, Program] = {}
         self.services: dict[str, Program] = {}
@@ -136,7 +133,7 @@
             "callers": {"address": "127.0.0.1", "port": callers},
             "operators": {"address": "127.0.0.1", "port": operators},
             "peers": {"address": "127.0.0.1", "port": peers},
-            "fleet_key": FLEET_KEY,
+            "fleet_key": self.fleet_key,
             "platform": [platform],
             "seeds": [],
             "test_hooks": {"cut": True},
@@ -148,7 +145,7 @@
         path.write_text(json.dumps(settings, indent=2))
         log_path = self.folder / f"{name}.log"
         with log_path.open("ab") as log:
-            process = subprocess.Popen(
+            process = start_process(
                 [sys.executable, "-W", "ignore", "-m", "myrtlehook_router", "--settings", path],
                 stdout=log,
                 stderr=log,
@@ -301,56 +298,9 @@
         command = [sys.executable, "-W", "ignore", "-m", f"standins.{module}", *options]
         log_path = self.folder / f"{name or module}.log"
         with log_path.open("ab") as log:
-            process = subprocess.Popen(command, stdout=subprocess.PIPE, stderr=log, env=environment)
+            process = start_process(command, stdout=subprocess.PIPE, stderr=log, env=environment)
         assert process.stdout is not None
         line = process.stdout.readline().decode()
         if not line.startswith("listening "):
             raise RuntimeError(f"{module} did not start: {log_path.read_text()[-2000:]}")
         return Program(name or module, process, int(line.split()[1]), log_path)
-
-
-def free_ports(count: int) -> list[int]:
-    """Ask the OS for ports, and keep them from being given to anyone else.
-
-    A socket stays bound to each, without listening, until this process ends: one
-    that was closed again could be given to a connection or to the next asker, as
-    happened with eight routers.
-    """
-    ports = []
-    for _ in range(count):
-        held = socket.socket()
-        held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        held.bind(("127.0.0.1", 0))
-        _HELD_PORTS.append(held)
-        ports.append(held.getsockname()[1])
-    return ports
-
-
-def wait_for(is_true: Callable[[], Any], what: str, wait_s: float = START_WAIT_S) -> Any:
-    """Wait until something is observed; fail when it is not in time."""
-    deadline_s = time.monotonic() + wait_s
-    while time.monotonic() < deadline_s:
-        seen = is_true()
-        if seen:
-            return seen
-        time.sleep(0.02)
-    raise AssertionError(f"waited {wait_s} s in vain for {what}")
-
-
-def http(
-    method: str, address: str, path: str, body: bytes = b"", headers: dict[str, str] | None = None
-) -> urllib3.BaseHTTPResponse | None:
-    """Send a request to a stand-in or an operators' endpoint; None when nothing answers."""
-    try:
-        return _HTTP.request(
-            method, f"http://{address}{path}", body=body, headers=headers, timeout=30.0
-        )
-    except urllib3.exceptions.HTTPError:
-        return None
-
-
-def get_json(address: str, path: str) -> Any:
-    """Read JSON, which must be there."""
-    answer = http("GET", address, path)
-    assert answer is not None, f"nothing answers at {address}{path}"
-    return answer.json()
--- a/tests/standins/nodes.py
+++ b/tests/standins/nodes.py
@@ -9,14 +9,16 @@
 import subprocess
 import sys
 import tempfile
-import time
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 from typing import Any
 
+from standins.network import wait_for
+from standins.processes import start_process
+
 ROOT = Path(__file__).parent.parent.parent
 START_S = 30.0
-POLL_S = 0.02
 _FLEETS = itertools.count(1)
 
 
@@ -59,7 +61,7 @@
         path.write_text(self.settings_text(name, ip, ips))
         log_path = self.folder / f"{name}.log"
         with log_path.open("ab") as log:
-            process = subprocess.Popen(
+            process = start_process(
                 [sys.executable, "-W", "ignore", "-m", "myrtlehook_platform"],
                 stdout=log,
                 stderr=log,
@@ -94,7 +96,10 @@
     def wait_ready(self, wanted: int = 200) -> None:
         """Wait until every router answers its readiness question with a status."""
         for node in self.nodes:
-            wait_for(lambda node=node: self.readiness(node) == wanted, f"{node.name} {wanted}")
+            wait_for(partial(self._answers, node, wanted), f"{node.name} to answer {wanted}")
+
+    def _answers(self, node: Node, wanted: int) -> bool:
+        return self.readiness(node) == wanted
 
     def readiness(self, node: Node) -> int:
         """Return the status of a router's readiness; 0 without an answer."""
@@ -132,7 +137,7 @@
 
     def _start_emulator(self, options: list[str]) -> dict[str, str]:
         with (self.folder / "emulator.log").open("ab") as log:
-            process = subprocess.Popen(
+            process = start_process(
                 [sys.executable, "-W", "ignore", "-m", "emulator", *options],
                 stdout=subprocess.PIPE,
                 stderr=log,
@@ -155,15 +160,6 @@
         connection.close()
 
 
-def wait_for(holds: Any, what: str) -> None:
-    """Wait until something holds."""
-    deadline_s = time.monotonic() + START_S
-    while not holds():
-        if time.monotonic() >= deadline_s:
-            raise AssertionError(f"waited {START_S} s in vain: {what}")
-        time.sleep(POLL_S)
-
-
 def _free_ips(count: int) -> list[str]:
     """Return loopback addresses of this process's own: the metrics port is fixed."""
     number = os.getpid()
--- a/tests/steps/backend_steps.py
+++ b/tests/steps/backend_steps.py
@@ -7,7 +7,7 @@
 from behave import given, then, when
 from serving_steps import caller_of, engine, keep, router, service, spawn
 
-from standins.fleets import get_json, http, wait_for
+from standins.network import get_json, http, wait_for
 
 
 @given('"{workspace}" keeps {count:d} requests of {tokens:d} tokens waiting at router {number:d}')
--- a/tests/steps/failure_steps.py
+++ b/tests/steps/failure_steps.py
@@ -14,7 +14,8 @@
 
 from myrtlehook_core.process.hashing import rank_routers
 from standins.callers import Caller, Result
-from standins.fleets import FLEET_KEY, MODEL_POOL, get_json, http, wait_for
+from standins.fleets import MODEL_POOL
+from standins.network import get_json, http, wait_for
 
 TOKENS = 40
 SLOTS = 4
@@ -296,7 +297,7 @@
 @when("nonsense with the fleet's key is sent to the peers' port of router {number:d}")
 def send_nonsense(context: Any, number: int) -> None:
     contents = [b"nonsense", b"\x93\xa1a\x01\x91\x92\x63\x00", b"\x91" * 5000]
-    key = FLEET_KEY.encode()
+    key = context.fleet.fleet_key.encode()
     tagged = [hashlib.blake2b(c, key=key, digest_size=16).digest() + c for c in contents]
     _push(context, number, tagged)
 
--- /dev/null
+++ b/tests/steps/platform_operator_steps.py
@@ -0,0 +1,153 @@
+"""Steps of the platform's operator: configurations, the store, settings, logs, metrics."""
+
+import re
+import signal
+import subprocess
+import sys
+from typing import Any
+
+from behave import given, then, when
+from emulator.sites import make_configuration
+from platform_steps import METRICS_PORT, node, send_attempt
+
+from standins.network import wait_for
+from standins.nodes import Node, fetch
+
+
+def _rewrite_settings(found: Node, text: str) -> None:
+    found.settings_path.write_text(text)
+    found.process.send_signal(signal.SIGHUP)
+
+
+@when("the settings of router {router:d} turn bad and it is told so")
+def spoil_settings(context: Any, router: int) -> None:
+    found = node(context, router)
+    context.good_settings = found.settings_path.read_text()
+    _rewrite_settings(found, "NodeName")
+
+
+@when('the settings of router {router:d} name the seed "{seed}" and it is told so')
+def change_seeds(context: Any, router: int, seed: str) -> None:
+    text = re.sub(r"SeedNodes=.*", f"SeedNodes={seed}", context.good_settings)
+    _rewrite_settings(node(context, router), text)
+
+
+@when('the operator publishes "{text}"')
+def publish_text(context: Any, text: str) -> None:
+    context.nodes.order(configuration_text=text)
+
+
+@when('the operator publishes version {version:d} without the route "{name}"')
+def publish_without(context: Any, version: int, name: str) -> None:
+    configuration = make_configuration(version)
+    routes = [route for route in configuration["Routes"] if route["Name"] != name]
+    context.nodes.order(configuration={**configuration, "Routes": routes})
+
+
+@when("the operator publishes version {version:d} with every route")
+def publish_whole(context: Any, version: int) -> None:
+    context.nodes.order(configuration=make_configuration(version))
+
+
+@when("the store forgets its history")
+def forget_history(context: Any) -> None:
+    context.nodes.order(forget_history=True)
+
+
+@given("the store answers every call with {status:d}")
+def fail_store(context: Any, status: int) -> None:
+    context.nodes.order(faults={"store": {"status": status}})
+
+
+@given("the store answers nonsense")
+def spoil_store(context: Any) -> None:
+    context.nodes.order(faults={"store": {"nonsense": True}})
+
+
+@when("the store makes sense again")
+def heal_store(context: Any) -> None:
+    context.nodes.order(faults={"store": {"nonsense": False}})
+
+
+@then('every router answers "{path}" with {status:d}')
+def check_everywhere(context: Any, path: str, status: int) -> None:
+    for number in range(1, len(context.nodes.nodes) + 1):
+
+        def answers(number: int = number) -> bool:
+            return send_attempt(context, number, None, "GET", path).status == status
+
+        wait_for(answers, f"router {number} answers {status}")
+
+
+@when('the log of router {router:d} tells "{text}"')
+@then('the log of router {router:d} tells "{text}"')
+def check_log(context: Any, router: int, text: str) -> None:
+    path = node(context, router).log_path
+    wait_for(lambda: text in path.read_text(), f"{text!r} in the log")
+
+
+@when('server "{name}" is draining')
+def drain_server(context: Any, name: str) -> None:
+    context.nodes.order(servers={name: "draining"})
+
+    def known() -> bool:
+        return all("i-engine-1" in _leaving(found) for found in context.nodes.nodes)
+
+    wait_for(known, "every router knows that the server is leaving")
+
+
+def _leaving(found: Node) -> str:
+    lines = [line for line in found.log_path.read_text().splitlines() if '"leaving": ["' in line]
+    return lines[-1] if lines else ""
+
+
+@then('server "{name}" ran none of them')
+def check_ran_none(context: Any, name: str) -> None:
+    runs = context.nodes.describe()["servers"][name]["runs"]
+    ids = {attempt.attempt_id for attempt in context.attempts}
+    assert all(attempt.status == 200 for attempt in context.attempts), context.attempts
+    assert not ids & runs.keys(), runs
+    context.nodes.order(servers={name: "ready"})
+
+
+@then('the tool explains the attempt with "{first}" before "{second}"')
+def check_story(context: Any, first: str, second: str) -> None:
+    logs = [str(found.log_path) for found in context.nodes.nodes]
+    command = [sys.executable, "-m", "myrtlehook_operator", "explain", context.attempt.attempt_id]
+
+    def told() -> bool:
+        context.command = subprocess.run(
+            [*command, *logs], capture_output=True, text=True, timeout=60, check=False
+        )
+        return second in context.command.stdout
+
+    wait_for(told, f"the story tells {second!r}")
+    story = context.command.stdout
+    assert -1 < story.find(first) < story.find(second), story
+
+
+@then('the metrics of router {router:d} count "{name}"')
+def check_metrics(context: Any, router: int, name: str) -> None:
+    _, body = fetch(node(context, router).ip, METRICS_PORT, "/metrics")
+    found = re.search(rf'myrtlehook_events_total{{name="{re.escape(name)}"}} (\S+)', body.decode())
+    assert found and float(found[1]) >= 1, body.decode()[:2000]
+
+
+@when('a router starts with the settings "{settings}"')
+def start_badly(context: Any, settings: str) -> None:
+    path = context.nodes.folder / "bad.conf"
+    path.write_text(settings.replace(";", "\n"))
+    context.command = subprocess.run(
+        [sys.executable, "-W", "ignore", "-m", "myrtlehook_platform"],
+        capture_output=True,
+        text=True,
+        timeout=60,
+        env={"MYRTLEHOOK_NODE_FILE": str(path), "PATH": "/usr/bin:/bin"},
+    )
+
+
+@then('it ends with status {status:d} and names "{names}"')
+def check_findings(context: Any, status: int, names: str) -> None:
+    assert context.command.returncode == status, context.command
+    for name in names.split(", "):
+        assert name in context.command.stderr, context.command.stderr
--- a/tests/steps/raw_caller_steps.py
+++ b/tests/steps/raw_caller_steps.py
@@ -9,7 +9,7 @@
 from behave import given, then, when
 from serving_steps import caller_of, router
 
-from standins.fleets import http, wait_for
+from standins.network import http, wait_for
 
 
 def _raw(context: Any, number: int, content: bytes, more: bytes = b"", times: int = 0) -> None:
--- a/tests/steps/regression_steps.py
+++ b/tests/steps/regression_steps.py
@@ -1,9 +1,13 @@
 """Steps of regression tests on single parts of the router."""
 
+import contextlib
 import json
+import os
 import random
+import signal
 import subprocess
 import sys
+from pathlib import Path
 from types import SimpleNamespace
 from typing import Any
 
@@ -31,6 +35,8 @@
 from myrtlehook_router.process.counters import Counters
 from myrtlehook_router.process.mailboxes import Mailbox
 from myrtlehook_router.process.peers import PeerSockets
+from standins.fleets import Fleet
+from standins.network import wait_for
 
 PART = '{"pools": []}'
 MANIFEST = {"version": 1, "parts": [{"key": "k", "digest": digest_text(PART)}]}
@@ -178,3 +184,55 @@
 @then("the message is dropped as from an unlisted address")
 def check_dropped_unlisted(context: Any) -> None:
     assert context.counters.values["drop.unlisted_address"] == 1, context.counters.values
+
+
+@when("a router of another fleet takes router 1 for its seed")
+def start_stranger(context: Any) -> None:
+    known = context.fleet.routers["vm-1"].settings["peers"]["port"]
+    context.stranger = Fleet()
+    seeds = [{"vm": "vm-1", "address": f"127.0.0.1:{known}"}]
+    settings = {**context.stranger.make_settings("vm-9"), "seeds": seeds}
+    context.stranger.start_router("vm-9", settings)
+    context.add_cleanup(context.stranger.stop)
+
+
+@then("router 1 drops its messages and knows no peer")
+def check_stranger(context: Any) -> None:
+    def heard() -> bool:
+        dropped = context.fleet.counters("vm-1").get("drop.unauthenticated_message", 0)
+        return dropped > 0 or bool(context.fleet.status("vm-1")["peers"])
+
+    wait_for(heard, "anything heard of the stranger")
+    assert not context.fleet.status("vm-1")["peers"], context.fleet.status("vm-1")["peers"]
+
+
+START_AND_WAIT = """
+import sys, time
+from standins.processes import end_processes_at_exit, start_process
+end_processes_at_exit()
+child = start_process([sys.executable, "-c", "import time; time.sleep(600)"])
+print(child.pid, flush=True)
+time.sleep(600)
+"""
+
+
+@when("a program that started a process is told to end")
+def end_program(context: Any) -> None:
+    program = subprocess.Popen([sys.executable, "-c", START_AND_WAIT], stdout=subprocess.PIPE)
+    assert program.stdout is not None
+    context.child = int(program.stdout.readline())
+    program.terminate()
+    program.wait(timeout=60)
+
+
+@then("that process has ended as well")
+def check_child_ended(context: Any) -> None:
+    def ended() -> bool:
+        stat = Path(f"/proc/{context.child}/stat")
+        return not stat.exists() or stat.read_text().rpartition(")")[2].split()[0] == "Z"
+
+    try:
+        wait_for(ended, "the process to end", 10)
+    finally:
+        with contextlib.suppress(ProcessLookupError):
+            os.kill(context.child, signal.SIGKILL)
--- a/tests/steps/serving_steps.py
+++ b/tests/steps/serving_steps.py
@@ -6,7 +6,7 @@
 from behave import then, when
 
 from standins.callers import Caller, Result
-from standins.fleets import wait_for
+from standins.network import wait_for
 
 
 def caller_of(context: Any, workspace: str) -> Caller:
