--- a/tests/environment.py
+++ b/tests/environment.py
@@ -89,21 +89,22 @@
         use_fixture(running_nodes, context, int(routers), option == "empty")
 
 
-def _known_red() -> set[str]:
+def _known_red(context: Any) -> set[str]:
     """Return the scenarios that KNOWN-RED.txt lists."""
-    path = Path(__file__).parent.parent / "KNOWN-RED.txt"
+    default = Path(__file__).parent.parent / "KNOWN-RED.txt"
+    path = Path(context.config.userdata.get("known_red", default))
     lines = path.read_text().splitlines() if path.exists() else []
     return {line.partition("|")[0].strip() for line in lines if line.strip()}
 
 
 def before_scenario(context: Any, scenario: Any) -> None:
     """Give each scenario its own results and a place for what it must undo."""
-    if scenario.name in _known_red():
+    context.results = {}
+    context.threads = []
+    if scenario.name in _known_red(context):
         print(f"known red, passed over: {scenario.name}", flush=True)
         scenario.skip("listed in KNOWN-RED.txt")
         return
-    context.results = {}
-    context.threads = []
     if hasattr(context, "nodes"):
         context.nodes.order(heal=True)
 
--- a/tests/features/regressions.feature
+++ b/tests/features/regressions.feature
@@ -39,3 +39,7 @@
   Scenario: A test run that was told to end left its processes behind
     When a program that started a process is told to end
     Then that process has ended as well
+
+  Scenario: Passing over a scenario that is known to be red failed the run
+    When a run lists "Comments are allowed" as known to be red
+    Then the run passes, runs nothing and names that scenario
--- a/tests/steps/regression_steps.py
+++ b/tests/steps/regression_steps.py
@@ -7,6 +7,7 @@
 import signal
 import subprocess
 import sys
+import tempfile
 from pathlib import Path
 from types import SimpleNamespace
 from typing import Any
@@ -236,3 +237,25 @@
     finally:
         with contextlib.suppress(ProcessLookupError):
             os.kill(context.child, signal.SIGKILL)
+
+
+@when('a run lists "{scenario}" as known to be red')
+def run_with_known_red(context: Any, scenario: str) -> None:
+    folder = Path(tempfile.mkdtemp(prefix="red-"))
+    listed = folder / "KNOWN-RED.txt"
+    listed.write_text(f"{scenario} | a cause | an issue\n")
+    root = Path(__file__).parent.parent.parent
+    command = [sys.executable, "-m", "behave", "--no-capture", "-D", f"known_red={listed}"]
+    command += ["-n", scenario, str(root / "tests" / "features" / "settings.feature")]
+    context.command = subprocess.run(
+        command, cwd=root, capture_output=True, text=True, timeout=120, check=False
+    )
+    context.listed = scenario
+
+
+@then("the run passes, runs nothing and names that scenario")
+def check_passed_over(context: Any) -> None:
+    output = context.command.stdout + context.command.stderr
+    assert context.command.returncode == 0, output
+    assert f"known red, passed over: {context.listed}" in output, output
+    assert context.command.stdout.rstrip().endswith("0 passed, 0 failed"), output
