Let four routers read the store for all, and peers pass on server news

A router that the store turned away heard of no new servers.

Change: one watch with the empty prefix follows both feeds; the first four routers of a rendezvous order read, tell changes to all at once, and peers ask for what changed after the revision they know. Readers say on probes that the source answers them; a router reads for itself while fewer than four before it say so, at once when it hears no peer.

--- a/emulator/store.py
+++ b/emulator/store.py
@@ -70,7 +70,8 @@
 
     def answer(self, environ: dict[str, Any], start_response: StartResponse) -> list[bytes]:
         """Serve one call; a WSGI application."""
-        query = {name: values[0] for name, values in parse_qs(environ["QUERY_STRING"]).items()}
+        fields = parse_qs(environ["QUERY_STRING"], keep_blank_values=True)
+        query = {name: values[0] for name, values in fields.items()}
         name = environ["PATH_INFO"].rpartition("/")[2]
         self.calls[name] += 1
         if self.faults.silent:
--- a/packages/core/src/myrtlehook_core/process/actions.py
+++ b/packages/core/src/myrtlehook_core/process/actions.py
@@ -79,6 +79,19 @@
 
     servers: tuple[str, ...]
     leaving: tuple[str, ...]
+    revision: int
+    """Of the source."""
+    source: str
+    """The platform, or the router that told of it."""
+
+
+@dataclass(frozen=True, slots=True)
+class ReadSource:
+    """Read the source from now on, or leave that to other routers."""
+
+    wanted: bool
+    readers_before: tuple[str, ...]
+    """Routers that read it and come before this one."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -129,6 +142,7 @@
     | ConfigurationChanged
     | ConfigurationRejected
     | BackendServersChanged
+    | ReadSource
     | RetryNoted
     | DropNoted
     | ServerEjected
--- a/packages/core/src/myrtlehook_core/process/event_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/event_handlers.py
@@ -5,12 +5,6 @@
 from typing import TYPE_CHECKING, Any
 
 from myrtlehook_core.process import events
-from myrtlehook_core.process.actions import (
-    BackendServersChanged,
-    ConfigurationChanged,
-    ConfigurationRejected,
-    FetchPart,
-)
 from myrtlehook_core.process.admissions import (
     abandon_admission,
     end_admission,
@@ -42,7 +36,6 @@
     note_server_incarnation,
 )
 from myrtlehook_core.process.messages import (
-    ConfigurationQuery,
     LeavingRow,
     Release,
 )
@@ -65,12 +58,18 @@
     retry_run,
 )
 from myrtlehook_core.process.shares import send_demands
-from myrtlehook_core.version.discovery import expire_lapsed, take_servers
+from myrtlehook_core.process.source_handlers import (
+    PLATFORM,
+    on_configuration,
+    on_servers,
+    on_source_answered,
+    on_source_failed,
+    query_documents,
+    sweep_source,
+    take_configuration,
+    tick_source,
+)
 from myrtlehook_core.version.exchange import (
-    Accepted,
-    Rejected,
-    missing_digests,
-    missing_parts,
     take_document,
     take_manifest,
 )
@@ -84,12 +83,6 @@
 BID_AFTER_REPORT_S = 0.01
 """Bids follow reports by this much, so that they carry the totals of the answers."""
 
-QUERY_INTERVAL_S = 0.5
-"""How often a peer is asked again for documents that have not come."""
-
-PLATFORM = "platform"
-"""The source of a configuration that did not come from a peer."""
-
 
 def _on_request(core: "RouterCore", event: events.RequestArrived, now_s: float) -> None:
     entry = core.entry
@@ -176,23 +169,6 @@
     take_configuration(core, take_document(core.exchange, event.text, PLATFORM))
 
 
-def _on_configuration(core: "RouterCore", event: events.ConfigurationRead, now_s: float) -> None:
-    take_configuration(core, take_document(core.exchange, event.text, PLATFORM))
-
-
-def _on_servers(core: "RouterCore", event: events.BackendServersRead, now_s: float) -> None:
-    if take_servers(core.discovery, event.servers, event.after_outage, now_s):
-        _tell_servers(core)
-
-
-def _tell_servers(core: "RouterCore") -> None:
-    leaving = {name for name, server in core.discovery.known.items() if server.leaving}
-    for name in leaving:
-        # Routers that are cut off from discovery hear of it on probes.
-        note_leaving_server(core.table, LeavingRow(name, 0))
-    core.out.add(BackendServersChanged(tuple(core.discovery.known), tuple(sorted(leaving))))
-
-
 def _on_seeds(core: "RouterCore", event: events.SeedsNamed, now_s: float) -> None:
     core.add_seeds([(address, address) for address in event.addresses], now_s)
 
@@ -206,6 +182,7 @@
 def _on_tick(core: "RouterCore", event: events.Tick, now_s: float) -> None:
     core.last_tick_s = now_s
     tick_prober(core.prober, core.probe_context(), now_s)
+    tick_source(core, now_s)
     tick_owner(core.owner, core.owner_context(), now_s)
     tick_queues(core.queues, core.queue_context(), now_s)
     tick_admissions(core.admissions, core.admission_context(), now_s)
@@ -252,30 +229,7 @@
     refuse_hopeless(core.entry, core.entry_context(), now_s)
     drop_idle_queues(core.entry, now_s, core.options.idle_drop_s)
     drop_idle_accounts(core.ledger, now_s, core.options)
-    query_documents(core, now_s)
-    if expire_lapsed(core.discovery, now_s):
-        _tell_servers(core)
-
-
-def take_configuration(core: "RouterCore", result: Accepted | Rejected | None) -> None:
-    """Tell the shell what became of a configuration."""
-    if isinstance(result, Accepted):
-        core.out.add(ConfigurationChanged(result.configuration, result.source))
-    if isinstance(result, Rejected):
-        core.out.add(ConfigurationRejected(result.number, result.findings))
-
-
-def query_documents(core: "RouterCore", now_s: float) -> None:
-    """Ask who offered a configuration, again and again, for what is missing of it."""
-    offer = core.exchange.offer
-    if offer is None or now_s < offer.next_query_s:
-        return
-    offer.next_query_s = now_s + QUERY_INTERVAL_S
-    if offer.source == PLATFORM:
-        for part in missing_parts(core.exchange):
-            core.out.add(FetchPart(part.key, part.digest))
-        return
-    core.post.add(offer.source, ConfigurationQuery(missing_digests(core.exchange)))
+    sweep_source(core, now_s)
 
 
 # Typed per handler by its own signature; the table only pairs each type with its handler.
@@ -290,8 +244,10 @@
     events.VmListRead: _on_vm_list,
     events.ManifestRead: _on_manifest,
     events.PartRead: _on_part,
-    events.ConfigurationRead: _on_configuration,
-    events.BackendServersRead: _on_servers,
+    events.ConfigurationRead: on_configuration,
+    events.BackendServersRead: on_servers,
+    events.SourceAnswered: on_source_answered,
+    events.SourceFailed: on_source_failed,
     events.SeedsNamed: _on_seeds,
     events.DrainStarted: _on_drain,
     events.Tick: _on_tick,
--- a/packages/core/src/myrtlehook_core/process/events.py
+++ b/packages/core/src/myrtlehook_core/process/events.py
@@ -108,6 +108,18 @@
     servers: tuple[BackendServer, ...]
     after_outage: bool
     """The first list after the source could not be read or had lost its history."""
+    revision: int = 0
+    """Of the source; a list older than what is known changes nothing."""
+
+
+@dataclass(frozen=True, slots=True)
+class SourceAnswered:
+    """The source has just answered: what was read of it is as the source has it."""
+
+
+@dataclass(frozen=True, slots=True)
+class SourceFailed:
+    """A call to the source has failed."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -140,6 +152,8 @@
     | PartRead
     | ConfigurationRead
     | BackendServersRead
+    | SourceAnswered
+    | SourceFailed
     | SeedsNamed
     | DrainStarted
     | Tick
--- a/packages/core/src/myrtlehook_core/process/message_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/message_handlers.py
@@ -30,10 +30,10 @@
 from myrtlehook_core.process.entries import (
     take_totals,
 )
-from myrtlehook_core.process.event_handlers import query_documents, take_configuration
 from myrtlehook_core.process.ledgers import take_report
 from myrtlehook_core.process.messages import (
     Ack,
+    Announcement,
     Bid,
     ConfigurationQuery,
     ConfigurationReply,
@@ -45,7 +45,6 @@
     IndirectProbe,
     MembersQuery,
     MembersReply,
-    News,
     Probe,
     Release,
     Report,
@@ -69,12 +68,16 @@
     spend_grant,
 )
 from myrtlehook_core.process.shares import take_demand, take_level
-from myrtlehook_core.request.outcomes import DropReason
-from myrtlehook_core.version.configurations import ConfigurationVersion
-from myrtlehook_core.version.exchange import (
-    hear_version,
-    take_document,
+from myrtlehook_core.process.source_handlers import (
+    hear_source,
+    query_documents,
+    take_configuration,
+    take_servers_query,
+    take_servers_reply,
 )
+from myrtlehook_core.process.source_messages import ServersQuery, ServersReply
+from myrtlehook_core.request.outcomes import DropReason
+from myrtlehook_core.version.exchange import take_document
 
 if TYPE_CHECKING:
     from myrtlehook_core.process.routers import RouterCore
@@ -123,12 +126,19 @@
 
 def _take_probe(core: "RouterCore", sender: str, message: Probe, now_s: float) -> None:
     take_probe(core.probe_context(), sender, message, now_s)
-    _hear_configuration(core, sender, message.news, now_s)
+    hear_source(core, sender, message.news, now_s)
 
 
 def _take_ack(core: "RouterCore", sender: str, message: Ack, now_s: float) -> None:
     take_ack(core.prober, core.probe_context(), message, now_s)
-    _hear_configuration(core, sender, message.news, now_s)
+    hear_source(core, sender, message.news, now_s)
+
+
+def _take_announcement(
+    core: "RouterCore", sender: str, message: Announcement, now_s: float
+) -> None:
+    take_news(core.probe_context(), message.news, now_s)
+    hear_source(core, sender, message.news, now_s)
 
 
 def _take_indirect(core: "RouterCore", sender: str, message: IndirectProbe, now_s: float) -> None:
@@ -145,7 +155,7 @@
     core: "RouterCore", sender: str, message: MembersReply, now_s: float
 ) -> None:
     take_news(core.probe_context(), message.news, now_s)
-    _hear_configuration(core, sender, message.news, now_s)
+    hear_source(core, sender, message.news, now_s)
 
 
 def _take_configuration_query(
@@ -167,12 +177,6 @@
         query_documents(core, now_s)
 
 
-def _hear_configuration(core: "RouterCore", sender: str, news: News, now_s: float) -> None:
-    version = ConfigurationVersion(news.configuration_number, news.configuration_digest)
-    if hear_version(core.exchange, version, sender):
-        query_documents(core, now_s)
-
-
 def _take_admission_request(
     core: "RouterCore", sender: str, message: AdmissionRequest, now_s: float
 ) -> None:
@@ -232,6 +236,9 @@
     AdmissionProgress: _take_admission_progress,
     AdmissionRelease: _take_admission_release,
     HeldAdmissions: _take_held_admissions,
+    Announcement: _take_announcement,
+    ServersQuery: take_servers_query,
+    ServersReply: take_servers_reply,
     EarlyCharge: _take_early_charge,
     Bid: _take_bid,
     Grant: _take_grant,
--- a/packages/core/src/myrtlehook_core/process/messages.py
+++ b/packages/core/src/myrtlehook_core/process/messages.py
@@ -19,6 +19,7 @@
     HeldAdmissions,
     ShareLevel,
 )
+from myrtlehook_core.process.source_messages import ReaderRow, ServersQuery, ServersReply
 
 
 class BidRow(msgspec.Struct, frozen=True, array_like=True):
@@ -168,6 +169,10 @@
     leaving: tuple[LeavingRow, ...]
     configuration_number: int
     configuration_digest: str
+    servers_revision: int = 0
+    """Revision of the source at which the sender knows the backend servers; 0 for none."""
+    readers: tuple[ReaderRow, ...] = ()
+    """Routers that read the source."""
 
 
 class Probe(msgspec.Struct, frozen=True, array_like=True, tag=9):
@@ -217,6 +222,12 @@
     text: str
 
 
+class Announcement(msgspec.Struct, frozen=True, array_like=True, tag=27):
+    """News that cannot wait for the next probe."""
+
+    news: News
+
+
 class EarlyCharge(msgspec.Struct, frozen=True, array_like=True, tag=16):
     """An owner tells the pool's other owners what it has just granted."""
 
@@ -234,6 +245,9 @@
     | AdmissionProgress
     | AdmissionRelease
     | HeldAdmissions
+    | Announcement
+    | ServersQuery
+    | ServersReply
     | EarlyCharge
     | Bid
     | Grant
--- a/packages/core/src/myrtlehook_core/process/options.py
+++ b/packages/core/src/myrtlehook_core/process/options.py
@@ -64,6 +64,12 @@
     """How often routers report what was asked of model engines."""
     capacity_factor: float = 1.0
     """Corrects what a configuration says that its engines produce."""
+    source_readers: int = 0
+    """How many routers read the source for all; 0 where each reads for itself."""
+    reader_age_limit_s: float = 1.5
+    """A reader that has not said for this long that the source answers it counts no more."""
+    source_silence_s: float = 1.4
+    """How long after an answer of the source a reader may say that it still answers."""
     exchange_totals: bool = True
     """False only in the bench's baseline that keeps its own counters."""
     serves_while_draining: bool = False
--- a/packages/core/src/myrtlehook_core/process/probing.py
+++ b/packages/core/src/myrtlehook_core/process/probing.py
@@ -1,5 +1,6 @@
 """Failure detection by probes whose cost does not grow with the fleet (after SWIM)."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from myrtlehook_core.process.actions import Outbox, Send
@@ -20,13 +21,16 @@
 )
 from myrtlehook_core.process.messages import (
     Ack,
+    Announcement,
     IndirectProbe,
+    MemberRow,
     MembersQuery,
     MembersReply,
     News,
     Probe,
 )
 from myrtlehook_core.process.options import CoreOptions
+from myrtlehook_core.process.source_messages import ReaderRow
 from myrtlehook_core.version.configurations import ConfigurationVersion
 
 REJOIN_EVERY = 4
@@ -74,6 +78,9 @@
     options: CoreOptions
     draw: Draw
     version: ConfigurationVersion
+    servers_revision: int
+    readers: Callable[[], tuple[ReaderRow, ...]]
+    """Returns the routers that read the source."""
     out: Outbox
 
 
@@ -135,9 +142,7 @@
     take_row(context.table, query.sender_row, now_s, context.options.suspicion_s)
     rows = [own_row(context.table)]
     rows += [member_row(member) for member in context.table.members.values() if not member.silent]
-    leaving = collect_leaving_news(context.table)
-    version = context.version
-    _send(context, sender, MembersReply(News(tuple(rows), leaving, version.number, version.digest)))
+    _send(context, sender, MembersReply(_make_news(context, tuple(rows))))
 
 
 def take_news(context: ProbeContext, news: News, now_s: float) -> None:
@@ -149,10 +154,10 @@
 
 
 def announce(context: ProbeContext) -> None:
-    """Tell every reachable member of this router's own state at once."""
+    """Tell every reachable member what is new at this router at once."""
     for member in context.table.members.values():
         if can_probe(member):
-            _send(context, member.router_id, Probe(0, _news_for(context, member.router_id)))
+            _send(context, member.router_id, Announcement(_news_for(context, member.router_id)))
 
 
 def _ask_to_join(prober: Prober, context: ProbeContext, now_s: float) -> None:
@@ -247,11 +252,17 @@
 
 
 def _news_for(context: ProbeContext, receiver: str) -> News:
+    return _make_news(context, collect_member_news(context.table, receiver))
+
+
+def _make_news(context: ProbeContext, members: tuple[MemberRow, ...]) -> News:
     return News(
-        members=collect_member_news(context.table, receiver),
+        members=members,
         leaving=collect_leaving_news(context.table),
         configuration_number=context.version.number,
         configuration_digest=context.version.digest,
+        servers_revision=context.servers_revision,
+        readers=context.readers(),
     )
 
 
--- a/packages/core/src/myrtlehook_core/process/routers.py
+++ b/packages/core/src/myrtlehook_core/process/routers.py
@@ -52,6 +52,8 @@
 )
 from myrtlehook_core.process.refusals import refuse_hopeless
 from myrtlehook_core.process.shares import Shares
+from myrtlehook_core.process.source_messages import ReaderRow
+from myrtlehook_core.process.source_readers import SourceReaders, collect_readers
 from myrtlehook_core.version.configurations import Configuration
 from myrtlehook_core.version.discovery import Discovery, apply_discovery
 from myrtlehook_core.version.exchange import (
@@ -87,6 +89,8 @@
         self.admissions = Admissions()
         self.queues = EngineQueues()
         self.shares = Shares()
+        self.readers = SourceReaders()
+        self._now_s = 0.0
         self.last_tick_s: float | None = None
         self.out = Outbox()
         """The actions of the event being handled."""
@@ -113,6 +117,7 @@
         """Take one event and return the actions that it calls for, in order."""
         self.out = Outbox()
         self.post = Post()
+        self._now_s = now_s
         self._notice_pause(now_s)
         EVENT_HANDLERS[type(event)](self, event, now_s)
         self._settle(now_s)
@@ -175,6 +180,8 @@
             options=self.options,
             draw=self.draw,
             version=self.configuration.version,
+            servers_revision=self.discovery.source_revision,
+            readers=self._reader_rows,
             out=self.out,
         )
 
@@ -182,6 +189,9 @@
         """Tell whether a router is worth sending to."""
         return is_reachable(self.table, router_id)
 
+    def _reader_rows(self) -> tuple[ReaderRow, ...]:
+        return collect_readers(self.readers, self.table, self.options, self._now_s)
+
     def _other_owners(self, pool: str) -> tuple[str, ...]:
         owners = self.placement.pool_owners.get(pool, ())
         return tuple(owner for owner in owners if owner != self.identity.router_id)
--- a/packages/router/src/myrtlehook_router/process/core_tasks.py
+++ b/packages/router/src/myrtlehook_router/process/core_tasks.py
@@ -19,6 +19,7 @@
 from myrtlehook_router.process.logs import get_logger
 from myrtlehook_router.process.mailboxes import Mailbox
 from myrtlehook_router.process.peers import PeerSockets
+from myrtlehook_router.process.read_switches import ReadSwitch
 from myrtlehook_router.request.tickets import TicketBook
 
 BUSY_TICK_S = 0.02
@@ -42,6 +43,7 @@
         read_part: Callable[[str], str | None],
         tickets: TicketBook,
         counters: Counters,
+        reading: ReadSwitch | None = None,
     ) -> None:
         self.core = core
         self._mailbox = mailbox
@@ -49,6 +51,7 @@
         self._read_part = read_part
         self._tickets = tickets
         self._counters = counters
+        self._reading = reading or ReadSwitch()
         self._unsent: dict[tuple[str, str], list[actions.Message]] = {}
         self._polling: set[str] = set()
         self.cpu_s = 0.0
@@ -150,7 +153,18 @@
 
     def _note_servers(self, action: actions.BackendServersChanged) -> None:
         self._counters.add("discovery.changed")
-        _log.info("backend servers changed", servers=action.servers, leaving=action.leaving)
+        _log.info(
+            "backend servers changed",
+            servers=action.servers,
+            leaving=action.leaving,
+            revision=action.revision,
+            source=action.source,
+        )
+
+    def _read_source(self, action: actions.ReadSource) -> None:
+        self._counters.add(f"source.{'read' if action.wanted else 'left_to_others'}")
+        self._reading.set(action.wanted)
+        _log.info("reading the source", wanted=action.wanted, readers_before=action.readers_before)
 
     def _note_rejection(self, action: actions.ConfigurationRejected) -> None:
         self._counters.add("configuration.rejected")
@@ -187,6 +201,7 @@
     actions.FetchPart: CoreTask._fetch_part,
     actions.ConfigurationChanged: CoreTask._note_configuration,
     actions.BackendServersChanged: CoreTask._note_servers,
+    actions.ReadSource: CoreTask._read_source,
     actions.ConfigurationRejected: CoreTask._note_rejection,
     actions.RetryNoted: CoreTask._note_retry,
     actions.DropNoted: CoreTask._note_drop,
--- a/packages/router/src/myrtlehook_router/process/gateway_daemons.py
+++ b/packages/router/src/myrtlehook_router/process/gateway_daemons.py
@@ -31,6 +31,7 @@
 from myrtlehook_router.process.mailboxes import Mailbox
 from myrtlehook_router.process.metrics import Metrics
 from myrtlehook_router.process.peers import PeerSockets
+from myrtlehook_router.process.read_switches import ReadSwitch
 from myrtlehook_router.process.tasks import guard
 from myrtlehook_router.request.gateways import GatewayServices, make_gateway
 from myrtlehook_router.request.headers import HeaderNames
@@ -86,7 +87,7 @@
     def __init__(
         self,
         settings: GatewaySettings,
-        make_sources: Callable[[Counters], Iterable[Source]],
+        make_sources: Callable[[Counters, ReadSwitch], Iterable[Source]],
         reload: Callable[[], GatewaySettings | None],
     ) -> None:
         """Prepare a router.
@@ -112,8 +113,9 @@
         self._peers = PeerSockets(
             self._router_id, peers, settings.fleet_key, incarnation, self._counters
         )
+        self._reading = ReadSwitch()
         self._core_task = self._make_core_task(incarnation)
-        self._sources = list(make_sources(self._counters))
+        self._sources = list(make_sources(self._counters, self._reading))
 
     def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then drain; returns once nothing is left."""
@@ -151,7 +153,13 @@
         core = RouterCore(identity, self._settings.options, random.random, self._settings.parser)
         core.add_seeds([(seed, seed) for seed in self._settings.seeds], time.monotonic())
         return CoreTask(
-            core, self._mailbox, self._peers, _read_no_part, self._tickets, self._counters
+            core,
+            self._mailbox,
+            self._peers,
+            _read_no_part,
+            self._tickets,
+            self._counters,
+            self._reading,
         )
 
     def _tasks(self) -> list[Callable[[], None]]:
@@ -209,6 +217,7 @@
                 member.state is MemberState.ALIVE for member in core.table.members.values()
             ),
             "backend_connections_opened": self._clients.opened,
+            "reads_source": float(self._reading.wanted),
             "log_lines_dropped": self._log_stream.dropped_lines,
         }
 
--- a/tests/standins/histories.py
+++ b/tests/standins/histories.py
@@ -9,7 +9,7 @@
 import random
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from result import Ok
@@ -36,6 +36,7 @@
 
 POOL = "model"
 TICK_S = 0.02
+READ_INTERVAL_S = 0.1
 RATE_TOKENS_PER_S = 30_000.0
 LIMITS = QueueLimits(1000, 1 << 30, 1e6, 1_000_000)
 
@@ -49,6 +50,28 @@
     longest_delay_s: float = 0.003
 
 
+@dataclass(slots=True)
+class Source:
+    """What is published to the routers that read it."""
+
+    configuration_number: int = 1
+    revision: int = 1
+    servers: dict[str, BackendServer] = field(default_factory=dict)
+    silent_to: set[str] = field(default_factory=set)
+    refuses: set[str] = field(default_factory=set)
+    calls: Counter[str] = field(default_factory=Counter)
+
+    def put(self, name: str, leaving: bool = False) -> None:
+        """Publish a backend server."""
+        self.revision += 1
+        self.servers[name] = BackendServer(name, POOL, "10.0.1.9:80", "z", 16, False, leaving)
+
+    def drop(self, name: str) -> None:
+        """Withdraw a backend server."""
+        self.revision += 1
+        self.servers.pop(name, None)
+
+
 @dataclass(slots=True)
 class Outcome:
     """All that happened to one request."""
@@ -65,7 +88,13 @@
     """Routers, engines and the messages between them."""
 
     def __init__(
-        self, seed: int, routers: int, engines: int, network: Network, options: CoreOptions
+        self,
+        seed: int,
+        routers: int,
+        engines: int,
+        network: Network,
+        options: CoreOptions,
+        source: Source | None = None,
     ) -> None:
         self.random = random.Random(seed)
         self.network = network
@@ -77,6 +106,9 @@
         self.most_unread_tokens: Counter[str] = Counter()
         self.engine_free_s: dict[str, float] = {}
         self.broken_engines: set[str] = set()
+        self.is_cut: Callable[[str, str], bool] = lambda sender, receiver: False
+        """Whether messages from one router to another are lost."""
+        self._source = source
         self._options = options
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
         self._numbers = itertools.count()
@@ -93,13 +125,18 @@
         """Start a router, or start it again with an empty memory."""
         identity = RouterIdentity(name, name, next(self._incarnations))
         configuration = _make_configuration()
-        core = RouterCore(
-            identity, self._options, self.random.random, lambda text: Ok(configuration)
-        )
+
+        def parse(text: str) -> Ok[Configuration]:
+            return Ok(replace(configuration, version=ConfigurationVersion(int(text), "")))
+
+        core = RouterCore(identity, self._options, self.random.random, parse)
         core.add_seeds([(other, other) for other in self._names if other != name], self.now_s)
         self.alive[name] = core
-        self.feed(name, events.ConfigurationRead("one"))
-        self.feed(name, events.BackendServersRead(self._servers, False))
+        if self._source is None:
+            self.feed(name, events.ConfigurationRead("1"))
+            self.feed(name, events.BackendServersRead(self._servers, False))
+        else:
+            self._read_source(name, core, self._source)
         self._tick(name, core)
 
     def kill_router(self, name: str) -> None:
@@ -143,6 +180,21 @@
         self.feed(name, events.Tick())
         self.at(self.now_s + TICK_S, lambda: self._tick(name, core))
 
+    def _read_source(self, name: str, core: RouterCore, source: Source) -> None:
+        if self.alive.get(name) is not core:
+            return
+        self.at(self.now_s + READ_INTERVAL_S, lambda: self._read_source(name, core, source))
+        if not core.readers.reading or name in source.silent_to:
+            return
+        source.calls[name] += 1
+        if name in source.refuses:
+            self.feed(name, events.SourceFailed())
+            return
+        self.feed(name, events.ConfigurationRead(str(source.configuration_number)))
+        servers = tuple(source.servers.values())
+        self.feed(name, events.BackendServersRead(servers, False, source.revision))
+        self.feed(name, events.SourceAnswered())
+
     def _carry_out(self, name: str, core: RouterCore, action: Any) -> None:
         if isinstance(action, actions.Send):
             self._deliver(name, core, action)
@@ -153,7 +205,7 @@
 
     def _deliver(self, sender: str, core: RouterCore, action: actions.Send) -> None:
         copies = 1
-        if self.random.random() < self.network.lost_part:
+        if self.is_cut(sender, action.router_id) or self.random.random() < self.network.lost_part:
             copies = 0
         elif self.random.random() < self.network.doubled_part:
             copies = 2
