--- a/packages/core/src/myrtlehook_core/process/source_readers.py
+++ b/packages/core/src/myrtlehook_core/process/source_readers.py
@@ -26,6 +26,8 @@
 STAGGER_S = 0.1
 """Replacements wait this much longer for each place in the order, so that few step in."""
 
+DECIDE_INTERVAL_S = 0.1
+
 OUTAGE_MEMORY_S = 3.0
 """How long after an outage of the source entries may still be missing by it."""
 
@@ -43,6 +45,7 @@
     """When each other router last said that the source answers it, by this clock."""
     heard_peer_s: float = -math.inf
     started_at_s: float = math.inf
+    next_decision_s: float = -math.inf
     short_since_s: float = math.inf
     """Since when too few routers before this one read the source."""
     outage_until_s: float = 0.0
@@ -97,8 +100,9 @@
     readers: SourceReaders, table: MemberTable, options: CoreOptions, now_s: float
 ) -> bool:
     """Decide anew whether this router reads; True when that has changed."""
-    if not options.source_readers:
+    if not options.source_readers or now_s < readers.next_decision_s:
         return False
+    readers.next_decision_s = now_s + DECIDE_INTERVAL_S
     readers.started_at_s = min(readers.started_at_s, now_s)
     _note_outage(readers, table, options, now_s)
     wanted = _wants_to_read(readers, table, options, now_s)
--- a/packages/router/src/myrtlehook_router/request/attempts.py
+++ b/packages/router/src/myrtlehook_router/request/attempts.py
@@ -9,7 +9,7 @@
 from myrtlehook_router.connection.backends import SendFailure
 from myrtlehook_router.connection.clients import Exchange, OutgoingRequest
 from myrtlehook_router.request.headers import find_header, keep_end_to_end
-from myrtlehook_router.request.relays import Relay
+from myrtlehook_router.request.relays import Relay, begin_attempt
 
 READ_BYTES = 64 * 1024
 DISCARDED_PIECES = 16
@@ -29,8 +29,7 @@
     relay: Relay, server: BackendServer, last_event_id: str | None
 ) -> Result[urllib3.HTTPResponse, RetryReason]:
     """Send the request once and check that the answer's head belongs to it."""
-    relay.attempts += 1
-    relay.sent_at_s = time.monotonic()
+    begin_attempt(relay)
     exchange = Exchange(relay.clients, _outgoing(relay, server, last_event_id))
     relay.exchange = exchange
     if relay.caller_left:
--- a/packages/router/src/myrtlehook_router/request/relays.py
+++ b/packages/router/src/myrtlehook_router/request/relays.py
@@ -43,6 +43,8 @@
     attempts: int = 0
     sent_at_s: float = 0.0
     first_byte_at_s: float = 0.0
+    begun: bool = False
+    """The present attempt has brought output."""
 
 
 def note_caller_left(relay: Relay) -> None:
@@ -53,6 +55,13 @@
         relay.exchange.abort()
 
 
+def begin_attempt(relay: Relay) -> None:
+    """Note that the request is about to be sent to another server, or again."""
+    relay.attempts += 1
+    relay.sent_at_s = time.monotonic()
+    relay.begun = False
+
+
 def give_back(relay: Relay, reason: RetryReason) -> None:
     """Tell the core and the log that an attempt came to nothing."""
     _log.info(
@@ -66,12 +75,12 @@
 
 
 def note_output(relay: Relay, events_seen: int) -> None:
-    """Count the tokens of a stream's events; the core hears of the first at once."""
+    """Count the tokens of a stream's events; the core hears of an attempt's first at once."""
     if not events_seen:
         return
-    first = relay.output_tokens == 0
     relay.output_tokens += events_seen * relay.event_tokens
-    if first:
+    if not relay.begun:
+        relay.begun = True
         observe(relay.place, cost_units(relay))
 
 
--- a/tests/features/regressions.feature
+++ b/tests/features/regressions.feature
@@ -43,3 +43,7 @@
   Scenario: Passing over a scenario that is known to be red failed the run
     When a run lists "Comments are allowed" as known to be red
     Then the run passes, runs nothing and names that scenario
+
+  Scenario: A resumed stream never told the core that its new engine had begun
+    When a stream brings output from one engine, breaks off and brings output from another
+    Then the core has heard of a beginning 2 times
--- a/tests/steps/regression_steps.py
+++ b/tests/steps/regression_steps.py
@@ -36,6 +36,7 @@
 from myrtlehook_router.process.counters import Counters
 from myrtlehook_router.process.mailboxes import Mailbox
 from myrtlehook_router.process.peers import PeerSockets
+from myrtlehook_router.request.relays import Relay, begin_attempt, note_output
 from standins.fleets import Fleet
 from standins.network import wait_for
 
@@ -259,3 +260,26 @@
     assert context.command.returncode == 0, output
     assert f"known red, passed over: {context.listed}" in output, output
     assert context.command.stdout.rstrip().endswith("0 passed, 0 failed"), output
+
+
+@when("a stream brings output from one engine, breaks off and brings output from another")
+def resume_stream(context: Any) -> None:
+    context.mailbox = Mailbox()
+    place: Any = SimpleNamespace(
+        services=SimpleNamespace(mailbox=context.mailbox),
+        specification=SimpleNamespace(request_id="a/1"),
+    )
+    unused: Any = None
+    relay = Relay(unused, place, b"", unused, unused, prompt_tokens=100)
+    for _ in range(2):
+        begin_attempt(relay)
+        note_output(relay, 1)
+        note_output(relay, 2)
+
+
+@then("the core has heard of a beginning {count:d} times")
+def check_beginnings(context: Any, count: int) -> None:
+    heard = []
+    while (event := context.mailbox.take(0.0)) is not None:
+        heard.append(event)
+    assert [type(event) for event in heard] == [events.ServiceObserved] * count, heard
