Add a randomized fault soak of the real programs

Routers, the emulated platform, a loopback proxy and callers run as processes of their own; faults drawn from a seed strike from outside, overlapping; promises are checked from what callers and servers saw, and each check is shown to find its breach.

--- a/emulator/control.py
+++ b/emulator/control.py
@@ -41,11 +41,21 @@
         site.store.put("op/config", json.dumps(order["configuration"]))
     if "configuration_text" in order:
         site.store.put("op/config", order["configuration_text"])
+    for name, address in order.get("addresses", {}).items():
+        # The server is reached by another way from now on.
+        site.addresses[name] = address
+        _put_entry(site, name, "ready")
     for name, state in order.get("servers", {}).items():
         if state == "gone":
             site.store.drop(f"servers/{name}")
             continue
-        service = MODEL_SERVICE if name in site.engines else PLAIN_SERVICE
-        put_server(site, name, service, 16 if name in site.engines else 6, state)
+        _put_entry(site, name, state)
     if order.get("forget_history"):
         site.store.forget_history()
+
+
+def _put_entry(site: Site, name: str, state: str) -> None:
+    if name in site.engines:
+        put_server(site, name, MODEL_SERVICE, site.engines[name].speed.slots, state)
+    else:
+        put_server(site, name, PLAIN_SERVICE, site.services[name].slots, state)
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,44 @@
+"""The command line of the soak: ``python -m soak --runs 50``."""
+
+import random
+import sys
+from pathlib import Path
+
+import typer
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "tests"))
+
+from soak.runs import Order, Result, play  # noqa: E402
+
+
+def main(
+    runs: int = typer.Option(5, help="how many runs, each with its own seed"),
+    seed: int = typer.Option(-1, help="the first run's seed; drawn afresh if left out"),
+    seconds: float = typer.Option(10.0, help="how long callers send in each run"),
+    routers: int = typer.Option(3, help="router processes in each run"),
+    engines: int = typer.Option(3, help="model engines in each run"),
+) -> None:
+    """Run real routers under random faults, and check their promises; status 1 if any broke."""
+    first = seed if seed >= 0 else random.SystemRandom().randrange(1_000_000_000)
+    broken = 0
+    for number in range(first, first + runs):
+        result = play(Order(number, seconds, routers, engines))
+        broken += bool(result.violations)
+        _print(result)
+    print(f"{runs} runs, {broken} with a broken promise")
+    sys.exit(1 if broken else 0)
+
+
+def _print(result: Result) -> None:
+    faults = ", ".join(
+        f"{fault.at_s:.1f}-{fault.until_s:.1f} s {fault.kind}:{fault.how} {fault.target}".strip()
+        for fault in result.faults
+    )
+    statuses = ", ".join(f"{code}: {count}" for code, count in sorted(result.statuses.items()))
+    print(f"seed {result.order.seed}: {result.attempts} attempts ({statuses}); {faults}")
+    for violation in result.violations:
+        print(f"  BROKEN {violation.promise}: {violation.detail}; logs in {result.logs}")
+    sys.stdout.flush()
+
+
+typer.run(main)
--- /dev/null
+++ b/soak/schedules.py
@@ -0,0 +1,57 @@
+"""Which faults strike when: drawn from a seed, in series, and overlapping."""
+
+import random
+from dataclasses import dataclass
+
+ROUTER_KINDS = ("kill", "stop", "pause", "reload")
+STORE_MODES = ("silent", "one_way", "reset", "delay")
+SERVER_MODES = ("silent", "one_way", "reset", "delay")
+SERVER_FAULTS = ("reset_answers", "refusals")
+STORE_FAULTS = ("refuses", "nonsense", "forgets")
+CHANGES = ("configuration", "drain", "break_stream")
+KINDS = ("router", "store_link", "server_link", "server", "store", "change")
+
+FIRST_FAULT_S = 0.5
+LONGEST_FAULT_S = 4.0
+SHORTEST_FAULT_S = 0.3
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """One fault: what, on whom, from when to when after the start."""
+
+    at_s: float
+    until_s: float
+    kind: str
+    how: str
+    target: str
+
+
+def draw_schedule(seed: int, seconds: float, routers: list[str], servers: list[str]) -> list[Fault]:
+    """Draw the faults of one run, in the order in which they begin."""
+    draw = random.Random(seed)
+    faults = []
+    for _ in range(draw.randint(3, 10)):
+        at_s = draw.uniform(FIRST_FAULT_S, seconds * 0.8)
+        until_s = min(at_s + draw.uniform(SHORTEST_FAULT_S, LONGEST_FAULT_S), seconds)
+        kind = draw.choice(KINDS)
+        how, target = _draw_target(draw, kind, routers, servers)
+        faults.append(Fault(round(at_s, 3), round(until_s, 3), kind, how, target))
+    return sorted(faults, key=lambda fault: fault.at_s)
+
+
+def _draw_target(
+    draw: random.Random, kind: str, routers: list[str], servers: list[str]
+) -> tuple[str, str]:
+    if kind == "router":
+        return draw.choice(ROUTER_KINDS), draw.choice(routers)
+    if kind == "store_link":
+        return draw.choice(STORE_MODES), draw.choice(routers)
+    if kind == "server_link":
+        return draw.choice(SERVER_MODES), draw.choice(servers)
+    if kind == "server":
+        return draw.choice(SERVER_FAULTS), draw.choice(servers)
+    if kind == "store":
+        return draw.choice(STORE_FAULTS), "store"
+    change = draw.choice(CHANGES)
+    return change, draw.choice(servers) if change == "drain" else ""
--- /dev/null
+++ b/tests/features/soak.feature
@@ -0,0 +1,26 @@
+Feature: A randomized soak of real routers under faults from outside
+  A few seeds here; many more by hand: python -m soak --runs 50.
+
+  Scenario Outline: The promises are kept under the faults of a seed
+    When the soak plays seed <seed> for 6 s
+    Then no promise was broken, and callers were served
+
+    Examples:
+      | seed |
+      | 11   |
+      | 12   |
+
+  Scenario: The checks tell each broken promise
+    Given an attempt with a whole answer of "i-engine-1" that was run once
+    Then the checks find nothing
+    And each of these is found when it is spoilt
+      | fault       | promise                                |
+      | seal        | a success carries a server's seal      |
+      | events      | a stream is whole                      |
+      | id          | an answer belongs to its request       |
+      | run         | it runs once, not 2 times              |
+      | refusal     | what was refused has not run           |
+      | denial      | a proper request is not denied         |
+      | return      | a refusal tells when to come back      |
+      | sender      | nothing runs that nobody sent          |
+      | deadline    | it has an answer by its deadline       |
--- a/tests/standins/attempts.py
+++ b/tests/standins/attempts.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass, field
 
 from emulator.sites import HOST, KEYS
-
 from standins.nodes import Node
 
 TIMEOUT_S = 30.0
--- a/tests/standins/nodes.py
+++ b/tests/standins/nodes.py
@@ -44,16 +44,22 @@
     addresses: dict[str, str] = field(default_factory=dict)
     processes: list[subprocess.Popen[bytes]] = field(default_factory=list)
     ports: dict[str, int] = field(default_factory=dict)
+    stores: dict[str, str] = field(default_factory=dict)
+    """By router, another way to the store."""
 
     def start(self, routers: int, engines: int = 2, empty: bool = False) -> None:
         """Start everything, and wait until all routers answer; ``empty``: no configuration."""
         options = ["--engines", str(engines)] + (["--empty"] if empty else [])
-        self.addresses = self._start_emulator(options)
+        self.addresses = self.start_emulator(options)
+        self.start_nodes(routers, 503 if empty else 200)
+
+    def start_nodes(self, routers: int, readiness: int = 200) -> None:
+        """Start the routers, and wait until all answer."""
         ips = _free_ips(routers)
         self.ports = {name: _free_port(ips) for name in ("front", "ready", "control", "peer")}
         for number, ip in enumerate(ips, start=1):
             self.start_node(f"edge-{number}", ip, ips)
-        self.wait_ready(503 if empty else 200)
+        self.wait_ready(readiness)
 
     def start_node(self, name: str, ip: str, ips: list[str]) -> Node:
         """Start one router."""
@@ -88,7 +94,7 @@
             "Limits.FileDescriptorLimit": "4100",
             "Bounds.GracePeriodS": "8",
             "Bounds.QuotaWindowS": "4",
-            "Platform.Address": self.addresses["store"],
+            "Platform.Address": self.stores.get(name, self.addresses["store"]),
             "SomethingNew": "passed over",
         }
         return "".join(f"{key}={value}\n" for key, value in lines.items())
@@ -135,7 +141,8 @@
         for process in self.processes:
             process.wait()
 
-    def _start_emulator(self, options: list[str]) -> dict[str, str]:
+    def start_emulator(self, options: list[str]) -> dict[str, str]:
+        """Start the emulated platform; returns the addresses of its parts."""
         with (self.folder / "emulator.log").open("ab") as log:
             process = start_process(
                 [sys.executable, "-W", "ignore", "-m", "emulator", *options],
--- a/tests/steps/platform_operator_steps.py
+++ b/tests/steps/platform_operator_steps.py
@@ -7,9 +7,9 @@
 from typing import Any
 
 from behave import given, then, when
-from emulator.sites import make_configuration
 from platform_steps import METRICS_PORT, node, send_attempt
 
+from emulator.sites import make_configuration
 from standins.network import wait_for
 from standins.nodes import Node, fetch
 
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -5,8 +5,8 @@
 from typing import Any
 
 from behave import then, when
-from emulator.sites import HOST
 
+from emulator.sites import HOST
 from standins.attempts import Attempt, make_headers, new_id, send, send_raw
 from standins.nodes import Node
 
--- /dev/null
+++ b/tests/steps/soak_steps.py
@@ -0,0 +1,68 @@
+"""Steps of the randomized soak, and of its checks."""
+
+import hashlib
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+from behave import given, then, when
+
+from soak.callers import LAST_EVENT, Seen
+from soak.checks import Violation, check_answers, check_in_time, check_runs
+from soak.runs import Order, play
+
+SERVER = "i-engine-1"
+ROUTER = "127.0.0.1:80"
+
+
+@when("the soak plays seed {seed:d} for {seconds:g} s")
+def play_seed(context: Any, seed: int, seconds: float) -> None:
+    context.result = play(Order(seed, seconds))
+
+
+@then("no promise was broken, and callers were served")
+def check_result(context: Any) -> None:
+    assert not context.result.violations, context.result
+    assert context.result.statuses.get(200, 0) > 0, context.result
+
+
+@given('an attempt with a whole answer of "{server}" that was run once')
+def make_attempt(context: Any, server: str) -> None:
+    seal = hashlib.sha256(f"{server}/x1".encode()).hexdigest()[:16]
+    events = list(range(1, LAST_EVENT + 1))
+    context.whole = Seen(
+        "x1", "/summary/a", ROUTER, 1.0, 1.5, 200, False, False, False, seal, "x1", "", events
+    )
+
+
+def _check(seen: Seen, runs: dict[str, int]) -> list[Violation]:
+    found = check_answers([seen], [SERVER])
+    found += check_runs([seen], runs)
+    return found + check_in_time([seen], [], {ROUTER: "edge-1"}, 0.0)
+
+
+@then("the checks find nothing")
+def check_nothing(context: Any) -> None:
+    assert not _check(context.whole, {"x1": 1})
+
+
+SPOILT: dict[str, Callable[[Seen], tuple[Seen, dict[str, int]]]] = {
+    "seal": lambda whole: (replace(whole, seal="other"), {"x1": 1}),
+    "events": lambda whole: (replace(whole, event_ids=[1, 3]), {"x1": 1}),
+    "id": lambda whole: (replace(whole, shown_id="x2"), {"x1": 1}),
+    "run": lambda whole: (whole, {"x1": 2}),
+    "refusal": lambda whole: (replace(whole, status=503, retry_after=True), {"x1": 1}),
+    "denial": lambda whole: (replace(whole, status=404), {}),
+    "return": lambda whole: (replace(whole, status=503), {}),
+    "sender": lambda whole: (whole, {"x1": 1, "x9": 1}),
+    "deadline": lambda whole: (replace(whole, status=0, timed_out=True), {}),
+}
+
+
+@then("each of these is found when it is spoilt")
+def check_spoilt(context: Any) -> None:
+    assert {row["fault"] for row in context.table} == set(SPOILT)
+    for row in context.table:
+        found = _check(*SPOILT[row["fault"]](context.whole))
+        promises = [violation.promise for violation in found]
+        assert any(promise.startswith(row["promise"]) for promise in promises), (row, found)
