--- a/packages/core/src/myrtlehook_core/version/configurations.py
+++ b/packages/core/src/myrtlehook_core/version/configurations.py
@@ -40,6 +40,8 @@
     key_digests: tuple[str, ...]
     pools: frozenset[str]
     limits: QueueLimits
+    priority: int | None = None
+    """Rank of its requests, 0 the highest; None leaves that to their routes."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/router/src/myrtlehook_router/request/gateways.py
+++ b/packages/router/src/myrtlehook_router/request/gateways.py
@@ -132,6 +132,7 @@
 def specify(services: GatewayServices, request: RoutedRequest, body: bytes) -> RequestSpecification:
     """Describe a request to the core."""
     route = request.route
+    own_priority = request.workspace.priority
     prompt = read_prompt(request.headers, services.names)
     return RequestSpecification(
         request_id=scope_id(request.workspace.name, request.request_id),
@@ -146,7 +147,7 @@
         output_tokens=prompt.output_tokens,
         prompt_parts=prompt.parts,
         aim_deadline_s=request.arrived_at_s + route.aim_s,
-        priority=route.priority,
+        priority=route.priority if own_priority is None else own_priority,
     )
 
 
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -188,6 +188,11 @@
     When "planners" sends 6 requests to "/valve/a" through router 1
     Then the log of router 1 or 2 tells "ejected"
 
+  Scenario: A workspace's own priority comes before the route's
+    When the configuration gives "planners" the priority 0
+    Then a request of "planners" on a route of priority 1 has the priority 0
+    And a request of "dispatch" on a route of priority 1 has the priority 1
+
   @nodes.1.empty
   Scenario: Without a configuration a router says that it knows none
     When "planners" sends "GET" "/setpoint/a" with "" tokens to router 1
--- a/tests/steps/platform_operator_steps.py
+++ b/tests/steps/platform_operator_steps.py
@@ -1,15 +1,20 @@
 """Steps of the platform's operator: configurations, the store, settings, logs, metrics."""
 
+import json
 import re
 import signal
 import subprocess
 import sys
+from types import SimpleNamespace
 from typing import Any
 
 from behave import given, then, when
 from platform_steps import METRICS_PORT, node, send_attempt
 
-from emulator.sites import make_configuration
+from emulator.sites import HOST, make_configuration
+from myrtlehook_platform.configuration import parse_configuration
+from myrtlehook_platform.settings import HEADER_NAMES
+from myrtlehook_router.request.gateways import specify
 from standins.network import wait_for
 from standins.nodes import Node, fetch
 
@@ -151,3 +156,27 @@
     assert context.command.returncode == status, context.command
     for name in names.split(", "):
         assert name in context.command.stderr, context.command.stderr
+
+
+@when('the configuration gives "{workspace}" the priority {priority:d}')
+def give_priority(context: Any, workspace: str, priority: int) -> None:
+    content = make_configuration(1)
+    for tenant in content["Tenants"]:
+        if tenant["Name"] == workspace:
+            tenant["Priority"] = priority
+    context.parsed = parse_configuration(json.dumps(content)).unwrap()
+
+
+@then('a request of "{workspace}" on a route of priority 1 has the priority {priority:d}')
+def check_priority(context: Any, workspace: str, priority: int) -> None:
+    found: Any = SimpleNamespace(
+        headers=(),
+        route=context.parsed.routes.routes_by_host[HOST][0],
+        request_id="x1",
+        workspace=context.parsed.workspaces[workspace],
+        arrived_at_s=0.0,
+        deadline_s=1.0,
+    )
+    services: Any = SimpleNamespace(names=HEADER_NAMES)
+    assert found.route.priority == 1, found.route
+    assert specify(services, found, b"").priority == priority
