--- a/packages/core/src/myrtlehook_core/process/source_readers.py
+++ b/packages/core/src/myrtlehook_core/process/source_readers.py
@@ -28,8 +28,9 @@
 
 DECIDE_INTERVAL_S = 0.1
 
-OUTAGE_MEMORY_S = 3.0
-"""How long after an outage of the source entries may still be missing by it."""
+OUTAGE_MEMORY_S = 1.0
+"""How long after an outage of the source a first list may still lack entries by it. Longer
+would keep servers that are really gone in use."""
 
 
 @dataclass(slots=True)
