--- /dev/null
+++ b/tests/steps/accountant_steps.py
@@ -0,0 +1,53 @@
+"""Steps of a pool's accountant: its sums against the reports that it heard."""
+
+from collections import Counter
+from typing import Any
+
+from behave import then
+from hypothesis import given
+from hypothesis import strategies as st
+
+from myrtlehook_core.process.accountants import (
+    LEVEL_INTERVAL_S,
+    REPORT_LEASE_S,
+    UNLIMITED,
+    PoolAccount,
+    find_level,
+    take_demand,
+)
+from myrtlehook_core.process.admission_messages import DemandReport, DemandRow
+
+
+@then("for any reports of any routers, the level is the one of the last reports together")
+def check_sums(context: Any) -> None:
+    row = st.builds(DemandRow, st.sampled_from(["a", "b", "c", "d"]), st.integers(0, 5000))
+    reports = st.lists(st.tuples(st.sampled_from(["r1", "r2", "r3"]), st.lists(row, max_size=4)))
+
+    @given(reports, st.integers(1, 20_000))
+    def check(heard: list[tuple[str, list[DemandRow]]], capacity: int) -> None:
+        accounts: dict[str, PoolAccount] = {}
+        now_s = 0.0
+        for router, rows in heard:
+            now_s += LEVEL_INTERVAL_S / 3.0
+            take_demand(accounts, router, DemandReport("p", tuple(rows)), capacity, now_s)
+        # Any later report brings the level up to date.
+        now_s += LEVEL_INTERVAL_S
+        told = take_demand(accounts, "r9", DemandReport("p", ()), capacity, now_s)
+        sums = _sum_last(heard, now_s)
+        level = find_level(list(sums.values()), float(capacity))
+        assert told.level_tokens == (UNLIMITED if level is None else round(level)), (told, sums)
+
+    check()
+
+
+def _sum_last(heard: list[tuple[str, list[DemandRow]]], now_s: float) -> Counter[str]:
+    """Add up the last report of each router that is not too old."""
+    last: dict[str, tuple[float, list[DemandRow]]] = {}
+    for number, (router, rows) in enumerate(heard, start=1):
+        last[router] = (number * LEVEL_INTERVAL_S / 3.0, rows)
+    sums: Counter[str] = Counter()
+    for heard_at_s, rows in last.values():
+        if now_s < heard_at_s + REPORT_LEASE_S:
+            for row in rows:
+                sums[row.workspace] += row.asked_tokens
+    return +sums
--- a/tests/steps/admission_steps.py
+++ b/tests/steps/admission_steps.py
@@ -22,14 +22,7 @@
     choose_pool,
     find_route,
 )
-from myrtlehook_core.process.accountants import (
-    LEVEL_INTERVAL_S,
-    REPORT_LEASE_S,
-    UNLIMITED,
-    PoolAccount,
-    find_level,
-    take_demand,
-)
+from myrtlehook_core.process.accountants import find_level, take_demand
 from myrtlehook_core.process.admission_messages import DemandReport, DemandRow
 from myrtlehook_core.process.ejections import (
     FAILURES_IN_A_ROW,
@@ -317,38 +310,3 @@
     assert health.ejected_until_s == 1.0 + FIRST_EJECTION_S, health
     assert note_end(health, True, 2.0)
     assert health.ejected_until_s == 2.0 + 2 * FIRST_EJECTION_S, health
-
-
-@then("for any reports of any routers, the level is the one of the last reports together")
-def check_sums(context: Any) -> None:
-    row = st.builds(DemandRow, st.sampled_from(["a", "b", "c", "d"]), st.integers(0, 5000))
-    reports = st.lists(st.tuples(st.sampled_from(["r1", "r2", "r3"]), st.lists(row, max_size=4)))
-
-    @given(reports, st.integers(1, 20_000))
-    def check(heard: list[tuple[str, list[DemandRow]]], capacity: int) -> None:
-        accounts: dict[str, PoolAccount] = {}
-        now_s = 0.0
-        for router, rows in heard:
-            now_s += LEVEL_INTERVAL_S / 3.0
-            take_demand(accounts, router, DemandReport("p", tuple(rows)), capacity, now_s)
-        # Any later report brings the level up to date.
-        now_s += LEVEL_INTERVAL_S
-        told = take_demand(accounts, "r9", DemandReport("p", ()), capacity, now_s)
-        sums = _sum_last(heard, now_s)
-        level = find_level(list(sums.values()), float(capacity))
-        assert told.level_tokens == (UNLIMITED if level is None else round(level)), (told, sums)
-
-    check()
-
-
-def _sum_last(heard: list[tuple[str, list[DemandRow]]], now_s: float) -> Counter[str]:
-    """Add up the last report of each router that is not too old."""
-    last: dict[str, tuple[float, list[DemandRow]]] = {}
-    for number, (router, rows) in enumerate(heard, start=1):
-        last[router] = (number * LEVEL_INTERVAL_S / 3.0, rows)
-    sums: Counter[str] = Counter()
-    for heard_at_s, rows in last.values():
-        if now_s < heard_at_s + REPORT_LEASE_S:
-            for row in rows:
-                sums[row.workspace] += row.asked_tokens
-    return +sums
