--- a/tests/steps/accountant_steps.py
+++ b/tests/steps/accountant_steps.py
@@ -8,7 +8,6 @@
 from hypothesis import strategies as st
 
 from myrtlehook_core.process.accountants import (
-    LEVEL_INTERVAL_S,
     REPORT_LEASE_S,
     UNLIMITED,
     PoolAccount,
@@ -17,6 +16,9 @@
 )
 from myrtlehook_core.process.admission_messages import DemandReport, DemandRow
 
+REPORT_STEP_S = 0.15
+"""Some reports of a history are then older than their lease at its end."""
+
 
 @then("for any reports of any routers, the level is the one of the last reports together")
 def check_sums(context: Any) -> None:
@@ -28,10 +30,10 @@
         accounts: dict[str, PoolAccount] = {}
         now_s = 0.0
         for router, rows in heard:
-            now_s += LEVEL_INTERVAL_S / 3.0
+            now_s += REPORT_STEP_S
             take_demand(accounts, router, DemandReport("p", tuple(rows)), capacity, now_s)
         # Any later report brings the level up to date.
-        now_s += LEVEL_INTERVAL_S
+        now_s += REPORT_STEP_S
         told = take_demand(accounts, "r9", DemandReport("p", ()), capacity, now_s)
         sums = _sum_last(heard, now_s)
         level = find_level(list(sums.values()), float(capacity))
@@ -44,7 +46,7 @@
     """Add up the last report of each router that is not too old."""
     last: dict[str, tuple[float, list[DemandRow]]] = {}
     for number, (router, rows) in enumerate(heard, start=1):
-        last[router] = (number * LEVEL_INTERVAL_S / 3.0, rows)
+        last[router] = (number * REPORT_STEP_S, rows)
     sums: Counter[str] = Counter()
     for heard_at_s, rows in last.values():
         if now_s < heard_at_s + REPORT_LEASE_S:
