--- a/packages/core/src/myrtlehook_core/__init__.py
+++ b/packages/core/src/myrtlehook_core/__init__.py
@@ -19,12 +19,26 @@
 )
 from myrtlehook_core.process.engine_loads import EngineFigures
 from myrtlehook_core.process.events import Event
-from myrtlehook_core.process.members import MemberState, RouterIdentity
-from myrtlehook_core.process.messages import Envelope, decode_envelope, encode_envelope
+from myrtlehook_core.process.members import Member, MemberState, MemberTable, RouterIdentity
+from myrtlehook_core.process.messages import (
+    EncodedEnvelope,
+    Envelope,
+    decode_envelope,
+    encode_envelope,
+    encode_message,
+)
+from myrtlehook_core.process.neighbours import (
+    Neighbours,
+    choose_neighbour,
+    note_closed,
+    note_opened,
+    note_short,
+    passes_on,
+)
 from myrtlehook_core.process.option_files import change_options
 from myrtlehook_core.process.options import CoreOptions
 from myrtlehook_core.process.routers import RouterCore
-from myrtlehook_core.process.shedding import Shedding, note_lag, sheds
+from myrtlehook_core.process.shedding import Shedding, book_return, note_lag, sheds
 from myrtlehook_core.process.statuses import RouterStatus, describe_router
 from myrtlehook_core.request.admission import QueueLimits
 from myrtlehook_core.request.outcomes import DropReason, Outcome, RefusalReason, RetryReason
@@ -149,7 +163,15 @@
     "EventVerdict",
     "Finding",
     "ManifestDocument",
+    "Member",
     "MemberState",
+    "MemberTable",
+    "Neighbours",
+    "choose_neighbour",
+    "note_closed",
+    "note_opened",
+    "note_short",
+    "passes_on",
     "Outcome",
     "PartDocument",
     "PartReference",
@@ -175,12 +197,15 @@
     "decode_envelope",
     "describe_router",
     "digest_text",
+    "EncodedEnvelope",
     "encode_envelope",
+    "encode_message",
     "events",
     "find_inconsistencies",
     "join_parts",
     "judge_event",
     "make_weighted_chooser",
+    "book_return",
     "note_lag",
     "sheds",
     "messages",
--- a/packages/core/src/myrtlehook_core/process/members.py
+++ b/packages/core/src/myrtlehook_core/process/members.py
@@ -31,6 +31,7 @@
     address: str
     incarnation: int
     """Greater than that of any earlier process of this router."""
+    availability_zone: str = ""
 
 
 @dataclass(slots=True)
@@ -50,6 +51,7 @@
     """Never heard of but through the VM list."""
     gone: bool = False
     """Was leaving and answers no more: nothing is sent to it until it is news again."""
+    availability_zone: str = ""
 
 
 @dataclass(slots=True)
@@ -116,12 +118,20 @@
     """Return this router's news of itself."""
     state = MemberState.LEAVING if table.draining else MemberState.ALIVE
     identity = table.identity
-    return MemberRow(identity.router_id, identity.address, table.incarnation, int(state))
+    return _make_row(
+        identity.router_id, identity.address, table.incarnation, state, identity.availability_zone
+    )
 
 
 def member_row(member: Member) -> MemberRow:
     """Return the news of one member."""
-    return MemberRow(member.router_id, member.address, member.incarnation, int(member.state))
+    return _make_row(
+        member.router_id,
+        member.address,
+        member.incarnation,
+        member.state,
+        member.availability_zone,
+    )
 
 
 def add_candidate(table: MemberTable, router_id: str, address: str, now_s: float) -> None:
@@ -147,13 +157,15 @@
     except ValueError:
         return
     member = table.members.get(row.router_id)
+    address = row.address or row.router_id
     if member is None:
-        member = Member(row.router_id, row.address, -1, MemberState.DEAD, changed_at_s=now_s)
+        member = Member(row.router_id, address, -1, MemberState.DEAD, changed_at_s=now_s)
         table.members[row.router_id] = member
     if (row.incarnation, state) <= (member.incarnation, member.state) and member.incarnation >= 0:
         return
     member.incarnation = row.incarnation
-    member.address = row.address
+    member.address = address
+    member.availability_zone = row.availability_zone
     member.silent = False
     member.gone = False
     change_state(table, member, state, now_s, suspicion_s)
@@ -216,6 +228,13 @@
     return tuple(rows)
 
 
+def _make_row(
+    router_id: str, address: str, incarnation: int, state: MemberState, zone: str
+) -> MemberRow:
+    told_address = "" if address == router_id else address
+    return MemberRow(router_id, told_address, incarnation, int(state), zone)
+
+
 def _refute(table: MemberTable, row: MemberRow) -> None:
     mine = own_row(table)
     if (row.incarnation, row.state) > (mine.incarnation, mine.state):
--- a/packages/core/src/myrtlehook_core/process/messages.py
+++ b/packages/core/src/myrtlehook_core/process/messages.py
@@ -151,8 +151,10 @@
 
     router_id: str
     address: str
+    """Empty when it is the id: a row rides on every probe."""
     incarnation: int
     state: int
+    availability_zone: str = ""
 
 
 class LeavingRow(msgspec.Struct, frozen=True, array_like=True):
@@ -275,15 +277,28 @@
     messages: tuple[Message, ...]
 
 
+class EncodedEnvelope(msgspec.Struct, frozen=True, array_like=True):
+    """An envelope whose messages are encoded already, and counted one by one."""
+
+    sender: str
+    incarnation: int
+    messages: tuple[msgspec.Raw, ...]
+
+
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(Envelope)
 
 
-def encode_envelope(envelope: Envelope) -> bytes:
+def encode_envelope(envelope: Envelope | EncodedEnvelope) -> bytes:
     """Return the wire form of an envelope."""
     return _ENCODER.encode(envelope)
 
 
+def encode_message(message: Message) -> msgspec.Raw:
+    """Return the wire form of one message, to be put into an envelope."""
+    return msgspec.Raw(_ENCODER.encode(message))
+
+
 def decode_envelope(content: bytes) -> Envelope:
     """Read an envelope.
 
--- /dev/null
+++ b/packages/core/src/myrtlehook_core/process/neighbours.py
@@ -0,0 +1,100 @@
+"""Which other router takes a connection that this one has no processor time for.
+
+A router cannot know how busy each of hundreds of others is. Of two drawn from the own
+availability zone it chooses the one that it has given less, and one that is short of
+processor time itself says so at once and is left alone for a while.
+"""
+
+from dataclasses import dataclass, field
+
+from myrtlehook_core.process.choosers import Draw
+from myrtlehook_core.process.members import Member, MemberState, MemberTable
+from myrtlehook_core.process.options import CoreOptions
+
+SHORT_S = 1.0
+"""A neighbour that was short itself is not asked again for this long."""
+
+CANDIDATES = 2
+"""Two drawn at random spread load nearly as well as knowing all of them."""
+
+
+@dataclass(slots=True)
+class Neighbours:
+    """The routers that may help this one, and what it has given them."""
+
+    members_version: int = -1
+    usable: tuple[str, ...] = ()
+    """Ids, those of the own availability zone if there are any."""
+    open_connections: dict[str, int] = field(default_factory=dict)
+    """By router, connections that it serves for this one."""
+    short_until_s: dict[str, float] = field(default_factory=dict)
+    owed: float = 0.0
+    """Connections due to be passed on; one is at each whole number."""
+
+
+def passes_on(
+    neighbours: Neighbours, options: CoreOptions, busy_part: float, is_crowded: bool
+) -> bool:
+    """Count a new connection, and tell whether another router is to serve it.
+
+    :param busy_part: the part of its processor time that this router uses.
+    :param is_crowded: callers' connections nearly fill what this router may hold.
+    """
+    span_part = options.passing_all_part - options.passing_starts_part
+    risen_part = (busy_part - options.passing_starts_part) / span_part
+    part = 1.0 if is_crowded else min(max(risen_part, 0.0), 1.0)
+    neighbours.owed += part
+    if neighbours.owed < 1.0:
+        return False
+    neighbours.owed -= 1.0
+    return True
+
+
+def choose_neighbour(
+    neighbours: Neighbours, table: MemberTable, now_s: float, draw: Draw, tried: frozenset[str]
+) -> Member | None:
+    """Return the router to pass a connection on to; None when nobody can be asked."""
+    _follow_members(neighbours, table)
+    free = [
+        name
+        for name in neighbours.usable
+        if name not in tried and now_s >= neighbours.short_until_s.get(name, 0.0)
+    ]
+    if not free:
+        return None
+    drawn = [free[int(draw() * len(free))] for _ in range(CANDIDATES)]
+    chosen = min(drawn, key=lambda name: neighbours.open_connections.get(name, 0))
+    return table.members[chosen]
+
+
+def note_opened(neighbours: Neighbours, router_id: str) -> None:
+    """Count a connection that a neighbour was asked to serve."""
+    count = neighbours.open_connections.get(router_id, 0)
+    neighbours.open_connections[router_id] = count + 1
+
+
+def note_closed(neighbours: Neighbours, router_id: str) -> None:
+    """Count a connection that a neighbour serves no more."""
+    count = neighbours.open_connections.get(router_id, 0) - 1
+    if count > 0:
+        neighbours.open_connections[router_id] = count
+    else:
+        neighbours.open_connections.pop(router_id, None)
+
+
+def note_short(neighbours: Neighbours, router_id: str, now_s: float) -> None:
+    """Leave a neighbour alone for a while that took no connection."""
+    neighbours.short_until_s[router_id] = now_s + SHORT_S
+
+
+def _follow_members(neighbours: Neighbours, table: MemberTable) -> None:
+    if neighbours.members_version == table.version:
+        return
+    neighbours.members_version = table.version
+    alive = [member for member in table.members.values() if member.state is MemberState.ALIVE]
+    zone = table.identity.availability_zone
+    near = [member for member in alive if member.availability_zone == zone]
+    neighbours.usable = tuple(sorted(member.router_id for member in near or alive))
+    known = set(neighbours.usable)
+    for name in neighbours.short_until_s.keys() - known:
+        del neighbours.short_until_s[name]
--- a/packages/core/src/myrtlehook_core/process/options.py
+++ b/packages/core/src/myrtlehook_core/process/options.py
@@ -85,6 +85,14 @@
     """Whether a backend server that fails again and again is left alone for a while."""
     sheds_overload: bool = True
     """Whether a router short of processor time turns requests away."""
+    passes_connections: bool = True
+    """Whether a router short of processor time has neighbours serve callers of its own."""
+    passing_starts_part: float = 0.6
+    """Below this part of its processor time, a router serves every new connection itself;"""
+    passing_all_part: float = 0.85
+    """from here on it passes each on, and in between a part of them."""
+    helping_limit_part: float = 0.7
+    """A router that uses this part of its processor time takes no connection of another."""
     capacity_factor: float = 1.0
     """Corrects what a configuration says that its engines produce."""
     source_readers: int = 0
--- a/packages/core/src/myrtlehook_core/process/shedding.py
+++ b/packages/core/src/myrtlehook_core/process/shedding.py
@@ -11,6 +11,8 @@
 import math
 from dataclasses import dataclass, field
 
+from myrtlehook_core.process.choosers import Draw
+
 LAG_LIMIT_S = 0.012
 """A turn takes part in many steps of a request, each of which waits this long."""
 
@@ -33,6 +35,16 @@
 COUNT_S = 1.0
 """Requests are counted over about this long to find the largest workspaces."""
 
+SHORTEST_RETURN_S = 0.2
+"""A shortage lasts at least as long as it takes to notice its end."""
+
+RETURN_PART = 0.5
+"""Callers who come back as told are to be at most this part of what is served; the rest is
+for requests that come for the first time."""
+
+LONGEST_WAIT_PART = 1.0 / 3.0
+"""Of the time that a caller has left: whoever returns later has no time for an answer."""
+
 
 @dataclass(slots=True)
 class Shedding:
@@ -49,6 +61,10 @@
     """Requests by workspace, the earlier ones counting less and less."""
     owed: dict[str, float] = field(default_factory=dict)
     """By workspace, refusals due; one is made at each whole number."""
+    served: float = 0.0
+    """Requests that were not refused, the earlier ones counting less and less."""
+    next_return_s: float = 0.0
+    """When the caller that was refused last was told to come back."""
 
 
 def note_lag(shedding: Shedding, lag_s: float, now_s: float) -> bool:
@@ -73,11 +89,31 @@
     return shedding.part != before
 
 
+def book_return(shedding: Shedding, now_s: float, remaining_s: float, draw: Draw) -> float:
+    """Return after how many seconds a refused caller is to come back.
+
+    Callers are told times that follow one another as fast as this router can serve some
+    more. Those who cannot wait so long come back at times drawn from what they have left.
+    """
+    longest_s = remaining_s * LONGEST_WAIT_PART
+    pace_s = COUNT_S / (RETURN_PART * max(shedding.served, 1.0))
+    return_s = max(shedding.next_return_s, now_s + SHORTEST_RETURN_S) + pace_s
+    if return_s - now_s <= longest_s:
+        shedding.next_return_s = return_s
+        return return_s - now_s
+    return max(longest_s * (0.5 + 0.5 * draw()), 0.0)
+
+
 def sheds(shedding: Shedding, workspace: str) -> bool:
     """Count a request and tell whether it is to be refused."""
     shedding.counts[workspace] = shedding.counts.get(workspace, 0.0) + 1.0
-    if shedding.part <= 0.0:
-        return False
+    shed = shedding.part > 0.0 and _owes_refusal(shedding, workspace)
+    if not shed:
+        shedding.served += 1.0
+    return shed
+
+
+def _owes_refusal(shedding: Shedding, workspace: str) -> bool:
     largest = max(shedding.counts.values())
     if shedding.counts[workspace] < LARGE_PART * largest:
         return False
@@ -90,5 +126,6 @@
 
 def _forget_counts(shedding: Shedding) -> None:
     kept_part = 1.0 - INTERVAL_S / COUNT_S
+    shedding.served *= kept_part
     counts = {name: count * kept_part for name, count in shedding.counts.items()}
     shedding.counts = {name: count for name, count in counts.items() if count > SMALLEST_COUNT}
--- a/packages/operator/src/myrtlehook_operator/process/commands.py
+++ b/packages/operator/src/myrtlehook_operator/process/commands.py
@@ -93,7 +93,10 @@
     else:
         print_story(story)
     if not story:
-        print_error(f"{request_id}: no line of {len(logs)} logs tells of it")
+        print_error(
+            f"{request_id}: no line of {len(logs)} logs tells of it; if it was refused in an"
+            " overload, it is in a sum of `requests refused`, which name only a few ids"
+        )
         raise typer.Exit(EXIT_REFUSED)
 
 
@@ -108,7 +111,15 @@
     report = report_losses(_read_file(path).splitlines() for path in logs)
     if as_json:
         tables = {name: [asdict(row) for row in found] for name, found in report.tables.items()}
-        print_json({"requests": report.requests, "lost": report.lost, "tables": tables})
+        print_json(
+            {
+                "requests": report.requests,
+                "lost": report.lost,
+                "summed": report.summed,
+                "dropped_lines": report.dropped_lines,
+                "tables": tables,
+            }
+        )
     else:
         print_losses(report, rows)
     if plot is not None:
--- a/packages/operator/src/myrtlehook_operator/process/reports.py
+++ b/packages/operator/src/myrtlehook_operator/process/reports.py
@@ -132,6 +132,10 @@
 def print_losses(report: LossReport, most_rows: int) -> None:
     """Print what was lost, a table for each dimension."""
     OUT.print(f"{report.lost} of {report.requests} requests lost something")
+    if report.summed:
+        OUT.print(f"{report.summed} of them were refused and are told in sums, without their ids")
+    for vm, lines in sorted(report.dropped_lines.items()):
+        OUT.print(f"the log of {vm} is incomplete: it could not write {lines} lines")
     for dimension, losses in report.tables.items():
         table = Table(dimension, "kind", "reason", "requests", "prompt tokens", "explain")
         for loss in losses[:most_rows]:
--- a/packages/operator/src/myrtlehook_operator/request/losses.py
+++ b/packages/operator/src/myrtlehook_operator/request/losses.py
@@ -4,14 +4,19 @@
 by route, workspace, second and router, so that the largest sum shows where to look first.
 """
 
-import json
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from datetime import datetime
 from enum import StrEnum
 from typing import Any
 
+from myrtlehook_operator.request.stories import read_line
+
 REFUSED_PREFIX = "refused: "
+REFUSED = "request refused"
+SUM_REFUSED = "requests refused"
+LINES_DROPPED = "log lines dropped"
+ENDS = frozenset({"request ended", REFUSED, SUM_REFUSED})
 
 
 class LossKind(StrEnum):
@@ -42,6 +47,8 @@
     kind: LossKind | None
     """None when nothing was lost."""
     reason: str
+    requests: int = 1
+    """More than one where the log tells of refusals in a sum."""
 
 
 @dataclass(slots=True)
@@ -64,6 +71,10 @@
 
     requests: int = 0
     lost: int = 0
+    summed: int = 0
+    """Of the lost ones, those that logs tell of in sums only, without their ids."""
+    dropped_lines: dict[str, int] = field(default_factory=dict)
+    """By router, log lines that it could not write: its log is incomplete."""
     begins_s: float = 0.0
     ends: list[RequestEnd] = field(default_factory=list)
     tables: dict[str, list[Loss]] = field(default_factory=dict)
@@ -73,11 +84,14 @@
 def report_losses(logs: Iterable[Iterable[str]]) -> LossReport:
     """Sum up the losses that logs tell of."""
     report = LossReport()
-    report.ends = [end for log in logs for line in log if (end := read_end(line)) is not None]
-    report.requests = len(report.ends)
+    for log in logs:
+        for line in log:
+            _take_line(report, line)
+    report.requests = sum(end.requests for end in report.ends)
+    report.summed = sum(end.requests for end in report.ends if end.requests > 1)
     report.begins_s = min((end.at_s for end in report.ends), default=0.0)
     lost = [end for end in report.ends if end.kind is not None]
-    report.lost = len(lost)
+    report.lost = sum(end.requests for end in lost)
     begins_s = report.begins_s
     report.tables = {
         "reason": _sum_by(lost, lambda end: "all"),
@@ -94,30 +108,40 @@
 
     Whatever collects logs may put words of its own before each line.
     """
-    start = line.find("{")
-    if start < 0 or '"request ' not in line:
-        return None
-    try:
-        content = json.loads(line[start:])
-    except ValueError:
+    if '"request' not in line:
         return None
-    if content.get("event") not in ("request ended", "request refused"):
+    content = read_line(line)
+    if content is None or content.get("event") not in ENDS:
         return None
     kind, reason = _judge(content)
+    ids = content.get("request_ids") or [""]
     return RequestEnd(
         at_s=_read_time(str(content.get("timestamp", ""))),
-        request_id=str(content.get("request_id", "")),
+        request_id=str(content.get("request_id") or ids[0]),
         vm=str(content.get("vm", "")),
         route=str(content.get("route") or ""),
         workspace=str(content.get("workspace") or ""),
         tokens=int(content.get("prompt_tokens") or 0),
         kind=kind,
         reason=reason,
+        requests=int(content.get("requests") or 1),
     )
 
 
+def _take_line(report: LossReport, line: str) -> None:
+    end = read_end(line)
+    if end is not None:
+        report.ends.append(end)
+        return
+    content = read_line(line) if LINES_DROPPED in line else None
+    if content is not None and content.get("event") == LINES_DROPPED:
+        vm = str(content.get("vm", ""))
+        lines = int(content.get("lines") or 0)
+        report.dropped_lines[vm] = report.dropped_lines.get(vm, 0) + lines
+
+
 def _judge(content: dict[str, Any]) -> tuple[LossKind | None, str]:
-    if content["event"] == "request refused":
+    if content["event"] in (REFUSED, SUM_REFUSED):
         return LossKind.REFUSED, str(content.get("reason", ""))
     detail = str(content.get("detail", ""))
     if content.get("outcome") == "not-run":
@@ -143,7 +167,7 @@
         loss = sums.get(key)
         if loss is None:
             loss = sums[key] = Loss(key[0], end.kind, end.reason, example=end.request_id)
-        loss.requests += 1
+        loss.requests += end.requests
         loss.tokens += end.tokens
     return sorted(sums.values(), key=lambda loss: (-loss.requests, loss.place, loss.reason))
 
--- a/packages/operator/src/myrtlehook_operator/request/stories.py
+++ b/packages/operator/src/myrtlehook_operator/request/stories.py
@@ -30,7 +30,7 @@
         _make_line(content)
         for log in logs
         for line in log
-        if request_id in line and (content := _read_line(line)) is not None
+        if request_id in line and (content := read_line(line)) is not None
         if _is_named(content, request_id)
     ]
     return sorted(found, key=lambda line: (line.timestamp, line.vm))
@@ -39,10 +39,14 @@
 def _is_named(content: dict[str, Any], request_id: str) -> bool:
     """Tell whether a line is of a request; the core's lines name its workspace as well."""
     named = str(content.get("request_id", ""))
-    return named == request_id or named.endswith(f"/{request_id}")
+    if named == request_id or named.endswith(f"/{request_id}"):
+        return True
+    # A sum of refusals names a few of its requests.
+    return request_id in (content.get("request_ids") or ())
 
 
-def _read_line(line: str) -> dict[str, Any] | None:
+def read_line(line: str) -> dict[str, Any] | None:
+    """Read one log line; None when it is no JSON object."""
     start = line.find("{")
     if start < 0:
         return None
--- /dev/null
+++ b/packages/router/src/myrtlehook_router/connection/passing.py
@@ -0,0 +1,234 @@
+"""Passes callers' connections on to a neighbour while this router is short of processor time.
+
+The neighbour decides, sends and answers as for callers of its own; only bytes cross this
+router. A connection is given back to be served here when no neighbour takes it.
+"""
+
+import errno
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from eventlet import hubs, patcher
+
+from myrtlehook_core import (
+    Member,
+    MemberState,
+    MemberTable,
+    Neighbours,
+    choose_neighbour,
+    note_closed,
+    note_opened,
+    note_short,
+)
+from myrtlehook_router.connection.introductions import (
+    TAKEN,
+    Introduction,
+    write_introduction,
+)
+from myrtlehook_router.connection.splices import Splice
+from myrtlehook_router.process.counters import Counters
+
+VERDICT_TIMEOUT_S = 0.15
+"""A neighbour in the own zone answers within a few milliseconds unless it is short itself."""
+
+MOST_ASKED = 2
+"""Neighbours asked for one connection before it is served here."""
+
+UNSENT_TIMEOUT_MS = 2000
+"""A neighbour that acknowledges nothing for this long is gone."""
+
+_socket = patcher.original("socket")
+"""eventlet's own sockets would wait in a task, and here are none."""
+
+Accepted = tuple[Any, Any]
+"""A connection as eventlet accepted it, with its other end's address."""
+
+
+@dataclass(frozen=True, slots=True)
+class PassingPlaces:
+    """Who passes connections on, and where to."""
+
+    router_id: str
+    fleet_key: str
+    port: int
+    """At which every router takes connections from its neighbours."""
+
+
+@dataclass(slots=True)
+class PassedConnection:
+    """One connection on its way to a neighbour."""
+
+    accepted: Accepted
+    give_back: Callable[[Accepted], None]
+    tried: set[str] = field(default_factory=set)
+    neighbour: str = ""
+    helper: Any = None
+    listener: Any = None
+    timer: Any = None
+    splice: Splice | None = None
+
+
+class Passer:
+    """All connections that neighbours serve for this router."""
+
+    def __init__(
+        self,
+        places: PassingPlaces,
+        table: MemberTable,
+        draw: Callable[[], float],
+        counters: Counters,
+    ) -> None:
+        self._places = places
+        self._table = table
+        self._draw = draw
+        self._counters = counters
+        self._passed: dict[int, PassedConnection] = {}
+        self.neighbours = Neighbours()
+
+    def pass_on(self, accepted: Accepted, give_back: Callable[[Accepted], None]) -> bool:
+        """Offer a caller's connection to a neighbour; False when there is none to ask.
+
+        :param give_back: called later if no neighbour takes the connection.
+        """
+        passed = PassedConnection(accepted, give_back)
+        if not self._ask(passed):
+            return False
+        self._passed[id(passed)] = passed
+        return True
+
+    def count_requests(self) -> int:
+        """Return how many connections carry a request to a neighbour."""
+        return sum(
+            passed.splice is not None and passed.splice.carries_request
+            for passed in self._passed.values()
+        )
+
+    def count_connections(self) -> int:
+        """Return how many connections neighbours serve or are asked to."""
+        return len(self._passed)
+
+    def drop_dead(self) -> None:
+        """Break off what routers serve that are dead by now: their callers may ask again."""
+        for passed in list(self._passed.values()):
+            member = self._table.members.get(passed.neighbour)
+            if member is not None and member.state is not MemberState.DEAD:
+                continue
+            if passed.splice is not None:
+                self._counters.add("passed.neighbour_died")
+                passed.splice.abort()
+
+    def _ask(self, passed: PassedConnection) -> bool:
+        """Ask the next neighbour; False when none is left."""
+        if len(passed.tried) >= MOST_ASKED:
+            return False
+        now_s = time.monotonic()
+        tried = frozenset(passed.tried)
+        member = choose_neighbour(self.neighbours, self._table, now_s, self._draw, tried)
+        if member is None:
+            return False
+        passed.tried.add(member.router_id)
+        passed.neighbour = member.router_id
+        note_opened(self.neighbours, member.router_id)
+        self._connect(passed, member)
+        return True
+
+    def _connect(self, passed: PassedConnection, member: Member) -> None:
+        helper = _socket.socket(_socket.AF_INET, _socket.SOCK_STREAM)
+        helper.setblocking(False)
+        helper.setsockopt(_socket.IPPROTO_TCP, _socket.TCP_NODELAY, 1)
+        helper.setsockopt(_socket.IPPROTO_TCP, _socket.TCP_USER_TIMEOUT, UNSENT_TIMEOUT_MS)
+        passed.helper = helper
+        hub = hubs.get_hub()
+        passed.timer = hub.schedule_call_global(
+            VERDICT_TIMEOUT_S, lambda: self._give_up(passed, "no_answer")
+        )
+        ip = member.address.rpartition(":")[0]
+        status = helper.connect_ex((ip, self._places.port))
+        if status not in (0, errno.EINPROGRESS):
+            # Not at once: the caller of this method has not stored the connection yet.
+            hub.schedule_call_global(0, lambda: self._give_up(passed, "not_connected"))
+            return
+        passed.listener = hub.add(
+            hubs.hub.WRITE,
+            helper.fileno(),
+            lambda _: self._introduce(passed),
+            lambda _: None,
+            lambda: None,
+        )
+
+    def _introduce(self, passed: PassedConnection) -> None:
+        helper = passed.helper
+        if helper is None:
+            return
+        self._stop_listening(passed)
+        status = helper.getsockopt(_socket.SOL_SOCKET, _socket.SO_ERROR)
+        if status:
+            self._give_up(passed, "not_connected")
+            return
+        introduction = Introduction(self._places.router_id, passed.neighbour)
+        try:
+            helper.send(write_introduction(introduction, self._places.fleet_key))
+        except OSError:
+            self._give_up(passed, "not_connected")
+            return
+        passed.listener = hubs.get_hub().add(
+            hubs.hub.READ,
+            helper.fileno(),
+            lambda _: self._take_verdict(passed),
+            lambda _: None,
+            lambda: None,
+        )
+
+    def _take_verdict(self, passed: PassedConnection) -> None:
+        helper = passed.helper
+        if helper is None:
+            return
+        try:
+            verdict = helper.recv(1)
+        except BlockingIOError:
+            return
+        except OSError:
+            verdict = b""
+        if verdict != TAKEN:
+            self._give_up(passed, "neighbour_short")
+            return
+        self._stop_listening(passed)
+        passed.timer.cancel()
+        self._counters.add("passed.connections")
+        connection = _take_over(passed.accepted)
+        passed.splice = Splice(connection, helper, lambda: self._forget(passed))
+        passed.splice.start()
+
+    def _give_up(self, passed: PassedConnection, reason: str) -> None:
+        """Ask another neighbour, or let this router serve the connection after all."""
+        if passed.helper is None or passed.splice is not None:
+            return
+        self._stop_listening(passed)
+        passed.timer.cancel()
+        passed.helper.close()
+        passed.helper = None
+        self._counters.add(f"passed.{reason}")
+        note_closed(self.neighbours, passed.neighbour)
+        note_short(self.neighbours, passed.neighbour, time.monotonic())
+        if self._ask(passed):
+            return
+        self._passed.pop(id(passed), None)
+        passed.give_back(passed.accepted)
+
+    def _stop_listening(self, passed: PassedConnection) -> None:
+        if passed.listener is not None:
+            hubs.get_hub().remove(passed.listener)
+            passed.listener = None
+
+    def _forget(self, passed: PassedConnection) -> None:
+        note_closed(self.neighbours, passed.neighbour)
+        self._passed.pop(id(passed), None)
+
+
+def _take_over(accepted: Accepted) -> Any:
+    """Return a caller's connection as one that eventlet's own object knows nothing of."""
+    connection = _socket.socket(fileno=accepted[0].fd.detach())
+    connection.setblocking(False)
+    return connection
--- a/packages/router/src/myrtlehook_router/process/gateway_daemons.py
+++ b/packages/router/src/myrtlehook_router/process/gateway_daemons.py
@@ -24,13 +24,14 @@
     events,
 )
 from myrtlehook_router.connection.clients import ClientPool, drop_rested
-from myrtlehook_router.connection.heads import make_strict_protocol
 from myrtlehook_router.connection.listeners import adopt_listener, open_listener, silent_log
+from myrtlehook_router.connection.passing import Passer, PassingPlaces
+from myrtlehook_router.process.caller_servers import CallerServer, CallerServices
 from myrtlehook_router.process.core_tasks import CoreTask
 from myrtlehook_router.process.counters import Counters
 from myrtlehook_router.process.engine_gauges import list_engine_gauges
 from myrtlehook_router.process.lags import watch_lag
-from myrtlehook_router.process.log_streams import BoundedStream
+from myrtlehook_router.process.log_streams import TELL_INTERVAL_S, BoundedStream
 from myrtlehook_router.process.logs import get_logger, set_up_logs
 from myrtlehook_router.process.mailboxes import Mailbox
 from myrtlehook_router.process.metrics import Metrics
@@ -39,6 +40,7 @@
 from myrtlehook_router.process.tasks import guard
 from myrtlehook_router.request.gateways import GatewayServices, make_gateway
 from myrtlehook_router.request.headers import HeaderNames
+from myrtlehook_router.request.refusal_sums import RefusalSums, tell_sums
 from myrtlehook_router.request.services import RequestServices
 from myrtlehook_router.request.tickets import TicketBook
 
@@ -54,8 +56,8 @@
 RELOAD_LOOK_S = 2.0
 """Settings may change without a signal; the file is read again this often."""
 
-CROWDED_PART = 0.5
-"""Beyond this part of the connections that fit, each ends after its answer."""
+NEIGHBOUR_CHECK_S = 0.2
+"""How often it is looked whether neighbours that serve callers of this router still live."""
 
 READY_PROTOCOL = wsgi.HttpProtocol
 
@@ -86,6 +88,11 @@
     drain_limit_s: float
     """How long after the signal to stop the process ends at the latest."""
     options: CoreOptions = field(default_factory=CoreOptions)
+    helping: Listener | None = None
+    """Where neighbours pass connections on; None where they do not."""
+    caller_descriptors: int = 0
+    """For callers' connections: one that is served here takes one, one that a neighbour
+    serves takes two."""
 
 
 class GatewayDaemon:
@@ -123,6 +130,7 @@
         self._tickets = TicketBook()
         self._clients = ClientPool()
         self._shedding = Shedding()
+        self._refusal_sums = RefusalSums()
         peers = settings.peers
         # A router is known by its address: nobody lists names for seeds.
         self._router_id = f"{peers.address}:{peers.port}"
@@ -133,6 +141,8 @@
         self._reading = ReadSwitch()
         self._core_task = self._make_core_task(incarnation)
         self._sources = list(make_sources(self._counters, self._reading))
+        self._passer = self._make_passer()
+        self._callers = self._make_caller_server()
 
     def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then drain; returns once nothing is left."""
@@ -145,6 +155,7 @@
         _log.info("started", router=self._router_id, seeds=self._settings.seeds)
         self._wait_until_drained(listener)
         self._peers.close()
+        self._tell_sums()
         _log.info(
             "stopped",
             open_requests=len(self._tickets),
@@ -166,7 +177,9 @@
         return time.monotonic() - self._started_at_s > PEER_WAIT_S
 
     def _make_core_task(self, incarnation: int) -> CoreTask:
-        identity = RouterIdentity(self._router_id, self._router_id, incarnation)
+        identity = RouterIdentity(
+            self._router_id, self._router_id, incarnation, self._settings.availability_zone
+        )
         core = RouterCore(identity, self._settings.options, random.random, self._settings.parser)
         core.add_seeds([(seed, seed) for seed in self._settings.seeds], time.monotonic())
         return CoreTask(
@@ -185,18 +198,24 @@
             self._core_task.run_forever,
             self._log_stream.write_forever,
             self._sweep_forever,
+            self._tell_sums_forever,
             self._reload_forever,
             lambda: self._peers.receive_forever(self._mailbox),
             lambda: _serve(settings.readiness, self._answer_readiness),
             lambda: _serve(settings.metrics, self._metrics.answer),
         ]
+        if settings.helping is not None and self._passer is not None:
+            helping = settings.helping
+            tasks.append(lambda: self._callers.serve_neighbours(helping))
+            tasks.append(self._follow_neighbours)
         if settings.options.sheds_overload:
             tasks.append(lambda: watch_lag(self._shedding))
         for source in self._sources:
             tasks.append(lambda source=source: source(self._mailbox))  # type: ignore[misc]
         return tasks
 
-    def _serve_callers(self) -> None:
+    def _make_caller_server(self) -> CallerServer:
+        settings = self._settings
         requests = RequestServices(
             mailbox=self._mailbox,
             tickets=self._tickets,
@@ -206,26 +225,42 @@
             is_refusing=lambda: self._refusing,
             body_limit_bytes=0,
             shedding=self._shedding,
+            refusal_sums=self._refusal_sums,
         )
-        application = make_gateway(GatewayServices(requests, self._settings.names, self._clients))
-        pool = eventlet.GreenPool(self._settings.connections)
+        services = CallerServices(
+            application=make_gateway(GatewayServices(requests, settings.names, self._clients)),
+            limits=self._limits,
+            is_draining=lambda: self._draining,
+            is_ready=self.is_ready,
+            counters=self._counters,
+            most_connections=settings.connections,
+            descriptors=settings.caller_descriptors or settings.connections,
+            router_id=self._router_id,
+            fleet_key=settings.fleet_key,
+            options=settings.options,
+        )
+        return CallerServer(services, self._passer)
 
-        def is_closing() -> bool:
-            # A full pool takes no callers: resting connections must not fill it.
-            return self._draining or pool.running() > CROWDED_PART * self._settings.connections
+    def _make_passer(self) -> Passer | None:
+        settings = self._settings
+        if settings.helping is None or not settings.options.passes_connections:
+            return None
+        places = PassingPlaces(self._router_id, settings.fleet_key, settings.helping.port)
+        return Passer(places, self._core_task.core.table, random.random, self._counters)
 
-        protocol = make_strict_protocol(self._limits, is_closing, self._counters)
+    def _serve_callers(self) -> None:
         opened = self._opened
-        wsgi.server(
-            open_listener(self._settings.callers) if opened is None else adopt_listener(opened),
-            application,
-            log=silent_log(),
-            log_output=False,
-            debug=False,
-            protocol=protocol,
-            custom_pool=pool,
-            capitalize_response_headers=False,
+        listener = (
+            open_listener(self._settings.callers) if opened is None else adopt_listener(opened)
         )
+        self._callers.serve(listener)
+
+    def _follow_neighbours(self) -> None:
+        """Break off what dead neighbours served; the loop of this task."""
+        while True:
+            eventlet.sleep(NEIGHBOUR_CHECK_S)
+            if self._passer is not None:
+                self._passer.drop_dead()
 
     def _limits(self) -> EntryLimits:
         return self._core_task.configuration.limits
@@ -248,8 +283,22 @@
             "shed_part": self._shedding.part,
             "reads_source": float(self._reading.wanted),
             "log_lines_dropped": self._log_stream.dropped_lines,
+            "busy_part": self._callers.meter.part,
+            "passed_connections": 0 if self._passer is None else self._passer.count_connections(),
         }
 
+    def _tell_sums_forever(self) -> None:
+        """Log what was too much for single lines; the loop of this task."""
+        while True:
+            eventlet.sleep(TELL_INTERVAL_S)
+            self._tell_sums()
+
+    def _tell_sums(self) -> None:
+        tell_sums(self._refusal_sums)
+        untold = self._log_stream.take_untold()
+        if untold:
+            _log.warning("log lines dropped", lines=untold)
+
     def _sweep_forever(self) -> None:
         while True:
             eventlet.sleep(SWEEP_INTERVAL_S)
@@ -290,6 +339,11 @@
         self._counters.add("settings.reloaded")
         _log.info("settings reloaded", seeds=settings.seeds, new_seeds=new_seeds)
 
+    def _count_open(self) -> int:
+        """Return how many requests of callers are under way, here or at neighbours."""
+        passed = 0 if self._passer is None else self._passer.count_requests()
+        return len(self._tickets) + passed
+
     def _wait_until_drained(self, listener: Any) -> None:
         while not self._draining:
             eventlet.sleep(DRAIN_CHECK_S)
@@ -301,7 +355,7 @@
         # the same, and they are to hear at once that another router has to serve them.
         self._refusing = True
         limit_s = stopped_at_s + self._settings.drain_limit_s
-        while len(self._tickets) > 0 and time.monotonic() < limit_s:
+        while self._count_open() > 0 and time.monotonic() < limit_s:
             eventlet.sleep(DRAIN_CHECK_S)
         eventlet.sleep(DRAIN_LINGER_S)
         # Ending the server closes its resting connections and takes no new ones.
--- a/packages/router/src/myrtlehook_router/process/logs.py
+++ b/packages/router/src/myrtlehook_router/process/logs.py
@@ -23,7 +23,9 @@
             structlog.processors.dict_tracebacks,
             structlog.processors.JSONRenderer(),
         ],
-        logger_factory=structlog.PrintLoggerFactory(file=stream or sys.stdout),
+        # It writes a line at once; another one that writes the line's end by itself would
+        # have a bounded stream count, and drop, half lines.
+        logger_factory=structlog.WriteLoggerFactory(file=stream or sys.stdout),
         cache_logger_on_first_use=True,
     )
 
--- a/packages/router/src/myrtlehook_router/process/peers.py
+++ b/packages/router/src/myrtlehook_router/process/peers.py
@@ -14,11 +14,12 @@
 
 from myrtlehook_core import (
     DropReason,
-    Envelope,
+    EncodedEnvelope,
     Listener,
     actions,
     decode_envelope,
     encode_envelope,
+    encode_message,
     events,
 )
 from myrtlehook_router.process.counters import Counters
@@ -54,12 +55,24 @@
         self.listed_ips: frozenset[str] | None = None
         """IP numbers of the VM list and the seeds; None until the list was read."""
 
-    def send(self, router_id: str, address: str, messages: tuple[actions.Message, ...]) -> None:
-        """Send messages to a router in one envelope, or drop and count them."""
+    def send(
+        self,
+        router_id: str,
+        address: str,
+        messages: tuple[actions.Message, ...],
+        is_near: bool = True,
+    ) -> None:
+        """Send messages to a router in one envelope, or drop and count them.
+
+        :param is_near: the router stands in the own availability zone.
+        """
         if router_id in self.cut_peers:
             self._drop(DropReason.CUT_FOR_TEST)
             return
-        content = encode_envelope(Envelope(self._router_id, self._incarnation, messages))
+        encoded = tuple(encode_message(message) for message in messages)
+        envelope = EncodedEnvelope(self._router_id, self._incarnation, encoded)
+        content = encode_envelope(envelope)
+        distance = "own_zone" if is_near else "other_zones"
         try:
             self._push_to(address).send(self._tag(content) + content, block=False)
         except pynng.exceptions.NNGException:
@@ -67,6 +80,14 @@
             return
         self._counters.values["control.sent_bytes"] += len(content) + TAG_BYTES
         self._counters.values["control.sent_messages"] += 1
+        inner_bytes = 0
+        for message, raw in zip(messages, encoded, strict=True):
+            size_bytes = len(memoryview(raw))
+            inner_bytes += size_bytes
+            kind = type(message).__name__
+            self._counters.values[f"control.bytes.{distance}.{kind}"] += size_bytes
+        envelope_bytes = len(content) + TAG_BYTES - inner_bytes
+        self._counters.values[f"control.bytes.{distance}.envelope"] += envelope_bytes
 
     def receive_forever(self, mailbox: Mailbox) -> None:
         """Pass on every authentic message; the loop of this task."""
--- a/packages/router/src/myrtlehook_router/request/answering.py
+++ b/packages/router/src/myrtlehook_router/request/answering.py
@@ -15,7 +15,7 @@
 from myrtlehook_router.request.headers import find_header, keep_end_to_end
 from myrtlehook_router.request.placements import wait_for_slot
 from myrtlehook_router.request.refusals import answer_refusal
-from myrtlehook_router.request.relays import Relay, end_relay, give_back
+from myrtlehook_router.request.relays import Relay, end_relay, give_back, refuse_relay
 
 BUFFERED_BYTES = 1024 * 1024
 """An answer up to this size is read whole first, so that a break can be mended."""
@@ -51,7 +51,7 @@
     if relay.maybe_run:
         return _fail(relay, BACKEND_BROKEN)
     relay.place.services.counters.add(f"refusal.{refusal.reason}")
-    end_relay(relay, Outcome.NOT_RUN, f"refused: {refusal.reason}")
+    refuse_relay(relay, refusal.reason)
     return answer_refusal(relay.names, relay.request.request_id, refusal)
 
 
--- a/packages/router/src/myrtlehook_router/request/gateways.py
+++ b/packages/router/src/myrtlehook_router/request/gateways.py
@@ -1,5 +1,6 @@
 """The WSGI application of the routed interface."""
 
+import random
 import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
@@ -9,7 +10,13 @@
 import eventlet
 from result import Err, Result
 
-from myrtlehook_core import RefusalReason, RequestSpecification, choose_pool, sheds
+from myrtlehook_core import (
+    RefusalReason,
+    RequestSpecification,
+    book_return,
+    choose_pool,
+    sheds,
+)
 from myrtlehook_router.connection.clients import ClientPool
 from myrtlehook_router.connection.watches import CallerWatch
 from myrtlehook_router.process.logs import get_logger
@@ -19,6 +26,7 @@
 from myrtlehook_router.request.headers import HeaderNames, find_header
 from myrtlehook_router.request.placements import REFUSAL_MESSAGES, queue_request, scope_id
 from myrtlehook_router.request.prompts import read_prompt
+from myrtlehook_router.request.refusal_sums import RefusedKind, note_refusal
 from myrtlehook_router.request.refusals import answer_refusal
 from myrtlehook_router.request.relays import Relay, note_caller_left
 from myrtlehook_router.request.routed import RoutedRequest, read_request
@@ -27,10 +35,6 @@
 STREAM_EVENT_BY_EVENT = "eventlet.minimum_write_chunk_size"
 """The server gathers small writes up to this size unless told otherwise."""
 
-OVERLOADED = Refusal(
-    RefusalReason.ROUTER_OVERLOADED, REFUSAL_MESSAGES[RefusalReason.ROUTER_OVERLOADED], 0.0
-)
-
 STOPPING = Refusal(RefusalReason.DRAINING, REFUSAL_MESSAGES[RefusalReason.DRAINING], 0.0)
 """With any other router at once: callers' next connections go elsewhere."""
 
@@ -113,7 +117,7 @@
     # Streams are what costs processor time.
     costly = pool is not None and pool.engine is not None
     if costly and sheds(services.requests.shedding, specification.workspace):
-        return _refuse(services, request.environ, OVERLOADED, request)
+        return _refuse(services, request.environ, _overloaded(services, request), request)
     opened = queue_request(services.requests, specification, request.environ)
     if isinstance(opened, Err):
         return _refuse(services, request.environ, opened.err_value, request)
@@ -142,6 +146,15 @@
     return Answer(answer.status, WatchedBody(answer.body, watch), answer.headers)
 
 
+def _overloaded(services: GatewayServices, request: RoutedRequest) -> Refusal:
+    """Refuse a request for want of processor time, here and at the neighbours."""
+    now_s = time.monotonic()
+    shedding = services.requests.shedding
+    wait_s = book_return(shedding, now_s, request.deadline_s - now_s, random.random)
+    reason = RefusalReason.ROUTER_OVERLOADED
+    return Refusal(reason, REFUSAL_MESSAGES[reason], wait_s)
+
+
 def specify(services: GatewayServices, request: RoutedRequest, body: bytes) -> RequestSpecification:
     """Describe a request to the core."""
     route = request.route
@@ -176,12 +189,16 @@
     """
     request_id = find_header(environ["headers_raw"], services.names.request_id) or ""
     services.requests.counters.add(f"refusal.{refusal.reason}")
-    _log.info(
-        "request refused",
-        request_id=request_id,
-        reason=refusal.reason,
-        route=request.route.name if request else None,
-        workspace=request.workspace.name if request else None,
-        configuration=services.requests.configuration().version.number,
-    )
+    route = request.route.name if request else ""
+    workspace = request.workspace.name if request else ""
+    kind = RefusedKind(refusal.reason, route, workspace)
+    if note_refusal(services.requests.refusal_sums, kind, request_id):
+        _log.info(
+            "request refused",
+            request_id=request_id,
+            reason=refusal.reason,
+            route=route or None,
+            workspace=workspace or None,
+            configuration=services.requests.configuration().version.number,
+        )
     return answer_refusal(services.names, request_id, refusal)
--- a/packages/router/src/myrtlehook_router/request/placements.py
+++ b/packages/router/src/myrtlehook_router/request/placements.py
@@ -30,7 +30,7 @@
     RefusalReason.RATE_LIMITED: "this workspace sends faster than its limit",
     RefusalReason.ROUTER_FULL: "this router has too many requests waiting",
     RefusalReason.ROUTER_BYTES_FULL: "this router has too many bytes waiting",
-    RefusalReason.ROUTER_OVERLOADED: "this router is overloaded; ask another",
+    RefusalReason.ROUTER_OVERLOADED: "this router and its neighbours are overloaded",
     RefusalReason.DEADLINE_UNREACHABLE: "the queue is too long for this deadline",
     RefusalReason.DEADLINE_PASSED: "the deadline passed before a slot was free",
     RefusalReason.NO_BACKEND_SERVER: "no backend server is configured for this pool",
--- a/packages/router/src/myrtlehook_router/request/relays.py
+++ b/packages/router/src/myrtlehook_router/request/relays.py
@@ -3,7 +3,7 @@
 import time
 from dataclasses import dataclass
 
-from myrtlehook_core import Outcome, RetryReason
+from myrtlehook_core import Outcome, RefusalReason, RetryReason
 from myrtlehook_router.connection.clients import ClientPool, Exchange
 from myrtlehook_router.process.logs import get_logger
 from myrtlehook_router.request.headers import HeaderNames
@@ -14,6 +14,7 @@
     not_started,
     observe,
 )
+from myrtlehook_router.request.refusal_sums import RefusedKind, note_refusal
 from myrtlehook_router.request.routed import RoutedRequest
 from myrtlehook_router.request.tickets import CallerLeft
 
@@ -95,14 +96,30 @@
     return (time.monotonic() - relay.sent_at_s) * UNITS_A_SECOND
 
 
-def end_relay(relay: Relay, outcome: Outcome, detail: str, failed: bool = False) -> None:
-    """Tell the core and the log how a request ended; safe to call again."""
+def refuse_relay(relay: Relay, reason: RefusalReason) -> None:
+    """Tell the core and the log that a request that never ran was refused."""
+    request = relay.request
+    kind = RefusedKind(reason, request.route.name, request.workspace.name)
+    sums = relay.place.services.refusal_sums
+    is_told = note_refusal(sums, kind, request.request_id, relay.prompt_tokens)
+    end_relay(relay, Outcome.NOT_RUN, f"refused: {reason}", is_told=is_told)
+
+
+def end_relay(
+    relay: Relay, outcome: Outcome, detail: str, failed: bool = False, is_told: bool = True
+) -> None:
+    """Tell the core and the log how a request ended; safe to call again.
+
+    :param is_told: False where the log counts the request in a sum.
+    """
     place = relay.place
     if place.closed:
         return
     if relay.attempts:
         end_place(place, cost_units(relay), outcome, failed)
     close_place(place, outcome)
+    if not is_told:
+        return
     now_s = time.monotonic()
     arrived_at_s = relay.request.arrived_at_s
     _log.info(
--- a/packages/router/src/myrtlehook_router/request/services.py
+++ b/packages/router/src/myrtlehook_router/request/services.py
@@ -6,6 +6,7 @@
 from myrtlehook_core import Configuration, Shedding
 from myrtlehook_router.process.counters import Counters
 from myrtlehook_router.process.mailboxes import Mailbox
+from myrtlehook_router.request.refusal_sums import RefusalSums
 from myrtlehook_router.request.tickets import TicketBook
 
 
@@ -22,3 +23,4 @@
     is_refusing: Callable[[], bool] = lambda: False
     """Whether the router is stopping and takes no request any more."""
     shedding: Shedding = field(default_factory=Shedding)
+    refusal_sums: RefusalSums = field(default_factory=RefusalSums)
--- a/tests/environment.py
+++ b/tests/environment.py
@@ -27,6 +27,16 @@
 SMALL_MEMORY_MB = 88
 """VMs on which few connections fit."""
 
+ALWAYS_PASSING = {"passing_starts_part": -2.0, "passing_all_part": -1.0}
+"""A router that takes itself for busy, however little it does."""
+
+BUSY_OPTIONS: dict[str, dict[str, float]] = {
+    "busy": {},
+    "short": {"helping_limit_part": -1.0},
+    "all-busy": {**ALWAYS_PASSING, "helping_limit_part": 2.0},
+}
+"""By fleet: what its other routers believe of themselves while the first one is busy."""
+
 JOIN_S = 30.0
 """How long callers of a scenario may take to end once it is over."""
 
@@ -70,6 +80,8 @@
     nodes = NodeFleet()
     if option == "small":
         nodes.memory_mb = SMALL_MEMORY_MB
+    nodes.options = {f"edge-{number}": BUSY_OPTIONS.get(option, {}) for number in range(1, 10)}
+    nodes.options["edge-1"] = ALWAYS_PASSING if option in BUSY_OPTIONS else {}
     try:
         nodes.start(routers=routers, empty=option == "empty")
         context.nodes = nodes
--- /dev/null
+++ b/tests/features/passing.feature
@@ -0,0 +1,115 @@
+Feature: Neighbours serve callers of a router that is short of processor time
+  Only bytes cross the busy router: its neighbour decides, sends and answers.
+
+  @nodes.3.busy
+  Scenario Outline: A request of each kind is answered whole by a neighbour
+    Given router 1 knows its neighbours
+    When "planners" sends "<method>" "<path>" with "<tokens>" tokens to router 1
+    Then the attempt has status 200 and a seal
+    And the attempt was run 1 time
+    And exactly 1 router has told of the attempt's end, and not router 1
+
+    Examples:
+      | method | path         | tokens |
+      | POST   | /diagnosis/a | 900,30 |
+      | POST   | /summary/a   | 900,30 |
+      | POST   | /valve/a     |        |
+      | GET    | /setpoint/a  |        |
+
+  @nodes.3.busy
+  Scenario: A passed request carries its own id, key and deadline, and nothing is added
+    Given router 1 knows its neighbours
+    When "planners" sends "POST" "/valve/a" with forged headers to router 1
+    Then the attempt has status 200 and a seal
+    And the server saw "Tenant-Name" as "planners"
+    And the server did not see "Authorization"
+
+  @nodes.3.short
+  Scenario: A router whose neighbours are short as well serves its callers itself
+    Given router 1 knows its neighbours
+    When "planners" sends "POST" "/diagnosis/a" with "900,30" tokens to router 1
+    Then the attempt has status 200 and a seal
+    And router 1 alone has told of the attempt's end
+
+  @nodes.3.all-busy
+  Scenario: A connection is passed on once, also among routers that are all busy
+    Given router 1 knows its neighbours
+    When "planners" sends "POST" "/diagnosis/a" with "900,30" tokens to router 2
+    Then the attempt has status 200 and a seal
+    And exactly 1 router has told of the attempt's end, and not router 2
+
+  @nodes.1.busy
+  Scenario: A busy router without neighbours serves its callers itself
+    Given router 1 knows its neighbours
+    When "planners" sends "POST" "/diagnosis/a" with "900,30" tokens to router 1
+    Then the attempt has status 200 and a seal
+
+  @nodes.3.busy
+  Scenario: A caller that leaves behind a busy router ends its run
+    Given router 1 knows its neighbours
+    And every engine holds its streams after 2 events
+    When "planners" opens a stream at router 1 and leaves after the first event
+    Then the engines cancel that run
+
+  @nodes.3.busy
+  Scenario Outline: A planned stop of either router cuts off no passed stream
+    Given router 1 knows its neighbours
+    And every engine holds its streams after 2 events
+    When "planners" opens a stream at router 1
+    And the <stopped> router of that stream is told to stop
+    And the engines go on
+    Then the rest of the stream arrives whole
+
+    Examples:
+      | stopped |
+      | busy    |
+      | helping |
+
+  @nodes.3.busy
+  Scenario Outline: A passed stream whose neighbour is gone never looks complete
+    Given router 1 knows its neighbours
+    And every engine holds its streams after 2 events
+    When "planners" opens a stream at router 1
+    And the helping router of that stream is <gone>
+    Then the stream breaks off within a few seconds
+    And the attempt was run 1 time
+
+    Examples:
+      | gone   |
+      | killed |
+      | frozen |
+
+  @nodes.3.busy
+  Scenario Outline: Only routers of the fleet pass connections on
+    When a stranger introduces itself to router 2 with <introduction>
+    Then the stranger's connection ends without an answer
+
+    Examples:
+      | introduction                             |
+      | no introduction                          |
+      | a wrong tag                              |
+      | an introduction for router 3             |
+      | an introduction that never ends          |
+
+  Scenario Outline: Bytes cross whole and in order, however slowly they are taken
+    When a <slow> takes <kilobytes> KB through two connections that are joined
+    Then all of it arrives in order, and the end as well
+
+    Examples:
+      | slow          | kilobytes |
+      | quick reader  | 3         |
+      | slow reader   | 4000      |
+
+  Scenario: A connection that is reset is reset on the other side too
+    When one of two joined connections is reset
+    Then the other one is reset as well
+
+  Scenario: Neighbours of the own availability zone are asked, the less burdened first
+    When a router passes 600 connections on with 6 neighbours near and 6 far
+    Then all go to near neighbours, none of which has over 1.5 times the mean
+    And a neighbour that is short is left alone for a second
+
+  Scenario: A router passes on more the busier it is
+    Then with a busy part of 0.5 it passes on 0 of 100 connections
+    And with a busy part of 0.725 it passes on 50 of 100 connections
+    And with a busy part of 0.9 it passes on 100 of 100 connections
--- a/tests/standins/nodes.py
+++ b/tests/standins/nodes.py
@@ -19,6 +19,7 @@
 
 ROOT = Path(__file__).parent.parent.parent
 START_S = 30.0
+PORT_NAMES = ("front", "ready", "control", "peer", "helping")
 _FLEETS = itertools.count(1)
 
 
@@ -47,6 +48,8 @@
     memory_mb: int = 512
     stores: dict[str, str] = field(default_factory=dict)
     """By router, another way to the store."""
+    options: dict[str, dict[str, Any]] = field(default_factory=dict)
+    """By router, options of the core that differ from their defaults."""
 
     def start(self, routers: int, engines: int = 2, empty: bool = False) -> None:
         """Start everything, and wait until all routers answer; ``empty``: no configuration."""
@@ -57,7 +60,7 @@
     def start_nodes(self, routers: int, readiness: int = 200) -> None:
         """Start the routers, and wait until all answer."""
         ips = _free_ips(routers)
-        self.ports = {name: _free_port(ips) for name in ("front", "ready", "control", "peer")}
+        self.ports = {name: _free_port(ips) for name in PORT_NAMES}
         for number, ip in enumerate(ips, start=1):
             self.start_node(f"edge-{number}", ip, ips)
         self.wait_ready(readiness)
@@ -73,12 +76,20 @@
                 stdout=log,
                 stderr=log,
                 env=os.environ | {"MYRTLEHOOK_NODE_FILE": str(path)},
+                cwd=self._make_root(name),
             )
         self.processes.append(process)
         node = Node(name, ip, process, log_path, path, self.ports["front"], self.ports["ready"])
         self.nodes.append(node)
         return node
 
+    def _make_root(self, name: str) -> Path:
+        """Return the folder that a router starts in, with its options."""
+        deploy = self.folder / name / "deploy"
+        deploy.mkdir(parents=True, exist_ok=True)
+        (deploy / "options.json").write_text(json.dumps(self.options.get(name, {})))
+        return deploy.parent
+
     def settings_text(self, name: str, ip: str, ips: list[str]) -> str:
         """Return the text of a settings file."""
         ports = self.ports
@@ -90,7 +101,7 @@
             "ListenAddresses.Frontend": f"{ip}:{ports['front']}",
             "ListenAddresses.Ready": f"{ip}:{ports['ready']}",
             "ListenAddresses.ControlPlane": f"{ip}:{ports['control']}",
-            "InternalPortRange": f"{ports['peer']},{ports['peer'] + 1}",
+            "InternalPortRange": f"{ports['peer']},{ports['helping']}",
             "SeedNodes": seeds,
             "Limits.FileDescriptorLimit": "4100",
             "Limits.MemoryMb": str(self.memory_mb),
--- /dev/null
+++ b/tests/steps/passing_steps.py
@@ -0,0 +1,266 @@
+"""Steps of connections that a busy router passes on to its neighbours."""
+
+import contextlib
+import errno
+import random
+import signal
+import socket
+import struct
+import time
+from typing import Any
+
+import eventlet
+from behave import given, then, when
+from eventlet import hubs, patcher
+from eventlet.greenio import GreenSocket
+from platform_steps import EVENT_ID, METRICS_PORT, node
+
+from myrtlehook_core import (
+    CoreOptions,
+    MemberTable,
+    Neighbours,
+    RouterIdentity,
+    choose_neighbour,
+    messages,
+    note_opened,
+    note_short,
+    passes_on,
+)
+from myrtlehook_core.process.members import take_row
+from myrtlehook_platform.settings import FLEET_KEY
+from myrtlehook_router.connection.introductions import Introduction, write_introduction
+from myrtlehook_router.connection.splices import Splice
+from standins.network import wait_for
+from standins.nodes import Node, fetch
+
+COPY_S = 20.0
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+BREAK_S = 20.0
+"""Far more than a neighbour that is gone takes to be known, and less than a caller waits."""
+
+
+@given("router 1 knows its neighbours")
+def wait_neighbours(context: Any) -> None:
+    wanted = len(context.nodes.nodes) - 1
+    found = node(context, 1)
+
+    def knows() -> bool:
+        _, body = fetch(found.ip, METRICS_PORT, "/metrics")
+        return f"myrtlehook_routers_alive {wanted}.0" in body.decode()
+
+    wait_for(knows, "router 1 to know its neighbours")
+
+
+def enders(context: Any) -> list[Node]:
+    """Return the routers that have told how the attempt ended."""
+    wanted = context.attempt.attempt_id
+
+    def told(found: Node) -> bool:
+        lines = found.log_path.read_text().splitlines()
+        return any("request ended" in line and wanted in line for line in lines)
+
+    wait_for(lambda: any(told(found) for found in context.nodes.nodes), "an end in a log")
+    return [found for found in context.nodes.nodes if told(found)]
+
+
+@then("exactly 1 router has told of the attempt's end, and not router {router:d}")
+def check_neighbour_served(context: Any, router: int) -> None:
+    found = enders(context)
+    assert len(found) == 1, found
+    assert found[0] is not node(context, router), found
+
+
+@then("router {router:d} alone has told of the attempt's end")
+def check_served_itself(context: Any, router: int) -> None:
+    found = enders(context)
+    assert [other.name for other in found] == [node(context, router).name], found
+
+
+def helping_node(context: Any) -> Node:
+    """Return the router that runs the open stream."""
+
+    def runs(found: Node) -> bool:
+        lines = found.log_path.read_text().splitlines()
+        return any('"connection taken"' in line for line in lines)
+
+    wait_for(lambda: any(runs(found) for found in context.nodes.nodes), "a helping router")
+    return next(found for found in context.nodes.nodes if runs(found))
+
+
+@when("the {which} router of that stream is told to stop")
+def stop_one(context: Any, which: str) -> None:
+    found = node(context, 1) if which == "busy" else helping_node(context)
+    found.process.send_signal(signal.SIGTERM)
+    wait_for(lambda: context.nodes.readiness(found) != 200, "the router to stop")
+    context.stopped = found
+
+
+@when("the engines go on")
+def release_engines(context: Any) -> None:
+    context.nodes.order(heal=True)
+
+
+@then("the rest of the stream arrives whole")
+def check_rest(context: Any) -> None:
+    body = context.first + context.response.read()
+    seen = [int(number) for number in EVENT_ID.findall(body)]
+    assert seen == list(range(1, len(seen) + 1)) and len(seen) > 2, seen
+    assert context.stopped.process.wait(timeout=20) == 0
+
+
+@when("the helping router of that stream is {gone}")
+def lose_helper(context: Any, gone: str) -> None:
+    found = helping_node(context)
+    found.process.send_signal(signal.SIGKILL if gone == "killed" else signal.SIGSTOP)
+
+
+@then("the stream breaks off within a few seconds")
+def check_breaks(context: Any) -> None:
+    broken = False
+    begun_s = time.monotonic()
+    try:
+        context.response.read()
+    except TimeoutError as error:
+        raise AssertionError("the stream is still open") from error
+    except Exception:
+        broken = True
+    assert broken, "the stream looked complete"
+    assert time.monotonic() - begun_s < BREAK_S, time.monotonic() - begun_s
+
+
+@when("a stranger introduces itself to router {router:d} with {introduction}")
+def introduce_stranger(context: Any, router: int, introduction: str) -> None:
+    found = node(context, router)
+    port = context.nodes.ports["helping"]
+    peer = context.nodes.ports["peer"]
+    own, other = (f"{node(context, number).ip}:{peer}" for number in (1, 3))
+    lines = {
+        "no introduction": b"GET /open/a HTTP/1.1\r\nHost: site.example\r\nAttempt-Id: x\r\n\r\n",
+        "a wrong tag": b"myrtlehook-pass-1 " + own.encode() + b" 00 00\n",
+        "an introduction for router 3": write_introduction(Introduction(own, other), FLEET_KEY),
+        "an introduction that never ends": b"x" * 300,
+    }
+    request = b"GET /open/a HTTP/1.1\r\nHost: site.example\r\nAttempt-Id: y\r\n\r\n"
+    with socket.create_connection((found.ip, port), timeout=10) as stranger:
+        context.received = b""
+        with contextlib.suppress(ConnectionError):
+            stranger.sendall(lines[introduction] + request)
+            while piece := stranger.recv(4096):
+                context.received += piece
+
+
+@then("the stranger's connection ends without an answer")
+def check_no_answer(context: Any) -> None:
+    assert context.received == b"", context.received
+    runs = [server["runs"] for server in context.nodes.describe()["servers"].values()]
+    assert not any("x" in ran or "y" in ran for ran in runs), runs
+
+
+_raw = patcher.original("socket")
+"""The joined ends are the operating system's own; the outer ones wait in tasks."""
+
+
+def join_pairs() -> tuple[Any, Any, list[bool]]:
+    """Return the outer ends of two pairs of connections whose inner ends are joined."""
+    near_outer, near_inner = _connected_pair()
+    far_outer, far_inner = _connected_pair()
+    ended: list[bool] = []
+    Splice(near_inner, far_inner, lambda: ended.append(True)).start()
+    return near_outer, far_outer, ended
+
+
+def _connected_pair() -> tuple[Any, Any]:
+    """Return a connection's two ends: one of eventlet's, one of the operating system's."""
+    with _raw.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        plain = _raw.create_connection(listener.getsockname())
+        inner, _ = listener.accept()
+    inner.setblocking(False)
+    return GreenSocket(plain), inner
+
+
+@when("a {slow} takes {kilobytes:d} KB through two connections that are joined")
+def copy_bytes(context: Any, slow: str, kilobytes: int) -> None:
+    content = random.Random(1).randbytes(kilobytes * 1024)
+    near, far, ended = join_pairs()
+    received: list[bytes] = []
+
+    def write() -> None:
+        far.sendall(content)
+        far.close()
+
+    writer = eventlet.spawn(write)
+    with eventlet.Timeout(COPY_S):
+        while piece := near.recv(4096):
+            received.append(piece)
+            if slow == "slow reader" and len(received) % 100 == 0:
+                eventlet.sleep(0.01)
+        writer.wait()
+    context.content, context.received, context.ended = content, b"".join(received), ended
+
+
+@then("all of it arrives in order, and the end as well")
+def check_copied(context: Any) -> None:
+    assert context.received == context.content, len(context.received)
+    assert context.ended == [True]
+
+
+@when("one of two joined connections is reset")
+def reset_one_side(context: Any) -> None:
+    near, far, _ = join_pairs()
+    far.setsockopt(_raw.SOL_SOCKET, _raw.SO_LINGER, RESET_ON_CLOSE)
+    far.close()
+    with eventlet.Timeout(COPY_S):
+        hubs.trampoline(near.fileno(), read=True)
+    # eventlet's own reading takes a reset for an end.
+    context.error = near.getsockopt(_raw.SOL_SOCKET, _raw.SO_ERROR)
+
+
+@then("the other one is reset as well")
+def check_reset(context: Any) -> None:
+    assert context.error == errno.ECONNRESET, context.error
+
+
+@when("a router passes {count:d} connections on with {near:d} neighbours near and {far:d} far")
+def pass_many(context: Any, count: int, near: int, far: int) -> None:
+    table = MemberTable(RouterIdentity("me:1", "me:1", 1, "hall-1"), 1)
+    for number in range(near + far):
+        zone = "hall-1" if number < near else "hall-2"
+        row = messages.MemberRow(f"r{number}:1", "", 1, 0, zone)
+        take_row(table, row, 0.0, 1.0)
+    context.members, context.neighbours, context.near = table, Neighbours(), near
+    context.draw = random.Random(1).random
+    context.chosen = []
+    for _ in range(count):
+        member = choose_neighbour(context.neighbours, table, 0.0, context.draw, frozenset())
+        assert member is not None
+        note_opened(context.neighbours, member.router_id)
+        context.chosen.append(member.router_id)
+
+
+@then("all go to near neighbours, none of which has over {factor:g} times the mean")
+def check_spread(context: Any, factor: float) -> None:
+    counts = context.neighbours.open_connections
+    assert set(counts) == {f"r{number}:1" for number in range(context.near)}, counts
+    assert max(counts.values()) <= factor * len(context.chosen) / context.near, counts
+
+
+@then("a neighbour that is short is left alone for a second")
+def check_left_alone(context: Any) -> None:
+    note_short(context.neighbours, "r0:1", 0.0)
+    for now_s, wanted in ((0.5, False), (1.1, True)):
+        drawn = (
+            choose_neighbour(context.neighbours, context.members, now_s, context.draw, frozenset())
+            for _ in range(100)
+        )
+        names = {member.router_id for member in drawn if member is not None}
+        context.neighbours.open_connections.clear()
+        assert ("r0:1" in names) is wanted, (now_s, names)
+
+
+@then("with a busy part of {part:g} it passes on {count:d} of 100 connections")
+def check_part(context: Any, part: float, count: int) -> None:
+    neighbours = Neighbours()
+    passed = sum(passes_on(neighbours, CoreOptions(), part, False) for _ in range(100))
+    assert passed == count, passed
