Keep what routers say to one another inside availability zones

Change: engines are owned in their zone; a prompt has a home in each zone of four engines or more; one probe in eight leaves the zone, or half while a zone is in doubt; announcements go to three routers of each other zone, which tell theirs; a collector in each zone adds up demand; routers of a first start learn of one another before four of them read the source. Tests: zones.feature (histories with zones), shown with the bytes and delays of each.

--- a/packages/core/src/myrtlehook_core/process/accountants.py
+++ b/packages/core/src/myrtlehook_core/process/accountants.py
@@ -41,13 +41,26 @@
 ) -> ShareLevel:
     """Take a router's report and return the level in force."""
     account = accounts.setdefault(report.pool, PoolAccount())
-    _forget_report(account, sender)
-    account.heard[sender] = HeardReport(report.rows, now_s + REPORT_LEASE_S)
-    _add_rows(account, report.rows, 1)
-    _forget_late(account, now_s)
+    note_report(account, sender, report.rows, now_s)
     return _work_out_level(account, report.pool, capacity_tokens)
 
 
+def note_report(
+    account: PoolAccount, sender: str, rows: tuple[DemandRow, ...], now_s: float
+) -> None:
+    """Put a router's report in the place of its last one."""
+    _forget_report(account, sender)
+    account.heard[sender] = HeardReport(rows, now_s + REPORT_LEASE_S)
+    _add_rows(account, rows, 1)
+    forget_late(account, now_s)
+
+
+def sum_rows(account: PoolAccount) -> tuple[DemandRow, ...]:
+    """Return what all reports that count say together."""
+    asked = sorted(account.asked_tokens.items())
+    return tuple(DemandRow(workspace, tokens) for workspace, tokens in asked)
+
+
 def find_level(demands: list[int], capacity: float) -> float | None:
     """Return the most that each may get so that all together get the capacity.
 
@@ -75,7 +88,8 @@
     return ShareLevel(pool, round(level), above)
 
 
-def _forget_late(account: PoolAccount, now_s: float) -> None:
+def forget_late(account: PoolAccount, now_s: float) -> None:
+    """Drop reports that were not refreshed in time."""
     late = [router for router, known in account.heard.items() if now_s >= known.deadline_s]
     for router in late:
         _forget_report(account, router)
--- a/packages/core/src/myrtlehook_core/process/admission_asking.py
+++ b/packages/core/src/myrtlehook_core/process/admission_asking.py
@@ -49,6 +49,8 @@
     granted: bool = False
     begun: bool = False
     unread_tokens: int = 0
+    ranking: list[str] = field(default_factory=list)
+    """The pool's engines in the order in which they are asked, as of the first question."""
     source: MemorySource = NO_SOURCE
     """Of the engines that have refused the request, the one that keeps the most of it."""
     asked_source: MemorySource = NO_SOURCE
@@ -83,16 +85,31 @@
     shares: Shares
     owner_of: Callable[[str], str | None]
     leaving: frozenset[str]
+    availability_zone: str = ""
+    """Of this router."""
 
 
 def rank_engines(context: AdmissionContext, request: RequestSpecification) -> list[str]:
-    """Return the pool's usable engines, the one that likely keeps the prompt's parts first."""
-    names = [
-        server.name
+    """Return the pool's usable engines, the one that likely keeps the prompt's parts first.
+
+    Where the own availability zone has enough engines, a prompt has a home among them, and
+    that one is asked first: its shared parts are read once in each zone, and what the engine
+    answers, which is many times as many bytes, crosses none.
+    """
+    servers = [
+        server
         for server in context.entry_context.configuration.backend_servers.values()
         if server.pool == request.pool and is_usable_engine(context, server.name)
     ]
-    return list(rank_routers(f"engine/{affinity_key(request)}", names, len(names)))
+    key = f"engine/{affinity_key(request)}"
+    ranked = list(rank_routers(key, [server.name for server in servers], len(servers)))
+    near = {
+        server.name for server in servers if server.availability_zone == context.availability_zone
+    }
+    if len(near) < context.entry_context.options.fewest_near_engines:
+        return ranked
+    home = next(name for name in ranked if name in near)
+    return [home, *(name for name in ranked if name != home)]
 
 
 def affinity_key(request: RequestSpecification) -> str:
--- a/packages/core/src/myrtlehook_core/process/admission_messages.py
+++ b/packages/core/src/myrtlehook_core/process/admission_messages.py
@@ -120,6 +120,8 @@
 
     pool: str
     rows: tuple[DemandRow, ...]
+    to_collector: bool = False
+    """For the router that adds up what its availability zone reports, and sends it on."""
 
 
 class ShareLevel(msgspec.Struct, frozen=True, array_like=True, tag=24):
--- a/packages/core/src/myrtlehook_core/process/admissions.py
+++ b/packages/core/src/myrtlehook_core/process/admissions.py
@@ -79,8 +79,11 @@
 ) -> None:
     """Ask for the next engine in the request's order, or refuse the request."""
     options = context.entry_context.options
-    candidates = rank_engines(context, admission.request)
+    candidates = [name for name in admission.ranking if is_usable_engine(context, name)]
     left = [name for name in candidates if name not in admission.tried]
+    if not left:
+        candidates = admission.ranking = rank_engines(context, admission.request)
+        left = [name for name in candidates if name not in admission.tried]
     if not candidates or admission.request.deadline_s <= now_s:
         late = admission.request.deadline_s <= now_s
         reason = RefusalReason.DEADLINE_PASSED if late else RefusalReason.NO_BACKEND_SERVER
--- a/packages/core/src/myrtlehook_core/process/event_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/event_handlers.py
@@ -58,7 +58,7 @@
     observe_service,
     retry_run,
 )
-from myrtlehook_core.process.shares import send_demands
+from myrtlehook_core.process.shares import Reporters, send_collected, send_demands
 from myrtlehook_core.process.source_handlers import (
     PLATFORM,
     on_configuration,
@@ -193,8 +193,10 @@
     tick_admissions(core.admissions, core.admission_context(), now_s)
     if now_s >= core.shares.next_report_s:
         core.shares.next_report_s = now_s + core.options.demand_interval_s
-        routers = core.placement.eligible
-        send_demands(core.shares, routers, core.options.quota_window_s, core.post, now_s)
+        near = core.placement.zones.get(core.identity.availability_zone, ())
+        reporters = Reporters(core.placement.eligible, near)
+        send_demands(core.shares, reporters, core.options.quota_window_s, core.post, now_s)
+        send_collected(core.shares, reporters, core.post, now_s)
     entry = core.entry
     if now_s >= entry.next_refresh_s:
         entry.next_refresh_s = now_s + core.options.refresh_interval_s
--- a/packages/core/src/myrtlehook_core/process/members.py
+++ b/packages/core/src/myrtlehook_core/process/members.py
@@ -6,7 +6,7 @@
 
 from myrtlehook_core.process.messages import LeavingRow, MemberRow
 
-NEWS_ROWS = 6
+NEWS_ROWS = 16
 """Most member rows that ride on one probe."""
 
 NEWS_FACTOR = 3
@@ -94,6 +94,22 @@
     return eligible
 
 
+def list_zones(table: MemberTable) -> dict[str, tuple[str, ...]]:
+    """Return the routers that may own backend servers, by availability zone, in name order."""
+    zones: dict[str, list[str]] = {}
+    for router_id in eligible_routers(table):
+        zones.setdefault(find_zone(table, router_id), []).append(router_id)
+    return {zone: tuple(names) for zone, names in zones.items()}
+
+
+def find_zone(table: MemberTable, router_id: str) -> str:
+    """Return where a router stands; empty when that is not known."""
+    if router_id == table.identity.router_id:
+        return table.identity.availability_zone
+    member = table.members.get(router_id)
+    return "" if member is None else member.availability_zone
+
+
 def is_reachable(table: MemberTable, router_id: str) -> bool:
     """Tell whether messages to a router are worth sending."""
     if router_id == table.identity.router_id:
--- a/packages/core/src/myrtlehook_core/process/message_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/message_handlers.py
@@ -32,6 +32,7 @@
     take_totals,
 )
 from myrtlehook_core.process.ledgers import take_report
+from myrtlehook_core.process.members import find_zone
 from myrtlehook_core.process.messages import (
     Ack,
     Announcement,
@@ -59,6 +60,7 @@
     receive_release,
 )
 from myrtlehook_core.process.probing import (
+    announce_near,
     take_ack,
     take_indirect_probe,
     take_members_query,
@@ -68,7 +70,7 @@
 from myrtlehook_core.process.runs import (
     spend_grant,
 )
-from myrtlehook_core.process.shares import take_level
+from myrtlehook_core.process.shares import take_level, take_zone_report
 from myrtlehook_core.process.source_handlers import (
     hear_source,
     query_documents,
@@ -138,8 +140,13 @@
 def _take_announcement(
     core: "RouterCore", sender: str, message: Announcement, now_s: float
 ) -> None:
+    version = core.table.version
     take_news(core.probe_context(), message.news, now_s)
     hear_source(core, sender, message.news, now_s)
+    is_far = find_zone(core.table, sender) != core.identity.availability_zone
+    if is_far and core.table.version != version:
+        # Such as a router that stops: it told only a few of this zone.
+        announce_near(core.probe_context())
 
 
 def _take_indirect(core: "RouterCore", sender: str, message: IndirectProbe, now_s: float) -> None:
@@ -219,6 +226,11 @@
     options = core.options
     if limits.tokens_per_s <= 0:
         return
+    if message.to_collector:
+        level = take_zone_report(core.shares, sender, message, now_s)
+        if level is not None:
+            core.post.add(sender, level)
+        return
     capacity = limits.tokens_per_s * options.quota_window_s * options.capacity_factor
     core.post.add(sender, take_demand(core.shares.accounts, sender, message, capacity, now_s))
 
--- a/packages/core/src/myrtlehook_core/process/options.py
+++ b/packages/core/src/myrtlehook_core/process/options.py
@@ -58,6 +58,8 @@
     """An engine is given prompts ahead for its own delay times this,"""
     window_margin_s: float = 0.02
     """and for this long, in which its owner takes a turn and the grant arrives."""
+    fewest_near_engines: int = 4
+    """With so many engines in its own availability zone, a router asks there first."""
     engines_asked: int = 3
     """How many engines a request asks for before it is refused."""
     aim_slack_part: float = 0.85
@@ -97,6 +99,9 @@
     """Corrects what a configuration says that its engines produce."""
     source_readers: int = 0
     """How many routers read the source for all; 0 where each reads for itself."""
+    first_read_delay_s: float = 0.0
+    """Where all routers start together: how long each learns of the others before those
+    that read the source begin; 0 where a router that starts reads at once."""
     reader_age_limit_s: float = 1.5
     """A reader that has not said for this long that the source answers it counts no more."""
     source_silence_s: float = 1.4
--- a/packages/core/src/myrtlehook_core/process/placements.py
+++ b/packages/core/src/myrtlehook_core/process/placements.py
@@ -3,12 +3,15 @@
 Ownership is kept and only mended: when a router goes, what it owned is worked out
 anew; when one comes, its claim is compared with the present owner's. Working all
 of it out would take seconds at 10,000 backend servers and 1,200 routers.
+
+A backend server is owned by a router of its own availability zone while there is one: what
+entries near it ask then crosses no zone, and a cut between zones leaves it its owner.
 """
 
 from dataclasses import dataclass, field
 
 from myrtlehook_core.process.hashing import Weight, rank_weights, weigh_router
-from myrtlehook_core.process.members import MemberTable, eligible_routers
+from myrtlehook_core.process.members import MemberTable, eligible_routers, list_zones
 from myrtlehook_core.request.requests import PoolKey
 from myrtlehook_core.version.configurations import NO_VERSION, Configuration, ConfigurationVersion
 
@@ -23,6 +26,8 @@
     server_owners: dict[str, str] = field(default_factory=dict)
     pool_owners: dict[str, tuple[str, ...]] = field(default_factory=dict)
     eligible: tuple[str, ...] = ()
+    zones: dict[str, tuple[str, ...]] = field(default_factory=dict)
+    """The eligible routers by availability zone."""
     server_weights: dict[str, Weight] = field(default_factory=dict)
     ledgers: dict[PoolKey, tuple[Weight, ...]] = field(default_factory=dict)
 
@@ -47,6 +52,7 @@
     placement.configuration_version = configuration.version
     placement.servers_revision = configuration.servers_revision
     placement.eligible = eligible
+    placement.zones = list_zones(table)
     if not gone and not come and same_servers and same_configuration:
         return False
     _mend_ledgers(placement, gone, come)
@@ -72,13 +78,15 @@
     placement: Placement, configuration: Configuration, gone: set[str], come: set[str]
 ) -> None:
     weights: dict[str, Weight] = {}
-    for name in configuration.backend_servers:
+    for name, server in configuration.backend_servers.items():
         key = f"server/{name}"
+        near = placement.zones.get(server.availability_zone, ())
         known = placement.server_weights.get(name)
-        if known is None or known[1] in gone:
-            weights[name] = rank_weights(key, placement.eligible, 1)[0]
+        if known is None or known[1] in gone or (near and known[1] not in near):
+            weights[name] = rank_weights(key, near or placement.eligible, 1)[0]
         else:
-            weights[name] = max([known, *(weigh_router(key, router) for router in come)])
+            comers = [router for router in come if not near or router in near]
+            weights[name] = max([known, *(weigh_router(key, router) for router in comers)])
     placement.server_weights = weights
     placement.server_owners = {name: weight[1] for name, weight in weights.items()}
     owners: dict[str, set[str]] = {}
--- a/packages/core/src/myrtlehook_core/process/probing.py
+++ b/packages/core/src/myrtlehook_core/process/probing.py
@@ -33,6 +33,21 @@
 from myrtlehook_core.process.source_messages import ReaderRow
 from myrtlehook_core.version.configurations import ConfigurationVersion
 
+FAR_EVERY = 8
+"""Of so many probes one goes to another availability zone, where bytes are dear. News that
+every router of a zone hears then still crosses several times a second, and a zone in doubt
+is probed as often as the own one."""
+
+DOUBT_S = 1.5
+"""A zone of which bad news came is probed as often as the own one for this long: the end of
+a whole zone comes as many pieces of news."""
+
+FAR_ANNOUNCED = 3
+"""Members of each other zone that hear of news at once: one may be gone, another slow."""
+
+FEWEST_NEAR = 4
+"""With fewer routers in the own zone all are probed alike."""
+
 REJOIN_EVERY = 4
 """Every so many probes one goes to a dead member, so that a healed cut is noticed."""
 
@@ -63,6 +78,11 @@
 
     pending: dict[int, PendingProbe] = field(default_factory=dict)
     order: list[str] = field(default_factory=list)
+    """Members still to be probed in this round: those of the own zone, if they are enough."""
+    far_order: list[str] = field(default_factory=list)
+    """The same of other zones."""
+    doubted_until_s: dict[str, float] = field(default_factory=dict)
+    """Other zones of which bad news has come lately."""
     last_probe_id: int = 0
     probes_sent: int = 0
     next_probe_s: float = 0.0
@@ -93,6 +113,10 @@
         return
     # A quarter of jitter keeps routers that started together from probing in step.
     interval_s = context.options.probe_interval_s * (0.875 + 0.25 * context.draw())
+    _note_doubts(prober, context, now_s)
+    if prober.doubted_until_s:
+        # One more probe in between, so that the own zone is probed as often as before.
+        interval_s /= 2.0
     prober.next_probe_s = now_s + interval_s
     _ask_to_join(prober, context, now_s)
     target = _next_target(prober, context)
@@ -154,9 +178,27 @@
 
 
 def announce(context: ProbeContext) -> None:
-    """Tell every reachable member what is new at this router at once."""
+    """Tell what is new at this router at once: all of its own zone, and a few of each other.
+
+    Those of other zones tell their own zone in turn once they have learned what is new.
+    """
+    announce_near(context)
+    far: dict[str, list[str]] = {}
+    own_zone = context.table.identity.availability_zone
     for member in context.table.members.values():
-        if can_probe(member):
+        if can_probe(member) and member.availability_zone != own_zone:
+            far.setdefault(member.availability_zone, []).append(member.router_id)
+    for names in far.values():
+        _shuffle(names, context.draw)
+        for router_id in names[:FAR_ANNOUNCED]:
+            _send(context, router_id, Announcement(_news_for(context, router_id)))
+
+
+def announce_near(context: ProbeContext) -> None:
+    """Tell every reachable member of the own zone what is new at this router."""
+    own_zone = context.table.identity.availability_zone
+    for member in context.table.members.values():
+        if can_probe(member) and member.availability_zone == own_zone:
             _send(context, member.router_id, Announcement(_news_for(context, member.router_id)))
 
 
@@ -178,13 +220,66 @@
         dead = [member for member in table.members.values() if member.state is MemberState.DEAD]
         if dead:
             return dead[int(context.draw() * len(dead))]
-    while prober.order:
-        member = table.members.get(prober.order.pop())
+    if prober.doubted_until_s and prober.probes_sent % 2:
+        doubted = _pick_doubted(prober, context)
+        if doubted is not None:
+            return doubted
+    if prober.probes_sent % FAR_EVERY == 1:
+        member = _take_next(prober.far_order, table)
+        if member is not None:
+            return member
+        prober.far_order = _list_probed(context, near=False)
+    member = _take_next(prober.order, table)
+    if member is None:
+        prober.order = _list_probed(context, near=True)
+        member = _take_next(prober.order, table)
+    return member
+
+
+def _note_doubts(prober: Prober, context: ProbeContext, now_s: float) -> None:
+    own_zone = context.table.identity.availability_zone
+    for member in context.table.fresh.values():
+        is_bad = member.state in (MemberState.SUSPECT, MemberState.DEAD)
+        if is_bad and member.availability_zone != own_zone:
+            prober.doubted_until_s[member.availability_zone] = now_s + DOUBT_S
+    for zone, until_s in list(prober.doubted_until_s.items()):
+        if now_s >= until_s:
+            del prober.doubted_until_s[zone]
+
+
+def _pick_doubted(prober: Prober, context: ProbeContext) -> Member | None:
+    """Return a member of a zone in doubt that still counts as alive, drawn at random."""
+    there = [
+        member
+        for member in context.table.members.values()
+        if member.availability_zone in prober.doubted_until_s and member.state is MemberState.ALIVE
+    ]
+    return there[int(context.draw() * len(there))] if there else None
+
+
+def _take_next(order: list[str], table: MemberTable) -> Member | None:
+    while order:
+        member = table.members.get(order.pop())
         if member is not None and can_probe(member):
             return member
-    prober.order = [member.router_id for member in table.members.values() if can_probe(member)]
-    _shuffle(prober.order, context.draw)
-    return table.members[prober.order.pop()] if prober.order else None
+    return None
+
+
+def _list_probed(context: ProbeContext, near: bool) -> list[str]:
+    """Return the members of the own zone, or those of the others, in an order drawn anew.
+
+    All of them count as near where the own zone has too few.
+    """
+    table = context.table
+    zone = table.identity.availability_zone
+    alive = [member for member in table.members.values() if can_probe(member)]
+    own = [member.router_id for member in alive if member.availability_zone == zone]
+    others = [member.router_id for member in alive if member.availability_zone != zone]
+    if len(own) < FEWEST_NEAR:
+        own, others = own + others, []
+    order = own if near else others
+    _shuffle(order, context.draw)
+    return order
 
 
 def _shuffle(names: list[str], draw: Draw) -> None:
--- a/packages/core/src/myrtlehook_core/process/routers.py
+++ b/packages/core/src/myrtlehook_core/process/routers.py
@@ -95,7 +95,7 @@
         self.admissions = Admissions()
         self.queues = EngineQueues()
         self.shares = Shares()
-        self.readers = SourceReaders()
+        self.readers = SourceReaders(reading=options.first_read_delay_s == 0.0)
         self._now_s = 0.0
         self.last_tick_s: float | None = None
         self.out = Outbox()
@@ -184,6 +184,7 @@
             shares=self.shares,
             owner_of=self.placement.server_owners.get,
             leaving=frozenset(self.table.leaving_servers),
+            availability_zone=self.identity.availability_zone,
         )
 
     def queue_context(self) -> QueueContext:
--- a/packages/core/src/myrtlehook_core/process/shares.py
+++ b/packages/core/src/myrtlehook_core/process/shares.py
@@ -1,11 +1,12 @@
 """Max-min shares of a pool's capacity, from what all routers were asked for.
 
-Each router reports what its callers asked of a pool within a sliding window to one
-router, the pool's accountant (the highest rendezvous hash). The accountant works out the
-level at which workspaces that ask for more are held, so that together they get what the
-pool can do. An entry gives each request a tier: 0 within its workspace's level, 1 up to
-twice the level, and so on. Lower tiers are served first, so that room that is left over
-is shared alike as well, whatever the engines can really do.
+Each router reports what its callers asked of a pool within a sliding window to one router, the
+pool's accountant (the highest rendezvous hash). The accountant works out the level at which
+workspaces that ask for more are held, so that together they get what the pool can do. In a
+large fleet one router of each availability zone, its collector, adds the reports of the zone
+up and answers them with the level it was told last. An entry gives each request a tier: 0
+within its workspace's level, 1 up to twice the level, and so on. Lower tiers are served first,
+so that room that is left over is shared alike as well, whatever the engines can really do.
 """
 
 import math
@@ -13,7 +14,12 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from myrtlehook_core.process.accountants import PoolAccount
+from myrtlehook_core.process.accountants import (
+    PoolAccount,
+    forget_late,
+    note_report,
+    sum_rows,
+)
 from myrtlehook_core.process.admission_messages import (
     DemandReport,
     DemandRow,
@@ -28,10 +34,23 @@
 LEVEL_LEASE_S = 1.0
 """A level that is not refreshed for this long counts no more."""
 
+COLLECTED_ROUTERS = 24
+"""From so many routers on, each zone's reports are added up before they leave it: a report
+of a zone is no longer than that of one busy router, and levels are 0.2 s older."""
+
 HIGHEST_TIER = 15
 """Everything beyond so many levels counts alike."""
 
 
+@dataclass(frozen=True, slots=True)
+class Reporters:
+    """The routers that report, in the sender's view."""
+
+    routers: tuple[str, ...]
+    near: tuple[str, ...] = ()
+    """Those of the own availability zone."""
+
+
 @dataclass(slots=True)
 class DemandBucket:
     """What was asked within one step of the window."""
@@ -49,6 +68,8 @@
     level_deadline_s: float = 0.0
     parts: dict[str, float] = field(default_factory=dict)
     """For each workspace that asks for too much, the part of it that one level holds."""
+    reported: bool = False
+    """Whether the last report had any rows."""
     credits_tokens: dict[str, list[float]] = field(default_factory=dict)
     """What each of them has not used yet of each tier."""
 
@@ -60,6 +81,8 @@
     demands: dict[str, PoolDemand] = field(default_factory=dict)
     accounts: dict[str, PoolAccount] = field(default_factory=dict)
     """By pool, what this router knows as its accountant."""
+    collected: dict[str, PoolAccount] = field(default_factory=dict)
+    """By pool, what this router adds up for its availability zone."""
     next_report_s: float = 0.0
 
 
@@ -103,16 +126,54 @@
 
 
 def send_demands(
-    shares: Shares, routers: tuple[str, ...], window_s: float, post: Post, now_s: float
+    shares: Shares, reporters: Reporters, window_s: float, post: Post, now_s: float
 ) -> None:
-    """Report to each pool's accountant."""
+    """Report what was asked here; nothing while nothing is."""
     for pool, demand in shares.demands.items():
         while demand.buckets and now_s - demand.buckets[0].begins_at_s > window_s:
             demand.buckets.popleft()
         rows = _sum_rows(row for bucket in demand.buckets for row in bucket.asked_tokens.items())
-        accountant = find_accountant(pool, routers)
+        if not rows and not demand.reported:
+            continue
+        demand.reported = bool(rows)
+        accountant = find_accountant(pool, reporters.routers)
+        collector = find_collector(pool, reporters) or accountant
+        if collector is not None:
+            post.add(collector, DemandReport(pool, rows, collector != accountant))
+
+
+def send_collected(shares: Shares, reporters: Reporters, post: Post, now_s: float) -> None:
+    """Send on to the accountants what this router has added up for its zone."""
+    for pool, account in list(shares.collected.items()):
+        forget_late(account, now_s)
+        accountant = find_accountant(pool, reporters.routers)
         if accountant is not None:
-            post.add(accountant, DemandReport(pool, rows))
+            post.add(accountant, DemandReport(pool, sum_rows(account)))
+        if not account.heard:
+            del shares.collected[pool]
+
+
+def take_zone_report(
+    shares: Shares, sender: str, report: DemandReport, now_s: float
+) -> ShareLevel | None:
+    """Add a report of the own zone up; returns the level in force, if it is known."""
+    account = shares.collected.setdefault(report.pool, PoolAccount())
+    note_report(account, sender, report.rows, now_s)
+    demand = shares.demands.get(report.pool)
+    if demand is None or now_s >= demand.level_deadline_s:
+        return None
+    return demand.level
+
+
+def find_collector(pool: str, reporters: Reporters) -> str | None:
+    """Return the router that adds up a pool's demand for its availability zone.
+
+    None in a small fleet, whose routers all report to the accountant.
+    """
+    if len(reporters.routers) < COLLECTED_ROUTERS:
+        return None
+    found = rank_routers(f"shares/{pool}", reporters.near, 1)
+    return found[0] if found else None
 
 
 def find_accountant(pool: str, routers: tuple[str, ...]) -> str | None:
--- a/packages/core/src/myrtlehook_core/process/source_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/source_handlers.py
@@ -10,9 +10,9 @@
     FetchPart,
     ReadSource,
 )
-from myrtlehook_core.process.members import note_leaving_server
+from myrtlehook_core.process.members import find_zone, note_leaving_server
 from myrtlehook_core.process.messages import ConfigurationQuery, LeavingRow, News
-from myrtlehook_core.process.probing import announce
+from myrtlehook_core.process.probing import announce, announce_near
 from myrtlehook_core.process.source_messages import ServerRow, ServersQuery, ServersReply
 from myrtlehook_core.process.source_readers import (
     knows_outage,
@@ -126,6 +126,7 @@
     )
     if take_changes(core.discovery, changes, knows_outage(core.readers, now_s), now_s):
         tell_servers(core, sender)
+        _pass_on_news(core, sender)
 
 
 def tell_servers(core: "RouterCore", source: str) -> None:
@@ -142,6 +143,8 @@
     """Tell the shell what became of a configuration."""
     if isinstance(result, Accepted):
         core.out.add(ConfigurationChanged(result.configuration, result.source))
+        if result.source != PLATFORM:
+            _pass_on_news(core, result.source)
     if isinstance(result, Rejected):
         core.out.add(ConfigurationRejected(result.number, result.findings))
 
@@ -165,6 +168,13 @@
         announce(core.probe_context())
 
 
+def _pass_on_news(core: "RouterCore", source: str) -> None:
+    """Tell the own zone what a router of another one has told, which told only a few here."""
+    zone = core.identity.availability_zone
+    if core.options.source_readers and find_zone(core.table, source) != zone:
+        announce_near(core.probe_context())
+
+
 def _make_row(server: BackendServer, lapsed: frozenset[str]) -> ServerRow:
     return ServerRow(
         name=server.name,
--- a/packages/core/src/myrtlehook_core/process/source_readers.py
+++ b/packages/core/src/myrtlehook_core/process/source_readers.py
@@ -134,14 +134,16 @@
 def _wants_to_read(
     readers: SourceReaders, table: MemberTable, options: CoreOptions, now_s: float
 ) -> bool:
-    if readers.has_read and now_s < readers.started_at_s + JOIN_WAIT_S:
+    wait_s = JOIN_WAIT_S if readers.has_read else options.first_read_delay_s
+    if now_s < readers.started_at_s + wait_s:
         return False
     if now_s - readers.heard_peer_s > ISOLATION_S:
         return True
     if len(readers_before(readers, table, options, now_s)) >= options.source_readers:
         readers.short_since_s = math.inf
         return False
-    if readers.reading or not readers.has_read:
+    reads_at_once = not readers.has_read and options.first_read_delay_s == 0.0
+    if readers.reading or reads_at_once:
         return True
     readers.short_since_s = min(readers.short_since_s, now_s)
     return now_s >= readers.short_since_s + _stagger_s(readers, table, options)
@@ -160,7 +162,8 @@
     own_id = table.identity.router_id
     ages_s = [_age_s(readers, own_id, router, options, now_s) for router in readers.said_s]
     ages_s.append(_age_s(readers, own_id, own_id, options, now_s))
-    if readers.has_read and min(ages_s) >= options.reader_age_limit_s:
+    knew_readers = readers.has_read or bool(readers.said_s)
+    if knew_readers and min(ages_s) >= options.reader_age_limit_s:
         readers.outage_until_s = now_s + OUTAGE_MEMORY_S
 
 
--- a/packages/router/src/myrtlehook_router/process/gateway_daemons.py
+++ b/packages/router/src/myrtlehook_router/process/gateway_daemons.py
@@ -138,7 +138,7 @@
         self._peers = PeerSockets(
             self._router_id, peers, settings.fleet_key, incarnation, self._counters
         )
-        self._reading = ReadSwitch()
+        self._reading = ReadSwitch(wanted=settings.options.first_read_delay_s == 0.0)
         self._core_task = self._make_core_task(incarnation)
         self._sources = list(make_sources(self._counters, self._reading))
         self._passer = self._make_passer()
--- a/packages/router/src/myrtlehook_router/process/read_switches.py
+++ b/packages/router/src/myrtlehook_router/process/read_switches.py
@@ -6,8 +6,8 @@
 class ReadSwitch:
     """Set by the core's task; the tasks that read the source wait on it."""
 
-    def __init__(self) -> None:
-        self.wanted = True
+    def __init__(self, wanted: bool = True) -> None:
+        self.wanted = wanted
         self._turned_on = Event()
 
     def set(self, wanted: bool) -> None:
--- /dev/null
+++ b/tests/features/zones.feature
@@ -0,0 +1,55 @@
+Feature: A fleet over several availability zones says little between them
+
+  Scenario: Backend servers are owned in their own zone while it has a router
+    Given 24 routers and 9 engines in 3 zones that have run for 3 s
+    Then every router names the same owners, each in its engine's zone
+    When every router of zone "z1" ends
+    Then within 3 s the engines of zone "z1" are owned elsewhere, and all agree
+    When they are started again
+    Then within 3 s every router names the same owners, each in its engine's zone
+
+  Scenario: Routers that have nothing to do say little to other zones
+    Given 24 routers and 9 engines in 3 zones that have run for 5 s
+    Then in 10 s more at most a quarter of the bytes between routers cross zones
+
+  Scenario: What a zone asks for is told to the accountant in one report
+    Given 48 routers and 9 engines in 3 zones that have run for 3 s
+    When all of them get requests of 3 workspaces for 4 s
+    Then reports and levels between zones are at most 0.15 of those within them
+    And every router that was asked knows the level, and it is that of all reports together
+
+  Scenario: A zone's collector ends
+    Given 48 routers and 9 engines in 3 zones that have run for 3 s
+    When all of them get requests of 3 workspaces for 4 s
+    And the collector of zone "z1" ends while they go on for 3 s
+    Then every router that was asked knows the level, and it is that of all reports together
+
+  Scenario Outline: An end is known everywhere
+    Given 48 routers and 0 engines in 3 zones that have run for 3 s
+    When <what> at once
+    Then within <seconds> s every other router knows it
+
+    Examples:
+      | what                        | seconds |
+      | a router ends               | 1.8     |
+      | every router of a zone ends | 3       |
+
+  Scenario: News of the source is in every zone within a second
+    Given 24 routers in 3 zones that read a source and have run for 4 s
+    When a server is published and a new configuration too
+    Then within 1 s every router knows both
+
+  Scenario: Routers that start together leave the reading to a few
+    Given 24 routers in 3 zones that all start and listen for 1 s
+    Then within 2.5 s every router knows the source's list
+    And at most 6 routers have called the source
+
+  Scenario Outline: Engines of the own zone are asked first where they are enough
+    When a router of zone "z" ranks <near> engines of its zone and <far> of others
+    Then the first one is <first>, and all are named once
+
+    Examples:
+      | near | far | first             |
+      | 4    | 12  | of its own zone   |
+      | 3    | 12  | the home of all   |
+      | 0    | 12  | the home of all   |
--- a/tests/standins/histories.py
+++ b/tests/standins/histories.py
@@ -31,6 +31,7 @@
     RouterIdentity,
     Workspace,
     actions,
+    encode_message,
     events,
 )
 
@@ -98,7 +99,12 @@
         network: Network,
         options: CoreOptions,
         source: Source | None = None,
+        zones: int = 1,
     ) -> None:
+        """Start the routers of a history.
+
+        :param zones: availability zones, over which routers and engines are spread in turn.
+        """
         self.random = random.Random(seed)
         self.network = network
         self.now_s = 0.0
@@ -111,22 +117,35 @@
         self.broken_engines: set[str] = set()
         self.is_cut: Callable[[str, str], bool] = lambda sender, receiver: False
         """Whether messages from one router to another are lost."""
+        self.sent_bytes: Counter[tuple[str, str]] = Counter()
+        """By kind of message, and by "own zone" or "other zones"."""
+        self.zones: dict[str, str] = {}
+        """By router."""
         self._source = source
         self._options = options
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
         self._numbers = itertools.count()
         self._incarnations = itertools.count(1)
         self._servers = tuple(
-            BackendServer(f"e{number}", POOL, f"10.0.1.{number}:80", "z", 16, False, False)
+            BackendServer(
+                f"e{number}",
+                POOL,
+                f"10.0.1.{number}:80",
+                name_zone(number % zones),
+                16,
+                False,
+                False,
+            )
             for number in range(engines)
         )
         self._names = [f"10.0.0.{number}:7400" for number in range(routers)]
+        self.zones = {name: name_zone(number % zones) for number, name in enumerate(self._names)}
         for name in self._names:
             self.start_router(name)
 
     def start_router(self, name: str) -> None:
         """Start a router, or start it again with an empty memory."""
-        identity = RouterIdentity(name, name, next(self._incarnations))
+        identity = RouterIdentity(name, name, next(self._incarnations), self.zones[name])
         configuration = _make_configuration()
 
         def parse(text: str) -> Ok[Configuration]:
@@ -207,6 +226,10 @@
             self._run(name, core, action)
 
     def _deliver(self, sender: str, core: RouterCore, action: actions.Send) -> None:
+        near = self.zones[sender] == self.zones.get(action.router_id)
+        kind = type(action.message).__name__
+        size_bytes = len(memoryview(encode_message(action.message)))
+        self.sent_bytes[kind, "own zone" if near else "other zones"] += size_bytes
         copies = 1
         if self.is_cut(sender, action.router_id) or self.random.random() < self.network.lost_part:
             copies = 0
@@ -254,6 +277,11 @@
             self.feed(name, events.RunEnded(request_id, 100.0))
 
 
+def name_zone(number: int) -> str:
+    """Return the name of an availability zone."""
+    return "z" if number == 0 else f"z{number}"
+
+
 def make_request(
     request_id: str, workspace: str, session: int, tokens: int, now_s: float, repeatable: bool
 ) -> RequestSpecification:
--- /dev/null
+++ b/tests/steps/zone_steps.py
@@ -0,0 +1,247 @@
+"""Steps of fleets over several availability zones, in histories of decision cores."""
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+from behave import given as before
+from behave import then, when
+
+from myrtlehook_core import CoreOptions, MemberState
+from myrtlehook_core.process.accountants import find_level
+from myrtlehook_core.process.admission_asking import AdmissionContext, rank_engines
+from myrtlehook_core.process.hashing import rank_routers
+from myrtlehook_core.process.shares import Reporters, find_collector
+from standins.histories import POOL, History, Network, Source, make_request
+
+STEP_S = 0.05
+ASK_INTERVAL_S = 0.25
+ASKED_TOKENS = {"a": 6000, "b": 2000, "c": 200}
+LEVEL_TOLERANCE_PART = 0.2
+"""Reports are up to 0.6 s old on their way, within a window of 2 s."""
+
+
+def run_until_holds(context: Any, seconds: float, holds: Callable[[], bool]) -> None:
+    """Play on until something holds, for so long at the most."""
+    history: History = context.history
+    end_s = history.now_s + seconds
+    while not holds():
+        assert history.now_s < end_s, f"does not hold after {seconds} s"
+        history.run_until(history.now_s + STEP_S)
+
+
+@before("{routers:d} routers and {engines:d} engines in {zones:d} zones that have run for {s:g} s")
+def start_zones(context: Any, routers: int, engines: int, zones: int, s: float) -> None:
+    context.history = History(
+        1, routers, engines, Network(), CoreOptions(source_readers=4), zones=zones
+    )
+    context.history.run_until(s)
+
+
+@before("{routers:d} routers in {zones:d} zones that read a source and have run for {s:g} s")
+def start_reading(context: Any, routers: int, zones: int, s: float) -> None:
+    source = Source()
+    source.put("first")
+    options = CoreOptions(source_readers=4)
+    context.history = History(2, routers, 0, Network(), options, source, zones)
+    context.history.run_until(s)
+
+
+@before("{routers:d} routers in {zones:d} zones that all start and listen for {s:g} s")
+def start_together(context: Any, routers: int, zones: int, s: float) -> None:
+    source = Source()
+    source.put("first")
+    options = CoreOptions(source_readers=4, first_read_delay_s=s)
+    context.history = History(3, routers, 0, Network(), options, source, zones)
+
+
+def owners_agree(context: Any, lost_zone: str = "") -> bool:
+    """Tell whether all routers name the same owners, each in its engine's zone if it lives."""
+    history: History = context.history
+    named = [core.placement.server_owners for core in history.alive.values()]
+    servers = next(iter(history.alive.values())).configuration.backend_servers
+    if any(owners != named[0] or owners.keys() != servers.keys() for owners in named):
+        return False
+    for name, owner in named[0].items():
+        zone = servers[name].availability_zone
+        if owner not in history.alive:
+            return False
+        if zone != lost_zone and history.zones[owner] != zone:
+            return False
+    return True
+
+
+@then("every router names the same owners, each in its engine's zone")
+def check_owners(context: Any) -> None:
+    assert owners_agree(context)
+
+
+@then("within {seconds:g} s every router names the same owners, each in its engine's zone")
+def wait_owners(context: Any, seconds: float) -> None:
+    run_until_holds(context, seconds, lambda: owners_agree(context))
+
+
+@when('every router of zone "{zone}" ends')
+def end_zone(context: Any, zone: str) -> None:
+    history: History = context.history
+    context.ended = [name for name in history.alive if history.zones[name] == zone]
+    for name in context.ended:
+        history.kill_router(name)
+
+
+@when("they are started again")
+def start_again(context: Any) -> None:
+    for name in context.ended:
+        context.history.start_router(name)
+
+
+@then('within {seconds:g} s the engines of zone "{zone}" are owned elsewhere, and all agree')
+def wait_elsewhere(context: Any, seconds: float, zone: str) -> None:
+    run_until_holds(context, seconds, lambda: owners_agree(context, lost_zone=zone))
+
+
+@then("in {seconds:g} s more at most a quarter of the bytes between routers cross zones")
+def check_idle_bytes(context: Any, seconds: float) -> None:
+    history: History = context.history
+    history.sent_bytes.clear()
+    history.run_until(history.now_s + seconds)
+    far = sum(size for key, size in history.sent_bytes.items() if key[1] == "other zones")
+    assert far <= 0.25 * history.sent_bytes.total(), history.sent_bytes
+
+
+@when("all of them get requests of 3 workspaces for {seconds:g} s")
+def ask_everywhere(context: Any, seconds: float) -> None:
+    context.history.sent_bytes.clear()
+    ask_for(context, seconds)
+
+
+def ask_for(context: Any, seconds: float) -> None:
+    """Let every router get requests of each workspace at a steady rate."""
+    history: History = context.history
+    draw = random.Random(history.now_s)
+    numbers = int(seconds / ASK_INTERVAL_S)
+    for step in range(numbers):
+        for router in list(history.alive):
+            for workspace, tokens in ASKED_TOKENS.items():
+                at_s = history.now_s + (step + draw.random()) * ASK_INTERVAL_S
+                name = f"{workspace}-{router}-{at_s}"
+                request = make_request(name, workspace, 1, tokens, at_s, True)
+                history.at(
+                    at_s, lambda router=router, request=request: history.ask(router, request)
+                )
+    history.run_until(history.now_s + seconds)
+
+
+@then("reports and levels between zones are at most {part:g} of those within them")
+def check_report_bytes(context: Any, part: float) -> None:
+    sent = context.history.sent_bytes
+    kinds = ("DemandReport", "ShareLevel")
+    far = sum(sent[kind, "other zones"] for kind in kinds)
+    near = sum(sent[kind, "own zone"] for kind in kinds)
+    assert near and far <= part * near, sent
+
+
+@when('the collector of zone "{zone}" ends while they go on for {seconds:g} s')
+def end_collector(context: Any, zone: str, seconds: float) -> None:
+    history: History = context.history
+    core = next(core for name, core in history.alive.items() if history.zones[name] == zone)
+    near = core.placement.zones[zone]
+    collector = find_collector(POOL, Reporters(core.placement.eligible, near))
+    assert collector is not None
+    history.kill_router(collector)
+    ask_for(context, seconds)
+
+
+@then("every router that was asked knows the level, and it is that of all reports together")
+def check_levels(context: Any) -> None:
+    history: History = context.history
+    window_s = CoreOptions().quota_window_s
+    routers = len(history.alive)
+    asked = [
+        round(routers * (500 + tokens + 60) * window_s / ASK_INTERVAL_S)
+        for tokens in ASKED_TOKENS.values()
+    ]
+    limits = next(iter(history.alive.values())).configuration.limits
+    wanted = find_level(asked, limits.tokens_per_s * window_s)
+    assert wanted is not None
+    for name, core in history.alive.items():
+        demand = core.shares.demands[POOL]
+        level = demand.level
+        assert level is not None and history.now_s < demand.level_deadline_s, name
+        wrong = abs(level.level_tokens - wanted)
+        assert wrong <= LEVEL_TOLERANCE_PART * wanted, (name, level, wanted)
+
+
+@when("a router ends at once")
+def end_router(context: Any) -> None:
+    context.ended = [list(context.history.alive)[7]]
+    context.history.kill_router(context.ended[0])
+
+
+@when("every router of a zone ends at once")
+def end_some_zone(context: Any) -> None:
+    end_zone(context, "z1")
+
+
+@then("within {seconds:g} s every other router knows it")
+def wait_known(context: Any, seconds: float) -> None:
+    def known() -> bool:
+        return all(
+            core.table.members[name].state is MemberState.DEAD
+            for core in context.history.alive.values()
+            for name in context.ended
+        )
+
+    run_until_holds(context, seconds, known)
+
+
+@then("within {seconds:g} s every router knows both")
+def wait_both(context: Any, seconds: float) -> None:
+    def known() -> bool:
+        return all(
+            core.configuration.version.number == 2 and "second" in core.discovery.known
+            for core in context.history.alive.values()
+        )
+
+    run_until_holds(context, seconds, known)
+
+
+@then("within {seconds:g} s every router knows the source's list")
+def wait_list(context: Any, seconds: float) -> None:
+    def known() -> bool:
+        alive = context.history.alive.values()
+        return all("first" in core.discovery.known for core in alive)
+
+    run_until_holds(context, seconds, known)
+
+
+@then("at most {count:d} routers have called the source")
+def check_callers(context: Any, count: int) -> None:
+    called = [name for name, calls in context.history._source.calls.items() if calls]
+    assert len(called) <= count, called
+
+
+@when('a router of zone "z" ranks {near:d} engines of its zone and {far:d} of others')
+def rank(context: Any, near: int, far: int) -> None:
+    # Of a fleet in which every engine stands in a zone of its own, the names are taken.
+    history = History(1, 1, near + far, Network(), CoreOptions())
+    core = next(iter(history.alive.values()))
+    servers = core.configuration.backend_servers
+    for number, name in enumerate(sorted(servers)):
+        if number >= near:
+            object.__setattr__(servers[name], "availability_zone", "z1")
+    found: AdmissionContext = core.admission_context()
+    context.servers = servers
+    context.request = make_request("r", "a", 1, 100, 0.0, True)
+    context.ranked = rank_engines(found, context.request)
+
+
+@then("the first one is {first}, and all are named once")
+def check_first(context: Any, first: str) -> None:
+    ranked = context.ranked
+    assert sorted(ranked) == sorted(context.servers), ranked
+    home = rank_routers("engine/s1", context.servers, 1)[0]
+    if first == "the home of all":
+        assert ranked[0] == home, (ranked, home)
+    else:
+        assert context.servers[ranked[0]].availability_zone == "z", ranked
