Let an idle router sleep longer

Change: signals and log lines wake their tasks; lag is measured ten times a second while little is done. Ruled out: keeping Python's collector from what was imported: 4.79 ms a request without, 4.77 and 4.86 with; reverted.

--- a/packages/router/src/myrtlehook_router/process/gateway_daemons.py
+++ b/packages/router/src/myrtlehook_router/process/gateway_daemons.py
@@ -37,6 +37,7 @@
 from myrtlehook_router.process.metrics import Metrics
 from myrtlehook_router.process.peers import PeerSockets
 from myrtlehook_router.process.read_switches import ReadSwitch
+from myrtlehook_router.process.signals import Signal
 from myrtlehook_router.process.tasks import guard
 from myrtlehook_router.request.gateways import GatewayServices, make_gateway
 from myrtlehook_router.request.headers import HeaderNames
@@ -52,7 +53,6 @@
 """Answers already handed to the kernel get this long to leave."""
 
 SWEEP_INTERVAL_S = 1.0
-RELOAD_CHECK_S = 0.1
 RELOAD_LOOK_S = 2.0
 """Settings may change without a signal; the file is read again this often."""
 
@@ -112,7 +112,8 @@
         """
         self._opened = opened
         self._reload = reload
-        self._reload_wanted = False
+        self._stop_wanted = Signal()
+        self._reload_wanted = Signal()
         self._log_stream = BoundedStream(sys.stdout.fileno())
         set_up_logs(settings.vm, self._log_stream)  # type: ignore[arg-type]
         self._settings = settings
@@ -209,7 +210,7 @@
             tasks.append(lambda: self._callers.serve_neighbours(helping))
             tasks.append(self._follow_neighbours)
         if settings.options.sheds_overload:
-            tasks.append(lambda: watch_lag(self._shedding))
+            tasks.append(lambda: watch_lag(self._shedding, lambda: self._callers.meter.part))
         for source in self._sources:
             tasks.append(lambda source=source: source(self._mailbox))  # type: ignore[misc]
         return tasks
@@ -308,20 +309,16 @@
 
     def _on_stop(self, number: int, frame: object) -> None:
         self._draining = True
+        self._stop_wanted.set()
 
     def _on_reload(self, number: int, frame: object) -> None:
-        self._reload_wanted = True
+        self._reload_wanted.set()
 
     def _reload_forever(self) -> None:
         """Follow changed settings, told by a signal or not; the loop of this task."""
-        next_look_s = time.monotonic()
         while True:
-            eventlet.sleep(RELOAD_CHECK_S)
-            now_s = time.monotonic()
-            if not self._reload_wanted and now_s < next_look_s:
-                continue
-            next_look_s = now_s + RELOAD_LOOK_S
-            self._reload_wanted = False
+            self._reload_wanted.wait(RELOAD_LOOK_S)
+            self._reload_wanted.clear()
             self._take_settings(self._reload())
 
     def _take_settings(self, settings: GatewaySettings | None) -> None:
@@ -345,8 +342,7 @@
         return len(self._tickets) + passed
 
     def _wait_until_drained(self, listener: Any) -> None:
-        while not self._draining:
-            eventlet.sleep(DRAIN_CHECK_S)
+        self._stop_wanted.wait(None)
         stopped_at_s = time.monotonic()
         _log.info("draining", open_requests=len(self._tickets))
         self._mailbox.post(events.DrainStarted())
--- a/packages/router/src/myrtlehook_router/process/lags.py
+++ b/packages/router/src/myrtlehook_router/process/lags.py
@@ -1,6 +1,7 @@
 """How late the process's loop is, measured by a task that wakes at fixed times."""
 
 import time
+from collections.abc import Callable
 
 import eventlet
 
@@ -8,16 +9,26 @@
 from myrtlehook_router.process.logs import get_logger
 
 WAKE_INTERVAL_S = 0.02
+IDLE_INTERVAL_S = 0.1
+"""While little is done, nothing can be late for long, and each waking costs as well."""
+
+IDLE_PART = 0.3
+"""Of its processor time; below it a router does little."""
 
 _log = get_logger("lag")
 
 
-def watch_lag(shedding: Shedding) -> None:
-    """Tell of each lag; the loop of this task."""
+def watch_lag(shedding: Shedding, busy_part: Callable[[], float]) -> None:
+    """Tell of each lag; the loop of this task.
+
+    :param busy_part: returns the part of its processor time that this router uses.
+    """
     shed = False
     while True:
-        wanted_s = time.monotonic() + WAKE_INTERVAL_S
-        eventlet.sleep(WAKE_INTERVAL_S)
+        is_idle = busy_part() < IDLE_PART and not shed
+        interval_s = IDLE_INTERVAL_S if is_idle else WAKE_INTERVAL_S
+        wanted_s = time.monotonic() + interval_s
+        eventlet.sleep(interval_s)
         now_s = time.monotonic()
         lag_s = now_s - wanted_s
         note_lag(shedding, lag_s, now_s)
--- a/packages/router/src/myrtlehook_router/process/log_streams.py
+++ b/packages/router/src/myrtlehook_router/process/log_streams.py
@@ -4,6 +4,7 @@
 from collections import deque
 
 import eventlet
+from eventlet.event import Event
 
 FLUSH_INTERVAL_S = 0.1
 RETRY_INTERVAL_S = 0.02
@@ -25,6 +26,8 @@
         self._rest = b""
         self.dropped_lines = 0
         self._told_lines = 0
+        self._written = Event()
+        """Sent when a line was queued since the task last slept for want of any."""
         os.set_blocking(descriptor, False)
 
     def write(self, text: str) -> None:
@@ -33,6 +36,8 @@
             self.dropped_lines += 1
             return
         self._lines.append(text)
+        if not self._written.ready():
+            self._written.send()
 
     def flush(self) -> None:
         """Do nothing: the stream's own task writes."""
@@ -51,6 +56,9 @@
     def write_forever(self) -> None:
         """Write what is queued, at intervals; the loop of this task."""
         while True:
+            if not self._lines and not self._rest:
+                self._written.wait()
+                self._written = Event()
             eventlet.sleep(RETRY_INTERVAL_S if self._rest else FLUSH_INTERVAL_S)
             self.write_queued()
 
