--- a/packages/core/src/myrtlehook_core/process/probing.py
+++ b/packages/core/src/myrtlehook_core/process/probing.py
@@ -30,27 +30,18 @@
     Probe,
 )
 from myrtlehook_core.process.options import CoreOptions
+from myrtlehook_core.process.probe_targets import (
+    ProbeTargets,
+    next_target,
+    note_doubts,
+    shuffle,
+)
 from myrtlehook_core.process.source_messages import ReaderRow
 from myrtlehook_core.version.configurations import ConfigurationVersion
 
-FAR_EVERY = 8
-"""Of so many probes one goes to another availability zone, where bytes are dear. News that
-every router of a zone hears then still crosses several times a second, and a zone in doubt
-is probed as often as the own one."""
-
-DOUBT_S = 1.5
-"""A zone of which bad news came is probed as often as the own one for this long: the end of
-a whole zone comes as many pieces of news."""
-
 FAR_ANNOUNCED = 3
 """Members of each other zone that hear of news at once: one may be gone, another slow."""
 
-FEWEST_NEAR = 4
-"""With fewer routers in the own zone all are probed alike."""
-
-REJOIN_EVERY = 4
-"""Every so many probes one goes to a dead member, so that a healed cut is noticed."""
-
 JOIN_QUERIES = 3
 """How many candidates a starting router asks for the member table at once."""
 
@@ -77,14 +68,8 @@
     """The state of failure detection."""
 
     pending: dict[int, PendingProbe] = field(default_factory=dict)
-    order: list[str] = field(default_factory=list)
-    """Members still to be probed in this round: those of the own zone, if they are enough."""
-    far_order: list[str] = field(default_factory=list)
-    """The same of other zones."""
-    doubted_until_s: dict[str, float] = field(default_factory=dict)
-    """Other zones of which bad news has come lately."""
+    targets: ProbeTargets = field(default_factory=ProbeTargets)
     last_probe_id: int = 0
-    probes_sent: int = 0
     next_probe_s: float = 0.0
     next_join_s: float = 0.0
     next_forget_s: float = 0.0
@@ -113,13 +98,13 @@
         return
     # A quarter of jitter keeps routers that started together from probing in step.
     interval_s = context.options.probe_interval_s * (0.875 + 0.25 * context.draw())
-    _note_doubts(prober, context, now_s)
-    if prober.doubted_until_s:
+    note_doubts(prober.targets, context.table, now_s)
+    if prober.targets.doubted_until_s:
         # One more probe in between, so that the own zone is probed as often as before.
         interval_s /= 2.0
     prober.next_probe_s = now_s + interval_s
     _ask_to_join(prober, context, now_s)
-    target = _next_target(prober, context)
+    target = next_target(prober.targets, context.table, context.draw)
     if target is not None:
         _send_probe(prober, context, target, now_s + context.options.probe_timeout_s)
 
@@ -189,7 +174,7 @@
         if can_probe(member) and member.availability_zone != own_zone:
             far.setdefault(member.availability_zone, []).append(member.router_id)
     for names in far.values():
-        _shuffle(names, context.draw)
+        shuffle(names, context.draw)
         for router_id in names[:FAR_ANNOUNCED]:
             _send(context, router_id, Announcement(_news_for(context, router_id)))
 
@@ -213,81 +198,6 @@
         _send(context, member.router_id, MembersQuery(own_row(context.table)))
 
 
-def _next_target(prober: Prober, context: ProbeContext) -> Member | None:
-    prober.probes_sent += 1
-    table = context.table
-    if prober.probes_sent % REJOIN_EVERY == 0:
-        dead = [member for member in table.members.values() if member.state is MemberState.DEAD]
-        if dead:
-            return dead[int(context.draw() * len(dead))]
-    if prober.doubted_until_s and prober.probes_sent % 2:
-        doubted = _pick_doubted(prober, context)
-        if doubted is not None:
-            return doubted
-    if prober.probes_sent % FAR_EVERY == 1:
-        member = _take_next(prober.far_order, table)
-        if member is not None:
-            return member
-        prober.far_order = _list_probed(context, near=False)
-    member = _take_next(prober.order, table)
-    if member is None:
-        prober.order = _list_probed(context, near=True)
-        member = _take_next(prober.order, table)
-    return member
-
-
-def _note_doubts(prober: Prober, context: ProbeContext, now_s: float) -> None:
-    own_zone = context.table.identity.availability_zone
-    for member in context.table.fresh.values():
-        is_bad = member.state in (MemberState.SUSPECT, MemberState.DEAD)
-        if is_bad and member.availability_zone != own_zone:
-            prober.doubted_until_s[member.availability_zone] = now_s + DOUBT_S
-    for zone, until_s in list(prober.doubted_until_s.items()):
-        if now_s >= until_s:
-            del prober.doubted_until_s[zone]
-
-
-def _pick_doubted(prober: Prober, context: ProbeContext) -> Member | None:
-    """Return a member of a zone in doubt that still counts as alive, drawn at random."""
-    there = [
-        member
-        for member in context.table.members.values()
-        if member.availability_zone in prober.doubted_until_s and member.state is MemberState.ALIVE
-    ]
-    return there[int(context.draw() * len(there))] if there else None
-
-
-def _take_next(order: list[str], table: MemberTable) -> Member | None:
-    while order:
-        member = table.members.get(order.pop())
-        if member is not None and can_probe(member):
-            return member
-    return None
-
-
-def _list_probed(context: ProbeContext, near: bool) -> list[str]:
-    """Return the members of the own zone, or those of the others, in an order drawn anew.
-
-    All of them count as near where the own zone has too few.
-    """
-    table = context.table
-    zone = table.identity.availability_zone
-    alive = [member for member in table.members.values() if can_probe(member)]
-    own = [member.router_id for member in alive if member.availability_zone == zone]
-    others = [member.router_id for member in alive if member.availability_zone != zone]
-    if len(own) < FEWEST_NEAR:
-        own, others = own + others, []
-    order = own if near else others
-    _shuffle(order, context.draw)
-    return order
-
-
-def _shuffle(names: list[str], draw: Draw) -> None:
-    for index in range(len(names) - 1, 0, -1):
-        other = int(draw() * (index + 1))
-        names[index], names[other] = names[other], names[index]
-
-
 def _send_probe(prober: Prober, context: ProbeContext, target: Member, deadline_s: float) -> int:
     prober.last_probe_id += 1
     probe_id = prober.last_probe_id
@@ -325,7 +235,7 @@
         for member in context.table.members.values()
         if member.state is MemberState.ALIVE and member.router_id != target
     ]
-    _shuffle(others, context.draw)
+    shuffle(others, context.draw)
     return others[: context.options.indirect_helpers]
 
 
--- a/packages/router/src/myrtlehook_router/process/gateway_daemons.py
+++ b/packages/router/src/myrtlehook_router/process/gateway_daemons.py
@@ -6,15 +6,13 @@
 import sys
 import time
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from typing import Any
 
 import eventlet
 from eventlet import wsgi
 
 from myrtlehook_core import (
-    ConfigurationParser,
-    CoreOptions,
     EntryLimits,
     Listener,
     MemberState,
@@ -30,6 +28,7 @@
 from myrtlehook_router.process.core_tasks import CoreTask
 from myrtlehook_router.process.counters import Counters
 from myrtlehook_router.process.engine_gauges import list_engine_gauges
+from myrtlehook_router.process.gateway_settings import GatewaySettings
 from myrtlehook_router.process.lags import watch_lag
 from myrtlehook_router.process.log_streams import TELL_INTERVAL_S, BoundedStream
 from myrtlehook_router.process.logs import get_logger, set_up_logs
@@ -40,7 +39,6 @@
 from myrtlehook_router.process.signals import Signal
 from myrtlehook_router.process.tasks import guard
 from myrtlehook_router.request.gateways import GatewayServices, make_gateway
-from myrtlehook_router.request.headers import HeaderNames
 from myrtlehook_router.request.refusal_sums import RefusalSums, tell_sums
 from myrtlehook_router.request.services import RequestServices
 from myrtlehook_router.request.tickets import TicketBook
@@ -67,34 +65,6 @@
 _log = get_logger("daemon")
 
 
-@dataclass(frozen=True, slots=True)
-class GatewaySettings:
-    """Everything that one router process is told at its start."""
-
-    vm: str
-    availability_zone: str
-    callers: Listener
-    readiness: Listener
-    metrics: Listener
-    peers: Listener
-    seeds: tuple[str, ...]
-    """Addresses of routers that may be alive."""
-    fleet_key: str
-    names: HeaderNames
-    parser: ConfigurationParser
-    connections: int
-    drain_notice_s: float
-    """How long a stopping router still takes connections, until the balancer has noticed."""
-    drain_limit_s: float
-    """How long after the signal to stop the process ends at the latest."""
-    options: CoreOptions = field(default_factory=CoreOptions)
-    helping: Listener | None = None
-    """Where neighbours pass connections on; None where they do not."""
-    caller_descriptors: int = 0
-    """For callers' connections: one that is served here takes one, one that a neighbour
-    serves takes two."""
-
-
 class GatewayDaemon:
     """All tasks of one router process."""
 
