--- a/packages/core/src/myrtlehook_core/process/admission_asking.py
+++ b/packages/core/src/myrtlehook_core/process/admission_asking.py
@@ -15,11 +15,17 @@
 from myrtlehook_core.process.hashing import rank_routers
 from myrtlehook_core.process.shares import Shares
 from myrtlehook_core.request.requests import PromptPart, RequestSpecification
+from myrtlehook_core.version.configurations import BackendServer
 
 ASK_INTERVAL_S = 0.1
 """A request that has no answer is asked for again after this long."""
 
 
+NEAR_SHARED_TOKENS = 1000
+"""Shared parts longer than this are read at one engine of all zones. In the large deployment a
+token read again costs as much as 30 bytes between zones; an answer has 2 to 9 KB."""
+
+
 @dataclass(frozen=True, slots=True)
 class MemorySource:
     """An engine that keeps the beginning of a prompt, and may hand it to another one."""
@@ -46,6 +52,8 @@
     hop: int = 0
     tried: set[str] = field(default_factory=set)
     retry_after_s: float = 0.0
+    eager: bool = False
+    """Whether an engine was asked last only if it is soon free."""
     granted: bool = False
     begun: bool = False
     unread_tokens: int = 0
@@ -92,24 +100,50 @@
 def rank_engines(context: AdmissionContext, request: RequestSpecification) -> list[str]:
     """Return the pool's usable engines, the one that likely keeps the prompt's parts first.
 
-    Where the own availability zone has enough engines, a prompt has a home among them, and
-    that one is asked first: its shared parts are read once in each zone, and what the engine
-    answers, which is many times as many bytes, crosses none.
+    A request that prefers its own availability zone asks there first: see ``prefers_near``.
+    """
+    names = [server.name for server in _list_engines(context, request)]
+    ranked = list(rank_routers(_home_key(request), names, len(names)))
+    home = _find_near_home(context, request)
+    if home is None:
+        return ranked
+    return [home, *(name for name in ranked if name != home)]
+
+
+def prefers_near(context: AdmissionContext, request: RequestSpecification) -> bool:
+    """Tell whether the first engine asked is one of the own zone, if that is soon free.
+
+    A prompt whose shared parts are short has a home in each zone that has engines enough:
+    its parts are then read once in each, and the answer, which is many times as many bytes
+    as the parts have tokens, crosses no zone.
     """
-    servers = [
+    return _find_near_home(context, request) is not None
+
+
+def _find_near_home(context: AdmissionContext, request: RequestSpecification) -> str | None:
+    shared_tokens = sum(part.tokens for part in request.prompt_parts[:-1])
+    if shared_tokens > NEAR_SHARED_TOKENS:
+        return None
+    near = [
+        server.name
+        for server in _list_engines(context, request)
+        if server.availability_zone == context.availability_zone
+    ]
+    if len(near) < context.entry_context.options.fewest_near_engines:
+        return None
+    return rank_routers(_home_key(request), near, 1)[0]
+
+
+def _list_engines(context: AdmissionContext, request: RequestSpecification) -> list[BackendServer]:
+    return [
         server
         for server in context.entry_context.configuration.backend_servers.values()
         if server.pool == request.pool and is_usable_engine(context, server.name)
     ]
-    key = f"engine/{affinity_key(request)}"
-    ranked = list(rank_routers(key, [server.name for server in servers], len(servers)))
-    near = {
-        server.name for server in servers if server.availability_zone == context.availability_zone
-    }
-    if len(near) < context.entry_context.options.fewest_near_engines:
-        return ranked
-    home = next(name for name in ranked if name in near)
-    return [home, *(name for name in ranked if name != home)]
+
+
+def _home_key(request: RequestSpecification) -> str:
+    return f"engine/{affinity_key(request)}"
 
 
 def affinity_key(request: RequestSpecification) -> str:
@@ -187,6 +221,7 @@
         hop=admission.hop,
         fetch_tokens=admission.asked_source.tokens,
         above_share=admission.above_share,
+        eager=admission.eager,
     )
     context.entry_context.post.add(owner, message)
 
--- a/packages/core/src/myrtlehook_core/process/admission_messages.py
+++ b/packages/core/src/myrtlehook_core/process/admission_messages.py
@@ -31,6 +31,8 @@
     """Tokens of the prompt's beginning that the engine can take from another one."""
     above_share: bool = False
     """Whether the workspace asks for more than its share, this request included or not."""
+    eager: bool = False
+    """The engine is wanted only if it is soon free: others are asked next."""
 
 
 class EngineEstimate(msgspec.Struct, frozen=True, array_like=True):
@@ -66,6 +68,8 @@
     retry_after_ms: int
     kept_tokens: int = 0
     """Tokens of the prompt's beginning that the engine keeps, and may hand to another."""
+    eager: bool = False
+    """As it was asked: an engine may be asked twice, and answers may overtake questions."""
 
 
 class AdmissionProgress(msgspec.Struct, frozen=True, array_like=True, tag=20):
--- a/packages/core/src/myrtlehook_core/process/admissions.py
+++ b/packages/core/src/myrtlehook_core/process/admissions.py
@@ -13,6 +13,7 @@
     MemorySource,
     ask_owner,
     is_usable_engine,
+    prefers_near,
     rank_engines,
     tell_owner,
 )
@@ -70,6 +71,7 @@
         admission.tier = tier
         above = asks_above_share(context.shares, request.pool, request.workspace, now_s)
         admission.above_share = above and options.small_workspaces_first
+    admission.eager = prefers_near(context, request)
     admissions.open[request.request_id] = admission
     ask_next(admissions, context, admission, now_s)
 
@@ -128,14 +130,18 @@
     admission = admissions.open.get(refusal.request_id)
     if admission is None or admission.granted:
         return
-    if admission.backend_server != refusal.backend_server:
+    if admission.backend_server != refusal.backend_server or admission.eager != refusal.eager:
         return
     wait_s = refusal.retry_after_ms / 1000.0
     if admission.hop == 0 or wait_s < admission.retry_after_s:
         admission.retry_after_s = wait_s
     if refusal.kept_tokens > admission.source.tokens:
         admission.source = MemorySource(refusal.backend_server, refusal.kept_tokens)
-    admission.hop += 1
+    if admission.eager:
+        # The prompt's home of all zones is asked as if it were the first.
+        admission.eager = False
+    else:
+        admission.hop += 1
     ask_next(admissions, context, admission, now_s)
 
 
@@ -202,6 +208,7 @@
     tell_owner(context, admission, release)
     admission.granted = False
     admission.begun = False
+    admission.eager = False
     admission.hop = 0
     count_queued(entry, admission.request, 1)
     if may_retry(entry, context.entry_context, admission.request, reason, now_s):
--- a/packages/core/src/myrtlehook_core/process/engine_decisions.py
+++ b/packages/core/src/myrtlehook_core/process/engine_decisions.py
@@ -121,6 +121,8 @@
             # What exceeds a share gives way, and whoever asks for more than theirs.
             break
         limit_s = _limit_s(context, other)
+        if other is waiting and waiting.eager:
+            limit_s = min(limit_s, _soon_s(context, waiting))
         if other is not waiting and forecast.begin_s - own_s > limit_s:
             # It is late without this one as well.
             continue
@@ -195,6 +197,12 @@
     return waiting.asked_at_s + part * (waiting.aim_deadline_s - waiting.asked_at_s)
 
 
+def _soon_s(context: QueueContext, waiting: WaitingAdmission) -> float:
+    """Return until when an answer should begin for no other engine to be asked."""
+    aim_s = waiting.aim_deadline_s - waiting.asked_at_s
+    return waiting.asked_at_s + context.options.eager_aim_part * aim_s
+
+
 def _is_usable(context: QueueContext, name: str) -> bool:
     server = context.configuration.backend_servers.get(name)
     return server is not None and not server.leaving and name not in context.leaving
@@ -247,8 +255,9 @@
     wait_ms = max(round((free_s - now_s) * 1000.0), SHORTEST_RETRY_MS)
     context.out.add(_describe_decision(context, name, load, waiting, now_s, wait_ms))
     del load.waiting[waiting.request_id]
-    queues.refused[fingerprint(waiting)] = now_s + RETURN_MEMORY_S
+    if not waiting.eager:
+        queues.refused[fingerprint(waiting)] = now_s + RETURN_MEMORY_S
     sound = _is_usable(context, name) and not load.health.suspect
     kept = count_kept(load.cache, waiting.parts) if sound else 0
-    refusal = AdmissionRefusal(waiting.request_id, name, wait_ms, kept)
+    refusal = AdmissionRefusal(waiting.request_id, name, wait_ms, kept, waiting.eager)
     context.post.add(waiting.router_id, refusal)
--- a/packages/core/src/myrtlehook_core/process/engine_loads.py
+++ b/packages/core/src/myrtlehook_core/process/engine_loads.py
@@ -46,6 +46,8 @@
     hop: int
     fetch_tokens: int = 0
     """What the engine can take of its prompt from another one."""
+    eager: bool = False
+    """Another engine is asked if this one is not soon free."""
     above_share: bool = False
     """Its workspace asks for more than its share."""
     returned: bool = False
--- a/packages/core/src/myrtlehook_core/process/engine_queues.py
+++ b/packages/core/src/myrtlehook_core/process/engine_queues.py
@@ -225,4 +225,5 @@
         hop=message.hop,
         fetch_tokens=message.fetch_tokens,
         above_share=message.above_share,
+        eager=message.eager,
     )
--- a/packages/core/src/myrtlehook_core/process/options.py
+++ b/packages/core/src/myrtlehook_core/process/options.py
@@ -62,6 +62,10 @@
     """With so many engines in its own availability zone, a router asks there first."""
     engines_asked: int = 3
     """How many engines a request asks for before it is refused."""
+    eager_aim_part: float = 0.4
+    """An engine of the own zone that is asked before these takes a request only if its answer
+    begins within this part of its aim: a zone with more callers than others must not keep
+    them waiting while engines elsewhere are free."""
     aim_slack_part: float = 0.85
     """A request is taken only if its answer is expected to begin within this part of its
     aim; estimates err."""
--- a/tests/features/zones.feature
+++ b/tests/features/zones.feature
@@ -44,12 +44,19 @@
     Then within 2.5 s every router knows the source's list
     And at most 6 routers have called the source
 
-  Scenario Outline: Engines of the own zone are asked first where they are enough
-    When a router of zone "z" ranks <near> engines of its zone and <far> of others
+  Scenario Outline: Engines of the own zone are asked first for prompts that share little
+    When a router of zone "z" ranks <near> engines of its zone and <far> of others for <shared> shared tokens
     Then the first one is <first>, and all are named once
 
     Examples:
-      | near | far | first             |
-      | 4    | 12  | of its own zone   |
-      | 3    | 12  | the home of all   |
-      | 0    | 12  | the home of all   |
+      | near | far | shared | first           |
+      | 4    | 12  | 500    | of its own zone |
+      | 4    | 12  | 6000   | the home of all |
+      | 3    | 12  | 500    | the home of all |
+      | 0    | 12  | 500    | the home of all |
+
+  Scenario: A zone with all callers does not keep them waiting while engines elsewhere are free
+    Given 24 routers and 12 engines in 3 zones that have run for 3 s
+    When the routers of zone "z" alone get 150 requests a second for 3 s
+    Then every request is served, its engine given within 0.85 of its aim
+    And engines of every zone have served some
--- a/tests/standins/histories.py
+++ b/tests/standins/histories.py
@@ -80,6 +80,7 @@
     entry: str
     deadline_s: float
     dispatched: list[str] = field(default_factory=list)
+    dispatched_at_s: list[float] = field(default_factory=list)
     memory_sources: list[str] = field(default_factory=list)
     """For each dispatch, the engine that hands the prompt's beginning over."""
     unread_tokens: list[int] = field(default_factory=list)
@@ -244,6 +245,7 @@
         request_id, engine = action.request_id, action.backend_server
         outcome = self.outcomes[request_id]
         outcome.dispatched.append(engine)
+        outcome.dispatched_at_s.append(self.now_s)
         outcome.memory_sources.append(action.memory_source)
         if engine in self.broken_engines:
             reason = RetryReason.CONNECT_FAILED
--- a/tests/steps/zone_steps.py
+++ b/tests/steps/zone_steps.py
@@ -2,12 +2,13 @@
 
 import random
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 from behave import given as before
 from behave import then, when
 
-from myrtlehook_core import CoreOptions, MemberState
+from myrtlehook_core import CoreOptions, MemberState, PromptPart
 from myrtlehook_core.process.accountants import find_level
 from myrtlehook_core.process.admission_asking import AdmissionContext, rank_engines
 from myrtlehook_core.process.hashing import rank_routers
@@ -15,6 +16,8 @@
 from standins.histories import POOL, History, Network, Source, make_request
 
 STEP_S = 0.05
+AIM_S = 0.6
+"""Of requests that ``make_request`` makes."""
 ASK_INTERVAL_S = 0.25
 ASKED_TOKENS = {"a": 6000, "b": 2000, "c": 200}
 LEVEL_TOLERANCE_PART = 0.2
@@ -221,8 +224,11 @@
     assert len(called) <= count, called
 
 
-@when('a router of zone "z" ranks {near:d} engines of its zone and {far:d} of others')
-def rank(context: Any, near: int, far: int) -> None:
+@when(
+    'a router of zone "z" ranks {near:d} engines of its zone and {far:d} of others'
+    " for {shared:d} shared tokens"
+)
+def rank(context: Any, near: int, far: int, shared: int) -> None:
     # Of a fleet in which every engine stands in a zone of its own, the names are taken.
     history = History(1, 1, near + far, Network(), CoreOptions())
     core = next(iter(history.alive.values()))
@@ -232,7 +238,9 @@
             object.__setattr__(servers[name], "availability_zone", "z1")
     found: AdmissionContext = core.admission_context()
     context.servers = servers
-    context.request = make_request("r", "a", 1, 100, 0.0, True)
+    parts = (PromptPart("s1", shared), PromptPart("own", 100))
+    plain = make_request("r", "a", 1, 100, 0.0, True)
+    context.request = replace(plain, prompt_parts=parts, prompt_tokens=shared + 100)
     context.ranked = rank_engines(found, context.request)
 
 
@@ -245,3 +253,36 @@
         assert ranked[0] == home, (ranked, home)
     else:
         assert context.servers[ranked[0]].availability_zone == "z", ranked
+
+
+@when('the routers of zone "{zone}" alone get {rate:d} requests a second for {seconds:g} s')
+def ask_one_zone(context: Any, zone: str, rate: int, seconds: float) -> None:
+    history: History = context.history
+    asked = [name for name in history.alive if history.zones[name] == zone]
+    draw = random.Random(5)
+    context.asked_s = {}
+    for number in range(round(rate * seconds)):
+        at_s = history.now_s + number / rate
+        request = make_request(f"q{number}", "abc"[number % 3], 1, 1500, at_s, True)
+        context.asked_s[request.request_id] = at_s
+        router = draw.choice(asked)
+        history.at(at_s, lambda router=router, request=request: history.ask(router, request))
+    history.run_until(history.now_s + seconds + 1.0)
+
+
+@then("every request is served, its engine given within {part:g} of its aim")
+def check_all_served(context: Any, part: float) -> None:
+    history: History = context.history
+    for request_id, asked_s in context.asked_s.items():
+        outcome = history.outcomes[request_id]
+        assert outcome.dispatched and not outcome.refused_at_s, (request_id, outcome)
+        assert outcome.dispatched_at_s[0] - asked_s <= part * AIM_S, (request_id, outcome)
+
+
+@then("engines of every zone have served some")
+def check_zones_served(context: Any) -> None:
+    history: History = context.history
+    servers = next(iter(history.alive.values())).configuration.backend_servers
+    used = {history.outcomes[request_id].dispatched[0] for request_id in context.asked_s}
+    zones = {servers[name].availability_zone for name in used}
+    assert zones == {server.availability_zone for server in servers.values()}, zones
