--- a/packages/router/src/myrtlehook_router/connection/passed.py
+++ b/packages/router/src/myrtlehook_router/connection/passed.py
@@ -41,12 +41,21 @@
                 return
             if not takes():
                 counters.add("passed.not_taken")
-                self.connection.sendall(NOT_TAKEN)
+                self._answer(NOT_TAKEN)
                 return
             counters.add("passed.taken")
             _log.info("connection taken", sender=introduction.sender)
-            self.connection.sendall(TAKEN)
-            super().handle()
+            if self._answer(TAKEN):
+                super().handle()
+
+        def _answer(self, verdict: bytes) -> bool:
+            """Tell the neighbour; False when it has gone, or asked another router."""
+            try:
+                self.connection.sendall(verdict)
+            except OSError:
+                counters.add("passed.neighbour_gone")
+                return False
+            return True
 
         def _read_introduction(self) -> bytes:
             try:
--- a/packages/router/src/myrtlehook_router/connection/passing.py
+++ b/packages/router/src/myrtlehook_router/connection/passing.py
@@ -128,18 +128,29 @@
         member = choose_neighbour(self.neighbours, self._table, now_s, self._draw, tried)
         if member is None:
             return False
+        helper = self._open_socket()
+        if helper is None:
+            return False
+        passed.helper = helper
         passed.tried.add(member.router_id)
         passed.neighbour = member.router_id
         note_opened(self.neighbours, member.router_id)
-        self._connect(passed, member)
+        self._connect(passed, helper, member)
         return True
 
-    def _connect(self, passed: PassedConnection, member: Member) -> None:
-        helper = _socket.socket(_socket.AF_INET, _socket.SOCK_STREAM)
+    def _open_socket(self) -> Any | None:
+        """Return a new socket; None for want of descriptors."""
+        try:
+            helper = _socket.socket(_socket.AF_INET, _socket.SOCK_STREAM)
+        except OSError:
+            self._counters.add("passed.no_descriptor")
+            return None
         helper.setblocking(False)
         helper.setsockopt(_socket.IPPROTO_TCP, _socket.TCP_NODELAY, 1)
         helper.setsockopt(_socket.IPPROTO_TCP, _socket.TCP_USER_TIMEOUT, UNSENT_TIMEOUT_MS)
-        passed.helper = helper
+        return helper
+
+    def _connect(self, passed: PassedConnection, helper: Any, member: Member) -> None:
         hub = hubs.get_hub()
         passed.timer = hub.schedule_call_global(
             VERDICT_TIMEOUT_S, lambda: self._give_up(passed, "no_answer")
--- a/packages/router/src/myrtlehook_router/process/caller_servers.py
+++ b/packages/router/src/myrtlehook_router/process/caller_servers.py
@@ -15,6 +15,7 @@
 from myrtlehook_router.connection.passing import Passer
 from myrtlehook_router.process.busy_meters import BusyMeter
 from myrtlehook_router.process.counters import Counters
+from myrtlehook_router.process.tasks import guard
 
 CROWDED_PART = 0.5
 """Beyond this part of the connections that fit, each ends after its answer."""
@@ -60,7 +61,7 @@
         """Serve callers at a listening socket; the loop of this task."""
         self.meter.watch(hubs.get_hub())
         entrance = Entrance(listener, self._passer, self._passes_on, self._has_room)
-        eventlet.spawn(entrance.accept_forever)
+        eventlet.spawn(guard, entrance.accept_forever)
         protocol = make_strict_protocol(
             self._services.limits, self._is_closing, self._services.counters
         )
