--- a/tests/steps/overload_steps.py
+++ b/tests/steps/overload_steps.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from behave import then, when
-from platform_operator_steps import _run_losses
+from platform_operator_steps import run_losses
 from platform_steps import METRICS_PORT, node
 
 from myrtlehook_core import Shedding, book_return
@@ -143,7 +143,7 @@
     )
 
     def agree() -> bool:
-        rows = _run_losses(context)["tables"]["reason"]
+        rows = run_losses(context)["tables"]["reason"]
         context.told = sum(row["requests"] for row in rows if row["reason"] == "unauthenticated")
         return abs(context.told - counted) <= 0.01 * counted
 
--- a/tests/steps/platform_operator_steps.py
+++ b/tests/steps/platform_operator_steps.py
@@ -131,7 +131,7 @@
     assert -1 < story.find(first) < story.find(second), story
 
 
-def _run_losses(context: Any, *options: str) -> dict[str, Any]:
+def run_losses(context: Any, *options: str) -> dict[str, Any]:
     logs = [str(found.log_path) for found in context.nodes.nodes]
     command = [sys.executable, "-m", "myrtlehook_operator", "losses", "--json", *options, *logs]
     printed = subprocess.run(command, capture_output=True, text=True, timeout=60, check=False)
@@ -142,7 +142,7 @@
 @then('the tool\'s losses tell of "{route}" and "{workspace}" the reason "{reason}"')
 def check_losses(context: Any, route: str, workspace: str, reason: str) -> None:
     def told() -> bool:
-        context.losses = _run_losses(context)["tables"]
+        context.losses = run_losses(context)["tables"]
         reasons = {
             dimension: {row["place"] for row in rows if row["reason"] == reason}
             for dimension, rows in context.losses.items()
@@ -167,7 +167,7 @@
 @then("the tool draws its losses")
 def check_plot(context: Any) -> None:
     path = context.nodes.folder / "losses.png"
-    _run_losses(context, "--plot", str(path))
+    run_losses(context, "--plot", str(path))
     assert path.read_bytes().startswith(b"\x89PNG")
 
 
