--- a/packages/router/src/myrtlehook_router/connection/passing.py
+++ b/packages/router/src/myrtlehook_router/connection/passing.py
@@ -161,13 +161,7 @@
             # Not at once: the caller of this method has not stored the connection yet.
             hub.schedule_call_global(0, lambda: self._give_up(passed, "not_connected"))
             return
-        passed.listener = hub.add(
-            hubs.hub.WRITE,
-            helper.fileno(),
-            lambda _: self._introduce(passed),
-            lambda _: None,
-            lambda: None,
-        )
+        self._listen(passed, helper, hubs.hub.WRITE, self._introduce)
 
     def _introduce(self, passed: PassedConnection) -> None:
         helper = passed.helper
@@ -184,13 +178,7 @@
         except OSError:
             self._give_up(passed, "not_connected")
             return
-        passed.listener = hubs.get_hub().add(
-            hubs.hub.READ,
-            helper.fileno(),
-            lambda _: self._take_verdict(passed),
-            lambda _: None,
-            lambda: None,
-        )
+        self._listen(passed, helper, hubs.hub.READ, self._take_verdict)
 
     def _take_verdict(self, passed: PassedConnection) -> None:
         helper = passed.helper
@@ -228,6 +216,21 @@
         self._passed.pop(id(passed), None)
         passed.give_back(passed.accepted)
 
+    def _listen(
+        self,
+        passed: PassedConnection,
+        helper: Any,
+        event: str,
+        call: Callable[[PassedConnection], None],
+    ) -> None:
+        """Have the event loop call back once the neighbour's connection is ready.
+
+        :param event: the loop's word for reading or writing.
+        """
+        passed.listener = hubs.get_hub().add(
+            event, helper.fileno(), lambda _: call(passed), lambda _: None, lambda: None
+        )
+
     def _stop_listening(self, passed: PassedConnection) -> None:
         if passed.listener is not None:
             hubs.get_hub().remove(passed.listener)
