--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -23,13 +23,12 @@
 )
 from myrtlehook_core.process.ledgers import Ledger, take_report
 from myrtlehook_core.process.members import Member, MemberState, collect_member_news
+from myrtlehook_core.process.membership_messages import News, Probe
 from myrtlehook_core.process.messages import (
     Bid,
     BidRow,
     Envelope,
     Message,
-    News,
-    Probe,
     Release,
     Report,
     ReportRow,
--- a/packages/core/src/myrtlehook_core/process/event_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/event_handlers.py
@@ -36,10 +36,8 @@
     note_leaving_server,
     note_server_incarnation,
 )
-from myrtlehook_core.process.messages import (
-    LeavingRow,
-    Release,
-)
+from myrtlehook_core.process.membership_messages import LeavingRow
+from myrtlehook_core.process.messages import Release
 from myrtlehook_core.process.orders import find_order
 from myrtlehook_core.process.owners import (
     count_free_in_pool,
--- a/packages/core/src/myrtlehook_core/process/members.py
+++ b/packages/core/src/myrtlehook_core/process/members.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from enum import IntEnum
 
-from myrtlehook_core.process.messages import LeavingRow, MemberRow
+from myrtlehook_core.process.membership_messages import LeavingRow, MemberRow
 
 NEWS_ROWS = 16
 """Most member rows that ride on one probe."""
--- /dev/null
+++ b/packages/core/src/myrtlehook_core/process/membership_messages.py
@@ -0,0 +1,76 @@
+"""Messages by which routers find and watch each other; see ``messages`` for the rules."""
+
+import msgspec
+
+from myrtlehook_core.process.source_messages import ReaderRow
+
+
+class MemberRow(msgspec.Struct, frozen=True, array_like=True):
+    """News of one router."""
+
+    router_id: str
+    address: str
+    """Empty when it is the id: a row rides on every probe."""
+    incarnation: int
+    state: int
+    availability_zone: str = ""
+
+
+class LeavingRow(msgspec.Struct, frozen=True, array_like=True):
+    """A backend server that said it is leaving, in this incarnation of it."""
+
+    backend_server: str
+    incarnation: int
+
+
+class News(msgspec.Struct, frozen=True, array_like=True):
+    """What rides on probes."""
+
+    members: tuple[MemberRow, ...]
+    leaving: tuple[LeavingRow, ...]
+    configuration_number: int
+    configuration_digest: str
+    servers_revision: int = 0
+    """Revision of the source at which the sender knows the backend servers; 0 for none."""
+    readers: tuple[ReaderRow, ...] = ()
+    """Routers that read the source."""
+
+
+class Probe(msgspec.Struct, frozen=True, array_like=True, tag=9):
+    """Asks for an acknowledgement."""
+
+    probe_id: int
+    news: News
+
+
+class Ack(msgspec.Struct, frozen=True, array_like=True, tag=10):
+    """Says that ``target`` answered."""
+
+    probe_id: int
+    target: str
+    news: News
+
+
+class IndirectProbe(msgspec.Struct, frozen=True, array_like=True, tag=11):
+    """Asks a helper to probe ``target`` for the sender."""
+
+    probe_id: int
+    target: str
+
+
+class MembersQuery(msgspec.Struct, frozen=True, array_like=True, tag=12):
+    """A router that has just started asks for the whole member table."""
+
+    sender_row: MemberRow
+
+
+class MembersReply(msgspec.Struct, frozen=True, array_like=True, tag=13):
+    """The whole member table, once."""
+
+    news: News
+
+
+class Announcement(msgspec.Struct, frozen=True, array_like=True, tag=27):
+    """News that cannot wait for the next probe."""
+
+    news: News
--- a/packages/core/src/myrtlehook_core/process/message_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/message_handlers.py
@@ -33,9 +33,15 @@
 )
 from myrtlehook_core.process.ledgers import take_report
 from myrtlehook_core.process.members import find_state
-from myrtlehook_core.process.messages import (
+from myrtlehook_core.process.membership_messages import (
     Ack,
     Announcement,
+    IndirectProbe,
+    MembersQuery,
+    MembersReply,
+    Probe,
+)
+from myrtlehook_core.process.messages import (
     Bid,
     ConfigurationQuery,
     ConfigurationReply,
@@ -44,10 +50,6 @@
     HoldList,
     HoldQuery,
     HoldSummary,
-    IndirectProbe,
-    MembersQuery,
-    MembersReply,
-    Probe,
     Release,
     Report,
     Totals,
--- a/packages/core/src/myrtlehook_core/process/messages.py
+++ b/packages/core/src/myrtlehook_core/process/messages.py
@@ -19,7 +19,15 @@
     HeldAdmissions,
     ShareLevel,
 )
-from myrtlehook_core.process.source_messages import ReaderRow, ServersQuery, ServersReply
+from myrtlehook_core.process.membership_messages import (
+    Ack,
+    Announcement,
+    IndirectProbe,
+    MembersQuery,
+    MembersReply,
+    Probe,
+)
+from myrtlehook_core.process.source_messages import ServersQuery, ServersReply
 
 
 class BidRow(msgspec.Struct, frozen=True, array_like=True):
@@ -146,71 +154,6 @@
     rows: tuple[TotalRow, ...]
 
 
-class MemberRow(msgspec.Struct, frozen=True, array_like=True):
-    """News of one router."""
-
-    router_id: str
-    address: str
-    """Empty when it is the id: a row rides on every probe."""
-    incarnation: int
-    state: int
-    availability_zone: str = ""
-
-
-class LeavingRow(msgspec.Struct, frozen=True, array_like=True):
-    """A backend server that said it is leaving, in this incarnation of it."""
-
-    backend_server: str
-    incarnation: int
-
-
-class News(msgspec.Struct, frozen=True, array_like=True):
-    """What rides on probes."""
-
-    members: tuple[MemberRow, ...]
-    leaving: tuple[LeavingRow, ...]
-    configuration_number: int
-    configuration_digest: str
-    servers_revision: int = 0
-    """Revision of the source at which the sender knows the backend servers; 0 for none."""
-    readers: tuple[ReaderRow, ...] = ()
-    """Routers that read the source."""
-
-
-class Probe(msgspec.Struct, frozen=True, array_like=True, tag=9):
-    """Asks for an acknowledgement."""
-
-    probe_id: int
-    news: News
-
-
-class Ack(msgspec.Struct, frozen=True, array_like=True, tag=10):
-    """Says that ``target`` answered."""
-
-    probe_id: int
-    target: str
-    news: News
-
-
-class IndirectProbe(msgspec.Struct, frozen=True, array_like=True, tag=11):
-    """Asks a helper to probe ``target`` for the sender."""
-
-    probe_id: int
-    target: str
-
-
-class MembersQuery(msgspec.Struct, frozen=True, array_like=True, tag=12):
-    """A router that has just started asks for the whole member table."""
-
-    sender_row: MemberRow
-
-
-class MembersReply(msgspec.Struct, frozen=True, array_like=True, tag=13):
-    """The whole member table, once."""
-
-    news: News
-
-
 class ConfigurationQuery(msgspec.Struct, frozen=True, array_like=True, tag=14):
     """Asks a peer for published documents by digest."""
 
@@ -224,12 +167,6 @@
     text: str
 
 
-class Announcement(msgspec.Struct, frozen=True, array_like=True, tag=27):
-    """News that cannot wait for the next probe."""
-
-    news: News
-
-
 class EarlyCharge(msgspec.Struct, frozen=True, array_like=True, tag=16):
     """An owner tells the pool's other owners what it has just granted."""
 
--- a/packages/core/src/myrtlehook_core/process/probing.py
+++ b/packages/core/src/myrtlehook_core/process/probing.py
@@ -19,7 +19,7 @@
     own_row,
     take_row,
 )
-from myrtlehook_core.process.messages import (
+from myrtlehook_core.process.membership_messages import (
     Ack,
     Announcement,
     IndirectProbe,
--- a/packages/core/src/myrtlehook_core/process/source_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/source_handlers.py
@@ -11,7 +11,8 @@
     ReadSource,
 )
 from myrtlehook_core.process.members import note_leaving_server
-from myrtlehook_core.process.messages import ConfigurationQuery, LeavingRow, News
+from myrtlehook_core.process.membership_messages import LeavingRow, News
+from myrtlehook_core.process.messages import ConfigurationQuery
 from myrtlehook_core.process.probing import announce, announce_near
 from myrtlehook_core.process.source_messages import ServerRow, ServersQuery, ServersReply
 from myrtlehook_core.process.source_readers import (
--- a/tests/steps/passing_steps.py
+++ b/tests/steps/passing_steps.py
@@ -21,12 +21,12 @@
     Neighbours,
     RouterIdentity,
     choose_neighbour,
-    messages,
     note_opened,
     note_short,
     passes_on,
 )
 from myrtlehook_core.process.members import take_row
+from myrtlehook_core.process.membership_messages import MemberRow
 from myrtlehook_platform.settings import FLEET_KEY
 from myrtlehook_router.connection.introductions import Introduction, write_introduction
 from myrtlehook_router.connection.splices import Splice
@@ -227,7 +227,7 @@
     table = MemberTable(RouterIdentity("me:1", "me:1", 1, "hall-1"), 1)
     for number in range(near + far):
         zone = "hall-1" if number < near else "hall-2"
-        row = messages.MemberRow(f"r{number}:1", "", 1, 0, zone)
+        row = MemberRow(f"r{number}:1", "", 1, 0, zone)
         take_row(table, row, 0.0, 1.0)
     context.members, context.neighbours, context.near = table, Neighbours(), near
     context.draw = random.Random(1).random
--- a/tests/steps/property_steps.py
+++ b/tests/steps/property_steps.py
@@ -24,11 +24,11 @@
 from myrtlehook_core.process.hashing import rank_routers
 from myrtlehook_core.process.ledgers import Ledger, take_report, total_units
 from myrtlehook_core.process.members import Member, MemberTable, take_row
+from myrtlehook_core.process.membership_messages import MemberRow
 from myrtlehook_core.process.messages import (
     Envelope,
     FloorRow,
     Grant,
-    MemberRow,
     Report,
     ReportRow,
     WaitingState,
--- a/tests/steps/zone_steps.py
+++ b/tests/steps/zone_steps.py
@@ -8,11 +8,12 @@
 from behave import given as before
 from behave import then, when
 
-from myrtlehook_core import CoreOptions, MemberState, PromptPart, actions, events, messages
+from myrtlehook_core import CoreOptions, MemberState, PromptPart, actions, events
 from myrtlehook_core.process.accountants import find_level
 from myrtlehook_core.process.admission_asking import AdmissionContext, rank_engines
 from myrtlehook_core.process.admission_messages import DemandReport, DemandRow
 from myrtlehook_core.process.hashing import rank_routers
+from myrtlehook_core.process.membership_messages import Announcement, MemberRow, News
 from myrtlehook_core.process.shares import Reporters, find_collector
 from standins.histories import POOL, History, Network, Source, make_request
 
@@ -322,16 +323,16 @@
     assert POOL not in core.shares.collected
 
 
-def hear_announcement(context: Any, rows: tuple[messages.MemberRow, ...]) -> None:
+def hear_announcement(context: Any, rows: tuple[MemberRow, ...]) -> None:
     """Let a router of the first zone hear an announcement from another one."""
     history: History = context.history
     core = history.alive[context.router]
-    news = messages.News(rows, (), core.configuration.version.number, "")
-    heard = events.MessageReceived(context.sender, 1, messages.Announcement(news))
+    news = News(rows, (), core.configuration.version.number, "")
+    heard = events.MessageReceived(context.sender, 1, Announcement(news))
     context.told = [
         action
         for action in core.handle(heard, history.now_s)
-        if isinstance(action, actions.Send) and isinstance(action.message, messages.Announcement)
+        if isinstance(action, actions.Send) and isinstance(action.message, Announcement)
     ]
 
 
@@ -341,9 +342,7 @@
     names = list(history.alive)
     context.router, context.sender, third = names[0], names[1], names[5]
     member = history.alive[context.router].table.members[third]
-    row = messages.MemberRow(
-        third, "", member.incarnation, MemberState.DEAD, member.availability_zone
-    )
+    row = MemberRow(third, "", member.incarnation, MemberState.DEAD, member.availability_zone)
     hear_announcement(context, (row,))
     assert member.state is MemberState.DEAD
 
@@ -356,7 +355,7 @@
 @when("it hears in an announcement of another zone that the sender stops")
 def hear_sender(context: Any) -> None:
     member = context.history.alive[context.router].table.members[context.sender]
-    row = messages.MemberRow(
+    row = MemberRow(
         context.sender, "", member.incarnation, MemberState.LEAVING, member.availability_zone
     )
     hear_announcement(context, (row,))
