Tell on-call what a pool's shares rest on

Change: a line of the accountant once a second while there is a level; above_share in admission's lines; tokens granted and refused by band. No decision is changed. Measured: shares.feature, first scenario; nothing else was measured.

--- a/packages/core/src/myrtlehook_core/process/accountants.py
+++ b/packages/core/src/myrtlehook_core/process/accountants.py
@@ -6,6 +6,7 @@
 
 from dataclasses import dataclass, field
 
+from myrtlehook_core.process.actions import ShareLevelNoted
 from myrtlehook_core.process.admission_messages import DemandReport, DemandRow, ShareLevel
 
 REPORT_LEASE_S = 1.0
@@ -13,6 +14,12 @@
 
 UNLIMITED = -1
 
+TELL_INTERVAL_S = 1.0
+"""How often on-call is told of a level, while there is one."""
+
+TOLD_WORKSPACES = 8
+"""Of those above the level, so many are told, the largest first."""
+
 
 @dataclass(frozen=True, slots=True)
 class HeardReport:
@@ -30,6 +37,7 @@
     """By router."""
     asked_tokens: dict[str, int] = field(default_factory=dict)
     """By workspace, the sum over all reports."""
+    next_told_s: float = 0.0
 
 
 def take_demand(
@@ -55,6 +63,24 @@
     forget_late(account, now_s)
 
 
+def describe_level(
+    account: PoolAccount, level: ShareLevel, capacity_tokens: float, now_s: float
+) -> ShareLevelNoted | None:
+    """Return what on-call is to know of a level; None while there is nothing new to tell."""
+    if level.level_tokens == UNLIMITED or now_s < account.next_told_s:
+        return None
+    account.next_told_s = now_s + TELL_INTERVAL_S
+    largest = sorted(level.rows, key=lambda row: row.asked_tokens, reverse=True)
+    return ShareLevelNoted(
+        pool=level.pool,
+        level_tokens=level.level_tokens,
+        capacity_tokens=capacity_tokens,
+        asked_tokens=sum(account.asked_tokens.values()),
+        reports=len(account.heard),
+        above=tuple(largest[:TOLD_WORKSPACES]),
+    )
+
+
 def sum_rows(account: PoolAccount) -> tuple[DemandRow, ...]:
     """Return what all reports that count say together."""
     asked = sorted(account.asked_tokens.items())
--- a/packages/core/src/myrtlehook_core/process/actions.py
+++ b/packages/core/src/myrtlehook_core/process/actions.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from myrtlehook_core.process.admission_messages import EngineEstimate
+from myrtlehook_core.process.admission_messages import DemandRow, EngineEstimate
 from myrtlehook_core.process.messages import Message
 from myrtlehook_core.request.outcomes import DropReason, RefusalReason, RetryReason
 from myrtlehook_core.version.configurations import Configuration, ServerOrder
@@ -122,11 +122,31 @@
     waiting_requests: int
     granted_requests: int
     tier: int
+    above_share: bool
+    asked_tokens: int
+    """The request's size as shares count it."""
     estimate: EngineEstimate
     retry_after_ms: int | None
     """None for a grant."""
 
 
+@dataclass(frozen=True, slots=True)
+class ShareLevelNoted:
+    """A pool's accountant holds workspaces to a level; told once a second while it does."""
+
+    pool: str
+    level_tokens: int
+    """Within one window of the shares, as all figures here."""
+    capacity_tokens: float
+    """What is shared out."""
+    asked_tokens: int
+    """By all workspaces."""
+    reports: int
+    """Routers or collectors that this rests on."""
+    above: tuple[DemandRow, ...]
+    """The workspaces that ask for the most above the level."""
+
+
 @dataclass(frozen=True, slots=True)
 class RetryNoted:
     """A request that was not run is queued again."""
@@ -169,6 +189,7 @@
     | BackendServersChanged
     | ReadSource
     | AdmissionDecided
+    | ShareLevelNoted
     | RetryNoted
     | DropNoted
     | ServerEjected
--- a/packages/core/src/myrtlehook_core/process/admissions.py
+++ b/packages/core/src/myrtlehook_core/process/admissions.py
@@ -41,7 +41,7 @@
     settle_charge,
 )
 from myrtlehook_core.request.outcomes import RefusalReason, RetryReason
-from myrtlehook_core.request.requests import RequestSpecification
+from myrtlehook_core.request.requests import RequestSpecification, count_share_tokens
 
 
 def is_admitted_by_tokens(context: EntryContext, request: RequestSpecification) -> bool:
@@ -287,8 +287,8 @@
 
 
 def expected_tokens(request: RequestSpecification) -> int:
-    """Return a request's size as shares count it: a token made counts twice."""
-    return request.prompt_tokens + 2 * request.output_tokens
+    """Return a request's size as shares count it."""
+    return count_share_tokens(request.prompt_tokens, request.output_tokens)
 
 
 def _refuse(
--- a/packages/core/src/myrtlehook_core/process/engine_decisions.py
+++ b/packages/core/src/myrtlehook_core/process/engine_decisions.py
@@ -23,6 +23,7 @@
 from myrtlehook_core.process.options import CoreOptions
 from myrtlehook_core.process.posts import Post
 from myrtlehook_core.process.prompt_caches import count_kept
+from myrtlehook_core.request.requests import count_share_tokens
 from myrtlehook_core.version.configurations import BackendServer, Configuration
 
 RETURN_MEMORY_S = 10.0
@@ -237,6 +238,8 @@
         waiting_requests=len(load.waiting),
         granted_requests=len(load.granted),
         tier=waiting.tier,
+        above_share=waiting.above_share,
+        asked_tokens=count_share_tokens(waiting.prompt_tokens, waiting.output_tokens),
         estimate=describe_model(load.model, now_s),
         retry_after_ms=retry_after_ms,
     )
--- a/packages/core/src/myrtlehook_core/process/message_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/message_handlers.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
-from myrtlehook_core.process.accountants import take_demand
+from myrtlehook_core.process.accountants import describe_level, take_demand
 from myrtlehook_core.process.actions import (
     DropNoted,
 )
@@ -233,7 +233,12 @@
             core.post.add(sender, level)
         return
     capacity = limits.tokens_per_s * options.quota_window_s * options.capacity_factor
-    core.post.add(sender, take_demand(core.shares.accounts, sender, message, capacity, now_s))
+    level = take_demand(core.shares.accounts, sender, message, capacity, now_s)
+    core.post.add(sender, level)
+    account = core.shares.accounts[message.pool]
+    told = describe_level(account, level, capacity, now_s)
+    if told is not None:
+        core.out.add(told)
 
 
 def _take_level(core: "RouterCore", sender: str, message: ShareLevel, now_s: float) -> None:
--- a/packages/core/src/myrtlehook_core/request/requests.py
+++ b/packages/core/src/myrtlehook_core/request/requests.py
@@ -41,6 +41,11 @@
     """0 is served first."""
 
 
+def count_share_tokens(prompt_tokens: int, output_tokens: int) -> int:
+    """Return a request's size as shares count it: a token made counts twice."""
+    return prompt_tokens + 2 * output_tokens
+
+
 @dataclass(frozen=True, slots=True)
 class PoolKey:
     """The account key: service is counted per workspace and pool."""
--- a/packages/router/src/myrtlehook_router/process/core_tasks.py
+++ b/packages/router/src/myrtlehook_router/process/core_tasks.py
@@ -182,10 +182,13 @@
 
     def _note_admission(self, action: actions.AdmissionDecided) -> None:
         granted = action.retry_after_ms is None
-        self._counters.add(f"admission.{'granted' if granted else 'refused'}")
+        outcome = "granted" if granted else "refused"
+        self._counters.add(f"admission.{outcome}")
+        band = _name_band(action)
+        self._counters.add(f"shares.{outcome}_tokens.{band}", action.asked_tokens)
         estimate = action.estimate
         _log.info(
-            "admission granted" if granted else "admission refused",
+            f"admission {outcome}",
             request_id=action.request_id,
             backend_server=action.backend_server,
             waited_ms=round(action.waited_s * 1000.0, 1),
@@ -195,6 +198,7 @@
             waiting=action.waiting_requests,
             granted=action.granted_requests,
             tier=action.tier,
+            above_share=action.above_share,
             retry_after_ms=action.retry_after_ms,
             rate_tokens_per_s=round(estimate.rate_tokens_per_s),
             delay_ms=estimate.delay_ms,
@@ -202,6 +206,17 @@
             estimate_age_ms=estimate.age_ms,
         )
 
+    def _note_level(self, action: actions.ShareLevelNoted) -> None:
+        _log.info(
+            "share level",
+            pool=action.pool,
+            level_tokens=action.level_tokens,
+            capacity_tokens=round(action.capacity_tokens),
+            asked_tokens=action.asked_tokens,
+            reports=action.reports,
+            above={row.workspace: row.asked_tokens for row in action.above},
+        )
+
     def _note_retry(self, action: actions.RetryNoted) -> None:
         self._counters.add(f"retry.{action.reason}")
         _log.info("retry", request_id=action.request_id, reason=action.reason)
@@ -219,6 +234,13 @@
         _log.warning("woke late", late_s=round(action.late_s, 3))
 
 
+def _name_band(action: actions.AdmissionDecided) -> str:
+    """Return how a request stands to its workspace's share, as counters name it."""
+    if action.tier > 0:
+        return "excess"
+    return "share" if action.above_share else "below_share"
+
+
 # Each method's own signature types its action; the table only pairs the two.
 _CARRY_OUT: dict[type, Callable[[CoreTask, Any], None]] = {
     actions.Dispatch: CoreTask._decide,
@@ -232,6 +254,7 @@
     actions.ReadSource: CoreTask._read_source,
     actions.ConfigurationRejected: CoreTask._note_rejection,
     actions.AdmissionDecided: CoreTask._note_admission,
+    actions.ShareLevelNoted: CoreTask._note_level,
     actions.RetryNoted: CoreTask._note_retry,
     actions.DropNoted: CoreTask._note_drop,
     actions.ServerEjected: CoreTask._note_ejection,
--- a/tests/standins/histories.py
+++ b/tests/standins/histories.py
@@ -101,10 +101,12 @@
         options: CoreOptions,
         source: Source | None = None,
         zones: int = 1,
+        tokens_per_s: float = 60_000.0,
     ) -> None:
         """Start the routers of a history.
 
         :param zones: availability zones, over which routers and engines are spread in turn.
+        :param tokens_per_s: what the configuration says that all engines produce.
         """
         self.random = random.Random(seed)
         self.network = network
@@ -122,6 +124,9 @@
         """By kind of message, and by "own zone" or "other zones"."""
         self.zones: dict[str, str] = {}
         """By router."""
+        self.levels_noted: list[actions.ShareLevelNoted] = []
+        """What accountants have told on-call."""
+        self._tokens_per_s = tokens_per_s
         self._source = source
         self._options = options
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
@@ -147,7 +152,7 @@
     def start_router(self, name: str) -> None:
         """Start a router, or start it again with an empty memory."""
         identity = RouterIdentity(name, name, next(self._incarnations), self.zones[name])
-        configuration = _make_configuration()
+        configuration = _make_configuration(self._tokens_per_s)
 
         def parse(text: str) -> Ok[Configuration]:
             return Ok(replace(configuration, version=ConfigurationVersion(int(text), "")))
@@ -170,6 +175,12 @@
             if outcome.entry == name:
                 outcome.running = False
 
+    def keep_engines(self, count: int) -> None:
+        """Withdraw all but the first engines; every router learns of it at once."""
+        self._servers = self._servers[:count]
+        for name in list(self.alive):
+            self.feed(name, events.BackendServersRead(self._servers, False))
+
     def at(self, time_s: float, work: Callable[[], None]) -> None:
         """Do something at a time."""
         heapq.heappush(self._queue, (time_s, next(self._numbers), work))
@@ -225,6 +236,8 @@
             self.outcomes[action.request_id].refused_at_s.append(self.now_s)
         elif isinstance(action, actions.Dispatch):
             self._run(name, core, action)
+        elif isinstance(action, actions.ShareLevelNoted):
+            self.levels_noted.append(action)
 
     def _deliver(self, sender: str, core: RouterCore, action: actions.Send) -> None:
         near = self.zones[sender] == self.zones.get(action.router_id)
@@ -305,7 +318,7 @@
     )
 
 
-def _make_configuration() -> Configuration:
+def _make_configuration(tokens_per_s: float) -> Configuration:
     pool = Pool(
         name=POOL,
         kind=PoolKind.MODEL,
@@ -323,5 +336,5 @@
         version=ConfigurationVersion(1, ""),
         workspaces=workspaces,
         pools={POOL: pool},
-        limits=EntryLimits(tokens_per_s=60_000.0),
+        limits=EntryLimits(tokens_per_s=tokens_per_s),
     )
--- /dev/null
+++ b/tests/steps/share_steps.py
@@ -0,0 +1,138 @@
+"""Steps of shares in a pool whose engines do less than its configuration says."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Any
+
+from behave import then, when
+
+from myrtlehook_core import CoreOptions
+from standins.histories import History, Network, make_request
+
+CONFIGURED_TOKENS_PER_S = 120_000.0
+"""What four engines of 30 tokens a ms read."""
+
+BEGINS_S = 1.5
+"""When callers come: the routers know one another by then."""
+
+LOST_S = 6.0
+"""When engines are lost."""
+
+SETTLED_S = 2.0
+"""A level follows what is asked and done within one window of the shares."""
+
+SPAN_S = 6.0
+"""Over so long the users compare workspaces."""
+
+FAIR_PART = 0.5
+"""The users' bound: each gets this part of the lesser of what it asks for and what the best
+served one gets."""
+
+OWN_TOKENS = 700
+REQUEST_TOKENS = 500 + OWN_TOKENS + 2 * 30
+"""As shares count a request of a history: its session's part, its own, and its output."""
+
+RATES_TOKENS_PER_S = {"a": 200_000.0, "b": 36_000.0, "c": 44_000.0}
+"""Of 120,000 tokens a second the max-min share is 42,000."""
+
+
+@dataclass(slots=True)
+class ServedHistory:
+    """A history, and what its workspaces have asked of it."""
+
+    history: History
+    asked_at_s: dict[str, tuple[str, float]] = field(default_factory=dict)
+    """By request, its workspace and when it came."""
+
+    def flood(self, entry: str, workspace: str, rate_tokens_per_s: float, end_s: float) -> None:
+        """Let a workspace ask at a steady rate through one router."""
+        interval_s = REQUEST_TOKENS / rate_tokens_per_s
+        for number in range(int((end_s - BEGINS_S) / interval_s)):
+            time_s = BEGINS_S + number * interval_s
+            self.ask_at(entry, workspace, number, time_s)
+
+    def ask_at(self, entry: str, workspace: str, number: int, time_s: float) -> None:
+        """Let a workspace ask once; its sessions are its own."""
+        request_id = f"{workspace}{number}"
+        session = number % 7 + 7 * ord(workspace[0])
+        request = make_request(request_id, workspace, session, OWN_TOKENS, time_s, True)
+        self.asked_at_s[request_id] = (workspace, time_s)
+        self.history.at(time_s, lambda: self.history.ask(entry, request))
+
+    def count(self, begins_s: float) -> tuple[Counter[str], Counter[str]]:
+        """Return the tokens asked and begun by workspace over the users' span."""
+        asked: Counter[str] = Counter()
+        begun: Counter[str] = Counter()
+        for request_id, (workspace, time_s) in self.asked_at_s.items():
+            if begins_s <= time_s < begins_s + SPAN_S:
+                asked[workspace] += REQUEST_TOKENS
+            ended_at_s = self.history.outcomes[request_id].ended_at_s
+            # An answer of a history ends 0.1 s after it has begun.
+            if ended_at_s is not None and begins_s <= ended_at_s - 0.1 < begins_s + SPAN_S:
+                begun[workspace] += REQUEST_TOKENS
+        return asked, begun
+
+
+def _start(seed: int, engines: int) -> ServedHistory:
+    history = History(
+        seed,
+        routers=4,
+        engines=engines,
+        network=Network(),
+        options=CoreOptions(),
+        tokens_per_s=CONFIGURED_TOKENS_PER_S,
+    )
+    history.run_until(BEGINS_S)
+    return ServedHistory(history)
+
+
+def find_unfair(asked: Counter[str], begun: Counter[str]) -> list[str]:
+    """Return the workspaces that received less than the users' bound."""
+    best = max(begun.values())
+    return [name for name in asked if begun[name] < FAIR_PART * min(asked[name], best)]
+
+
+@when("a workspace floods engines that 120000 tokens a second are configured for")
+def flood_alone(context: Any) -> None:
+    served = _start(1, engines=2)
+    served.flood(next(iter(served.history.alive)), "a", 300_000.0, BEGINS_S + 4.0)
+    served.history.run_until(BEGINS_S + 4.0)
+    context.served = served
+
+
+@then("the accountant has told the level, the capacity and the flooding workspace, once a second")
+def check_told(context: Any) -> None:
+    told = context.served.history.levels_noted
+    assert 3 <= len(told) <= 4, told
+    for note in told:
+        assert note.level_tokens <= note.capacity_tokens < note.asked_tokens, note
+        assert [row.workspace for row in note.above] == ["a"], note
+        assert note.reports >= 1, note
+
+
+@when(
+    '{lost:d} of 4 engines are lost while "a" floods, "b" asks for slightly less than its share'
+    ' and "c" for slightly more'
+)
+def lose_engines(context: Any, lost: int) -> None:
+    context.unfair = {}
+    for seed in range(3):
+        served = _start(seed, engines=4)
+        end_s = LOST_S + SETTLED_S + SPAN_S
+        entries = list(served.history.alive)
+        for entry, (name, rate) in zip(entries, RATES_TOKENS_PER_S.items(), strict=False):
+            served.flood(entry, name, rate, end_s)
+        served.history.at(LOST_S, lambda served=served: served.history.keep_engines(4 - lost))
+        served.history.run_until(end_s + 2.0)
+        asked, begun = served.count(LOST_S + SETTLED_S)
+        unfair = find_unfair(asked, begun)
+        if unfair:
+            context.unfair[seed] = (unfair, dict(asked), dict(begun))
+
+
+@then(
+    "over six seconds each workspace receives half of what the best served one does,"
+    " or of what it asks"
+)
+def check_alike(context: Any) -> None:
+    assert not context.unfair, f"by seed, who got too little, asked and got: {context.unfair}"
