--- a/tests/features/shares.feature
+++ b/tests/features/shares.feature
@@ -13,3 +13,7 @@
       | 0    |
       | 2    |
       | 3    |
+
+  Scenario: Long prompts cost a workspace nothing of its share
+    When "a" floods in short prompts, and "b" and "c" ask for more than their shares, "b" in long ones
+    Then over six seconds each workspace receives half of what the best served one does, or of what it asks
--- a/tests/standins/histories.py
+++ b/tests/standins/histories.py
@@ -329,9 +329,7 @@
         default_timeout_s=10.0,
         engine=EngineCapacity(memory_tokens=100_000),
     )
-    workspaces = {
-        name: Workspace(name, 1.0, (), frozenset({POOL}), LIMITS) for name in ("a", "b", "c")
-    }
+    workspaces = {name: Workspace(name, 1.0, (), frozenset({POOL}), LIMITS) for name in "abcdefgh"}
     return Configuration(
         version=ConfigurationVersion(1, ""),
         workspaces=workspaces,
--- a/tests/steps/share_steps.py
+++ b/tests/steps/share_steps.py
@@ -1,5 +1,6 @@
 """Steps of shares in a pool whose engines do less than its configuration says."""
 
+import random
 from collections import Counter
 from dataclasses import dataclass, field
 from typing import Any
@@ -36,40 +37,89 @@
 """Of 120,000 tokens a second the max-min share is 42,000."""
 
 
+@dataclass(frozen=True, slots=True)
+class Asked:
+    """What a workspace asked for, and when."""
+
+    workspace: str
+    time_s: float
+    tokens: int
+    """As shares count them."""
+
+
+@dataclass(frozen=True, slots=True)
+class Workload:
+    """What a workspace asks for at random moments."""
+
+    workspace: str
+    rate_tokens_per_s: float
+    own_tokens: int
+    """Of the mean prompt, beside the part that its session shares."""
+
+
+WORKLOADS = (
+    Workload("a", 300_000.0, 700),
+    Workload("b", 80_000.0, 9_000),
+    Workload("c", 80_000.0, 1_500),
+    Workload("d", 20_000.0, 2_000),
+)
+"""Prompts of 9,000 tokens take half of their aim to read; the max-min share is 33,000."""
+
+
 @dataclass(slots=True)
 class ServedHistory:
     """A history, and what its workspaces have asked of it."""
 
     history: History
-    asked_at_s: dict[str, tuple[str, float]] = field(default_factory=dict)
-    """By request, its workspace and when it came."""
+    asked: dict[str, Asked] = field(default_factory=dict)
+    """By request."""
 
     def flood(self, entry: str, workspace: str, rate_tokens_per_s: float, end_s: float) -> None:
         """Let a workspace ask at a steady rate through one router."""
         interval_s = REQUEST_TOKENS / rate_tokens_per_s
         for number in range(int((end_s - BEGINS_S) / interval_s)):
             time_s = BEGINS_S + number * interval_s
-            self.ask_at(entry, workspace, number, time_s)
+            self.ask_at(entry, workspace, number, OWN_TOKENS, time_s)
 
-    def ask_at(self, entry: str, workspace: str, number: int, time_s: float) -> None:
+    def ask_at(
+        self, entry: str, workspace: str, number: int, own_tokens: int, time_s: float
+    ) -> None:
         """Let a workspace ask once; its sessions are its own."""
         request_id = f"{workspace}{number}"
         session = number % 7 + 7 * ord(workspace[0])
-        request = make_request(request_id, workspace, session, OWN_TOKENS, time_s, True)
-        self.asked_at_s[request_id] = (workspace, time_s)
+        request = make_request(request_id, workspace, session, own_tokens, time_s, True)
+        tokens = request.prompt_tokens + 2 * request.output_tokens
+        self.asked[request_id] = Asked(workspace, time_s, tokens)
         self.history.at(time_s, lambda: self.history.ask(entry, request))
 
+    def ask_at_random(
+        self, workload: Workload, entries: list[str], draw: random.Random, end_s: float
+    ) -> None:
+        """Let a workspace ask at random moments for prompts of random sizes.
+
+        :param entries: the routers that its callers reach.
+        """
+        time_s = BEGINS_S
+        number = 0
+        while time_s < end_s:
+            own_tokens = round(workload.own_tokens * draw.uniform(0.3, 1.7))
+            entry = draw.choice(entries)
+            self.ask_at(entry, workload.workspace, number, own_tokens, time_s)
+            tokens = own_tokens + REQUEST_TOKENS - OWN_TOKENS
+            time_s += draw.expovariate(workload.rate_tokens_per_s / tokens)
+            number += 1
+
     def count(self, begins_s: float) -> tuple[Counter[str], Counter[str]]:
         """Return the tokens asked and begun by workspace over the users' span."""
         asked: Counter[str] = Counter()
         begun: Counter[str] = Counter()
-        for request_id, (workspace, time_s) in self.asked_at_s.items():
-            if begins_s <= time_s < begins_s + SPAN_S:
-                asked[workspace] += REQUEST_TOKENS
+        for request_id, item in self.asked.items():
+            if begins_s <= item.time_s < begins_s + SPAN_S:
+                asked[item.workspace] += item.tokens
             ended_at_s = self.history.outcomes[request_id].ended_at_s
             # An answer of a history ends 0.1 s after it has begun.
             if ended_at_s is not None and begins_s <= ended_at_s - 0.1 < begins_s + SPAN_S:
-                begun[workspace] += REQUEST_TOKENS
+                begun[item.workspace] += item.tokens
         return asked, begun
 
 
@@ -130,6 +180,25 @@
             context.unfair[seed] = (unfair, dict(asked), dict(begun))
 
 
+@when(
+    '"a" floods in short prompts, and "b" and "c" ask for more than their shares, "b" in long ones'
+)
+def ask_in_sizes(context: Any) -> None:
+    context.unfair = {}
+    for seed in range(4):
+        draw = random.Random(seed)
+        served = _start(seed, engines=4)
+        entries = list(served.history.alive)
+        for workload in WORKLOADS:
+            reached = entries[:1] if workload.workspace == "b" else entries
+            served.ask_at_random(workload, reached, draw, LOST_S + SETTLED_S + SPAN_S)
+        served.history.run_until(LOST_S + SETTLED_S + SPAN_S + 2.0)
+        asked, begun = served.count(LOST_S + SETTLED_S)
+        unfair = find_unfair(asked, begun)
+        if unfair:
+            context.unfair[seed] = (unfair, dict(asked), dict(begun))
+
+
 @then(
     "over six seconds each workspace receives half of what the best served one does,"
     " or of what it asks"
