--- a/tests/features/passing.feature
+++ b/tests/features/passing.feature
@@ -109,6 +109,12 @@
     Then all go to near neighbours, none of which has over 1.5 times the mean
     And a neighbour that is short is left alone for a second
 
+  Scenario: While the whole own availability zone is short, routers of other zones are asked
+    When a router passes 60 connections on with 2 neighbours near and 6 far
+    And all near neighbours are short
+    Then the next 60 connections go to far neighbours, none of which has over 2 times the mean
+    And a second later near neighbours are asked first again
+
   Scenario: A router passes on more the busier it is
     Then with a busy part of 0.5 it passes on 0 of 100 connections
     And with a busy part of 0.725 it passes on 50 of 100 connections
--- a/tests/steps/passing_steps.py
+++ b/tests/steps/passing_steps.py
@@ -7,6 +7,7 @@
 import socket
 import struct
 import time
+from collections import Counter
 from typing import Any
 
 import eventlet
@@ -259,6 +260,38 @@
         assert ("r0:1" in names) is wanted, (now_s, names)
 
 
+@when("all near neighbours are short")
+def note_near_short(context: Any) -> None:
+    for number in range(context.near):
+        note_short(context.neighbours, f"r{number}:1", 0.0)
+
+
+@then(
+    "the next {count:d} connections go to far neighbours, none of which has over {factor:g} times"
+    " the mean"
+)
+def check_far(context: Any, count: int, factor: float) -> None:
+    chosen: Counter[str] = Counter()
+    for _ in range(count):
+        member = choose_neighbour(
+            context.neighbours, context.members, 0.5, context.draw, frozenset()
+        )
+        assert member is not None, "no neighbour was asked, though those far are idle"
+        note_opened(context.neighbours, member.router_id)
+        chosen[member.router_id] += 1
+    near = {f"r{number}:1" for number in range(context.near)}
+    far = set(context.members.members) - near
+    assert set(chosen) == far, chosen
+    assert max(chosen.values()) <= factor * count / len(far), chosen
+
+
+@then("a second later near neighbours are asked first again")
+def check_near_again(context: Any) -> None:
+    member = choose_neighbour(context.neighbours, context.members, 1.1, context.draw, frozenset())
+    assert member is not None
+    assert member.availability_zone == context.members.identity.availability_zone, member
+
+
 @then("with a busy part of {part:g} it passes on {count:d} of 100 connections")
 def check_part(context: Any, part: float, count: int) -> None:
     neighbours = Neighbours()
