--- a/packages/core/src/myrtlehook_core/process/accountants.py
+++ b/packages/core/src/myrtlehook_core/process/accountants.py
@@ -22,7 +22,8 @@
 """Of what engines have lately taken, the part that is shared out while much is refused, so that
 they take all that is within the shares. In histories of four engines of which three are lost, 12
 drawn demands, the worst served workspace gets 0.8 or more of the lesser of what it asks for and
-what the best served one gets (0.00 to 0.5 while shares followed the configuration)."""
+what the best served one gets, as long as refused requests get nothing back (0.00 to 0.5 while
+shares followed the configuration)."""
 
 LEAST_PART = 0.05
 """Of what is configured, this part is shared out although engines take nothing: a level of no
@@ -60,13 +61,13 @@
     accounts: dict[str, PoolAccount],
     sender: str,
     report: DemandReport,
-    capacity_tokens: float,
+    configured_tokens: float,
     now_s: float,
 ) -> ShareLevel:
     """Take a router's report and return the level in force."""
     account = accounts.setdefault(report.pool, PoolAccount())
     note_report(account, sender, report.rows, now_s)
-    return _work_out_level(account, report.pool, capacity_tokens)
+    return _work_out_level(account, report.pool, configured_tokens)
 
 
 def note_report(
@@ -110,6 +111,8 @@
 def find_shared_tokens(account: PoolAccount, configured_tokens: float) -> float:
     """Return what is to be shared out: what a configuration says, or what engines take.
 
+    :param configured_tokens: what the engines produce within the window, by the configuration.
+
     Engines that are lost, slow or read prompts anew do less than is configured. Shares of what
     they cannot do would leave the whole shortage to the workspaces just above the level: those
     below it come first, whatever there is. Nothing is lost by sharing out too little, since
@@ -136,8 +139,8 @@
     return None
 
 
-def _work_out_level(account: PoolAccount, pool: str, capacity_tokens: float) -> ShareLevel:
-    shared_tokens = find_shared_tokens(account, capacity_tokens)
+def _work_out_level(account: PoolAccount, pool: str, configured_tokens: float) -> ShareLevel:
+    shared_tokens = find_shared_tokens(account, configured_tokens)
     level = find_level(list(account.asked_tokens.values()), shared_tokens)
     if level is None:
         return ShareLevel(pool, UNLIMITED, ())
--- a/packages/core/src/myrtlehook_core/process/message_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/message_handlers.py
@@ -232,11 +232,11 @@
         if level is not None:
             core.post.add(sender, level)
         return
-    capacity = limits.tokens_per_s * options.quota_window_s * options.capacity_factor
-    level = take_demand(core.shares.accounts, sender, message, capacity, now_s)
+    configured_tokens = limits.tokens_per_s * options.quota_window_s * options.capacity_factor
+    level = take_demand(core.shares.accounts, sender, message, configured_tokens, now_s)
     core.post.add(sender, level)
     account = core.shares.accounts[message.pool]
-    told = describe_level(account, level, capacity, now_s)
+    told = describe_level(account, level, configured_tokens, now_s)
     if told is not None:
         core.out.add(told)
 
--- a/tests/steps/share_steps.py
+++ b/tests/steps/share_steps.py
@@ -231,6 +231,7 @@
     ends_s = BEGINS_S + FLOOD_S
     served.ask_at_random(Workload("a", 1_000_000.0, OWN_TOKENS), entries[:1], draw, ends_s)
     served.ask_at_random(Workload("d", 4_000.0, OWN_TOKENS), entries, draw, ends_s)
+    # Numbers apart from the flood's.
     for number in range(200):
         # 25,200 tokens a second: as much again as the 12,000 that half of a quarter are.
         served.ask_at(entries[0], "a", 100_000 + number, OWN_TOKENS, ends_s + number * 0.05)
