--- a/packages/core/src/myrtlehook_core/process/neighbours.py
+++ b/packages/core/src/myrtlehook_core/process/neighbours.py
@@ -5,8 +5,7 @@
 processor time itself says so at once and is left alone for a while. Bytes between zones are
 dear, so those of other zones are asked only while the whole own zone is short. Two workspaces
 that flood, one from a zone of three of eight routers: worth 0.68 of the callers' credit, 0.58
-without other zones' help, and the flooding workspaces receive alike (one play each, processor time
-charged).
+without other zones' help (one play each, processor time charged).
 """
 
 from collections.abc import Callable
