Hold engines until a stopping router's requests are checked

Cause: 'every request to be taken' waited to see all ten requests at once; an answer takes 0.3 s, so on a busy machine the first was complete before the last was taken. Ruled out: a refusal or a loss; in three failing runs that printed what came back, all ten answers were 200 and completed. Stricter: every request is now on its way for certain when the router is told to stop.

--- a/tests/steps/backend_steps.py
+++ b/tests/steps/backend_steps.py
@@ -1,13 +1,12 @@
 """Steps of backend servers: their faults, their run ledgers, and queues before them."""
 
-import json
 import time
 from typing import Any
 
 from behave import given, then, when
-from serving_steps import caller_of, engine, keep, router, service, spawn
+from serving_steps import caller_of, engine, keep, router, service, set_faults, spawn
 
-from standins.network import get_json, http, wait_for
+from standins.network import get_json, wait_for
 
 
 @given('"{workspace}" keeps {count:d} requests of {tokens:d} tokens waiting at router {number:d}')
@@ -72,10 +71,6 @@
     set_faults(service(context), {"slow_ms": milliseconds})
 
 
-def set_faults(program: Any, faults: dict[str, Any]) -> None:
-    http("POST", program.address, "/test/faults", json.dumps(faults).encode())
-
-
 @when('"{workspace}" calls the plain service at router {number:d} with request id "{name}"')
 def call_service(context: Any, workspace: str, number: int, name: str) -> None:
     _call(context, workspace, number, {"X-Request-Id": name})
--- a/tests/steps/failure_steps.py
+++ b/tests/steps/failure_steps.py
@@ -8,9 +8,8 @@
 from typing import Any
 
 import pynng
-from backend_steps import set_faults
 from behave import given, then, when
-from serving_steps import caller_of, keep, router, spawn
+from serving_steps import caller_of, keep, router, set_faults, spawn
 
 from myrtlehook_core.process.hashing import rank_routers
 from standins.callers import Caller, Result
--- a/tests/steps/fleet_steps.py
+++ b/tests/steps/fleet_steps.py
@@ -9,7 +9,14 @@
 from typing import Any
 
 from behave import given, then, when
-from serving_steps import caller_of, expected_text, keep, router, spawn
+from serving_steps import (
+    caller_of,
+    expected_text,
+    hold_engines,
+    keep,
+    router,
+    spawn,
+)
 
 from standins.network import http, wait_for
 
@@ -46,6 +53,9 @@
 ) -> None:
     caller = caller_of(context, "planners")
     address = router(context, number).address
+    # An answer takes 0.3 s: on a busy machine the first ones are complete before the
+    # last request is taken, and never are all of them on their way.
+    hold_engines(context)
 
     def ask(prompt: str, count: int, streamed: bool) -> None:
         keep(context, caller.chat(address, prompt, count, stream=streamed), prompt, count)
--- a/tests/steps/serving_steps.py
+++ b/tests/steps/serving_steps.py
@@ -1,12 +1,13 @@
 """Steps of callers: asking, and what the answers are."""
 
+import json
 import threading
 from typing import Any
 
 from behave import then, when
 
 from standins.callers import Caller, Result
-from standins.network import wait_for
+from standins.network import http, wait_for
 
 
 def caller_of(context: Any, workspace: str) -> Caller:
@@ -25,6 +26,21 @@
     return next(iter(context.fleet.services.values()))
 
 
+def set_faults(program: Any, faults: dict[str, Any]) -> None:
+    http("POST", program.address, "/test/faults", json.dumps(faults).encode())
+
+
+def hold_engines(context: Any) -> None:
+    """Let every engine stand still after a run's first token, until ``release_engines``."""
+    for program in context.fleet.engines.values():
+        set_faults(program, {"hold_after": 1})
+
+
+def release_engines(context: Any) -> None:
+    for program in context.fleet.engines.values():
+        set_faults(program, {})
+
+
 def keep(context: Any, result: Result, prompt: str = "", tokens: int = 0) -> Result:
     context.result = result
     context.results.setdefault("all", []).append((result, prompt, tokens))
@@ -175,6 +191,8 @@
 
 @then("every answer is the caller's own and completed")
 def check_all(context: Any) -> None:
+    # Only now: what was on its way when a router was told to stop still is.
+    release_engines(context)
     join_all(context)
     results = context.results["all"]
     assert results, "no answer came"
