Show that a living neighbour's answers are broken off on belief alone (red)

Cause: Passer.drop_dead resets the callers of a neighbour as soon as the member table says dead, which takes three unanswered probes, 0.55 s; a full link or a pause does that. The test fails on this code; a second one, which passes, keeps that a neighbour that stays dead is given up.

--- a/tests/features/passing.feature
+++ b/tests/features/passing.feature
@@ -122,3 +122,14 @@
 
   Scenario: Thresholds that an operator sets alike are a step
     Then with both thresholds at 0.8 a router passes on none of 10 connections at 0.79 and all at 0.81
+
+  Scenario: A neighbour wrongly taken for dead still answers what was passed on to it
+    Given a neighbour serves a caller's request that was passed on
+    When the neighbour is taken for dead
+    And the neighbour answers and ends the connection
+    Then the caller has the whole answer
+
+  Scenario: What a neighbour serves is broken off once it has been dead for a while
+    Given a neighbour serves a caller's request that was passed on
+    When the neighbour has been taken for dead for 3 seconds
+    Then the caller's connection is reset, and the neighbour's end is counted
--- /dev/null
+++ b/tests/steps/passer_steps.py
@@ -0,0 +1,94 @@
+"""Steps of a router's passed connections, without processes: what ends them."""
+
+import errno
+import time
+from typing import Any
+
+import eventlet
+from behave import given, then, when
+from eventlet import hubs, patcher
+from eventlet.greenio import GreenSocket
+
+from myrtlehook_core import MemberState, MemberTable, RouterIdentity
+from myrtlehook_core.process.members import take_row
+from myrtlehook_core.process.membership_messages import MemberRow
+from myrtlehook_router.connection.introductions import TAKEN
+from myrtlehook_router.connection.passing import Passer, PassingPlaces
+from myrtlehook_router.process.counters import Counters
+
+NEIGHBOUR = "127.0.0.1:1"
+ANSWER = b"the whole answer"
+WAIT_S = 10.0
+"""Far more than loopback takes."""
+
+_raw = patcher.original("socket")
+
+
+def _tell(context: Any, state: MemberState, now_s: float) -> None:
+    row = MemberRow(NEIGHBOUR, "", 1, int(state), "hall-1")
+    take_row(context.members, row, now_s, 1.0)
+
+
+def _accept_caller() -> tuple[GreenSocket, Any]:
+    """Return a caller's end of a connection, and the other as the entrance accepts it."""
+    listener = eventlet.listen(("127.0.0.1", 0))
+    caller = eventlet.connect(listener.getsockname())
+    accepted = listener.accept()
+    listener.close()
+    return caller, accepted
+
+
+@given("a neighbour serves a caller's request that was passed on")
+def pass_one(context: Any) -> None:
+    listener = eventlet.listen(("127.0.0.1", 0))
+    places = PassingPlaces("127.0.0.1:2", "key", listener.getsockname()[1])
+    context.members = MemberTable(RouterIdentity("127.0.0.1:2", "", 1, "hall-1"), 1)
+    _tell(context, MemberState.ALIVE, time.monotonic())
+    context.counters = Counters(None)
+    context.passer = Passer(places, context.members, lambda: 0.5, context.counters)
+    context.caller, accepted = _accept_caller()
+    with eventlet.Timeout(WAIT_S):
+        assert context.passer.pass_on(accepted, lambda _: None)
+        context.helper, _ = listener.accept()
+        assert context.helper.recv(256).endswith(b"\n"), "no introduction"
+        context.helper.sendall(TAKEN)
+        context.caller.sendall(b"a request")
+        assert context.helper.recv(256) == b"a request"
+    listener.close()
+
+
+@when("the neighbour is taken for dead")
+def take_for_dead(context: Any) -> None:
+    _tell(context, MemberState.DEAD, time.monotonic())
+    context.passer.drop_dead()
+
+
+@when("the neighbour has been taken for dead for {seconds:d} seconds")
+def taken_for_dead(context: Any, seconds: int) -> None:
+    _tell(context, MemberState.DEAD, time.monotonic() - seconds)
+    context.passer.drop_dead()
+
+
+@when("the neighbour answers and ends the connection")
+def answer(context: Any) -> None:
+    context.helper.sendall(ANSWER)
+    context.helper.close()
+
+
+@then("the caller has the whole answer")
+def check_answer(context: Any) -> None:
+    received = b""
+    with eventlet.Timeout(WAIT_S):
+        while piece := context.caller.recv(256):
+            received += piece
+    assert received == ANSWER, received
+
+
+@then("the caller's connection is reset, and the neighbour's end is counted")
+def check_reset(context: Any) -> None:
+    with eventlet.Timeout(WAIT_S):
+        hubs.trampoline(context.caller.fileno(), read=True)
+    # eventlet's own reading takes a reset for an end.
+    error = context.caller.getsockopt(_raw.SOL_SOCKET, _raw.SO_ERROR)
+    assert error == errno.ECONNRESET, error
+    assert context.counters.values["passed.neighbour_died"] == 1, context.counters.values
