Break off what a neighbour serves only once it stays dead, and tell changed beliefs

Cause: drop_dead reset callers' connections the moment the member table said dead, after 0.55 s of unanswered probes; the connection itself was not looked at. Class: a guess about a process taken as the end of work that has its own evidence. Mend: the kernel's keep-alive probes (1 s, twice, 2 s unacknowledged) tell of a neighbour's machine that is gone and of a connection that has gone silent for good, which nothing told while an answer was waited for; belief alone counts after 2 s of dead. Sight: a line 'member changed' with cause and age, and counters members.*. Ruled out: waiting for belief's own recovery only (a frozen process keeps its kernel). A truly lost neighbour's callers wait up to 2 s longer.

--- a/packages/core/src/myrtlehook_core/process/actions.py
+++ b/packages/core/src/myrtlehook_core/process/actions.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from myrtlehook_core.process.admission_messages import DemandRow, EngineEstimate
+from myrtlehook_core.process.members import MemberChange
 from myrtlehook_core.process.messages import Message
 from myrtlehook_core.request.outcomes import DropReason, RefusalReason, RetryReason
 from myrtlehook_core.version.configurations import Configuration, ServerOrder
@@ -151,6 +152,13 @@
     """The workspaces that ask for the most above the level."""
 
 
+@dataclass(frozen=True, slots=True)
+class MemberNoted:
+    """This router believes something else of a member from now on."""
+
+    change: MemberChange
+
+
 @dataclass(frozen=True, slots=True)
 class RetryNoted:
     """A request that was not run is queued again."""
@@ -194,6 +202,7 @@
     | ReadSource
     | AdmissionDecided
     | ShareLevelNoted
+    | MemberNoted
     | RetryNoted
     | DropNoted
     | ServerEjected
--- a/packages/core/src/myrtlehook_core/process/event_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/event_handlers.py
@@ -31,6 +31,7 @@
 from myrtlehook_core.process.ledgers import drop_idle_accounts
 from myrtlehook_core.process.members import (
     MemberState,
+    StateCause,
     add_candidate,
     change_state,
     note_leaving_server,
@@ -153,8 +154,14 @@
         if member_or_none is None or vm.state != "leaving":
             continue
         if member_or_none.state in (MemberState.ALIVE, MemberState.SUSPECT):
-            suspicion_s = core.options.suspicion_s
-            change_state(core.table, member_or_none, MemberState.LEAVING, now_s, suspicion_s)
+            change_state(
+                core.table,
+                member_or_none,
+                MemberState.LEAVING,
+                StateCause.LISTED,
+                now_s,
+                core.options.suspicion_s,
+            )
 
 
 def _on_manifest(core: "RouterCore", event: events.ManifestRead, now_s: float) -> None:
--- a/packages/core/src/myrtlehook_core/process/members.py
+++ b/packages/core/src/myrtlehook_core/process/members.py
@@ -2,7 +2,7 @@
 
 import math
 from dataclasses import dataclass, field
-from enum import IntEnum
+from enum import IntEnum, StrEnum
 
 from myrtlehook_core.process.membership_messages import LeavingRow, MemberRow
 
@@ -23,6 +23,32 @@
     """Draining: still an entry, but owns nothing; never reverts in its incarnation."""
 
 
+class StateCause(StrEnum):
+    """What a changed belief in a member rests on."""
+
+    TOLD = "told"
+    """News of it, from itself or from another router."""
+    UNANSWERED = "unanswered"
+    """It answered neither this router's probe nor those of others for this router."""
+    UNREFUTED = "unrefuted"
+    """It was suspected, and nothing said otherwise in time."""
+    LISTED = "listed"
+    """The platform's VM list says so."""
+
+
+@dataclass(frozen=True, slots=True)
+class MemberChange:
+    """One changed belief in a member."""
+
+    router_id: str
+    before: MemberState
+    state: MemberState
+    cause: StateCause
+    held_s: float
+    """How long the earlier belief had lasted."""
+    incarnation: int
+
+
 @dataclass(frozen=True, slots=True)
 class RouterIdentity:
     """Who this router is."""
@@ -73,6 +99,8 @@
     fresh: dict[str, Member] = field(default_factory=dict)
     """Members that are news; kept so that a probe need not search the whole table."""
     suspects: dict[str, Member] = field(default_factory=dict)
+    changes: list[MemberChange] = field(default_factory=list)
+    """Changed beliefs that the core has not told yet."""
     draining: bool = False
     version: int = 0
     cached_eligible: tuple[int, tuple[str, ...]] = (-1, ())
@@ -190,13 +218,24 @@
     member.availability_zone = row.availability_zone
     member.silent = False
     member.gone = False
-    change_state(table, member, state, now_s, suspicion_s)
+    change_state(table, member, state, StateCause.TOLD, now_s, suspicion_s)
 
 
 def change_state(
-    table: MemberTable, member: Member, state: MemberState, now_s: float, suspicion_s: float
+    table: MemberTable,
+    member: Member,
+    state: MemberState,
+    cause: StateCause,
+    now_s: float,
+    suspicion_s: float,
 ) -> None:
     """Set a member's state and queue the news of it."""
+    if state is not member.state:
+        held_s = now_s - member.changed_at_s
+        change = MemberChange(
+            member.router_id, member.state, state, cause, held_s, member.incarnation
+        )
+        table.changes.append(change)
     member.state = state
     member.changed_at_s = now_s
     member.suspect_deadline_s = math.inf
--- a/packages/core/src/myrtlehook_core/process/probing.py
+++ b/packages/core/src/myrtlehook_core/process/probing.py
@@ -9,6 +9,7 @@
     Member,
     MemberState,
     MemberTable,
+    StateCause,
     can_probe,
     change_state,
     collect_leaving_news,
@@ -220,7 +221,14 @@
         helpers = _pick_helpers(context, pending.target)
         if pending.indirect or not helpers:
             options = context.options
-            change_state(context.table, member, MemberState.SUSPECT, now_s, options.suspicion_s)
+            change_state(
+                context.table,
+                member,
+                MemberState.SUSPECT,
+                StateCause.UNANSWERED,
+                now_s,
+                options.suspicion_s,
+            )
             continue
         pending.indirect = True
         pending.deadline_s = now_s + context.options.indirect_timeout_s
@@ -243,7 +251,14 @@
     table = context.table
     for member in list(table.suspects.values()):
         if now_s >= member.suspect_deadline_s:
-            change_state(table, member, MemberState.DEAD, now_s, context.options.suspicion_s)
+            change_state(
+                table,
+                member,
+                MemberState.DEAD,
+                StateCause.UNREFUTED,
+                now_s,
+                context.options.suspicion_s,
+            )
 
 
 def _forget_gone(prober: Prober, context: ProbeContext, now_s: float) -> None:
--- a/packages/core/src/myrtlehook_core/process/routers.py
+++ b/packages/core/src/myrtlehook_core/process/routers.py
@@ -9,6 +9,7 @@
 from myrtlehook_core.process import events
 from myrtlehook_core.process.actions import (
     Action,
+    MemberNoted,
     Outbox,
     PauseNoticed,
     Send,
@@ -128,6 +129,7 @@
         self._notice_pause(now_s)
         EVENT_HANDLERS[type(event)](self, event, now_s)
         self._settle(now_s)
+        self._tell_changes()
         return self.out.actions
 
     def find_next_grant(self) -> float:
@@ -257,6 +259,11 @@
         for account in self.entry.accounts.values():
             account.changed = True
 
+    def _tell_changes(self) -> None:
+        changes, self.table.changes = self.table.changes, []
+        for change in changes:
+            self.out.add(MemberNoted(change))
+
     def _notice_pause(self, now_s: float) -> None:
         last_tick_s = self.last_tick_s
         if last_tick_s is None:
--- a/packages/router/src/myrtlehook_router/connection/passing.py
+++ b/packages/router/src/myrtlehook_router/connection/passing.py
@@ -29,6 +29,7 @@
 )
 from myrtlehook_router.connection.splices import Splice
 from myrtlehook_router.process.counters import Counters
+from myrtlehook_router.process.logs import get_logger
 
 VERDICT_TIMEOUT_S = 0.15
 """A neighbour in the own zone answers within a few milliseconds unless it is short itself."""
@@ -39,9 +40,29 @@
 UNSENT_TIMEOUT_MS = 2000
 """A neighbour that acknowledges nothing for this long is gone."""
 
+DEAD_PATIENCE_S = 2.0
+"""What a neighbour serves is broken off once it has counted as dead for this long.
+
+Members are taken for dead after 0.55 s without an answer, which a full link or a pause
+reaches as well; their answers would be lost for nothing. Callers of one that is really
+gone learn it from the kernel's own probes of the connection, or this much later.
+"""
+
+_log = get_logger("passing")
+
 _socket = patcher.original("socket")
 """eventlet's own sockets would wait in a task, and here are none."""
 
+_KEEP_ALIVE = (
+    (_socket.SOL_SOCKET, _socket.SO_KEEPALIVE, 1),
+    (_socket.IPPROTO_TCP, _socket.TCP_KEEPIDLE, 1),
+    (_socket.IPPROTO_TCP, _socket.TCP_KEEPINTVL, 1),
+    (_socket.IPPROTO_TCP, _socket.TCP_KEEPCNT, 2),
+)
+"""The kernel asks a silent neighbour's machine each second whether it is still there. While
+an answer is waited for nothing is unsent, so nothing else would tell that a connection has
+gone silent for good."""
+
 Accepted = tuple[Any, Any]
 """A connection as eventlet accepted it, with its other end's address."""
 
@@ -110,13 +131,15 @@
         return len(self._passed)
 
     def drop_dead(self) -> None:
-        """Break off what routers serve that are dead by now: their callers may ask again."""
+        """Break off what routers serve that stay dead: their callers may ask again."""
+        now_s = time.monotonic()
         for passed in list(self._passed.values()):
             member = self._table.members.get(passed.neighbour)
-            if member is not None and member.state is not MemberState.DEAD:
+            if member is not None and not _stays_dead(member, now_s):
                 continue
             if passed.splice is not None:
                 self._counters.add("passed.neighbour_died")
+                _log.warning("neighbour given up", neighbour=passed.neighbour)
                 passed.splice.abort()
 
     def _ask(self, passed: PassedConnection) -> bool:
@@ -148,6 +171,8 @@
         helper.setblocking(False)
         helper.setsockopt(_socket.IPPROTO_TCP, _socket.TCP_NODELAY, 1)
         helper.setsockopt(_socket.IPPROTO_TCP, _socket.TCP_USER_TIMEOUT, UNSENT_TIMEOUT_MS)
+        for option in _KEEP_ALIVE:
+            helper.setsockopt(*option)
         return helper
 
     def _connect(self, passed: PassedConnection, helper: Any, member: Member) -> None:
@@ -241,6 +266,12 @@
         self._passed.pop(id(passed), None)
 
 
+def _stays_dead(member: Member, now_s: float) -> bool:
+    if member.state is not MemberState.DEAD:
+        return False
+    return now_s - member.changed_at_s >= DEAD_PATIENCE_S
+
+
 def _take_over(accepted: Accepted) -> Any:
     """Return a caller's connection as one that eventlet's own object knows nothing of."""
     connection = _socket.socket(fileno=accepted[0].fd.detach())
--- a/packages/router/src/myrtlehook_router/process/core_tasks.py
+++ b/packages/router/src/myrtlehook_router/process/core_tasks.py
@@ -219,6 +219,19 @@
             above={row.workspace: row.asked_tokens for row in action.above},
         )
 
+    def _note_member(self, action: actions.MemberNoted) -> None:
+        change = action.change
+        self._counters.add(f"members.{change.state.name.lower()}")
+        _log.info(
+            "member changed",
+            member=change.router_id,
+            before=change.before.name.lower(),
+            state=change.state.name.lower(),
+            cause=change.cause,
+            held_s=round(change.held_s, 3),
+            incarnation=change.incarnation,
+        )
+
     def _note_retry(self, action: actions.RetryNoted) -> None:
         self._counters.add(f"retry.{action.reason}")
         _log.info("retry", request_id=action.request_id, reason=action.reason)
@@ -257,6 +270,7 @@
     actions.ConfigurationRejected: CoreTask._note_rejection,
     actions.AdmissionDecided: CoreTask._note_admission,
     actions.ShareLevelNoted: CoreTask._note_level,
+    actions.MemberNoted: CoreTask._note_member,
     actions.RetryNoted: CoreTask._note_retry,
     actions.DropNoted: CoreTask._note_drop,
     actions.ServerEjected: CoreTask._note_ejection,
--- a/tests/features/failures.feature
+++ b/tests/features/failures.feature
@@ -104,3 +104,8 @@
     When the configuration orders engine 1 to serve version "v3"
     Then engine 1 reports version "v3" with the fence of the configuration
     And engine 1 keeps version "v3" for 3 seconds
+
+  Scenario: What a router comes to believe of another is told with its cause
+    Given a router's core that knows one live router
+    When that one answers nothing for 2 seconds
+    Then the core has told that it is "alive: told", "suspect: unanswered" and "dead: unrefuted"
--- a/tests/steps/passer_steps.py
+++ b/tests/steps/passer_steps.py
@@ -1,6 +1,7 @@
-"""Steps of a router's passed connections, without processes: what ends them."""
+"""Steps of what a router believes of its neighbours, without processes."""
 
 import errno
+import random
 import time
 from typing import Any
 
@@ -9,9 +10,17 @@
 from eventlet import hubs, patcher
 from eventlet.greenio import GreenSocket
 
-from myrtlehook_core import MemberState, MemberTable, RouterIdentity
+from myrtlehook_core import (
+    CoreOptions,
+    MemberState,
+    MemberTable,
+    RouterCore,
+    RouterIdentity,
+    actions,
+    events,
+)
 from myrtlehook_core.process.members import take_row
-from myrtlehook_core.process.membership_messages import MemberRow
+from myrtlehook_core.process.membership_messages import Announcement, MemberRow, News
 from myrtlehook_router.connection.introductions import TAKEN
 from myrtlehook_router.connection.passing import Passer, PassingPlaces
 from myrtlehook_router.process.counters import Counters
@@ -21,6 +30,8 @@
 WAIT_S = 10.0
 """Far more than loopback takes."""
 
+TICKS_PER_S = 50
+
 _raw = patcher.original("socket")
 
 
@@ -92,3 +103,29 @@
     error = context.caller.getsockopt(_raw.SOL_SOCKET, _raw.SO_ERROR)
     assert error == errno.ECONNRESET, error
     assert context.counters.values["passed.neighbour_died"] == 1, context.counters.values
+
+
+# -- what a router believes of its neighbours -----------------------------------------
+
+
+@given("a router's core that knows one live router")
+def make_core(context: Any) -> None:
+    identity = RouterIdentity("127.0.0.1:2", "127.0.0.1:2", 1, "hall-1")
+    context.core = RouterCore(identity, CoreOptions(), random.Random(1).random)
+    row = MemberRow(NEIGHBOUR, "", 1, int(MemberState.ALIVE), "hall-1")
+    told = events.MessageReceived(NEIGHBOUR, 1, Announcement(News((row,), (), 0, "")))
+    context.told = context.core.handle(told, 0.0)
+
+
+@when("that one answers nothing for {seconds:d} seconds")
+def answer_nothing(context: Any, seconds: int) -> None:
+    for turn in range(seconds * TICKS_PER_S):
+        context.told += context.core.handle(events.Tick(), turn / TICKS_PER_S)
+
+
+@then('the core has told that it is "{first}", "{second}" and "{third}"')
+def check_told(context: Any, first: str, second: str, third: str) -> None:
+    changes = [action.change for action in context.told if isinstance(action, actions.MemberNoted)]
+    told = [f"{change.state.name.lower()}: {change.cause}" for change in changes]
+    assert told == [first, second, third], changes
+    assert all(change.router_id == NEIGHBOUR for change in changes), changes
