--- a/packages/core/src/myrtlehook_core/process/admission_asking.py
+++ b/packages/core/src/myrtlehook_core/process/admission_asking.py
@@ -1,6 +1,6 @@
 """Requests that ask for an engine: their state, the engines' order, and the asking itself."""
 
-from collections import OrderedDict
+from collections import OrderedDict, defaultdict
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
@@ -93,7 +93,7 @@
     """For each engine, the parts of prompts that this router has sent there."""
     estimates: dict[str, HeardEstimate] = field(default_factory=dict)
     """For each engine that granted something here, what its owner had learned of it."""
-    full_tiers: dict[str, FullTiers] = field(default_factory=dict)
+    full_tiers: defaultdict[str, FullTiers] = field(default_factory=lambda: defaultdict(FullTiers))
     """By pool."""
 
 
--- /dev/null
+++ b/packages/core/src/myrtlehook_core/process/admission_ends.py
@@ -0,0 +1,84 @@
+"""How an admission ends: its request has run, was withdrawn, or is refused."""
+
+from myrtlehook_core.process.admission_asking import (
+    Admission,
+    AdmissionContext,
+    Admissions,
+    tell_owner,
+)
+from myrtlehook_core.process.admission_messages import AdmissionRelease
+from myrtlehook_core.process.entries import account_of, count_queued, key_of
+from myrtlehook_core.process.events import RunEnded
+from myrtlehook_core.process.refusals import refuse_with
+from myrtlehook_core.process.shares import note_refused
+from myrtlehook_core.request.charges import settle_charge
+from myrtlehook_core.request.outcomes import RefusalReason
+from myrtlehook_core.request.requests import RequestSpecification, count_share_tokens
+
+
+def expected_tokens(request: RequestSpecification) -> int:
+    """Return a request's size as shares count it."""
+    return count_share_tokens(request.prompt_tokens, request.output_tokens)
+
+
+def end_admission(
+    admissions: Admissions,
+    context: AdmissionContext,
+    event: RunEnded,
+    now_s: float,
+) -> bool:
+    """Settle a request that has ended; False when it is not one of these."""
+    admission = admissions.open.pop(event.request_id, None)
+    if admission is None:
+        return False
+    entry = context.entry
+    account = account_of(entry, key_of(admission.request), context.entry_context.draw)
+    settle_charge(account, event.request_id, event.cost_units)
+    account.last_active_s = now_s
+    _forget(context, admission, ran=True, failed=event.failed)
+    return True
+
+
+def abandon_admission(admissions: Admissions, context: AdmissionContext, request_id: str) -> bool:
+    """Withdraw a waiting request whose caller has gone; False when it is not one of these."""
+    admission = admissions.open.pop(request_id, None)
+    if admission is None:
+        return False
+    _forget(context, admission, ran=False)
+    return True
+
+
+def refuse_admission(
+    admissions: Admissions,
+    context: AdmissionContext,
+    admission: Admission,
+    reason: RefusalReason,
+) -> None:
+    """Give a request that no engine runs its final answer."""
+    request = admission.request
+    del admissions.open[request.request_id]
+    _forget(context, admission, ran=False)
+    refuse_with(context.entry_context, request, reason, admission.retry_after_s)
+
+
+def _forget(
+    context: AdmissionContext, admission: Admission, ran: bool, failed: bool = False
+) -> None:
+    request_id = admission.request.request_id
+    context.entry.attempts.pop(request_id, None)
+    if not admission.granted:
+        count_queued(context.entry, admission.request, -1)
+    if not ran:
+        request = admission.request
+        tokens = expected_tokens(request)
+        note_refused(
+            context.shares,
+            request.pool,
+            request.workspace,
+            tokens,
+            admission.tier,
+            admission.noted_at_s,
+        )
+    if admission.backend_server:
+        release = AdmissionRelease(request_id, admission.backend_server, ran, failed)
+        tell_owner(context, admission, release)
--- a/packages/core/src/myrtlehook_core/process/admissions.py
+++ b/packages/core/src/myrtlehook_core/process/admissions.py
@@ -16,6 +16,7 @@
     rank_engines,
     tell_owner,
 )
+from myrtlehook_core.process.admission_ends import expected_tokens, refuse_admission
 from myrtlehook_core.process.admission_handover import hear_estimate, remember_parts
 from myrtlehook_core.process.admission_messages import (
     AdmissionGrant,
@@ -30,8 +31,7 @@
     key_of,
     virtual_service_units,
 )
-from myrtlehook_core.process.events import RunEnded
-from myrtlehook_core.process.full_tiers import FullTiers, is_full, note_taken, note_untaken
+from myrtlehook_core.process.full_tiers import is_full, note_taken, note_untaken
 from myrtlehook_core.process.refusals import find_refusal, refuse_request, refuse_with
 from myrtlehook_core.process.runs import may_retry
 from myrtlehook_core.process.shares import (
@@ -43,10 +43,9 @@
     cancel_charge,
     charge_known,
     grow_charge,
-    settle_charge,
 )
 from myrtlehook_core.request.outcomes import RefusalReason, RetryReason
-from myrtlehook_core.request.requests import RequestSpecification, count_share_tokens
+from myrtlehook_core.request.requests import RequestSpecification
 
 
 def is_admitted_by_tokens(context: EntryContext, request: RequestSpecification) -> bool:
@@ -67,7 +66,7 @@
     tokens = expected_tokens(request)
     tier = note_asked(context.shares, request.pool, request.workspace, tokens, now_s)
     options = context.entry_context.options
-    full = admissions.full_tiers.setdefault(request.pool, FullTiers())
+    full = admissions.full_tiers[request.pool]
     if options.refuses_full_tiers and options.keeps_shares and is_full(full, tier, now_s):
         note_refused(context.shares, request.pool, request.workspace, tokens, tier, now_s)
         refuse_with(
@@ -103,12 +102,12 @@
     if not candidates or admission.request.deadline_s <= now_s:
         late = admission.request.deadline_s <= now_s
         reason = RefusalReason.DEADLINE_PASSED if late else RefusalReason.NO_BACKEND_SERVER
-        _refuse(admissions, context, admission, reason, now_s)
+        refuse_admission(admissions, context, admission, reason)
         return
     if not left or admission.hop >= options.engines_asked:
-        full = admissions.full_tiers.setdefault(admission.request.pool, FullTiers())
+        full = admissions.full_tiers[admission.request.pool]
         note_untaken(full, admission.tier, admission.retry_after_s, now_s)
-        _refuse(admissions, context, admission, RefusalReason.DEADLINE_UNREACHABLE, now_s)
+        refuse_admission(admissions, context, admission, RefusalReason.DEADLINE_UNREACHABLE)
         return
     admission.backend_server = left[0]
     admission.tried.add(left[0])
@@ -134,7 +133,7 @@
     if admission.granted:
         return
     if admission.request.deadline_s <= now_s:
-        _refuse(admissions, context, admission, RefusalReason.DEADLINE_PASSED, now_s)
+        refuse_admission(admissions, context, admission, RefusalReason.DEADLINE_PASSED)
     else:
         _dispatch(admissions, context, admission, grant.unread_tokens, now_s)
 
@@ -176,33 +175,6 @@
     return True
 
 
-def end_admission(
-    admissions: Admissions,
-    context: AdmissionContext,
-    event: RunEnded,
-    now_s: float,
-) -> bool:
-    """Settle a request that has ended; False when it is not one of these."""
-    admission = admissions.open.pop(event.request_id, None)
-    if admission is None:
-        return False
-    entry = context.entry
-    account = account_of(entry, key_of(admission.request), context.entry_context.draw)
-    settle_charge(account, event.request_id, event.cost_units)
-    account.last_active_s = now_s
-    _forget(context, admission, ran=True, failed=event.failed)
-    return True
-
-
-def abandon_admission(admissions: Admissions, context: AdmissionContext, request_id: str) -> bool:
-    """Withdraw a waiting request whose caller has gone; False when it is not one of these."""
-    admission = admissions.open.pop(request_id, None)
-    if admission is None:
-        return False
-    _forget(context, admission, ran=False)
-    return True
-
-
 def retry_admission(
     admissions: Admissions,
     context: AdmissionContext,
@@ -233,7 +205,7 @@
         return True
     late = admission.request.deadline_s <= now_s
     refusal = RefusalReason.DEADLINE_PASSED if late else RefusalReason.RETRIES_EXHAUSTED
-    _refuse(admissions, context, admission, refusal, now_s)
+    refuse_admission(admissions, context, admission, refusal)
     return True
 
 
@@ -243,10 +215,10 @@
         if admission.granted:
             continue
         if admission.request.deadline_s <= now_s:
-            _refuse(admissions, context, admission, RefusalReason.DEADLINE_PASSED, now_s)
+            refuse_admission(admissions, context, admission, RefusalReason.DEADLINE_PASSED)
         elif admission.request.workspace not in context.entry_context.configuration.workspaces:
             reason = RefusalReason.CONFIGURATION_REMOVED
-            _refuse(admissions, context, admission, reason, now_s)
+            refuse_admission(admissions, context, admission, reason)
         elif not is_usable_engine(context, admission.backend_server):
             ask_next(admissions, context, admission, now_s)
         elif now_s >= admission.next_ask_s:
@@ -264,7 +236,7 @@
     entry = context.entry
     options = context.entry_context.options
     admission.granted = True
-    note_taken(admissions.full_tiers.setdefault(request.pool, FullTiers()), admission.tier, now_s)
+    note_taken(admissions.full_tiers[request.pool], admission.tier, now_s)
     admission.unread_tokens = unread_tokens
     count_queued(entry, request, -1)
     account = account_of(entry, key_of(request), context.entry_context.draw)
@@ -298,44 +270,3 @@
         return ""
     left_tokens = max(admission.request.prompt_tokens - source.tokens, 1)
     return source.backend_server if admission.unread_tokens >= left_tokens else ""
-
-
-def expected_tokens(request: RequestSpecification) -> int:
-    """Return a request's size as shares count it."""
-    return count_share_tokens(request.prompt_tokens, request.output_tokens)
-
-
-def _refuse(
-    admissions: Admissions,
-    context: AdmissionContext,
-    admission: Admission,
-    reason: RefusalReason,
-    now_s: float,
-) -> None:
-    request = admission.request
-    del admissions.open[request.request_id]
-    _forget(context, admission, ran=False)
-    refuse_with(context.entry_context, request, reason, admission.retry_after_s)
-
-
-def _forget(
-    context: AdmissionContext, admission: Admission, ran: bool, failed: bool = False
-) -> None:
-    request_id = admission.request.request_id
-    context.entry.attempts.pop(request_id, None)
-    if not admission.granted:
-        count_queued(context.entry, admission.request, -1)
-    if not ran:
-        request = admission.request
-        tokens = expected_tokens(request)
-        note_refused(
-            context.shares,
-            request.pool,
-            request.workspace,
-            tokens,
-            admission.tier,
-            admission.noted_at_s,
-        )
-    if admission.backend_server:
-        release = AdmissionRelease(request_id, admission.backend_server, ran, failed)
-        tell_owner(context, admission, release)
--- a/packages/core/src/myrtlehook_core/process/event_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/event_handlers.py
@@ -5,9 +5,8 @@
 from typing import TYPE_CHECKING, Any
 
 from myrtlehook_core.process import events
+from myrtlehook_core.process.admission_ends import abandon_admission, end_admission
 from myrtlehook_core.process.admissions import (
-    abandon_admission,
-    end_admission,
     is_admitted_by_tokens,
     note_progress,
     open_admission,
