Show that shedding takes a flooding workspace's share away (red)

Cause sought: two floods broke FAIR where one workspace's callers reach a router that is short of processor time.

--- a/tests/features/shares.feature
+++ b/tests/features/shares.feature
@@ -18,6 +18,15 @@
     When "a" floods in short prompts, and "b" and "c" ask for more than their shares, "b" in long ones
     Then over six seconds each workspace receives half of what the best served one does, or of what it asks
 
+  Scenario Outline: A router that is short of processor time takes no workspace's share away
+    When a router that all callers of "a" reach sheds 0.97 of what it can, while "a" asks for <factor> times what "b" asks of the others
+    Then over six seconds each workspace receives half of what the best served one does, or of what it asks
+
+    Examples:
+      | factor |
+      | 1      |
+      | 8      |
+
   Scenario: What exceeds a share is refused without asking engines while they take none of it
     When "a" asks for fifty times its share for 6 s, beside "d" within its own
     Then engines' owners have refused less than half as often as when each request asks them
--- a/tests/standins/histories.py
+++ b/tests/standins/histories.py
@@ -124,6 +124,8 @@
         """By kind of message, and by "own zone" or "other zones"."""
         self.zones: dict[str, str] = {}
         """By router."""
+        self.sheds: Callable[[str, RequestSpecification], bool] = lambda entry, request: False
+        """Whether a router that is short of processor time turns a request away."""
         self.owners_refused = 0
         """How often an engine's owner has refused a request."""
         self.levels_noted: list[actions.ShareLevelNoted] = []
@@ -199,7 +201,10 @@
         """Let a caller send a request to a router."""
         if entry not in self.alive:
             return
-        self.outcomes[request.request_id] = Outcome(entry, request.deadline_s)
+        outcome = self.outcomes[request.request_id] = Outcome(entry, request.deadline_s)
+        if self.sheds(entry, request):
+            outcome.refused_at_s.append(self.now_s)
+            return
         self.feed(entry, events.RequestArrived(request))
 
     def feed(self, name: str, event: events.Event) -> None:
--- a/tests/steps/share_steps.py
+++ b/tests/steps/share_steps.py
@@ -2,12 +2,13 @@
 
 import random
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
 from behave import then, when
 
-from myrtlehook_core import CoreOptions
+from myrtlehook_core import CoreOptions, RequestSpecification, Shedding, sheds
 from standins.histories import History, Network, make_request
 
 CONFIGURED_TOKENS_PER_S = 120_000.0
@@ -213,6 +214,38 @@
     assert not context.unfair, f"by seed, who got too little, asked and got: {context.unfair}"
 
 
+CROWD_TOKENS_PER_S = 250_000.0
+"""What "b" asks for: four times half of the capacity."""
+
+
+@when(
+    'a router that all callers of "a" reach sheds {part:g} of what it can,'
+    ' while "a" asks for {factor:d} times what "b" asks of the others'
+)
+def shed_one(context: Any, part: float, factor: int) -> None:
+    served = _start(3, engines=4)
+    short, *others = served.history.alive
+    served.history.sheds = _make_shedding(short, part)
+    end_s = BEGINS_S + SETTLED_S + SPAN_S
+    draw = random.Random(3)
+    crowd = Workload("a", factor * CROWD_TOKENS_PER_S, OWN_TOKENS)
+    served.ask_at_random(crowd, [short], draw, end_s)
+    served.ask_at_random(Workload("b", CROWD_TOKENS_PER_S, OWN_TOKENS), others, draw, end_s)
+    served.history.run_until(end_s + 2.0)
+    asked, begun = served.count(BEGINS_S + SETTLED_S)
+    unfair = find_unfair(asked, begun)
+    context.unfair = {3: (unfair, dict(asked), dict(begun))} if unfair else {}
+
+
+def _make_shedding(short: str, part: float) -> Callable[[str, RequestSpecification], bool]:
+    shedding = Shedding(part=part)
+
+    def decide(entry: str, request: RequestSpecification) -> bool:
+        return entry == short and sheds(shedding, request.workspace)
+
+    return decide
+
+
 FLOOD_S = 6.0
 """How long a flood of many times the capacity lasts."""
 
