--- a/packages/core/src/myrtlehook_core/process/events.py
+++ b/packages/core/src/myrtlehook_core/process/events.py
@@ -19,6 +19,13 @@
     request: RequestSpecification
 
 
+@dataclass(frozen=True, slots=True)
+class RequestShed:
+    """A request was turned away for want of processor time, without being queued."""
+
+    specification: RequestSpecification
+
+
 @dataclass(frozen=True, slots=True)
 class RequestAbandoned:
     """The caller of a request that waits has gone."""
@@ -149,6 +156,7 @@
 
 Event = (
     RequestArrived
+    | RequestShed
     | RequestAbandoned
     | ServiceObserved
     | RunEnded
