--- a/packages/core/src/myrtlehook_core/process/event_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/event_handlers.py
@@ -5,11 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 from myrtlehook_core.process import events
-from myrtlehook_core.process.admission_ends import (
-    abandon_admission,
-    end_admission,
-    expected_tokens,
-)
+from myrtlehook_core.process.admission_ends import abandon_admission, end_admission
 from myrtlehook_core.process.admissions import (
     is_admitted_by_tokens,
     note_progress,
@@ -60,7 +56,7 @@
     observe_service,
     retry_run,
 )
-from myrtlehook_core.process.shares import Reporters, note_shed, send_collected, send_demands
+from myrtlehook_core.process.shares import Reporters, send_collected, send_demands
 from myrtlehook_core.process.source_handlers import (
     PLATFORM,
     on_configuration,
@@ -105,11 +101,6 @@
     offer_first(entry, core.placement, event.request, preferred, core.draw, core.post, now_s)
 
 
-def _on_shed(core: "RouterCore", event: events.RequestShed, now_s: float) -> None:
-    request = event.specification
-    note_shed(core.shares, request.pool, request.workspace, expected_tokens(request), now_s)
-
-
 def _on_abandoned(core: "RouterCore", event: events.RequestAbandoned, now_s: float) -> None:
     if not abandon_admission(core.admissions, core.admission_context(), event.request_id):
         abandon_request(core.entry, event.request_id)
@@ -255,7 +246,6 @@
 # Typed per handler by its own signature; the table only pairs each type with its handler.
 EVENT_HANDLERS: dict[type, Callable[["RouterCore", Any, float], None]] = {
     events.RequestArrived: _on_request,
-    events.RequestShed: _on_shed,
     events.RequestAbandoned: _on_abandoned,
     events.ServiceObserved: _on_service,
     events.RunEnded: _on_ended,
--- a/packages/core/src/myrtlehook_core/process/events.py
+++ b/packages/core/src/myrtlehook_core/process/events.py
@@ -19,13 +19,6 @@
     request: RequestSpecification
 
 
-@dataclass(frozen=True, slots=True)
-class RequestShed:
-    """A request was turned away for want of processor time, without being queued."""
-
-    specification: RequestSpecification
-
-
 @dataclass(frozen=True, slots=True)
 class RequestAbandoned:
     """The caller of a request that waits has gone."""
@@ -156,7 +149,6 @@
 
 Event = (
     RequestArrived
-    | RequestShed
     | RequestAbandoned
     | ServiceObserved
     | RunEnded
--- a/packages/core/src/myrtlehook_core/process/routers.py
+++ b/packages/core/src/myrtlehook_core/process/routers.py
@@ -15,7 +15,6 @@
     Send,
 )
 from myrtlehook_core.process.admission_asking import AdmissionContext, Admissions
-from myrtlehook_core.process.admission_ends import expected_tokens
 from myrtlehook_core.process.admission_handover import announce_admissions, forget_engines
 from myrtlehook_core.process.bidding import (
     send_holds_to_new_owners,
@@ -60,10 +59,9 @@
     Prober,
 )
 from myrtlehook_core.process.refusals import refuse_hopeless
-from myrtlehook_core.process.shares import Shares, foresee_tier
+from myrtlehook_core.process.shares import Shares
 from myrtlehook_core.process.source_messages import ReaderRow
 from myrtlehook_core.process.source_readers import SourceReaders, collect_readers
-from myrtlehook_core.request.requests import RequestSpecification
 from myrtlehook_core.version.configurations import Configuration
 from myrtlehook_core.version.discovery import Discovery, apply_discovery
 from myrtlehook_core.version.exchange import (
@@ -134,11 +132,6 @@
         self._tell_changes()
         return self.out.actions
 
-    def foresee_tier(self, request: RequestSpecification) -> int | None:
-        """Return the tier that a new request would have; None while shares bind nobody."""
-        tokens = expected_tokens(request)
-        return foresee_tier(self.shares, request.pool, request.workspace, tokens, self._now_s)
-
     def find_next_grant(self) -> float:
         """Return when ``GrantsDue`` is next of use; infinity while it is not."""
         return find_next_grant(self.queues, self.options, self._now_s)
--- a/packages/core/src/myrtlehook_core/process/shares.py
+++ b/packages/core/src/myrtlehook_core/process/shares.py
@@ -99,7 +99,10 @@
 def note_asked(shares: Shares, pool: str, workspace: str, tokens: int, now_s: float) -> int:
     """Count a new request and return its tier."""
     demand = shares.demands.setdefault(pool, PoolDemand())
-    _count_asked(demand, workspace, tokens, now_s)
+    if not demand.buckets or now_s - demand.buckets[-1].begins_at_s >= BUCKET_S:
+        demand.buckets.append(DemandBucket(now_s))
+    asked = demand.buckets[-1].asked_tokens
+    asked[workspace] = asked.get(workspace, 0) + tokens
     part = demand.parts.get(workspace)
     if part is None or now_s >= demand.level_deadline_s:
         return 0
@@ -125,45 +128,6 @@
             return
 
 
-def note_shed(shares: Shares, pool: str, workspace: str, tokens: int, now_s: float) -> None:
-    """Count a request that was turned away before it could be given a tier.
-
-    It was asked for and not served, so the accountant is to know of it; and what it earns its
-    workspace is for those that are let through.
-    """
-    demand = shares.demands.setdefault(pool, PoolDemand())
-    _count_asked(demand, workspace, tokens, now_s)
-    note_refused(shares, pool, workspace, tokens, HIGHEST_TIER, now_s)
-    part = demand.parts.get(workspace)
-    if part is None or now_s >= demand.level_deadline_s or demand.level is None:
-        return
-    most_tokens = RETURNED_LEVELS * demand.level.level_tokens
-    credits_tokens = _earn_credits(demand, workspace, part, tokens)
-    for tier, credit_tokens in enumerate(credits_tokens):
-        credits_tokens[tier] = min(credit_tokens, most_tokens)
-
-
-def foresee_tier(
-    shares: Shares, pool: str, workspace: str, tokens: int, now_s: float
-) -> int | None:
-    """Return the tier that a new request would have, by what is known here.
-
-    None while nobody asks for more than its share: then there is nothing to protect from.
-    """
-    demand = shares.demands.get(pool)
-    if demand is None or not demand.parts or now_s >= demand.level_deadline_s:
-        return None
-    part = demand.parts.get(workspace)
-    if part is None:
-        return 0
-    tiers = _count_tiers(part)
-    credits_tokens = demand.credits_tokens.get(workspace, [])
-    for tier, credit_tokens in enumerate(credits_tokens[:tiers]):
-        if _pays(credit_tokens + part * tokens, tokens):
-            return tier
-    return tiers - 1
-
-
 def asks_above_share(shares: Shares, pool: str, workspace: str, now_s: float) -> bool:
     """Tell whether a workspace asks for more than its share, across all routers."""
     demand = shares.demands.get(pool)
@@ -178,40 +142,16 @@
     Every request earns each tier its part of credit; the lowest tier that can pay at
     least half of the request takes it.
     """
-    credits_tokens = _earn_credits(demand, workspace, part, tokens)
-    tiers = _count_tiers(part)
-    for tier in range(tiers):
-        if _pays(credits_tokens[tier], tokens):
-            credits_tokens[tier] -= tokens
-            return tier
-    return tiers - 1
-
-
-def _earn_credits(demand: PoolDemand, workspace: str, part: float, tokens: int) -> list[float]:
-    """Add a request's part to the credit of each tier, and return these credits."""
-    tiers = _count_tiers(part)
+    tiers = min(math.ceil(1.0 / part), HIGHEST_TIER + 1)
     credits_tokens = demand.credits_tokens.setdefault(workspace, [])
     credits_tokens.extend([0.0] * (tiers - len(credits_tokens)))
     for tier in range(tiers):
         credits_tokens[tier] += part * tokens
-    return credits_tokens
-
-
-def _count_tiers(part: float) -> int:
-    return min(math.ceil(1.0 / part), HIGHEST_TIER + 1)
-
-
-def _pays(credit_tokens: float, tokens: int) -> bool:
-    """Tell whether a tier's credit covers at least half of a request."""
-    return credit_tokens >= tokens / 2.0
-
-
-def _count_asked(demand: PoolDemand, workspace: str, tokens: int, now_s: float) -> None:
-    """Count a request in the present step of the window."""
-    if not demand.buckets or now_s - demand.buckets[-1].begins_at_s >= BUCKET_S:
-        demand.buckets.append(DemandBucket(now_s))
-    asked = demand.buckets[-1].asked_tokens
-    asked[workspace] = asked.get(workspace, 0) + tokens
+    for tier in range(tiers):
+        if credits_tokens[tier] >= tokens / 2.0:
+            credits_tokens[tier] -= tokens
+            return tier
+    return tiers - 1
 
 
 def _return_credit(demand: PoolDemand, workspace: str, tokens: int) -> None:
--- a/packages/core/src/myrtlehook_core/process/shedding.py
+++ b/packages/core/src/myrtlehook_core/process/shedding.py
@@ -2,8 +2,7 @@
 
 A request that waits for the processor misses its aim here, while another router may be
 idle: its caller comes back on a new connection, which goes elsewhere. So an overloaded
-router refuses a part of its requests at once, of the workspaces that send it the most, and first
-what exceeds their shares.
+router refuses a part of its requests at once, of the workspaces that send it the most.
 
 Overload shows in how late the process's loop is: if even its least late turn within an
 interval is over a bound, work comes in faster than it is done.
@@ -13,7 +12,6 @@
 from dataclasses import dataclass, field
 
 from myrtlehook_core.process.choosers import Draw
-from myrtlehook_core.process.shares import HIGHEST_TIER
 
 LAG_LIMIT_S = 0.012
 """A turn takes part in many steps of a request, each of which waits this long."""
@@ -26,13 +24,6 @@
 STEP_FACTOR = 0.03
 LARGEST_PART = 0.97
 
-LARGEST_TIER_PARTS = {0: 0.5, 1: 0.75}
-"""Of requests within their workspace's share, and up to twice that; all others may be refused
-up to the largest part. Drawn alike, 0.03 of a flood are left, whatever its share is: in a history
-of two workspaces that ask for four times their share each, the one whose callers all reach one
-short router gets 0.04 of what the other gets, with these bounds 0.73; with eight times as many
-requests 0.37, and 1.02."""
-
 EASING_PART = 0.05
 """A router that keeps up again refuses this much less, of what it refused, each interval."""
 
@@ -68,8 +59,8 @@
     interval_deadline_s: float = 0.0
     counts: dict[str, float] = field(default_factory=dict)
     """Requests by workspace, the earlier ones counting less and less."""
-    owed: dict[tuple[str, int], float] = field(default_factory=dict)
-    """By workspace and tier, refusals due; one is made at each whole number."""
+    owed: dict[str, float] = field(default_factory=dict)
+    """By workspace, refusals due; one is made at each whole number."""
     served: float = 0.0
     """Requests that were not refused, the earlier ones counting less and less."""
     next_return_s: float = 0.0
@@ -113,30 +104,23 @@
     return max(longest_s * (0.5 + 0.5 * draw()), 0.0)
 
 
-def sheds(shedding: Shedding, workspace: str, tier: int | None) -> bool:
-    """Count a request and tell whether it is to be refused.
-
-    :param tier: 0 within its workspace's share, 1 up to twice the share, and so on; None
-        while shares bind nobody.
-    """
+def sheds(shedding: Shedding, workspace: str) -> bool:
+    """Count a request and tell whether it is to be refused."""
     shedding.counts[workspace] = shedding.counts.get(workspace, 0.0) + 1.0
-    shed = shedding.part > 0.0 and _owes_refusal(shedding, workspace, tier)
+    shed = shedding.part > 0.0 and _owes_refusal(shedding, workspace)
     if not shed:
         shedding.served += 1.0
     return shed
 
 
-def _owes_refusal(shedding: Shedding, workspace: str, tier: int | None) -> bool:
+def _owes_refusal(shedding: Shedding, workspace: str) -> bool:
     largest = max(shedding.counts.values())
     if shedding.counts[workspace] < LARGE_PART * largest:
         return False
     large = sum(count for count in shedding.counts.values() if count >= LARGE_PART * largest)
-    rank = HIGHEST_TIER if tier is None else tier
-    most_part = LARGEST_TIER_PARTS.get(rank, LARGEST_PART)
-    part = min(shedding.part * sum(shedding.counts.values()) / large, most_part)
-    kind = (workspace, rank)
-    owed = shedding.owed.get(kind, 0.0) + part
-    shedding.owed[kind] = owed % 1.0
+    part = min(shedding.part * sum(shedding.counts.values()) / large, LARGEST_PART)
+    owed = shedding.owed.get(workspace, 0.0) + part
+    shedding.owed[workspace] = owed % 1.0
     return owed >= 1.0
 
 
--- a/packages/router/src/myrtlehook_router/process/gateway_daemons.py
+++ b/packages/router/src/myrtlehook_router/process/gateway_daemons.py
@@ -195,7 +195,6 @@
             is_draining=lambda: self._draining,
             is_refusing=lambda: self._refusing,
             body_limit_bytes=0,
-            foresee_tier=self._core_task.core.foresee_tier,
             shedding=self._shedding,
             refusal_sums=self._refusal_sums,
         )
--- a/packages/router/src/myrtlehook_router/request/gateways.py
+++ b/packages/router/src/myrtlehook_router/request/gateways.py
@@ -15,7 +15,6 @@
     RequestSpecification,
     book_return,
     choose_pool,
-    events,
     sheds,
 )
 from myrtlehook_router.connection.clients import ClientPool
@@ -117,7 +116,7 @@
     pool = services.requests.configuration().pools.get(specification.pool)
     # Streams are what costs processor time.
     costly = pool is not None and pool.engine is not None
-    if costly and _sheds(services.requests, specification):
+    if costly and sheds(services.requests.shedding, specification.workspace):
         return _refuse(services, request.environ, _overloaded(services, request), request)
     opened = queue_request(services.requests, specification, request.environ)
     if isinstance(opened, Err):
@@ -147,16 +146,6 @@
     return Answer(answer.status, WatchedBody(answer.body, watch), answer.headers)
 
 
-def _sheds(services: RequestServices, specification: RequestSpecification) -> bool:
-    """Tell whether to turn a request away for want of processor time, and tell the core."""
-    shedding = services.shedding
-    tier = services.foresee_tier(specification) if shedding.part > 0.0 else None
-    if not sheds(shedding, specification.workspace, tier):
-        return False
-    services.mailbox.post(events.RequestShed(specification))
-    return True
-
-
 def _overloaded(services: GatewayServices, request: RoutedRequest) -> Refusal:
     """Refuse a request for want of processor time, here and at the neighbours."""
     now_s = time.monotonic()
--- a/packages/router/src/myrtlehook_router/request/services.py
+++ b/packages/router/src/myrtlehook_router/request/services.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from myrtlehook_core import Configuration, RequestSpecification, Shedding
+from myrtlehook_core import Configuration, Shedding
 from myrtlehook_router.process.counters import Counters
 from myrtlehook_router.process.mailboxes import Mailbox
 from myrtlehook_router.request.refusal_sums import RefusalSums
@@ -22,7 +22,5 @@
     body_limit_bytes: int
     is_refusing: Callable[[], bool] = lambda: False
     """Whether the router is stopping and takes no request any more."""
-    foresee_tier: Callable[[RequestSpecification], int | None] = lambda request: None
-    """The tier that a new request would have; None while shares bind nobody."""
     shedding: Shedding = field(default_factory=Shedding)
     refusal_sums: RefusalSums = field(default_factory=RefusalSums)
--- a/tests/steps/share_steps.py
+++ b/tests/steps/share_steps.py
@@ -8,7 +8,7 @@
 
 from behave import then, when
 
-from myrtlehook_core import CoreOptions, RequestSpecification, Shedding, events, sheds
+from myrtlehook_core import CoreOptions, RequestSpecification, Shedding, sheds
 from standins.histories import History, Network, make_request
 
 CONFIGURED_TOKENS_PER_S = 120_000.0
@@ -225,7 +225,7 @@
 def shed_one(context: Any, part: float, factor: int) -> None:
     served = _start(3, engines=4)
     short, *others = served.history.alive
-    served.history.sheds = _make_shedding(served.history, short, part)
+    served.history.sheds = _make_shedding(short, part)
     end_s = BEGINS_S + SETTLED_S + SPAN_S
     draw = random.Random(3)
     crowd = Workload("a", factor * CROWD_TOKENS_PER_S, OWN_TOKENS)
@@ -237,19 +237,11 @@
     context.unfair = {3: (unfair, dict(asked), dict(begun))} if unfair else {}
 
 
-def _make_shedding(
-    history: History, short: str, part: float
-) -> Callable[[str, RequestSpecification], bool]:
+def _make_shedding(short: str, part: float) -> Callable[[str, RequestSpecification], bool]:
     shedding = Shedding(part=part)
 
     def decide(entry: str, request: RequestSpecification) -> bool:
-        if entry != short:
-            return False
-        tier = history.alive[entry].foresee_tier(request)
-        if not sheds(shedding, request.workspace, tier):
-            return False
-        history.feed(entry, events.RequestShed(request))
-        return True
+        return entry == short and sheds(shedding, request.workspace)
 
     return decide
 
--- a/tests/steps/shedding_steps.py
+++ b/tests/steps/shedding_steps.py
@@ -42,7 +42,7 @@
 
     def _take(self, workspace: str) -> None:
         cost_s = 1.0 / self.rate_per_s
-        if sheds(self.shedding, workspace, tier=None):
+        if sheds(self.shedding, workspace):
             self.refused_s.append((self.now_s, workspace))
             self.backlog_s += REFUSAL_PART * cost_s
             return
