--- a/tests/standins/histories.py
+++ b/tests/standins/histories.py
@@ -19,27 +19,19 @@
     Configuration,
     ConfigurationVersion,
     CoreOptions,
-    EngineCapacity,
-    EntryLimits,
-    Pool,
-    PoolKind,
-    PromptPart,
-    QueueLimits,
     RequestSpecification,
     RetryReason,
     RouterCore,
     RouterIdentity,
-    Workspace,
     actions,
     encode_message,
     events,
 )
+from standins.pools import POOL, make_configuration, name_zone
 
-POOL = "model"
 TICK_S = 0.02
 READ_INTERVAL_S = 0.1
 RATE_TOKENS_PER_S = 30_000.0
-LIMITS = QueueLimits(1000, 1 << 30, 1e6, 1_000_000)
 
 
 @dataclass(frozen=True, slots=True)
@@ -156,7 +148,7 @@
     def start_router(self, name: str) -> None:
         """Start a router, or start it again with an empty memory."""
         identity = RouterIdentity(name, name, next(self._incarnations), self.zones[name])
-        configuration = _make_configuration(self._tokens_per_s)
+        configuration = make_configuration(self._tokens_per_s)
 
         def parse(text: str) -> Ok[Configuration]:
             return Ok(replace(configuration, version=ConfigurationVersion(int(text), "")))
@@ -299,49 +291,3 @@
             outcome.running = False
             outcome.ended_at_s = self.now_s
             self.feed(name, events.RunEnded(request_id, 100.0))
-
-
-def name_zone(number: int) -> str:
-    """Return the name of an availability zone."""
-    return "z" if number == 0 else f"z{number}"
-
-
-def make_request(
-    request_id: str, workspace: str, session: int, tokens: int, now_s: float, repeatable: bool
-) -> RequestSpecification:
-    """Return a request whose prompt shares a part with its session's others."""
-    parts = (PromptPart(f"s{session}", 500), PromptPart(f"own-{request_id}", tokens))
-    return RequestSpecification(
-        request_id=request_id,
-        workspace=workspace,
-        pool=POOL,
-        body_bytes=100,
-        arrived_at_s=now_s,
-        deadline_s=now_s + 3.0,
-        repeatable=repeatable,
-        attempts=2,
-        prompt_tokens=500 + tokens,
-        output_tokens=30,
-        prompt_parts=parts,
-        aim_deadline_s=now_s + 0.6,
-    )
-
-
-def _make_configuration(tokens_per_s: float) -> Configuration:
-    pool = Pool(
-        name=POOL,
-        kind=PoolKind.MODEL,
-        models=(),
-        input_token_weight=1.0,
-        output_token_weight=2.0,
-        no_repeat=False,
-        default_timeout_s=10.0,
-        engine=EngineCapacity(memory_tokens=100_000),
-    )
-    workspaces = {name: Workspace(name, 1.0, (), frozenset({POOL}), LIMITS) for name in "abcdefgh"}
-    return Configuration(
-        version=ConfigurationVersion(1, ""),
-        workspaces=workspaces,
-        pools={POOL: pool},
-        limits=EntryLimits(tokens_per_s=tokens_per_s),
-    )
--- /dev/null
+++ b/tests/standins/pools.py
@@ -0,0 +1,67 @@
+"""The one pool of a history: its configuration, its requests, and where its servers stand."""
+
+from myrtlehook_core import (
+    Configuration,
+    ConfigurationVersion,
+    EngineCapacity,
+    EntryLimits,
+    Pool,
+    PoolKind,
+    PromptPart,
+    QueueLimits,
+    RequestSpecification,
+    Workspace,
+)
+
+POOL = "model"
+LIMITS = QueueLimits(1000, 1 << 30, 1e6, 1_000_000)
+
+
+def name_zone(number: int) -> str:
+    """Return the name of an availability zone."""
+    return "z" if number == 0 else f"z{number}"
+
+
+def make_request(
+    request_id: str, workspace: str, session: int, tokens: int, now_s: float, repeatable: bool
+) -> RequestSpecification:
+    """Return a request whose prompt shares a part with its session's others."""
+    parts = (PromptPart(f"s{session}", 500), PromptPart(f"own-{request_id}", tokens))
+    return RequestSpecification(
+        request_id=request_id,
+        workspace=workspace,
+        pool=POOL,
+        body_bytes=100,
+        arrived_at_s=now_s,
+        deadline_s=now_s + 3.0,
+        repeatable=repeatable,
+        attempts=2,
+        prompt_tokens=500 + tokens,
+        output_tokens=30,
+        prompt_parts=parts,
+        aim_deadline_s=now_s + 0.6,
+    )
+
+
+def make_configuration(tokens_per_s: float) -> Configuration:
+    """Return a configuration of one pool.
+
+    :param tokens_per_s: what it says that all engines produce.
+    """
+    pool = Pool(
+        name=POOL,
+        kind=PoolKind.MODEL,
+        models=(),
+        input_token_weight=1.0,
+        output_token_weight=2.0,
+        no_repeat=False,
+        default_timeout_s=10.0,
+        engine=EngineCapacity(memory_tokens=100_000),
+    )
+    workspaces = {name: Workspace(name, 1.0, (), frozenset({POOL}), LIMITS) for name in "abcdefgh"}
+    return Configuration(
+        version=ConfigurationVersion(1, ""),
+        workspaces=workspaces,
+        pools={POOL: pool},
+        limits=EntryLimits(tokens_per_s=tokens_per_s),
+    )
--- a/tests/steps/admission_steps.py
+++ b/tests/steps/admission_steps.py
@@ -35,7 +35,8 @@
 from myrtlehook_core.process.shares import Shares, note_asked, take_level
 from myrtlehook_core.version.discovery import Discovery, expire_lapsed, take_servers
 from myrtlehook_core.version.exchange import ConfigurationExchange, take_document
-from standins.histories import History, Network, make_request
+from standins.histories import History, Network
+from standins.pools import make_request
 
 OPTIONS = CoreOptions()
 SLACK_S = 0.1
--- a/tests/steps/memory_source_steps.py
+++ b/tests/steps/memory_source_steps.py
@@ -8,7 +8,8 @@
 
 from myrtlehook_core import BackendServer, CoreOptions, events
 from myrtlehook_core.process.admission_asking import Admission, find_source
-from standins.histories import History, Network, make_request
+from standins.histories import History, Network
+from standins.pools import make_request
 
 OWN_TOKENS = 700
 SESSION_TOKENS = 500
--- a/tests/steps/share_steps.py
+++ b/tests/steps/share_steps.py
@@ -9,7 +9,8 @@
 from behave import then, when
 
 from myrtlehook_core import CoreOptions, RequestSpecification, Shedding, sheds
-from standins.histories import History, Network, make_request
+from standins.histories import History, Network
+from standins.pools import make_request
 
 CONFIGURED_TOKENS_PER_S = 120_000.0
 """What four engines of 30 tokens a ms read."""
--- a/tests/steps/small_workspace_steps.py
+++ b/tests/steps/small_workspace_steps.py
@@ -10,7 +10,8 @@
 from myrtlehook_core.process.engine_loads import EngineLoad, WaitingAdmission
 from myrtlehook_core.process.engine_models import make_model
 from myrtlehook_core.process.prompt_caches import PromptCache
-from standins.histories import History, Network, make_request
+from standins.histories import History, Network
+from standins.pools import make_request
 
 AIM_S = 0.6
 """Of requests in histories."""
--- a/tests/steps/source_steps.py
+++ b/tests/steps/source_steps.py
@@ -15,7 +15,8 @@
     take_changes,
     take_servers,
 )
-from standins.histories import POOL, History, Network, Source
+from standins.histories import History, Network, Source
+from standins.pools import POOL
 
 OPTIONS = CoreOptions(source_readers=4)
 HISTORIES = 12
--- a/tests/steps/zone_steps.py
+++ b/tests/steps/zone_steps.py
@@ -15,7 +15,8 @@
 from myrtlehook_core.process.hashing import rank_routers
 from myrtlehook_core.process.membership_messages import Announcement, MemberRow, News
 from myrtlehook_core.process.shares import Reporters, find_collector
-from standins.histories import POOL, History, Network, Source, make_request
+from standins.histories import History, Network, Source
+from standins.pools import POOL, make_request
 
 STEP_S = 0.05
 AIM_S = 0.6
