--- a/packages/router/src/myrtlehook_router/connection/passing.py
+++ b/packages/router/src/myrtlehook_router/connection/passing.py
@@ -48,11 +48,11 @@
 gone learn it from the kernel's own probes of the connection, or this much later.
 """
 
-_log = get_logger("passing")
-
 _socket = patcher.original("socket")
 """eventlet's own sockets would wait in a task, and here are none."""
 
+_log = get_logger("passing")
+
 _KEEP_ALIVE = (
     (_socket.SOL_SOCKET, _socket.SO_KEEPALIVE, 1),
     (_socket.IPPROTO_TCP, _socket.TCP_KEEPIDLE, 1),
