Tell a server that has ended from one that broke an answer off, and name what ran there

Sight before any change of logic: the logs could not tell the hypotheses of the incident apart, since a broken answer read the same whatever broke it, and a request was known by its id alone. A broken answer is now followed by one connection to its server (20 ms later, shared by all answers that break at once): refused means that the process has ended. The line names the fingerprint of caller, path and body. Ruled out: the store's entry as proof (it goes seconds later), the health path (waits for a slot, and may be refused). The emulator's engines can end and start again.

--- a/emulator/control.py
+++ b/emulator/control.py
@@ -5,7 +5,7 @@
 from dataclasses import fields
 from typing import Any
 
-from emulator.sites import MODEL_SERVICE, PLAIN_SERVICE, Site, describe, put_server
+from emulator.sites import MODEL_SERVICE, PLAIN_SERVICE, Site, describe, end_engine, put_server
 
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 
@@ -50,6 +50,8 @@
             site.store.drop(f"servers/{name}")
             continue
         _put_entry(site, name, state)
+    for name in order.get("end", []):
+        end_engine(site, site.engines[name])
     if order.get("forget_history"):
         site.store.forget_history()
 
--- a/emulator/engines.py
+++ b/emulator/engines.py
@@ -11,6 +11,8 @@
 from eventlet import patcher
 from eventlet.queue import Empty, LightQueue
 
+from emulator.endings import send_begun_head
+
 READER_CHECK_S = 0.02
 """How often an engine looks whether a stream's reader is still there."""
 
@@ -59,6 +61,14 @@
 
     break_after_events: int = 0
     """The next stream breaks off after so many events."""
+    ending_body: str = ""
+    """A request whose body begins so ends each engine that begins to run it."""
+    end_after_ms: float = 40.0
+    """How long after that."""
+    back_after_s: float = 1.0
+    """How long after its end an engine starts again."""
+    keeps_id: bool = False
+    """It starts again under the id that it had."""
 
 
 @dataclass(slots=True)
@@ -92,6 +102,16 @@
         self.system_headers: list[tuple[str, str]] = []
         """Headers that the system alone may set, as they came, with their values."""
         self.read_tokens = 0
+        self.end: Callable[[], None] = lambda: None
+        """Ends the engine's process."""
+
+    def forget(self) -> None:
+        """Drop what a process loses that ends."""
+        for run in (*self.waiting, *self.running):
+            run.cancelled = True
+        self.waiting.clear()
+        self.running.clear()
+        self.cache.clear()
 
     def step_forever(self) -> None:
         """Run one step after another."""
@@ -119,6 +139,9 @@
             self.faults.reset_answers -= 1
             break_connection(environ)
         run = self._start(environ, attempt_id)
+        ending = self.shared.ending_body.encode()
+        if ending and body.startswith(ending):
+            self._end_with(environ, attempt_id)
         shown_id = attempt_id
         if self.faults.wrong_ids > 0:
             self.faults.wrong_ids -= 1
@@ -134,6 +157,15 @@
         start_response("200 OK", headers)
         return Stream(self, run, environ["wsgi.input"].get_socket())
 
+    def _end_with(self, environ: dict[str, Any], attempt_id: str) -> None:
+        """End as this run begins; its caller has got the answer's head."""
+        send_begun_head(environ["wsgi.input"].get_socket(), attempt_id, self.seal(attempt_id))
+        eventlet.sleep(self.shared.end_after_ms / 1000.0)
+        # In a task of its own, since this one ends with the engine.
+        eventlet.spawn_n(self.end)
+        eventlet.sleep(self.shared.end_after_ms / 1000.0)
+        raise ConnectionResetError("the engine has ended")
+
     def seal(self, attempt_id: str) -> str:
         """Return the seal of an answer of this engine."""
         return hashlib.sha256(f"{self.identifier}/{attempt_id}".encode()).hexdigest()[:16]
--- a/emulator/sites.py
+++ b/emulator/sites.py
@@ -1,6 +1,8 @@
 """A small site: a store, engines and plain services on loopback, and its configuration."""
 
+import itertools
 import json
+import time
 from collections.abc import Callable
 from dataclasses import asdict, dataclass, field
 from typing import Any
@@ -8,6 +10,7 @@
 import eventlet
 from eventlet import wsgi
 
+from emulator.endings import EndingProcess, Silent
 from emulator.engines import Engine, EngineSpeed, SharedFaults
 from emulator.services import PlainService
 from emulator.store import Store
@@ -16,6 +19,9 @@
 PLAIN_SERVICE = "desk"
 HOST = "site.example"
 SPLIT = [{"Service": PLAIN_SERVICE, "Weight": 1}, {"Service": PLAIN_SERVICE, "Weight": 3}]
+LAPSE_S = 1.0
+"""How long after its end a server's entry goes."""
+
 KEYS = {"planners": "key-planners", "dispatch": "key-dispatch"}
 
 
@@ -29,6 +35,13 @@
     engine_faults: SharedFaults = field(default_factory=SharedFaults)
     addresses: dict[str, str] = field(default_factory=dict)
     """Address of the store, and of each server by its id."""
+    processes: dict[str, EndingProcess] = field(default_factory=dict)
+    """Of the engines, by id."""
+    born_ms: dict[str, int] = field(default_factory=dict)
+    """When each engine started, in Unix time."""
+    ended: list[str] = field(default_factory=list)
+    """The engines that ended, in order."""
+    starts: "itertools.count[int]" = field(default_factory=lambda: itertools.count(1))
 
 
 def start_site(ip: str, engines: int, services: int, speed: EngineSpeed) -> Site:
@@ -38,9 +51,9 @@
     for number in range(1, engines + 1):
         engine = Engine(f"i-engine-{number}", speed, site.engine_faults)
         site.engines[engine.identifier] = engine
+        engine.end = _make_end(site, engine)
         eventlet.spawn(engine.step_forever)
-        site.addresses[engine.identifier] = serve(ip, engine.answer)
-        put_server(site, engine.identifier, MODEL_SERVICE, speed.slots)
+        _note_start(site, engine, EndingProcess(ip, engine.answer))
     for number in range(1, services + 1):
         service = PlainService(f"i-desk-{number}", slots=6)
         site.services[service.identifier] = service
@@ -49,6 +62,43 @@
     return site
 
 
+def end_engine(site: Site, engine: Engine) -> None:
+    """End an engine's process; it is back after a while, knowing nothing."""
+    identifier = engine.identifier
+    process = site.processes.pop(identifier, None)
+    if process is None:
+        # It has ended already.
+        return
+    site.ended.append(identifier)
+    process.end()
+    engine.forget()
+    shared = site.engine_faults
+    eventlet.spawn_after(shared.back_after_s, _start_again, site, engine, process)
+    if not shared.keeps_id:
+        eventlet.spawn_after(LAPSE_S, site.store.drop, f"servers/{identifier}")
+
+
+def _make_end(site: Site, engine: Engine) -> Callable[[], None]:
+    return lambda: end_engine(site, engine)
+
+
+def _start_again(site: Site, engine: Engine, process: EndingProcess) -> None:
+    process.start()
+    if not site.engine_faults.keeps_id:
+        del site.engines[engine.identifier]
+        engine.identifier = f"i-engine-again-{next(site.starts)}"
+        site.engines[engine.identifier] = engine
+    _note_start(site, engine, process)
+
+
+def _note_start(site: Site, engine: Engine, process: EndingProcess) -> None:
+    identifier = engine.identifier
+    site.processes[identifier] = process
+    site.addresses[identifier] = process.address
+    site.born_ms[identifier] = int(time.time() * 1000)
+    put_server(site, identifier, MODEL_SERVICE, engine.speed.slots)
+
+
 def put_server(site: Site, identifier: str, service: str, slots: int, state: str = "ready") -> None:
     """Write a server's entry."""
     entry = {
@@ -61,6 +111,8 @@
         "ColdRemainingMs": 0,
         "SequenceNumber": 1,
     }
+    if identifier in site.born_ms:
+        entry["born"] = site.born_ms[identifier]
     site.store.put(f"servers/{identifier}", json.dumps(entry))
 
 
@@ -120,7 +172,7 @@
         wsgi.server,
         listener,
         application,
-        log=_Silent(),
+        log=Silent(),
         log_output=False,
         debug=False,
         capitalize_response_headers=False,
@@ -134,6 +186,7 @@
     servers: dict[str, Any] = {**site.engines, **site.services}
     return {
         "calls": dict(site.store.calls),
+        "ended": list(site.ended),
         "servers": {
             name: {
                 "runs": dict(server.runs),
@@ -146,10 +199,3 @@
             for name, server in servers.items()
         },
     }
-
-
-class _Silent:
-    """Swallows the server's own log."""
-
-    def write(self, text: str) -> None:
-        """Do nothing."""
--- a/packages/core/src/myrtlehook_core/__init__.py
+++ b/packages/core/src/myrtlehook_core/__init__.py
@@ -41,6 +41,7 @@
 from myrtlehook_core.process.shedding import Shedding, book_return, note_lag, sheds
 from myrtlehook_core.process.statuses import RouterStatus, describe_router
 from myrtlehook_core.request.admission import QueueLimits
+from myrtlehook_core.request.fingerprints import fingerprint_request
 from myrtlehook_core.request.outcomes import DropReason, Outcome, RefusalReason, RetryReason
 from myrtlehook_core.request.requests import PoolKey, PromptPart, RequestSpecification
 from myrtlehook_core.version.configurations import (
@@ -130,6 +131,7 @@
     "ConfigurationParser",
     "ListenAddress",
     "Listener",
+    "fingerprint_request",
     "read_record",
     "EngineCapacity",
     "EngineFigures",
--- a/packages/core/src/myrtlehook_core/request/requests.py
+++ b/packages/core/src/myrtlehook_core/request/requests.py
@@ -39,6 +39,8 @@
     """Router clock time until which an answer's beginning is worth most."""
     priority: int = 1
     """0 is served first."""
+    fingerprint: bytes = b""
+    """The same for each request with this caller, path and body; empty where not known."""
 
 
 def count_share_tokens(prompt_tokens: int, output_tokens: int) -> int:
--- a/packages/router/src/myrtlehook_router/request/gateways.py
+++ b/packages/router/src/myrtlehook_router/request/gateways.py
@@ -15,6 +15,7 @@
     RequestSpecification,
     book_return,
     choose_pool,
+    fingerprint_request,
     sheds,
 )
 from myrtlehook_router.connection.clients import ClientPool
@@ -174,6 +175,9 @@
         prompt_parts=prompt.parts,
         aim_deadline_s=request.arrived_at_s + route.aim_s,
         priority=route.priority if own_priority is None else own_priority,
+        fingerprint=fingerprint_request(
+            request.workspace.name, request.method, request.target, body
+        ),
     )
 
 
--- a/packages/router/src/myrtlehook_router/request/services.py
+++ b/packages/router/src/myrtlehook_router/request/services.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from myrtlehook_core import Configuration, Shedding
+from myrtlehook_router.connection.server_checks import ServerChecks
 from myrtlehook_router.process.counters import Counters
 from myrtlehook_router.process.mailboxes import Mailbox
 from myrtlehook_router.request.refusal_sums import RefusalSums
@@ -24,3 +25,4 @@
     """Whether the router is stopping and takes no request any more."""
     shedding: Shedding = field(default_factory=Shedding)
     refusal_sums: RefusalSums = field(default_factory=RefusalSums)
+    checks: ServerChecks = field(default_factory=ServerChecks)
--- a/tests/environment.py
+++ b/tests/environment.py
@@ -27,6 +27,9 @@
 SMALL_MEMORY_MB = 88
 """VMs on which few connections fit."""
 
+MANY_ENGINES = 6
+"""So many that some are left while others have ended."""
+
 ALWAYS_PASSING = {"passing_starts_part": -2.0, "passing_all_part": -1.0}
 """A router that takes itself for busy, however little it does."""
 
@@ -83,7 +86,8 @@
     nodes.options = {f"edge-{number}": BUSY_OPTIONS.get(option, {}) for number in range(1, 10)}
     nodes.options["edge-1"] = ALWAYS_PASSING if option in BUSY_OPTIONS else {}
     try:
-        nodes.start(routers=routers, empty=option == "empty")
+        engines = MANY_ENGINES if option == "many" else 2
+        nodes.start(routers=routers, engines=engines, empty=option == "empty")
         context.nodes = nodes
         yield nodes
     finally:
--- a/tests/steps/platform_operator_steps.py
+++ b/tests/steps/platform_operator_steps.py
@@ -213,6 +213,8 @@
         headers=(),
         route=context.parsed.routes.routes_by_host[HOST][0],
         request_id="x1",
+        method="GET",
+        target="/",
         workspace=context.parsed.workspaces[workspace],
         arrived_at_s=0.0,
         deadline_s=1.0,
