--- /dev/null
+++ b/tests/steps/quarantine_steps.py
@@ -0,0 +1,71 @@
+"""Requests that end the servers that run them, and what becomes of all others."""
+
+import json
+import time
+from typing import Any
+
+from behave import given, then, when
+
+from standins.attempts import Attempt, make_headers, new_id, send
+from standins.network import wait_for
+
+BETWEEN_S = 0.3
+"""Between two attempts of a caller that repeats at once; an ended engine is away longer."""
+
+
+def _send_body(context: Any, workspace: str, path: str, body: str, router: int) -> Attempt:
+    node = context.nodes.nodes[router]
+    headers = make_headers(new_id(), workspace, "400,12", "common:200,own:200")
+    return send(node, "POST", path, headers, body.encode())
+
+
+@given('a request "{body}" ends each engine that begins to run it')
+def end_engines(context: Any, body: str) -> None:
+    context.nodes.order(faults={"engines": {"ending_body": body}})
+    context.ended_before = len(context.nodes.describe()["ended"])
+
+
+@when('"{workspace}" sends "POST" "{path}" with body "{body}" {count:d} times, in turn')
+def send_again(context: Any, workspace: str, path: str, body: str, count: int) -> None:
+    context.attempts = []
+    for number in range(count):
+        router = number % len(context.nodes.nodes)
+        context.attempts.append(_send_body(context, workspace, path, body, router))
+        time.sleep(BETWEEN_S)
+
+
+def _count_ended(context: Any) -> int:
+    return len(context.nodes.describe()["ended"]) - int(context.ended_before)
+
+
+@then("at most {count:d} engines have ended")
+def check_ended_few(context: Any, count: int) -> None:
+    ended = _count_ended(context)
+    assert ended <= count, f"{ended} engines ended; at most {count} expected"
+
+
+@then('the last {count:d} answers say "{code}" and to come back after {wait_s:d} seconds or more')
+def check_refused(context: Any, count: int, code: str, wait_s: int) -> None:
+    for attempt in context.attempts[-count:]:
+        assert attempt.status == 503, f"got {attempt.status}: {attempt.body!r}"
+        assert json.loads(attempt.body)["error"]["code"] == code, f"got {attempt.body!r}"
+        told_s = float(attempt.headers["Retry-After"])
+        assert told_s >= wait_s, f"told to come back after {told_s} s"
+
+
+@then('"{workspace}" is served at every router')
+def check_others(context: Any, workspace: str) -> None:
+    for router in range(len(context.nodes.nodes)):
+
+        def served(router: int = router) -> bool:
+            return _send_body(context, workspace, "/summary/week", "sound", router).status == 200
+
+        wait_for(served, f"router {router + 1} to serve {workspace}")
+
+
+@then('the answer is {status:d}, names the attempt and says "{code}"')
+def check_failure(context: Any, status: int, code: str) -> None:
+    attempt = context.attempts[-1]
+    assert attempt.status == status, f"got {attempt.status}: {attempt.body!r}"
+    assert attempt.headers["Attempt-Id"] == attempt.attempt_id
+    assert json.loads(attempt.body)["error"]["code"] == code, f"got {attempt.body!r}"
