Go on without input that the core cannot take, and let engines end in the soak

The same cause sought elsewhere: a message, list or request at which the core raises ended each router that got it, one after the other, as the request ended engines. Such an event is dropped with a log line and a counter, and a request refused; a core that fails at its own tick still ends. What raises before a request is sent anywhere is a typed 503. Traced: its proxies take connections for engines that have ended, so that nothing shows the end; engines that may end stand behind no proxy now.

--- a/packages/core/src/myrtlehook_core/request/outcomes.py
+++ b/packages/core/src/myrtlehook_core/request/outcomes.py
@@ -44,6 +44,8 @@
     CONFIGURATION_REMOVED = "configuration_removed"
     UNKNOWN_ROUTE = "unknown_route"
     CALLER_GONE = "caller_gone"
+    ROUTER_FAULT = "router_fault"
+    """The router met a fault of its own before it sent the request anywhere."""
 
 
 class RetryReason(StrEnum):
--- a/packages/router/src/myrtlehook_router/process/core_tasks.py
+++ b/packages/router/src/myrtlehook_router/process/core_tasks.py
@@ -10,6 +10,7 @@
     Configuration,
     DropReason,
     Event,
+    RefusalReason,
     RouterCore,
     actions,
     events,
@@ -32,6 +33,12 @@
 EVENTS_PER_TURN = 200
 """After so many events the messages they made go out and other tasks get their turn."""
 
+FAULT_RETURN_S = 1.0
+"""When a caller whose request the core could not take may ask again."""
+
+OWN_EVENTS = (events.Tick, events.GrantsDue)
+"""No input of anybody: a core that fails at these is broken, and its process starts anew."""
+
 _log = get_logger("core")
 
 
@@ -95,9 +102,28 @@
             event = self._mailbox.take(0.0)
 
     def _handle(self, event: Event) -> None:
-        for action in self.core.handle(event, time.monotonic()):
+        try:
+            done = self.core.handle(event, time.monotonic())
+        except Exception:
+            if isinstance(event, OWN_EVENTS):
+                raise
+            # Whatever came from outside would end each router that gets it, one after another.
+            self._drop(event)
+            return
+        for action in done:
             _CARRY_OUT[type(action)](self, action)
 
+    def _drop(self, event: Event) -> None:
+        """Go on without an event that the core could not take; a request is refused."""
+        kind = type(event).__name__
+        if isinstance(event, events.MessageReceived):
+            kind = type(event.message).__name__
+        self._counters.add(f"core.fault.{kind}")
+        _log.exception("event dropped", kind=kind)
+        if isinstance(event, events.RequestArrived):
+            reason = RefusalReason.ROUTER_FAULT
+            self._decide(actions.Refuse(event.request.request_id, reason, FAULT_RETURN_S))
+
     def _flush(self) -> None:
         unsent, self._unsent = self._unsent, {}
         for (router_id, address), messages in unsent.items():
--- a/packages/router/src/myrtlehook_router/request/gateways.py
+++ b/packages/router/src/myrtlehook_router/request/gateways.py
@@ -76,7 +76,7 @@
 
     def application(environ: dict[str, Any], start_response: StartResponse) -> Iterable[bytes]:
         environ[STREAM_EVENT_BY_EVENT] = 0
-        answer = _answer(services, environ)
+        answer = _answer_or_fail(services, environ)
         headers = list(answer.headers)
         if isinstance(answer.body, list):
             length = sum(len(piece) for piece in answer.body)
@@ -89,6 +89,18 @@
     return application
 
 
+def _answer_or_fail(services: GatewayServices, environ: dict[str, Any]) -> Answer:
+    try:
+        return _answer(services, environ)
+    except Exception:
+        # Nothing was sent anywhere yet: a relay answers for its own faults.
+        request_id = find_header(environ["headers_raw"], services.names.request_id) or ""
+        services.requests.counters.add("request.fault")
+        _log.exception("request fault", request_id=request_id)
+        reason = RefusalReason.ROUTER_FAULT
+        return answer_refusal(services.names, request_id, Refusal(reason, REFUSAL_MESSAGES[reason]))
+
+
 def _answer(services: GatewayServices, environ: dict[str, Any]) -> Answer:
     parsed = read_request(environ, services.requests.configuration(), services.names)
     if isinstance(parsed, Err):
--- a/packages/router/src/myrtlehook_router/request/placements.py
+++ b/packages/router/src/myrtlehook_router/request/placements.py
@@ -41,6 +41,7 @@
     RefusalReason.NOT_CONFIGURED: "this router knows no configuration yet",
     RefusalReason.CONFIGURATION_REMOVED: "the workspace is no longer configured",
     RefusalReason.CALLER_GONE: "the caller has gone",
+    RefusalReason.ROUTER_FAULT: "the router met a fault of its own",
 }
 
 
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -13,7 +13,7 @@
 from emulator.sites import make_configuration
 from soak.callers import PATHS, Seen
 from soak.checks import Violation, check_answers, check_in_time, check_runs
-from soak.schedules import Fault, draw_schedule
+from soak.schedules import Fault, draw_endings, draw_schedule
 from standins.attempts import make_headers, new_id, send
 from standins.nodes import ROOT, Node, NodeFleet
 from standins.processes import start_process
@@ -21,6 +21,17 @@
 CALLERS = 12
 PAUSE_S = 0.15
 DELAY_S = 0.25
+SPOILT_BODY = "spoilt"
+"""What the body of a request that ends engines begins with."""
+
+SPOILT_PAUSE_S = 0.4
+SPOILT_PATIENCE_S = 1.0
+"""Its caller gives up after this long, so that other faults strike in time."""
+
+MOST_ENDED = 4
+"""Engines that one spoilt request may end: two until it is held, and one for each router that
+is killed meanwhile with what it had counted, or whose news is lost."""
+
 RECOVERY_S = 12.0
 FIRST_VERSION = 1
 STOP_STATUS = 0
@@ -34,6 +45,8 @@
     seconds: float = 10.0
     routers: int = 3
     engines: int = 3
+    endings: bool = False
+    """Whether engines end as well."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,6 +70,8 @@
     proxy: Any = None
     version: int = FIRST_VERSION
     drained: bool = False
+    chance_ends: int = 0
+    """How many engines were made to end."""
     violations: list[Violation] = field(default_factory=list)
 
     def play(self) -> Result:
@@ -83,7 +98,9 @@
         self._tell_proxy(targets)
         addresses = json.loads(self.proxy.stdout.readline())
         self.fleet.stores = {name: addresses[name] for name in names}
-        self.fleet.order(addresses={name: addresses[name] for name in self._servers()})
+        # A proxy takes connections for a server that has ended, which no network does.
+        proxied = [name for name in self._servers() if not (self.order.endings and _ends(name))]
+        self.fleet.order(addresses={name: addresses[name] for name in proxied})
         self.fleet.start_nodes(self.order.routers)
 
     def _servers(self) -> list[str]:
@@ -97,6 +114,10 @@
         order = self.order
         names = [node.name for node in self.fleet.nodes]
         faults = draw_schedule(order.seed, order.seconds, names, self._servers())
+        if order.endings:
+            engines = [name for name in self._servers() if _ends(name)]
+            faults += draw_endings(order.seed, order.seconds, engines)
+            self.fleet.order(faults={"engines": {"keeps_id": True}})
         callers = self._start_callers()
         start_s = time.monotonic()
         self._strike(faults, start_s)
@@ -109,6 +130,7 @@
         self.violations += check_in_time(seen, faults, routers, start_s)
         self.violations += self._check_recovery()
         self.violations += check_runs(seen, self._count_runs(seen))
+        self.violations += self._check_ends(faults)
         statuses: dict[int, int] = {}
         for one in seen:
             statuses[one.status] = statuses.get(one.status, 0) + 1
@@ -160,9 +182,40 @@
             self.fleet.order(faults={fault.target: {fault.how: 3 if begins else 0}})
         elif fault.kind == "store":
             self._change_store(fault, begins)
+        elif fault.kind == "ending":
+            self._end_engines(fault, begins)
         elif begins:
             self._change_site(fault)
 
+    def _end_engines(self, fault: Fault, begins: bool) -> None:
+        if fault.how == "end":
+            if begins:
+                self.chance_ends += 1
+                self.fleet.order(end=[fault.target])
+            return
+        if not begins:
+            return
+        self.fleet.order(faults={"engines": {"ending_body": SPOILT_BODY}})
+        deadline_s = time.monotonic() + fault.until_s - fault.at_s
+        body = f"{SPOILT_BODY} {fault.at_s}".encode()
+        number = 0
+        while time.monotonic() < deadline_s:
+            node = self.fleet.nodes[number % len(self.fleet.nodes)]
+            headers = make_headers(new_id(), "planners", "900,30", "c0:400,aa:500")
+            if node.process.poll() is None:
+                send(node, "POST", "/diagnosis/a", headers, body, SPOILT_PATIENCE_S)
+            number += 1
+            time.sleep(SPOILT_PAUSE_S)
+
+    def _check_ends(self, faults: list[Fault]) -> list[Violation]:
+        """Check that no request has ended one engine after another."""
+        spoilt = sum(fault.how == "spoilt" for fault in faults)
+        ended = len(self.fleet.describe()["ended"])
+        most = MOST_ENDED * spoilt + self.chance_ends
+        if ended <= most:
+            return []
+        return [Violation("a request ends few engines", f"{ended} ended, at most {most} expected")]
+
     def _change_store(self, fault: Fault, begins: bool) -> None:
         if fault.how == "forgets":
             self.fleet.order(forget_history=begins)
@@ -247,6 +300,11 @@
         return counted
 
 
+def _ends(server: str) -> bool:
+    """Tell whether a server's process may end: an engine's."""
+    return server.startswith("i-engine")
+
+
 def play(order: Order) -> Result:
     """Play one run; the logs of one that kept its promises are removed."""
     result = Run(order).play()
--- a/soak/schedules.py
+++ b/soak/schedules.py
@@ -8,6 +8,9 @@
 SERVER_MODES = ("silent", "one_way", "reset", "delay")
 SERVER_FAULTS = ("reset_answers", "refusals")
 STORE_FAULTS = ("refuses", "nonsense", "forgets")
+ENDINGS = ("end", "spoilt")
+"""One engine ends by chance; one caller's request ends each engine that begins it."""
+
 CHANGES = ("configuration", "drain", "break_stream")
 KINDS = ("router", "store_link", "server_link", "server", "store", "change")
 
@@ -40,6 +43,19 @@
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
+def draw_endings(seed: int, seconds: float, engines: list[str]) -> list[Fault]:
+    """Draw when engines end, beside the other faults of the same seed."""
+    draw = random.Random(f"endings/{seed}")
+    faults = []
+    for _ in range(draw.randint(1, 4)):
+        at_s = draw.uniform(FIRST_FAULT_S, seconds * 0.8)
+        until_s = min(at_s + draw.uniform(SHORTEST_FAULT_S, LONGEST_FAULT_S), seconds)
+        target = draw.choice(engines)
+        how = draw.choice(ENDINGS)
+        faults.append(Fault(round(at_s, 3), round(until_s, 3), "ending", how, target))
+    return sorted(faults, key=lambda fault: fault.at_s)
+
+
 def _draw_target(
     draw: random.Random, kind: str, routers: list[str], servers: list[str]
 ) -> tuple[str, str]:
--- a/tests/features/regressions.feature
+++ b/tests/features/regressions.feature
@@ -44,6 +44,21 @@
     When a run lists "Comments are allowed" as known to be red
     Then the run passes, runs nothing and names that scenario
 
+  Scenario Outline: Input that the core could not take ended each router that got it
+    When the core cannot take <input>
+    Then the router goes on and counts "<counter>"
+    And <what becomes of it>
+
+    Examples:
+      | input                        | counter                    | what becomes of it                     |
+      | a message of another router  | core.fault.MembersQuery    | nobody is told                         |
+      | a list of servers            | core.fault.BackendServersRead | nobody is told                      |
+      | a request                    | core.fault.RequestArrived  | its caller is refused: "router_fault"  |
+
+  Scenario: A core that fails at its own time ends its process
+    When the core cannot take its own tick
+    Then the fault is not swallowed
+
   Scenario: A resumed stream never told the core that its new engine had begun
     When a stream brings output from one engine, breaks off and brings output from another
     Then the core has heard of a beginning 2 times
--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -10,6 +10,14 @@
       | 11   |
       | 12   |
 
+  Scenario Outline: The promises are kept while engines end, by chance and under one request
+    When the soak plays seed <seed> for 6 s, and engines end
+    Then no promise was broken, and callers were served
+
+    Examples:
+      | seed |
+      | 21   |
+
   Scenario: The checks tell each broken promise
     Given an attempt with a whole answer of "i-engine-1" that was run once
     Then the checks find nothing
--- a/tests/standins/attempts.py
+++ b/tests/standins/attempts.py
@@ -44,10 +44,17 @@
     return headers
 
 
-def send(node: Node, method: str, path: str, headers: dict[str, str], body: bytes = b"") -> Attempt:
+def send(
+    node: Node,
+    method: str,
+    path: str,
+    headers: dict[str, str],
+    body: bytes = b"",
+    patience_s: float = TIMEOUT_S,
+) -> Attempt:
     """Send one request and read its answer to the end."""
     attempt = Attempt(headers.get("Attempt-Id", ""))
-    connection = http.client.HTTPConnection(node.ip, node.front_port, timeout=TIMEOUT_S)
+    connection = http.client.HTTPConnection(node.ip, node.front_port, timeout=patience_s)
     try:
         connection.request(method, path, body=body or None, headers=headers)
         response = connection.getresponse()
--- a/tests/steps/regression_steps.py
+++ b/tests/steps/regression_steps.py
@@ -31,12 +31,15 @@
 )
 from myrtlehook_core.process.bidding import keys_to_report, send_reports
 from myrtlehook_core.process.entries import Entry, account_of
+from myrtlehook_core.process.membership_messages import MemberRow, MembersQuery
 from myrtlehook_core.process.placements import Placement, find_ledgers
 from myrtlehook_core.process.posts import Post
+from myrtlehook_router.process.core_tasks import CoreTask
 from myrtlehook_router.process.counters import Counters
 from myrtlehook_router.process.mailboxes import Mailbox
 from myrtlehook_router.process.peers import PeerSockets
 from myrtlehook_router.request.relays import Relay, begin_attempt, note_output
+from myrtlehook_router.request.tickets import TicketBook
 from standins.fleets import Fleet
 from standins.network import wait_for
 
@@ -283,3 +286,58 @@
     while (event := context.mailbox.take(0.0)) is not None:
         heard.append(event)
     assert [type(event) for event in heard] == [events.ServiceObserved] * count, heard
+
+
+class _FailingCore:
+    """A core that can take nothing."""
+
+    def handle(self, event: Any, now_s: float) -> list[Any]:
+        raise RuntimeError("cannot be taken")
+
+
+FAULTY_INPUT = {
+    "a message of another router": events.MessageReceived(
+        "r1", 1, MembersQuery(MemberRow("r1", "", 1, 0))
+    ),
+    "a list of servers": events.BackendServersRead((), False),
+    "a request": events.RequestArrived(RequestSpecification("w0/1", "w0", POOL, 10, 0.1, 100.0)),
+    "its own tick": events.Tick(),
+}
+
+
+@when("the core cannot take {what}")
+def fail_at(context: Any, what: str) -> None:
+    context.counters = Counters(None)
+    tickets = TicketBook()
+    context.ticket = tickets.open("w0/1")
+    core: Any = _FailingCore()
+    peers: Any = None
+    task = CoreTask(core, Mailbox(), peers, lambda key: None, tickets, context.counters)
+    context.fault = None
+    try:
+        task._handle(FAULTY_INPUT[what])
+    except RuntimeError as error:
+        context.fault = error
+
+
+@then('the router goes on and counts "{name}"')
+def check_fault_counted(context: Any, name: str) -> None:
+    assert context.fault is None, context.fault
+    assert context.counters.values[name] == 1, context.counters.values
+
+
+@then("nobody is told")
+def check_untold(context: Any) -> None:
+    assert context.ticket.wait(0.0) is None
+
+
+@then('its caller is refused: "{reason}"')
+def check_fault_refused(context: Any, reason: str) -> None:
+    refused = context.ticket.wait(0.1)
+    assert isinstance(refused, actions.Refuse), refused
+    assert refused.reason == reason, refused
+
+
+@then("the fault is not swallowed")
+def check_fault_raised(context: Any) -> None:
+    assert context.fault is not None
--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -20,6 +20,11 @@
     context.result = play(Order(seed, seconds))
 
 
+@when("the soak plays seed {seed:d} for {seconds:g} s, and engines end")
+def play_endings(context: Any, seed: int, seconds: float) -> None:
+    context.result = play(Order(seed, seconds, endings=True))
+
+
 @then("no promise was broken, and callers were served")
 def check_result(context: Any) -> None:
     assert not context.result.violations, context.result
