Know requests of the product's own interface by caller, path and body too

Cause: chat completions and calls to plain services had no fingerprint, so that what ends engines there was sent on each time. The same check and report follow a broken stream or call.

--- a/packages/router/src/myrtlehook_router/connection/runs.py
+++ b/packages/router/src/myrtlehook_router/connection/runs.py
@@ -36,6 +36,8 @@
     deadline_s: float
     response: urllib3.BaseHTTPResponse | None
     count: Callable[[str], None]
+    note_broken: Callable[[], None]
+    """Looks whether the engine has ended, after a stream has broken."""
     position: StreamPosition = field(init=False)
 
     def __post_init__(self) -> None:
@@ -54,6 +56,7 @@
             yield from _deliver_connected(run, run.response)
         except StreamBrokenError:
             run.count("stream.broken")
+            run.note_broken()
             run.response.close()
             run.response = None
 
--- a/packages/router/src/myrtlehook_router/request/answer_streams.py
+++ b/packages/router/src/myrtlehook_router/request/answer_streams.py
@@ -11,7 +11,6 @@
 
 from myrtlehook_core import Outcome, RetryReason, actions
 from myrtlehook_router.request.attempts import READ_BYTES, read_deadline_s, send_once
-from myrtlehook_router.request.broken_runs import note_broken_run
 from myrtlehook_router.request.event_streams import EventSplitter, split_events
 from myrtlehook_router.request.headers import find_header
 from myrtlehook_router.request.placements import wait_for_slot
@@ -20,6 +19,7 @@
     close_relay,
     end_relay,
     give_back,
+    note_broken,
     note_output,
 )
 
@@ -45,7 +45,7 @@
         assert relay.exchange is not None
         read = relay.exchange.read_some(READ_BYTES, relay.request.deadline_s)
         if isinstance(read, Err):
-            note_broken_run(relay, read.err_value)
+            note_broken(relay, read.err_value)
             failed = not relay.caller_left
             end_relay(relay, Outcome.UNKNOWN, f"broke off: {read.err_value}", failed)
             raise ConnectionError("the backend server broke off its answer")
@@ -93,7 +93,7 @@
             assert relay.exchange is not None
             read = relay.exchange.read_some(READ_BYTES, read_deadline_s(relay, STALL_S))
             if isinstance(read, Err):
-                note_broken_run(relay, read.err_value)
+                note_broken(relay, read.err_value)
                 self._resume()
                 continue
             if not read.ok_value:
--- a/packages/router/src/myrtlehook_router/request/answering.py
+++ b/packages/router/src/myrtlehook_router/request/answering.py
@@ -12,11 +12,16 @@
 from myrtlehook_router.request.answer_streams import BegunStream, PlainStream, ResumableStream
 from myrtlehook_router.request.answers import Answer, Refusal, error_body
 from myrtlehook_router.request.attempts import READ_BYTES, send_once
-from myrtlehook_router.request.broken_runs import note_broken_run
 from myrtlehook_router.request.headers import find_header, keep_end_to_end
 from myrtlehook_router.request.placements import wait_for_slot
 from myrtlehook_router.request.refusals import answer_refusal
-from myrtlehook_router.request.relays import Relay, end_relay, give_back, refuse_relay
+from myrtlehook_router.request.relays import (
+    Relay,
+    end_relay,
+    give_back,
+    note_broken,
+    refuse_relay,
+)
 
 BUFFERED_BYTES = 1024 * 1024
 """An answer up to this size is read whole first, so that a break can be mended."""
@@ -81,7 +86,7 @@
         piece = exchange.read_some(READ_BYTES, relay.request.deadline_s)
         if isinstance(piece, Err):
             relay.maybe_run = True
-            note_broken_run(relay, piece.err_value)
+            note_broken(relay, piece.err_value)
             return Err(RetryReason.ANSWER_BROKEN)
         if not piece.ok_value:
             break
--- a/packages/router/src/myrtlehook_router/request/attempts.py
+++ b/packages/router/src/myrtlehook_router/request/attempts.py
@@ -8,9 +8,8 @@
 from myrtlehook_core import BackendServer, RetryReason
 from myrtlehook_router.connection.backends import SendFailure
 from myrtlehook_router.connection.clients import Exchange, OutgoingRequest
-from myrtlehook_router.request.broken_runs import note_broken_run
 from myrtlehook_router.request.headers import find_header, keep_end_to_end, router_only
-from myrtlehook_router.request.relays import Relay, begin_attempt
+from myrtlehook_router.request.relays import Relay, begin_attempt, note_broken
 
 READ_BYTES = 64 * 1024
 DISCARDED_PIECES = 16
@@ -42,7 +41,7 @@
         if sent.err_value is SendFailure.NOT_SENT:
             return Err(RetryReason.CONNECT_FAILED)
         relay.maybe_run = True
-        note_broken_run(relay, sent.err_value)
+        note_broken(relay, sent.err_value)
         return Err(RetryReason.ANSWER_BROKEN)
     response = sent.ok_value
     if find_header(response.headers.items(), relay.names.request_id) != relay.request.request_id:
--- a/packages/router/src/myrtlehook_router/request/broken_runs.py
+++ b/packages/router/src/myrtlehook_router/request/broken_runs.py
@@ -5,10 +5,9 @@
 import eventlet
 
 from myrtlehook_core import events
-from myrtlehook_router.connection.backends import SendFailure
 from myrtlehook_router.connection.server_checks import ServerState
 from myrtlehook_router.process.logs import get_logger
-from myrtlehook_router.request.relays import Relay
+from myrtlehook_router.request.placements import Place
 
 VERDICT_WAIT_S = 0.04
 """Whoever counts the ends under a request has told all routers by then: a message there, one
@@ -18,31 +17,32 @@
 _log = get_logger("requests")
 
 
-def note_broken_run(relay: Relay, failure: SendFailure) -> None:
+def note_broken_run(place: Place, backend_server: str, sent_at_s: float) -> None:
     """Look whether the server of a broken answer still lives, and tell the core if it ended.
 
     Waits for that. Nothing is concluded from silence, nor of a server that was about to leave.
+
+    :param sent_at_s: when the request was sent to that server.
     """
-    if relay.caller_left or failure is not SendFailure.BROKEN:
-        return
-    services = relay.place.services
-    server = services.configuration().backend_servers.get(relay.backend_server)
+    services = place.services
+    server = services.configuration().backend_servers.get(backend_server)
     if server is None or server.leaving:
         return
     ended_s = time.monotonic()
     state = services.checks.check(server.address)
-    fingerprint = relay.place.specification.fingerprint
+    specification = place.specification
     services.counters.add(f"backend.broken.{state}")
     _log.info(
         "answer broke off",
-        request_id=relay.request.request_id,
-        fingerprint=fingerprint.hex(),
-        backend_server=relay.backend_server,
+        request_id=specification.request_id,
+        fingerprint=specification.fingerprint.hex(),
+        backend_server=backend_server,
         backend_server_state=state,
-        ran_ms=round((ended_s - relay.sent_at_s) * 1000.0, 1),
-        begun=relay.begun,
+        ran_ms=round((ended_s - sent_at_s) * 1000.0, 1),
     )
     if state is ServerState.ENDED:
-        ended = events.ServerEndedInRun(fingerprint, relay.backend_server, relay.sent_at_s, ended_s)
-        services.mailbox.post(ended)
+        fingerprint = specification.fingerprint
+        services.mailbox.post(
+            events.ServerEndedInRun(fingerprint, backend_server, sent_at_s, ended_s)
+        )
         eventlet.sleep(VERDICT_WAIT_S)
--- a/packages/router/src/myrtlehook_router/request/calls.py
+++ b/packages/router/src/myrtlehook_router/request/calls.py
@@ -30,6 +30,7 @@
     fail,
     refuse,
 )
+from myrtlehook_router.request.broken_runs import note_broken_run
 from myrtlehook_router.request.callers import CallerRequest, read_body
 from myrtlehook_router.request.headers import HeaderNames, router_only
 from myrtlehook_router.request.placements import (
@@ -85,6 +86,7 @@
     target: str
     body: bytes
     started_at_s: float = 0.0
+    backend_server: str = ""
 
 
 def answer_call(services: RequestServices, request: CallerRequest, workspace: Workspace) -> Answer:
@@ -109,10 +111,10 @@
     content = read_body(request.environ, services.body_limit_bytes)
     if isinstance(content, Err):
         return content
-    opened = open_place(services, request, workspace, pool, len(content.ok_value), "")
+    target = _target(request, rest)
+    opened = open_place(services, request, workspace, pool, target, content.ok_value, "")
     if isinstance(opened, Err):
         return opened
-    target = _target(request, rest)
     return Ok(Call(request, opened.ok_value, target, content.ok_value))
 
 
@@ -144,6 +146,7 @@
     if address is None:
         return Err(RetryReason.SERVER_LEAVING)
     call.started_at_s = time.monotonic()
+    call.backend_server = dispatch.backend_server
     remaining_s = place.specification.deadline_s - call.started_at_s
     sent = send_request(
         BackendRequest(
@@ -169,6 +172,8 @@
 
 
 def _fail(call: Call, failure: SendFailure) -> Answer:
+    if failure is SendFailure.BROKEN:
+        note_broken_run(call.place, call.backend_server, call.started_at_s)
     _end(call, Outcome.UNKNOWN)
     call.place.services.counters.add(f"backend.{failure}")
     status = 504 if failure is SendFailure.TIMED_OUT else 502
--- a/packages/router/src/myrtlehook_router/request/chats.py
+++ b/packages/router/src/myrtlehook_router/request/chats.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Iterator
 from dataclasses import dataclass
+from functools import partial
 from typing import Annotated
 
 import msgspec
@@ -34,6 +35,7 @@
     fail,
     refuse,
 )
+from myrtlehook_router.request.broken_runs import note_broken_run
 from myrtlehook_router.request.callers import CallerRequest, read_body
 from myrtlehook_router.request.placements import (
     Place,
@@ -128,8 +130,8 @@
         message = f"this workspace may not use model {body.model!r}"
         return Err(Refusal(RefusalReason.POOL_NOT_ALLOWED, message))
     pool = configuration.pools[pool_name]
-    size = len(content.ok_value)
-    opened = open_place(services, request, workspace, pool, size, _prefix_key(workspace, body))
+    prefix = _prefix_key(workspace, body)
+    opened = open_place(services, request, workspace, pool, request.path, content.ok_value, prefix)
     if isinstance(opened, Err):
         return opened
     characters = sum(len(message.content) for message in body.messages)
@@ -185,19 +187,23 @@
             continue
         deadline_s = place.specification.deadline_s
         order = _make_order(chat, dispatch.attempt, dispatch.priority_units)
+        sent_at_s = time.monotonic()
         started = start_run(address, order, read_timeout_s(deadline_s))
-        if isinstance(started, Ok):
-            run = EngineRun(
-                address, order.request_id, deadline_s, started.ok_value, place.services.counters.add
-            )
-            return Ok(run)
-        if started.err_value is not StartFailure.UNKNOWN:
+        if isinstance(started, Err) and started.err_value is not StartFailure.UNKNOWN:
             not_started(place, RETRY_REASONS[started.err_value])
             continue
-        # The engine may have begun; its stream can still be had if it did.
-        return Ok(
-            EngineRun(address, order.request_id, deadline_s, None, place.services.counters.add)
+        run = EngineRun(
+            address=address,
+            request_id=order.request_id,
+            deadline_s=deadline_s,
+            # The engine may have begun; its stream can still be had if it did.
+            response=started.ok_value if isinstance(started, Ok) else None,
+            count=place.services.counters.add,
+            note_broken=partial(note_broken_run, place, dispatch.backend_server, sent_at_s),
         )
+        if run.response is None:
+            run.note_broken()
+        return Ok(run)
 
 
 def _make_order(chat: Chat, attempt: int, priority_units: float) -> RunOrder:
--- a/packages/router/src/myrtlehook_router/request/placements.py
+++ b/packages/router/src/myrtlehook_router/request/placements.py
@@ -15,6 +15,7 @@
     Workspace,
     actions,
     events,
+    fingerprint_request,
 )
 from myrtlehook_router.request.answers import Refusal
 from myrtlehook_router.request.callers import CallerRequest, caller_has_gone
@@ -61,10 +62,14 @@
     request: CallerRequest,
     workspace: Workspace,
     pool: Pool,
-    body_bytes: int,
+    target: str,
+    body: bytes,
     prefix_key: str,
 ) -> Result[Place, Refusal]:
-    """Queue a request."""
+    """Queue a request.
+
+    :param target: what is asked of the backend server, with its query.
+    """
     now_s = time.monotonic()
     if request.timeout_ms is None:
         deadline_s = now_s + pool.default_timeout_s
@@ -74,11 +79,12 @@
         request_id=scope_id(workspace.name, request.request_id),
         workspace=workspace.name,
         pool=pool.name,
-        body_bytes=body_bytes,
+        body_bytes=len(body),
         arrived_at_s=now_s,
         deadline_s=deadline_s,
         no_repeat=request.no_repeat or pool.no_repeat,
         prefix_key=prefix_key,
+        fingerprint=fingerprint_request(workspace.name, request.method, target, body),
     )
     return queue_request(services, specification, request.environ)
 
--- a/packages/router/src/myrtlehook_router/request/relays.py
+++ b/packages/router/src/myrtlehook_router/request/relays.py
@@ -4,8 +4,10 @@
 from dataclasses import dataclass
 
 from myrtlehook_core import Outcome, RefusalReason, RetryReason
+from myrtlehook_router.connection.backends import SendFailure
 from myrtlehook_router.connection.clients import ClientPool, Exchange
 from myrtlehook_router.process.logs import get_logger
+from myrtlehook_router.request.broken_runs import note_broken_run
 from myrtlehook_router.request.headers import HeaderNames
 from myrtlehook_router.request.placements import (
     Place,
@@ -58,6 +60,12 @@
         relay.exchange.abort()
 
 
+def note_broken(relay: Relay, failure: SendFailure) -> None:
+    """Look whether the server ended with an answer that broke off, unless it was only silent."""
+    if failure is SendFailure.BROKEN and not relay.caller_left:
+        note_broken_run(relay.place, relay.backend_server, relay.sent_at_s)
+
+
 def begin_attempt(relay: Relay) -> None:
     """Note that the request is about to be sent to another server, or again."""
     relay.attempts += 1
