Read servers' entries strictly, tell starts apart, and count suspended time

Entries: text for a number, missing fields, unknown states, port 0 or 99999, 999.0.0.1 and a billion slots named servers; bytes that are no base64 spoilt the whole answer. Now such an entry names none, the others hold, and a line and a counter tell of it. Ruled out: ending what runs at a server whose entry turned unreadable (it may be sound). Starts: a server's name is made of its id and its start (born), so that cache, grants, load, speed, ejection and leaving of the earlier start end with its name. Ruled out: a field beside the name, which each of these tables would have to compare. A start that takes an address ends, also after an outage, the one that had it.

--- a/packages/core/src/myrtlehook_core/version/discovery.py
+++ b/packages/core/src/myrtlehook_core/version/discovery.py
@@ -65,7 +65,12 @@
     listed = {server.name: _keep_leaving(discovery, server) for server in servers}
     missing = discovery.known.keys() - listed.keys()
     lapsed_before = set(discovery.lapsed_deadlines_s)
+    addresses = {server.address for server in listed.values()}
     for name in missing:
+        if discovery.known[name].address in addresses:
+            # Another start has its place; it does not come back.
+            discovery.lapsed_deadlines_s.pop(name, None)
+            continue
         if after_outage:
             discovery.lapsed_deadlines_s.setdefault(name, now_s + RETURN_GRACE_S)
         if name in discovery.lapsed_deadlines_s:
--- a/packages/router/src/myrtlehook_router/connection/clients.py
+++ b/packages/router/src/myrtlehook_router/connection/clients.py
@@ -7,7 +7,6 @@
 
 import contextlib
 import socket
-import time
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -24,6 +23,7 @@
 from urllib3.util import SKIP_HEADER
 
 from myrtlehook_router.connection.backends import SendFailure
+from myrtlehook_router.process import clocks
 
 CONNECT_TIMEOUT_S = 1.0
 IDLE_S = 8.0
@@ -204,12 +204,12 @@
             self._connection.close()
             return
         rested = self._pool.rested.setdefault(self._request.address, deque())
-        rested.append(_Rested(self._connection, time.monotonic() + keep_s))
+        rested.append(_Rested(self._connection, clocks.now_s() + keep_s))
 
 
 def drop_rested(pool: ClientPool, is_known: Callable[[str], bool]) -> None:
     """Close connections that rested too long, or whose address serves nothing any more."""
-    now_s = time.monotonic()
+    now_s = clocks.now_s()
     for address, rested in list(pool.rested.items()):
         while rested and (now_s >= rested[0].deadline_s or not is_known(address)):
             rested.popleft().connection.close()
@@ -222,7 +222,7 @@
     while rested:
         # The one used last is the least likely to be closed by its server.
         taken = rested.pop()
-        usable = taken.connection.sock is not None and time.monotonic() < taken.deadline_s
+        usable = taken.connection.sock is not None and clocks.now_s() < taken.deadline_s
         if usable and not _has_bytes(taken.connection):
             return taken.connection
         taken.connection.close()
@@ -231,7 +231,7 @@
 
 def _open(pool: ClientPool, address: str, deadline_s: float) -> HTTPConnection | None:
     host, _, port = address.rpartition(":")
-    timeout_s = max(min(CONNECT_TIMEOUT_S, deadline_s - time.monotonic()), 0.001)
+    timeout_s = max(min(CONNECT_TIMEOUT_S, deadline_s - clocks.now_s()), 0.001)
     connection = ServerConnection(host, int(port), timeout=timeout_s, socket_options=_NODELAY)
     try:
         connection.connect()
@@ -258,7 +258,7 @@
 
 
 def _set_timeout(connection: HTTPConnection, sock: socket.socket, deadline_s: float) -> None:
-    remaining_s = max(deadline_s - time.monotonic(), 0.001)
+    remaining_s = max(deadline_s - clocks.now_s(), 0.001)
     connection.timeout = remaining_s
     sock.settimeout(remaining_s)
 
--- a/packages/router/src/myrtlehook_router/connection/passing.py
+++ b/packages/router/src/myrtlehook_router/connection/passing.py
@@ -5,7 +5,6 @@
 """
 
 import errno
-import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -28,6 +27,7 @@
     write_introduction,
 )
 from myrtlehook_router.connection.splices import Splice
+from myrtlehook_router.process import clocks
 from myrtlehook_router.process.counters import Counters
 from myrtlehook_router.process.logs import get_logger
 
@@ -132,7 +132,7 @@
 
     def drop_dead(self) -> None:
         """Break off what routers serve that stay dead: their callers may ask again."""
-        now_s = time.monotonic()
+        now_s = clocks.now_s()
         for passed in list(self._passed.values()):
             member = self._table.members.get(passed.neighbour)
             if member is not None and not _stays_dead(member, now_s):
@@ -146,7 +146,7 @@
         """Ask the next neighbour; False when none is left."""
         if len(passed.tried) >= MOST_ASKED:
             return False
-        now_s = time.monotonic()
+        now_s = clocks.now_s()
         tried = frozenset(passed.tried)
         member = choose_neighbour(self.neighbours, self._table, now_s, self._draw, tried)
         if member is None:
@@ -235,7 +235,7 @@
         passed.helper = None
         self._counters.add(f"passed.{reason}")
         note_closed(self.neighbours, passed.neighbour)
-        note_short(self.neighbours, passed.neighbour, time.monotonic())
+        note_short(self.neighbours, passed.neighbour, clocks.now_s())
         if self._ask(passed):
             return
         self._passed.pop(id(passed), None)
--- a/packages/router/src/myrtlehook_router/connection/runs.py
+++ b/packages/router/src/myrtlehook_router/connection/runs.py
@@ -1,6 +1,5 @@
 """One run on an engine: its stream, resumed when it breaks, each event delivered once."""
 
-import time
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
@@ -15,6 +14,7 @@
     read_events,
     resume_run,
 )
+from myrtlehook_router.process import clocks
 
 RESUME_DELAYS_S = (0.0, 0.05, 0.2, 0.5, 1.0, 1.0)
 """Waits before each try to resume; then the stream is lost."""
@@ -72,7 +72,7 @@
 
 def read_timeout_s(deadline_s: float) -> float:
     """Return how long to wait for the next event."""
-    return max(min(deadline_s - time.monotonic(), EVENT_TIMEOUT_S), 0.001)
+    return max(min(deadline_s - clocks.now_s(), EVENT_TIMEOUT_S), 0.001)
 
 
 def _deliver_connected(run: EngineRun, response: urllib3.BaseHTTPResponse) -> Iterator[EngineEvent]:
@@ -107,7 +107,7 @@
 def _resume(run: EngineRun) -> urllib3.BaseHTTPResponse:
     for delay_s in RESUME_DELAYS_S:
         eventlet.sleep(delay_s)
-        if time.monotonic() >= run.deadline_s:
+        if clocks.now_s() >= run.deadline_s:
             break
         wait_s = read_timeout_s(run.deadline_s)
         response = resume_run(run.address, run.request_id, run.position.next_offset, wait_s)
--- a/packages/router/src/myrtlehook_router/connection/server_checks.py
+++ b/packages/router/src/myrtlehook_router/connection/server_checks.py
@@ -4,13 +4,14 @@
 reset. A server whose process has ended refuses connections; one that lives takes them.
 """
 
-import time
 from dataclasses import dataclass
 from enum import StrEnum
 
 import eventlet
 from eventlet.event import Event
 
+from myrtlehook_router.process import clocks
+
 CHECK_DELAY_S = 0.02
 """A process that ends closes its connections and its listener in any order."""
 
@@ -46,7 +47,7 @@
 
     def check(self, address: str) -> ServerState:
         """Return whether a server has ended; waits for the answer."""
-        now_s = time.monotonic()
+        now_s = clocks.now_s()
         check = self._checks.get(address)
         if check is None or now_s >= check.deadline_s:
             longest_s = CHECK_DELAY_S + CHECK_TIMEOUT_S
--- a/packages/router/src/myrtlehook_router/process/busy_meters.py
+++ b/packages/router/src/myrtlehook_router/process/busy_meters.py
@@ -1,8 +1,9 @@
 """How much of its time a process works: the part in which its event loop does not wait."""
 
-import time
 from typing import Any
 
+from myrtlehook_router.process import clocks
+
 INTERVAL_S = 0.1
 NEWEST_WEIGHT = 0.5
 """Of the last interval against all earlier ones: half a second is remembered."""
@@ -20,12 +21,12 @@
     def watch(self, hub: Any) -> None:
         """Measure a loop of eventlet's from now on."""
         poll = hub.do_poll
-        self._began_s = time.monotonic()
+        self._began_s = clocks.now_s()
 
         def measured_poll(seconds: float) -> Any:
-            before_s = time.monotonic()
+            before_s = clocks.now_s()
             ready = poll(seconds)
-            self.note_wait(before_s, time.monotonic())
+            self.note_wait(before_s, clocks.now_s())
             return ready
 
         hub.do_poll = measured_poll
--- a/packages/router/src/myrtlehook_router/process/core_tasks.py
+++ b/packages/router/src/myrtlehook_router/process/core_tasks.py
@@ -16,6 +16,7 @@
     events,
 )
 from myrtlehook_router.connection.engines import fetch_load, send_order
+from myrtlehook_router.process import clocks
 from myrtlehook_router.process.counters import Counters
 from myrtlehook_router.process.logs import get_logger
 from myrtlehook_router.process.mailboxes import Mailbox
@@ -74,14 +75,14 @@
 
     def run_forever(self) -> None:
         """Take events until the process ends; the loop of this task."""
-        next_tick_s = time.monotonic()
+        next_tick_s = clocks.now_s()
         while True:
-            now_s = time.monotonic()
+            now_s = clocks.now_s()
             due_s = max(self.core.find_next_grant(), now_s + SHORTEST_TURN_S)
             event = self._mailbox.take(max(min(next_tick_s, due_s) - now_s, 0.0))
             started_s = time.thread_time()
             self._take_turn(event)
-            now_s = time.monotonic()
+            now_s = clocks.now_s()
             if now_s >= due_s:
                 self._handle(events.GrantsDue())
             if now_s >= next_tick_s:
@@ -103,7 +104,7 @@
 
     def _handle(self, event: Event) -> None:
         try:
-            done = self.core.handle(event, time.monotonic())
+            done = self.core.handle(event, clocks.now_s())
         except Exception:
             if isinstance(event, OWN_EVENTS):
                 raise
@@ -267,7 +268,7 @@
 
     def _note_ejection(self, action: actions.ServerEjected) -> None:
         self._counters.add("backend.ejected")
-        left_s = action.until_s - time.monotonic()
+        left_s = action.until_s - clocks.now_s()
         _log.warning("ejected", backend_server=action.backend_server, for_s=round(left_s, 2))
 
     def _note_end(self, action: actions.ServerEndCounted) -> None:
@@ -281,7 +282,7 @@
 
     def _note_quarantine(self, action: actions.QuarantineNoted) -> None:
         self._counters.add("quarantine.held" if action.ends else "quarantine.lifted")
-        left_s = action.held_until_s - time.monotonic()
+        left_s = action.held_until_s - clocks.now_s()
         _log.warning(
             "request quarantined" if action.ends else "request no longer quarantined",
             fingerprint=action.fingerprint.hex(),
--- a/packages/router/src/myrtlehook_router/process/daemons.py
+++ b/packages/router/src/myrtlehook_router/process/daemons.py
@@ -10,6 +10,7 @@
 from myrtlehook_core import MemberState, RouterCore, RouterIdentity, Settings, core_options, events
 from myrtlehook_router.connection.listeners import serve_http
 from myrtlehook_router.connection.platforms import Platform
+from myrtlehook_router.process import clocks
 from myrtlehook_router.process.core_tasks import CoreTask
 from myrtlehook_router.process.counters import Counters
 from myrtlehook_router.process.logs import get_logger, set_up_logs
@@ -37,7 +38,7 @@
     def __init__(self, settings: Settings) -> None:
         set_up_logs(settings.vm)
         self._settings = settings
-        self._started_at_s = time.monotonic()
+        self._started_at_s = clocks.now_s()
         self._draining = False
         incarnation = int(time.time() * 1000)
         self._counters = Counters(settings.statsd)
@@ -69,14 +70,14 @@
         if any(member.state is MemberState.ALIVE for member in members):
             return True
         # A restarted router asks its peers first, because the platform may be stale.
-        return time.monotonic() - self._started_at_s > PEER_WAIT_S
+        return clocks.now_s() - self._started_at_s > PEER_WAIT_S
 
     def _make_core_task(self, incarnation: int) -> CoreTask:
         settings = self._settings
         address = f"{settings.peers.address}:{settings.peers.port}"
         identity = RouterIdentity(settings.vm, address, incarnation)
         core = RouterCore(identity, core_options(settings), random.random)
-        core.add_seeds([(seed.vm, seed.address) for seed in settings.seeds], time.monotonic())
+        core.add_seeds([(seed.vm, seed.address) for seed in settings.seeds], clocks.now_s())
         return CoreTask(
             core,
             self._mailbox,
--- a/packages/router/src/myrtlehook_router/process/gateway_daemons.py
+++ b/packages/router/src/myrtlehook_router/process/gateway_daemons.py
@@ -25,6 +25,7 @@
 from myrtlehook_router.connection.clients import ClientPool, drop_rested
 from myrtlehook_router.connection.listeners import adopt_listener, open_listener, silent_log
 from myrtlehook_router.connection.passing import Passer, PassingPlaces
+from myrtlehook_router.process import clocks
 from myrtlehook_router.process.caller_servers import CallerServer, CallerServices
 from myrtlehook_router.process.core_tasks import CoreTask
 from myrtlehook_router.process.counters import Counters
@@ -88,7 +89,7 @@
         self._log_stream = BoundedStream(sys.stdout.fileno())
         set_up_logs(settings.vm, self._log_stream)  # type: ignore[arg-type]
         self._settings = settings
-        self._started_at_s = time.monotonic()
+        self._started_at_s = clocks.now_s()
         self._draining = False
         self._refusing = False
         """From the time on when the balancer surely sends nobody here any more."""
@@ -125,6 +126,8 @@
             eventlet.spawn(guard, task)
         listener = eventlet.spawn(self._serve_callers)
         _log.info("started", router=self._router_id, seeds=self._settings.seeds)
+        if not clocks.COUNTS_SUSPENSION:
+            _log.warning("no clock counts the time of a suspended VM; the steady one is taken")
         self._wait_until_drained(listener)
         self._peers.close()
         self._tell_sums()
@@ -146,14 +149,14 @@
         if any(member.state is MemberState.ALIVE for member in members):
             return True
         # A restarted router asks its peers first, because the platform may be stale.
-        return time.monotonic() - self._started_at_s > PEER_WAIT_S
+        return clocks.now_s() - self._started_at_s > PEER_WAIT_S
 
     def _make_core_task(self, incarnation: int) -> CoreTask:
         identity = RouterIdentity(
             self._router_id, self._router_id, incarnation, self._settings.availability_zone
         )
         core = RouterCore(identity, self._settings.options, random.random, self._settings.parser)
-        core.add_seeds([(seed, seed) for seed in self._settings.seeds], time.monotonic())
+        core.add_seeds([(seed, seed) for seed in self._settings.seeds], clocks.now_s())
         return CoreTask(
             core,
             self._mailbox,
@@ -253,7 +256,7 @@
             ),
             "backend_connections_opened": self._clients.opened,
             "shed_part": self._shedding.part,
-            "quarantined_requests": count_held(core.quarantine, time.monotonic()),
+            "quarantined_requests": count_held(core.quarantine, clocks.now_s()),
             "reads_source": float(self._reading.wanted),
             "log_lines_dropped": self._log_stream.dropped_lines,
             "busy_part": self._callers.meter.part,
@@ -315,7 +318,7 @@
 
     def _wait_until_drained(self, listener: Any) -> None:
         self._stop_wanted.wait(None)
-        stopped_at_s = time.monotonic()
+        stopped_at_s = clocks.now_s()
         _log.info("draining", open_requests=len(self._tickets))
         self._mailbox.post(events.DrainStarted())
         eventlet.sleep(self._settings.drain_notice_s)
@@ -323,7 +326,7 @@
         # the same, and they are to hear at once that another router has to serve them.
         self._refusing = True
         limit_s = stopped_at_s + self._settings.drain_limit_s
-        while self._count_open() > 0 and time.monotonic() < limit_s:
+        while self._count_open() > 0 and clocks.now_s() < limit_s:
             eventlet.sleep(DRAIN_CHECK_S)
         eventlet.sleep(DRAIN_LINGER_S)
         # Ending the server closes its resting connections and takes no new ones.
--- a/packages/router/src/myrtlehook_router/process/lags.py
+++ b/packages/router/src/myrtlehook_router/process/lags.py
@@ -1,11 +1,11 @@
 """How late the process's loop is, measured by a task that wakes at fixed times."""
 
-import time
 from collections.abc import Callable
 
 import eventlet
 
 from myrtlehook_core import Shedding, note_lag
+from myrtlehook_router.process import clocks
 from myrtlehook_router.process.logs import get_logger
 
 WAKE_INTERVAL_S = 0.02
@@ -27,9 +27,9 @@
     while True:
         is_idle = busy_part() < IDLE_PART and not shed
         interval_s = IDLE_INTERVAL_S if is_idle else WAKE_INTERVAL_S
-        wanted_s = time.monotonic() + interval_s
+        wanted_s = clocks.now_s() + interval_s
         eventlet.sleep(interval_s)
-        now_s = time.monotonic()
+        now_s = clocks.now_s()
         lag_s = now_s - wanted_s
         note_lag(shedding, lag_s, now_s)
         if shed != (shedding.part > 0.0):
--- a/packages/router/src/myrtlehook_router/process/operators.py
+++ b/packages/router/src/myrtlehook_router/process/operators.py
@@ -9,6 +9,7 @@
 
 from myrtlehook_core import describe_router
 from myrtlehook_router.connection.platforms import Platform
+from myrtlehook_router.process import clocks
 from myrtlehook_router.process.core_tasks import CoreTask
 from myrtlehook_router.process.counters import Counters
 from myrtlehook_router.process.peers import PeerSockets
@@ -78,7 +79,7 @@
         "counters": dict(services.counters.values),
         "core_cpu_s": services.core_task.cpu_s,
         "process_cpu_s": time.process_time(),
-        "monotonic_s": time.monotonic(),
+        "monotonic_s": clocks.now_s(),
     }
 
 
--- a/packages/router/src/myrtlehook_router/request/answering.py
+++ b/packages/router/src/myrtlehook_router/request/answering.py
@@ -3,12 +3,11 @@
 A request is sent again only when it certainly was not run, or may be repeated.
 """
 
-import time
-
 import urllib3
 from result import Err, Ok, Result
 
 from myrtlehook_core import Outcome, RequestKind, RetryReason, actions
+from myrtlehook_router.process import clocks
 from myrtlehook_router.request.answer_streams import BegunStream, PlainStream, ResumableStream
 from myrtlehook_router.request.answers import Answer, Refusal, error_body
 from myrtlehook_router.request.attempts import READ_BYTES, send_once
@@ -119,7 +118,7 @@
 
 def _fail(relay: Relay, code: str) -> Answer:
     """Answer a request of which no one can tell how far it got."""
-    late = time.monotonic() >= relay.request.deadline_s
+    late = clocks.now_s() >= relay.request.deadline_s
     status = 504 if late else 502
     blamed = code == BACKEND_BROKEN
     end_relay(relay, Outcome.UNKNOWN, f"status {status}: {code}", failed=blamed)
--- a/packages/router/src/myrtlehook_router/request/attempts.py
+++ b/packages/router/src/myrtlehook_router/request/attempts.py
@@ -1,13 +1,12 @@
 """One attempt of a routed request at one backend server."""
 
-import time
-
 import urllib3
 from result import Err, Ok, Result
 
 from myrtlehook_core import BackendServer, RetryReason
 from myrtlehook_router.connection.backends import SendFailure
 from myrtlehook_router.connection.clients import Exchange, OutgoingRequest
+from myrtlehook_router.process import clocks
 from myrtlehook_router.request.headers import find_header, keep_end_to_end, router_only
 from myrtlehook_router.request.relays import Relay, begin_attempt, note_broken
 
@@ -52,7 +51,7 @@
         return Err(RetryReason.SERVER_REPLACED if replaced else RetryReason.SERVER_REFUSED)
     if response.status < 300 and relay.names.seal not in response.headers:
         return _distrust(relay, exchange, "seal")
-    relay.first_byte_at_s = time.monotonic()
+    relay.first_byte_at_s = clocks.now_s()
     return Ok(response)
 
 
@@ -60,7 +59,7 @@
     """Return until when a server may be silent: less while another one may be asked."""
     route = relay.request.route
     if route.repeatable and relay.attempts < route.attempts:
-        return min(relay.request.deadline_s, time.monotonic() + patience_s)
+        return min(relay.request.deadline_s, clocks.now_s() + patience_s)
     return relay.request.deadline_s
 
 
@@ -84,7 +83,7 @@
     names = relay.names
     replaced = {"authorization", names.deadline_ms.lower(), names.last_event_id.lower()}
     headers = keep_end_to_end(relay.request.headers, router_only(names) | replaced)
-    remaining_ms = int((relay.request.deadline_s - time.monotonic()) * 1000.0)
+    remaining_ms = int((relay.request.deadline_s - clocks.now_s()) * 1000.0)
     headers.append((names.deadline_ms, str(max(remaining_ms, 1))))
     if server.instance:
         headers.append((names.expected_instance, server.instance))
--- a/packages/router/src/myrtlehook_router/request/broken_runs.py
+++ b/packages/router/src/myrtlehook_router/request/broken_runs.py
@@ -1,11 +1,10 @@
 """What is learned of a run whose answer broke off: whether its backend server ended with it."""
 
-import time
-
 import eventlet
 
 from myrtlehook_core import events
 from myrtlehook_router.connection.server_checks import ServerState
+from myrtlehook_router.process import clocks
 from myrtlehook_router.process.logs import get_logger
 from myrtlehook_router.request.placements import Place
 
@@ -28,7 +27,7 @@
     server = services.configuration().backend_servers.get(backend_server)
     if server is None or server.leaving:
         return
-    ended_s = time.monotonic()
+    ended_s = clocks.now_s()
     state = services.checks.check(server.address)
     specification = place.specification
     services.counters.add(f"backend.broken.{state}")
--- a/packages/router/src/myrtlehook_router/request/calls.py
+++ b/packages/router/src/myrtlehook_router/request/calls.py
@@ -1,6 +1,5 @@
 """Calls to plain services: any method, passed on whole."""
 
-import time
 from collections.abc import Iterator
 from dataclasses import dataclass
 from urllib.parse import quote
@@ -21,6 +20,7 @@
     SendFailure,
     send_request,
 )
+from myrtlehook_router.process import clocks
 from myrtlehook_router.request.answers import (
     OUTCOME_HEADER,
     REQUEST_ID_HEADER,
@@ -145,7 +145,7 @@
     address = server_address(place, dispatch.backend_server)
     if address is None:
         return Err(RetryReason.SERVER_LEAVING)
-    call.started_at_s = time.monotonic()
+    call.started_at_s = clocks.now_s()
     call.backend_server = dispatch.backend_server
     remaining_s = place.specification.deadline_s - call.started_at_s
     sent = send_request(
@@ -261,5 +261,5 @@
 
 
 def _end(call: Call, outcome: Outcome) -> None:
-    elapsed_s = max(time.monotonic() - call.started_at_s, 0.0)
+    elapsed_s = max(clocks.now_s() - call.started_at_s, 0.0)
     end_place(call.place, elapsed_s * UNITS_A_SECOND, outcome)
--- a/packages/router/src/myrtlehook_router/request/chats.py
+++ b/packages/router/src/myrtlehook_router/request/chats.py
@@ -25,6 +25,7 @@
     read_timeout_s,
     stop_run,
 )
+from myrtlehook_router.process import clocks
 from myrtlehook_router.request.answers import (
     OUTCOME_HEADER,
     REQUEST_ID_HEADER,
@@ -187,7 +188,7 @@
             continue
         deadline_s = place.specification.deadline_s
         order = _make_order(chat, dispatch.attempt, dispatch.priority_units)
-        sent_at_s = time.monotonic()
+        sent_at_s = clocks.now_s()
         started = start_run(address, order, read_timeout_s(deadline_s))
         if isinstance(started, Err) and started.err_value is not StartFailure.UNKNOWN:
             not_started(place, RETRY_REASONS[started.err_value])
@@ -208,7 +209,7 @@
 
 def _make_order(chat: Chat, attempt: int, priority_units: float) -> RunOrder:
     specification = chat.place.specification
-    remaining_s = max(specification.deadline_s - time.monotonic(), 0.0)
+    remaining_s = max(specification.deadline_s - clocks.now_s(), 0.0)
     return RunOrder(
         request_id=specification.request_id,
         attempt=attempt,
@@ -331,7 +332,7 @@
         chat.output_tokens = event.output_tokens or chat.output_tokens
         return
     chat.output_tokens += event.tokens
-    now_s = time.monotonic()
+    now_s = clocks.now_s()
     if now_s >= chat.next_observation_s:
         chat.next_observation_s = now_s + OBSERVE_INTERVAL_S
         observe(chat.place, _cost_units(chat))
--- a/packages/router/src/myrtlehook_router/request/gateways.py
+++ b/packages/router/src/myrtlehook_router/request/gateways.py
@@ -1,7 +1,6 @@
 """The WSGI application of the routed interface."""
 
 import random
-import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from http.client import responses
@@ -20,6 +19,7 @@
 )
 from myrtlehook_router.connection.clients import ClientPool
 from myrtlehook_router.connection.watches import CallerWatch
+from myrtlehook_router.process import clocks
 from myrtlehook_router.process.logs import get_logger
 from myrtlehook_router.request.answering import answer_fault, run_relay
 from myrtlehook_router.request.answers import Answer, Refusal
@@ -116,7 +116,7 @@
 
 def _read_body(services: GatewayServices, request: RoutedRequest) -> Result[bytes, Refusal]:
     limits = services.requests.configuration().limits
-    remaining_s = max(request.deadline_s - time.monotonic(), 0.001)
+    remaining_s = max(request.deadline_s - clocks.now_s(), 0.001)
     try:
         with eventlet.Timeout(remaining_s):
             return read_body(request.environ, limits.body_bytes)
@@ -161,7 +161,7 @@
 
 def _overloaded(services: GatewayServices, request: RoutedRequest) -> Refusal:
     """Refuse a request for want of processor time, here and at the neighbours."""
-    now_s = time.monotonic()
+    now_s = clocks.now_s()
     shedding = services.requests.shedding
     wait_s = book_return(shedding, now_s, request.deadline_s - now_s, random.random)
     reason = RefusalReason.ROUTER_OVERLOADED
--- a/packages/router/src/myrtlehook_router/request/placements.py
+++ b/packages/router/src/myrtlehook_router/request/placements.py
@@ -1,6 +1,5 @@
 """Getting a slot for one request: queue it, wait, and give up when told to."""
 
-import time
 from dataclasses import dataclass
 from typing import Any
 
@@ -17,6 +16,7 @@
     events,
     fingerprint_request,
 )
+from myrtlehook_router.process import clocks
 from myrtlehook_router.request.answers import Refusal
 from myrtlehook_router.request.callers import CallerRequest, caller_has_gone
 from myrtlehook_router.request.services import RequestServices
@@ -70,7 +70,7 @@
 
     :param target: what is asked of the backend server, with its query.
     """
-    now_s = time.monotonic()
+    now_s = clocks.now_s()
     if request.timeout_ms is None:
         deadline_s = now_s + pool.default_timeout_s
     else:
@@ -120,7 +120,7 @@
             continue
         if isinstance(decision, actions.Refuse):
             return Err(_refusal(decision.reason, decision.retry_after_s))
-        if time.monotonic() < decision.lease_deadline_s:
+        if clocks.now_s() < decision.lease_deadline_s:
             return Ok(decision)
         # This process was held up between the decision and the sending.
         not_started(place, RetryReason.LEASE_EXPIRED)
@@ -156,7 +156,7 @@
     place.closed = True
     place.services.tickets.close(place.specification.request_id)
     place.services.counters.add(f"outcome.{outcome}")
-    waited_s = time.monotonic() - place.specification.arrived_at_s
+    waited_s = clocks.now_s() - place.specification.arrived_at_s
     place.services.counters.time("request", waited_s)
 
 
--- a/packages/router/src/myrtlehook_router/request/relays.py
+++ b/packages/router/src/myrtlehook_router/request/relays.py
@@ -1,11 +1,11 @@
 """One routed request on its way: what is known of it, and how its end is told."""
 
-import time
 from dataclasses import dataclass
 
 from myrtlehook_core import Outcome, RefusalReason, RetryReason
 from myrtlehook_router.connection.backends import SendFailure
 from myrtlehook_router.connection.clients import ClientPool, Exchange
+from myrtlehook_router.process import clocks
 from myrtlehook_router.process.logs import get_logger
 from myrtlehook_router.request.broken_runs import note_broken_run
 from myrtlehook_router.request.headers import HeaderNames
@@ -69,7 +69,7 @@
 def begin_attempt(relay: Relay) -> None:
     """Note that the request is about to be sent to another server, or again."""
     relay.attempts += 1
-    relay.sent_at_s = time.monotonic()
+    relay.sent_at_s = clocks.now_s()
     relay.begun = False
 
 
@@ -101,7 +101,7 @@
         return float(relay.prompt_tokens + 2 * relay.output_tokens)
     if not relay.sent_at_s:
         return 0.0
-    return (time.monotonic() - relay.sent_at_s) * UNITS_A_SECOND
+    return (clocks.now_s() - relay.sent_at_s) * UNITS_A_SECOND
 
 
 def refuse_relay(relay: Relay, reason: RefusalReason) -> None:
@@ -128,7 +128,7 @@
     close_place(place, outcome)
     if not is_told:
         return
-    now_s = time.monotonic()
+    now_s = clocks.now_s()
     arrived_at_s = relay.request.arrived_at_s
     _log.info(
         "request ended",
--- a/packages/router/src/myrtlehook_router/request/routed.py
+++ b/packages/router/src/myrtlehook_router/request/routed.py
@@ -1,6 +1,5 @@
 """A request of the routed interface: its head read, its route and workspace found."""
 
-import time
 from dataclasses import dataclass
 from typing import Any
 
@@ -14,6 +13,7 @@
     find_route,
 )
 from myrtlehook_router.connection.heads import TARGET_KEY
+from myrtlehook_router.process import clocks
 from myrtlehook_router.request.answers import Refusal
 from myrtlehook_router.request.headers import (
     HeaderNames,
@@ -51,7 +51,7 @@
     environ: dict[str, Any], configuration: Configuration, names: HeaderNames
 ) -> Result[RoutedRequest, Refusal]:
     """Read a request's head and find its route and workspace."""
-    arrived_at_s = time.monotonic()
+    arrived_at_s = clocks.now_s()
     headers: HeaderPairs = environ["headers_raw"]
     if configuration.version.number == 0:
         return _refuse(RefusalReason.NOT_CONFIGURED, "this router knows no configuration yet")
--- /dev/null
+++ b/tests/steps/entry_steps.py
@@ -0,0 +1,194 @@
+"""Steps of servers' entries: any bytes, any field, and starts under the same id."""
+
+import base64
+import json
+from typing import Any
+
+from behave import given, then, when
+from hypothesis import given as drawn
+from hypothesis import strategies as st
+from result import Err, Ok
+
+from myrtlehook_core import BackendServer, CoreOptions
+from myrtlehook_core.version.discovery import Discovery, take_servers
+from myrtlehook_platform.servers import read_server
+from myrtlehook_platform.store import Followed, _decode, _read_servers
+from myrtlehook_router.process.counters import Counters
+from standins.attempts import make_headers, new_id, send
+from standins.histories import History, Network, Source
+from standins.network import wait_for
+from standins.pools import make_request
+
+SOUND = {
+    "Service": "model",
+    "Address": "10.0.0.1:8080",
+    "Zone": "z",
+    "Version": "v1",
+    "SlotCount": 64,
+    "State": "ready",
+    "ColdRemainingMs": 0,
+    "SequenceNumber": 4,
+    "born": 1_700_000_000_000,
+}
+ANYTHING = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False) | st.text(max_size=5),
+    lambda inner: st.lists(inner, max_size=2) | st.dictionaries(st.text(max_size=3), inner),
+    max_leaves=4,
+)
+FIELDS = sorted(SOUND)
+
+
+@when("the entry of a server has {name} as {value}")
+def spoil_entry(context: Any, name: str, value: str) -> None:
+    entry = dict(SOUND)
+    if value == "missing":
+        del entry[name]
+    else:
+        entry[name] = json.loads(value)
+    context.read = read_server("servers/i-1", json.dumps(entry))
+
+
+@then('it names no server, and the fault tells "{told}"')
+def check_fault(context: Any, told: str) -> None:
+    assert isinstance(context.read, Err), context.read
+    fault = context.read.err_value
+    assert fault.key == "servers/i-1"
+    assert told in fault.expected or told in fault.seen, fault
+
+
+@then("of any page of 50 entries of which some were spoilt, just the sound ones name servers")
+def check_page(context: Any) -> None:
+    spoilt = st.one_of(
+        st.binary(max_size=20).map(lambda raw: base64.b64encode(raw).decode()),
+        st.sampled_from(["no base64!", 7, None, {}]),
+        st.tuples(st.sampled_from(FIELDS), ANYTHING).map(_spoil),
+    )
+
+    @drawn(st.dictionaries(st.integers(0, 49), spoilt, max_size=20))
+    def check(faulty: dict[int, Any]) -> None:
+        followed = Followed(whole=True, revision=3)
+        for number in range(50):
+            value = faulty.get(number, _encode(SOUND))
+            followed.items[f"servers/i-{number}"] = _decode({"Value": value})
+        found = _read_servers(followed, Counters(None))
+        names = {server.instance for server in found.servers}
+        sound = {f"i-{number}" for number in range(50) if number not in faulty}
+        assert sound <= names, sound - names
+        extra = names - sound
+        assert all(_is_sound(followed.items[f"servers/{name}"]) for name in extra), extra
+
+    check()
+
+
+def _spoil(change: tuple[str, Any]) -> str:
+    return _encode({**SOUND, change[0]: change[1]})
+
+
+def _encode(entry: dict[str, Any]) -> str:
+    return base64.b64encode(json.dumps(entry).encode()).decode()
+
+
+def _is_sound(text: str) -> bool:
+    """Tell whether a changed entry is one that a server could write after all."""
+    entry = json.loads(text)
+    changed = [name for name in FIELDS if entry.get(name) != SOUND[name]]
+    kinds = [type(entry[name]) is type(SOUND[name]) for name in changed]
+    return all(kinds) or changed == ["ColdRemainingMs"]
+
+
+def _server(born_ms: int) -> BackendServer:
+    read = read_server("servers/i-1", json.dumps({**SOUND, "born": born_ms}))
+    assert isinstance(read, Ok), read
+    return read.ok_value
+
+
+@given("a server that runs requests, is ejected and keeps parts of prompts")
+def start_history(context: Any) -> None:
+    source = Source()
+    context.source = source
+    context.first = "e1@1000"
+    source.put(context.first)
+    context.history = History(1, 1, 0, Network(), CoreOptions(source_readers=4), source)
+    context.history.run_until(2.0)
+    core = next(iter(context.history.alive.values()))
+    load = core.queues.loads[context.first]
+    load.health.failures = 9
+    load.health.ejected_until_s = 1e9
+    core.admissions.recent_parts[context.first] = {}
+
+
+@when("it starts again under the id that it had")
+def start_again(context: Any) -> None:
+    context.source.drop(context.first)
+    context.second = "e1@2000"
+    context.source.put(context.second)
+    context.history.run_until(3.0)
+
+
+@then("nothing that was believed of the earlier start holds")
+def check_forgotten(context: Any) -> None:
+    core = next(iter(context.history.alive.values()))
+    assert list(core.queues.loads) == [context.second], core.queues.loads
+    assert core.queues.loads[context.second].health.failures == 0
+    assert context.first not in core.admissions.recent_parts
+
+
+@then("the next request goes to the new start, which is named by its id")
+def check_new_start(context: Any) -> None:
+    history = context.history
+    request = make_request("r1", "a", 1, 200, history.now_s, False)
+    history.ask(next(iter(history.alive)), request)
+    history.run_until(history.now_s + 1.0)
+    assert history.outcomes["r1"].dispatched == [context.second]
+    assert _server(1000).instance == _server(2000).instance == "i-1"
+    assert _server(1000).name != _server(2000).name
+
+
+@when("a list after an outage has another start at a server's address")
+def list_after_outage(context: Any) -> None:
+    context.discovery = Discovery()
+    take_servers(context.discovery, [_server(1000)], False, 1.0, revision=5)
+    take_servers(context.discovery, [_server(2000)], True, 2.0, revision=6)
+
+
+@when("a list with an earlier start comes late")
+def list_late(context: Any) -> None:
+    context.discovery = Discovery()
+    take_servers(context.discovery, [_server(2000)], False, 1.0, revision=6)
+    take_servers(context.discovery, [_server(1000)], False, 2.0, revision=5)
+
+
+@then("only the new start is known")
+def check_one_start(context: Any) -> None:
+    assert list(context.discovery.known) == ["i-1@2000"], context.discovery.known
+
+
+@when('"{workspace}" is served by each engine')
+@then('"{workspace}" is served by each engine')
+def check_each_engine(context: Any, workspace: str) -> None:
+    def served() -> bool:
+        for number in range(8):
+            headers = make_headers(new_id(), workspace, "400,12", f"c{number}:200,aa:200")
+            send(context.nodes.nodes[number % 2], "POST", "/summary/week", headers, b"sound")
+        servers = context.nodes.describe()["servers"]
+        runs = {name: len(found["runs"]) for name, found in servers.items()}
+        before = getattr(context, "runs", {})
+        engines = [name for name in runs if name.startswith("i-engine")]
+        if any(runs[name] <= before.get(name, 0) for name in engines):
+            return False
+        context.runs = runs
+        return True
+
+    wait_for(served, "each engine to serve")
+
+
+@when("every engine ends, and starts again under its id")
+def end_every_engine(context: Any) -> None:
+    context.nodes.order(faults={"engines": {"keeps_id": True, "back_after_s": 0.3}})
+    engines = [name for name in context.nodes.describe()["servers"] if name.startswith("i-engine")]
+    context.nodes.order(end=engines)
+
+    def ended() -> bool:
+        return len(context.nodes.describe()["ended"]) >= len(engines)
+
+    wait_for(ended, "every engine to end")
