--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -102,9 +102,10 @@
 
 def _run_slopes() -> None:
     from bench.admission_slopes import measure_admission_slopes
+    from bench.quarantine_slopes import measure_quarantine
     from bench.slopes import measure_slopes
 
-    for slope in [*measure_admission_slopes(), *measure_slopes()]:
+    for slope in [*measure_admission_slopes(), *measure_quarantine(), *measure_slopes()]:
         print(f"{slope.name}: {slope.value:.3g} {slope.unit}")
 
 
--- /dev/null
+++ b/bench/quarantine_slopes.py
@@ -0,0 +1,86 @@
+"""What it costs to know requests and to count the ends under them, at full table sizes."""
+
+import time
+from collections.abc import Callable
+
+from bench.slopes import Slope
+from myrtlehook_core import encode_envelope, fingerprint_request
+from myrtlehook_core.process.hashing import rank_routers
+from myrtlehook_core.process.membership_messages import News, Probe
+from myrtlehook_core.process.messages import Envelope
+from myrtlehook_core.process.quarantine import (
+    SUSPECTS,
+    Quarantine,
+    collect_rows,
+    count_end,
+    hold,
+    note_sound_run,
+)
+from myrtlehook_core.process.quarantine_messages import QuarantineRow, ServerEndReport
+
+ROUTERS = 1200
+BODY_BYTES = 2000
+REPEATS = 2000
+HELD = 8
+
+
+def measure_quarantine() -> list[Slope]:
+    """Measure every slope of the quarantine."""
+    routers = [f"10.0.{number >> 8}.{number & 255}:7400" for number in range(ROUTERS)]
+    body = b"x" * BODY_BYTES
+    quarantine = Quarantine(first_serial=1)
+    print_of = fingerprint_request("workspace", "POST", "/summary/week", body)
+    report = ServerEndReport(print_of, "i-724948be74@1796262595649", 80, 1)
+    for number in range(SUSPECTS):
+        other = ServerEndReport(number.to_bytes(16, "big"), "i-1", 80, 1)
+        count_end(quarantine, other, 1.0)
+    slopes = [
+        _time("fingerprint of 2,000 bytes", lambda: _fingerprint(body)),
+        _time("collectors of one request among 1,200", lambda: _rank(routers, print_of)),
+        _time("an end counted", lambda: _count(quarantine, report)),
+        _time("a run that ended well", lambda: note_sound_run(quarantine, print_of, 1.0)),
+    ]
+    return [*slopes, *_measure_bytes(report)]
+
+
+def _measure_bytes(report: ServerEndReport) -> list[Slope]:
+    quarantine = Quarantine(first_serial=1_796_262_595_649)
+    for number in range(HELD):
+        fingerprint = number.to_bytes(16, "big")
+        suspect = count_end(quarantine, ServerEndReport(fingerprint, "i-1", 80, 1), 1.0)
+        assert suspect is not None
+        hold(quarantine, fingerprint, suspect, 1.0)
+    rows = collect_rows(quarantine, 1.5)
+    return [
+        Slope("end report on the wire", _size(report), "bytes"),
+        Slope("a held request on a probe", (_probe(rows) - _probe(())) / HELD, "bytes"),
+    ]
+
+
+def _fingerprint(body: bytes) -> None:
+    fingerprint_request("workspace", "POST", "/summary/week", body)
+
+
+def _rank(routers: list[str], fingerprint: bytes) -> None:
+    rank_routers(f"quarantine/{fingerprint.hex()}", routers, 2)
+
+
+def _count(quarantine: Quarantine, report: ServerEndReport) -> None:
+    quarantine.suspects.pop(report.fingerprint, None)
+    count_end(quarantine, report, 1.0)
+
+
+def _probe(rows: tuple[QuarantineRow, ...]) -> int:
+    news = News((), (), 5, "0" * 16, quarantine=rows)
+    return len(encode_envelope(Envelope("vm-1234", 2**40, (Probe(1, news),))))
+
+
+def _size(report: ServerEndReport) -> float:
+    return len(encode_envelope(Envelope("vm-1234", 2**40, (report,))))
+
+
+def _time(name: str, step: Callable[[], None]) -> Slope:
+    started_s = time.process_time()
+    for _ in range(REPEATS):
+        step()
+    return Slope(name, (time.process_time() - started_s) / REPEATS * 1000.0, "ms")
