Open a link between routers anew once it has gone silent

Now two direct probes in a row without the target's own answer have the connection opened anew, at both ends.

--- a/packages/core/src/myrtlehook_core/process/actions.py
+++ b/packages/core/src/myrtlehook_core/process/actions.py
@@ -43,6 +43,14 @@
     message: Message
 
 
+@dataclass(frozen=True, slots=True)
+class RenewLink:
+    """Open the connection to a router anew: the present one may have gone silent for good."""
+
+    router_id: str
+    address: str
+
+
 @dataclass(frozen=True, slots=True)
 class PollLoad:
     """Ask a backend server for its load report."""
@@ -225,6 +233,7 @@
     Dispatch
     | Refuse
     | Send
+    | RenewLink
     | PollLoad
     | SendOrder
     | FetchPart
--- a/packages/core/src/myrtlehook_core/process/message_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/message_handlers.py
@@ -143,7 +143,7 @@
 
 
 def _take_ack(core: "RouterCore", sender: str, message: Ack, now_s: float) -> None:
-    take_ack(core.prober, core.probe_context(), message, now_s)
+    take_ack(core.prober, core.probe_context(), sender, message, now_s)
     hear_source(core, sender, message.news, now_s)
     hear_quarantine(core, message.news, now_s)
 
--- a/packages/core/src/myrtlehook_core/process/probing.py
+++ b/packages/core/src/myrtlehook_core/process/probing.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from myrtlehook_core.process.actions import Outbox, Send
+from myrtlehook_core.process.actions import Outbox, RenewLink, Send
 from myrtlehook_core.process.choosers import Draw
 from myrtlehook_core.process.members import (
     Member,
@@ -44,6 +44,12 @@
 FAR_ANNOUNCED = 3
 """Members of each other zone that hear of news at once: one may be gone, another slow."""
 
+MISSES_RENEWED = 2
+"""After so many direct probes in a row without an answer, the connection to a member is opened
+anew, also while others vouch for it. One that went silent without a reset would stay so for
+as long as the system retransmits, many minutes, while helpers hide it. One late answer is
+common where a router is busy, and a renewed connection loses what waits on the old one."""
+
 JOIN_QUERIES = 3
 """How many candidates a starting router asks for the member table at once."""
 
@@ -71,6 +77,8 @@
 
     pending: dict[int, PendingProbe] = field(default_factory=dict)
     targets: ProbeTargets = field(default_factory=ProbeTargets)
+    missed: dict[str, int] = field(default_factory=dict)
+    """By member, direct probes in a row that it did not answer itself."""
     last_probe_id: int = 0
     next_probe_s: float = 0.0
     next_join_s: float = 0.0
@@ -123,9 +131,11 @@
     )
 
 
-def take_ack(prober: Prober, context: ProbeContext, ack: Ack, now_s: float) -> None:
+def take_ack(prober: Prober, context: ProbeContext, sender: str, ack: Ack, now_s: float) -> None:
     """Take an acknowledgement: its target is alive."""
     take_news(context, ack.news, now_s)
+    if sender == ack.target:
+        prober.missed.pop(sender, None)
     pending = prober.pending.pop(ack.probe_id, None)
     if pending is None or pending.target != ack.target:
         return
@@ -217,6 +227,8 @@
         member = context.table.members.get(pending.target)
         if member is None or pending.requester:
             continue
+        if not pending.indirect:
+            _note_miss(prober, context, member)
         if member.state is MemberState.LEAVING:
             member.gone = True
         if member.state is not MemberState.ALIVE:
@@ -240,6 +252,15 @@
             _send(context, helper, IndirectProbe(probe_id, pending.target))
 
 
+def _note_miss(prober: Prober, context: ProbeContext, member: Member) -> None:
+    """Count a direct probe that its target did not answer in time."""
+    missed = prober.missed.get(member.router_id, 0) + 1
+    prober.missed[member.router_id] = missed
+    if missed >= MISSES_RENEWED:
+        del prober.missed[member.router_id]
+        context.out.add(RenewLink(member.router_id, member.address))
+
+
 def _pick_helpers(context: ProbeContext, target: str) -> list[str]:
     others = [
         member.router_id
@@ -272,6 +293,7 @@
         gone = member.state in (MemberState.DEAD, MemberState.LEAVING) and not member.listed
         if gone and now_s - member.changed_at_s > FORGET_DEAD_S:
             forget_member(context.table, member.router_id)
+            prober.missed.pop(member.router_id, None)
 
 
 def _news_for(context: ProbeContext, receiver: str) -> News:
--- a/packages/core/src/myrtlehook_core/process/routers.py
+++ b/packages/core/src/myrtlehook_core/process/routers.py
@@ -293,6 +293,7 @@
         drop_queue_beliefs(self.queues, now_s)
         self.entry.told.clear()
         self.prober.pending.clear()
+        self.prober.missed.clear()
         for member in self.table.members.values():
             if member.state is MemberState.SUSPECT:
                 member.suspect_deadline_s = now_s + self.options.suspicion_s
--- a/packages/router/src/myrtlehook_router/process/core_tasks.py
+++ b/packages/router/src/myrtlehook_router/process/core_tasks.py
@@ -140,6 +140,11 @@
     def _send(self, action: actions.Send) -> None:
         self._unsent.setdefault((action.router_id, action.address), []).append(action.message)
 
+    def _renew_link(self, action: actions.RenewLink) -> None:
+        self._counters.add("control.renewed_links")
+        _log.info("link renewed", member=action.router_id)
+        self._peers.renew(action.address)
+
     def _poll_load(self, action: actions.PollLoad) -> None:
         if action.backend_server in self._polling:
             return
@@ -308,6 +313,7 @@
     actions.Dispatch: CoreTask._decide,
     actions.Refuse: CoreTask._decide,
     actions.Send: CoreTask._send,
+    actions.RenewLink: CoreTask._renew_link,
     actions.PollLoad: CoreTask._poll_load,
     actions.SendOrder: CoreTask._send_order,
     actions.FetchPart: CoreTask._fetch_part,
--- a/packages/router/src/myrtlehook_router/process/peers.py
+++ b/packages/router/src/myrtlehook_router/process/peers.py
@@ -89,6 +89,12 @@
         envelope_bytes = len(content) + TAG_BYTES - inner_bytes
         self._counters.values[f"control.bytes.{distance}.envelope"] += envelope_bytes
 
+    def renew(self, address: str) -> None:
+        """Drop the connection to a router; the next message opens another one."""
+        push = self._pushes.pop(address, None)
+        if push is not None:
+            push.close()
+
     def receive_forever(self, mailbox: Mailbox) -> None:
         """Pass on every authentic message; the loop of this task."""
         descriptor = self._pull.recv_fd
--- a/tests/standins/histories.py
+++ b/tests/standins/histories.py
@@ -140,6 +140,8 @@
         """By request."""
         self.is_cut: Callable[[str, str], bool] = lambda sender, receiver: False
         """Whether messages from one router to another are lost."""
+        self.renewed: list[tuple[str, str]] = []
+        """Connections that routers opened anew: whose, and to whom."""
         self.sent_bytes: Counter[tuple[str, str]] = Counter()
         """By kind of message, and by "own zone" or "other zones"."""
         self.zones: dict[str, str] = {}
@@ -259,6 +261,8 @@
     def _carry_out(self, name: str, core: RouterCore, action: Any) -> None:
         if isinstance(action, actions.Send):
             self._deliver(name, core, action)
+        elif isinstance(action, actions.RenewLink):
+            self.renewed.append((name, action.router_id))
         elif isinstance(action, actions.Refuse):
             self.outcomes[action.request_id].refused_at_s.append(self.now_s)
             self.refusal_reasons.setdefault(action.request_id, []).append(action.reason)
