Let only another start of the same id replace a server that lapsed

Only another start of the id does now, told by the store or by a peer. Ruled out: changing the property.

--- a/packages/core/src/myrtlehook_core/version/discovery.py
+++ b/packages/core/src/myrtlehook_core/version/discovery.py
@@ -65,10 +65,9 @@
     listed = {server.name: _keep_leaving(discovery, server) for server in servers}
     missing = discovery.known.keys() - listed.keys()
     lapsed_before = set(discovery.lapsed_deadlines_s)
-    addresses = {server.address for server in listed.values()}
+    starts = _list_starts(listed)
     for name in missing:
-        if discovery.known[name].address in addresses:
-            # Another start has its place; it does not come back.
+        if discovery.known[name].instance in starts:
             discovery.lapsed_deadlines_s.pop(name, None)
             continue
         if after_outage:
@@ -116,7 +115,9 @@
         deadlines_s.pop(name, None)
     lapsed = set(changes.lapsed)
     if after_outage:
-        lapsed |= discovery.known.keys() - listed.keys() - set(changes.gone)
+        starts = _list_starts(told)
+        missing = discovery.known.keys() - listed.keys() - set(changes.gone)
+        lapsed |= {name for name in missing if discovery.known[name].instance not in starts}
     for name in lapsed:
         deadlines_s.setdefault(name, now_s + RETURN_GRACE_S)
         if name not in listed:
@@ -154,6 +155,11 @@
     )
 
 
+def _list_starts(servers: dict[str, BackendServer]) -> set[str]:
+    """Return whose starts are listed: an earlier one of these does not come back."""
+    return {server.instance for server in servers.values() if server.instance}
+
+
 def _keep_leaving(discovery: Discovery, server: BackendServer) -> BackendServer:
     if server.leaving:
         discovery.leaving.add(server.name)
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -126,7 +126,9 @@
         output, _ = callers.communicate()
         seen = [Seen(**one) for one in json.loads(output)]
         routers = {f"{node.ip}:{node.front_port}": node.name for node in self.fleet.nodes}
-        self.violations += check_answers(seen, self._servers())
+        # An engine that is healed while it is away starts again under another id.
+        sealing = {*self._servers(), *self.fleet.describe()["servers"]}
+        self.violations += check_answers(seen, sealing)
         self.violations += check_in_time(seen, faults, routers, start_s)
         self.violations += self._check_recovery()
         self.violations += check_runs(seen, self._count_runs(seen))
