Forget ends everywhere once a request has ended well, also after its hold

Cause, from reading the change: a run that ended well lifted only a hold that still lasted. Others kept its ends, so that one chance end later, once the router that had seen it was gone, held it for twice as long. The new check fails without this (one more end held it). Measured: quarantine.feature 13 passed.

--- a/packages/core/src/myrtlehook_core/process/quarantine.py
+++ b/packages/core/src/myrtlehook_core/process/quarantine.py
@@ -126,9 +126,13 @@
 
 
 def lift(quarantine: Quarantine, fingerprint: bytes, now_s: float) -> bool:
-    """Forget the ends under a request that has ended well; True when it was held."""
+    """Forget the ends under a request that has ended well; True when others count them too.
+
+    They do from its first hold on, also when that is over.
+    """
     quarantine.suspects.pop(fingerprint, None)
-    if not find_hold_s(quarantine, fingerprint, now_s):
+    verdict = quarantine.verdicts.get(fingerprint)
+    if verdict is None or not verdict.ends:
         return False
     serial = _next_serial(quarantine, fingerprint)
     lifted = Verdict(serial, ends=0, since_s=now_s, held_until_s=now_s, heard_at_s=now_s)
--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -61,6 +61,12 @@
   Scenario: The hold doubles with each further end, and ends
     Then a request that ends an engine after each hold is held for 60, 120 and 240 seconds
 
+  Scenario: A run that ends well after the hold is over has the ends forgotten everywhere
+    Given a fleet of 6 routers and 8 engines
+    When "spoilt" ends two engines
+    And it ends well once its hold is over, at a router that then starts again
+    Then one more end under "spoilt" has no router hold it back
+
   Scenario: What waits is refused once its request is held
     Then a held request is refused while it waits for an engine, and while it waits for a slot
     And it is told to come back after the hold
--- a/tests/steps/quarantine_property_steps.py
+++ b/tests/steps/quarantine_property_steps.py
@@ -209,6 +209,32 @@
     check_none_holds(context, name)
 
 
+@when("it ends well once its hold is over, at a router that then starts again")
+def end_well_later(context: Any) -> None:
+    history = context.history
+    history.run_until(history.now_s + FIRST_HOLD_S + 1.0)
+    assert not _holders(history, "spoilt")
+    history.ends_engine = lambda request: False
+    entry = list(history.alive)[2]
+    request_id = _ask(history, entry, 2, SPOILT)
+    history.run_until(history.now_s + 1.0)
+    assert history.outcomes[request_id].ended_at_s is not None
+    _restart(history, entry)
+    history.run_until(history.now_s + 1.0)
+
+
+@then('one more end under "{name}" has no router hold it back')
+def check_counted_anew(context: Any, name: str) -> None:
+    history = context.history
+    request_id = _ask(history, list(history.alive)[4], 3, name.encode())
+    while not history.outcomes[request_id].dispatched:
+        history.run_until(history.now_s + 0.005)
+        assert history.now_s < 100.0, "it was not sent anywhere"
+    history.end_engine(history.outcomes[request_id].dispatched[0])
+    history.run_until(history.now_s + 0.5)
+    check_none_holds(context, name)
+
+
 def _report(began_age_ms: int = 80, ended_age_ms: int = 0, name: bytes = SPOILT) -> ServerEndReport:
     return ServerEndReport(name, "e1", began_age_ms, ended_age_ms)
 
