--- a/tests/features/regressions.feature
+++ b/tests/features/regressions.feature
@@ -59,6 +59,10 @@
     When the core cannot take its own tick
     Then the fault is not swallowed
 
+  Scenario: The 26th fleet that one process started waited for ever
+    When a process asks for the addresses of 60 fleets
+    Then all of them are addresses
+
   Scenario: A resumed stream never told the core that its new engine had begun
     When a stream brings output from one engine, breaks off and brings output from another
     Then the core has heard of a beginning 2 times
--- a/tests/standins/nodes.py
+++ b/tests/standins/nodes.py
@@ -20,7 +20,11 @@
 ROOT = Path(__file__).parent.parent.parent
 START_S = 30.0
 PORT_NAMES = ("front", "ready", "control", "peer", "helping")
-_FLEETS = itertools.count(1)
+ADDRESSES_A_FLEET = 10
+FLEETS_AT_ONCE = 25
+"""That have addresses of their own; those of a fleet that has ended are used again."""
+
+_FLEETS = itertools.count()
 
 
 @dataclass(slots=True)
@@ -59,7 +63,7 @@
 
     def start_nodes(self, routers: int, readiness: int = 200) -> None:
         """Start the routers, and wait until all answer."""
-        ips = _free_ips(routers)
+        ips = free_ips(routers)
         self.ports = dict(zip(PORT_NAMES, _free_ports(ips, len(PORT_NAMES)), strict=True))
         for number, ip in enumerate(ips, start=1):
             self.start_node(f"edge-{number}", ip, ips)
@@ -180,10 +184,10 @@
         connection.close()
 
 
-def _free_ips(count: int) -> list[str]:
+def free_ips(count: int) -> list[str]:
     """Return loopback addresses of this process's own: the metrics port is fixed."""
     number = os.getpid()
-    first = 10 * next(_FLEETS)
+    first = ADDRESSES_A_FLEET * (1 + next(_FLEETS) % FLEETS_AT_ONCE)
     network = f"127.{number >> 8 & 255}.{number & 255}"
     return [f"{network}.{last}" for last in range(first, first + count)]
 
--- a/tests/steps/regression_steps.py
+++ b/tests/steps/regression_steps.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import tempfile
+from ipaddress import IPv4Address
 from pathlib import Path
 from types import SimpleNamespace
 from typing import Any
@@ -42,6 +43,7 @@
 from myrtlehook_router.request.tickets import TicketBook
 from standins.fleets import Fleet
 from standins.network import wait_for
+from standins.nodes import free_ips
 
 PART = '{"pools": []}'
 MANIFEST = {"version": 1, "parts": [{"key": "k", "digest": digest_text(PART)}]}
@@ -341,3 +343,13 @@
 @then("the fault is not swallowed")
 def check_fault_raised(context: Any) -> None:
     assert context.fault is not None
+
+
+@when("a process asks for the addresses of {count:d} fleets")
+def ask_addresses(context: Any, count: int) -> None:
+    context.ips = [ip for _ in range(count) for ip in free_ips(5)]
+
+
+@then("all of them are addresses")
+def check_addresses(context: Any) -> None:
+    assert all(IPv4Address(ip).is_loopback for ip in context.ips)
