Say in one place when a held request may return, and take a check's stale messages

When a refused admission may return was worked out by two of its callers; the refusal itself does now, so that no third one can forget it. What told of a sound run was named for an objection; it is named for what it sends. A check of silent links took a message that had been sent, and had arrived, before the link was severed for one that passed it: possible where the first try takes over 100 ms. All that had arrived is taken first. No behaviour is meant to change, no check is loosened.

--- a/packages/core/src/myrtlehook_core/process/admission_ends.py
+++ b/packages/core/src/myrtlehook_core/process/admission_ends.py
@@ -9,6 +9,7 @@
 from myrtlehook_core.process.admission_messages import AdmissionRelease
 from myrtlehook_core.process.entries import account_of, count_queued, key_of
 from myrtlehook_core.process.events import RunEnded
+from myrtlehook_core.process.quarantine import find_hold_s
 from myrtlehook_core.process.refusals import refuse_with
 from myrtlehook_core.process.shares import note_refused
 from myrtlehook_core.request.charges import settle_charge
@@ -53,12 +54,15 @@
     context: AdmissionContext,
     admission: Admission,
     reason: RefusalReason,
+    now_s: float,
 ) -> None:
-    """Give a request that no engine runs its final answer."""
+    """Give a request that no engine runs its final answer, with when to come back."""
     request = admission.request
     del admissions.open[request.request_id]
     _forget(context, admission, ran=False)
-    refuse_with(context.entry_context, request, reason, admission.retry_after_s)
+    held_s = find_hold_s(context.entry_context.quarantine, request.fingerprint, now_s)
+    wait_s = held_s or admission.retry_after_s
+    refuse_with(context.entry_context, request, reason, wait_s)
 
 
 def _forget(
--- a/packages/core/src/myrtlehook_core/process/admissions.py
+++ b/packages/core/src/myrtlehook_core/process/admissions.py
@@ -32,7 +32,6 @@
     virtual_service_units,
 )
 from myrtlehook_core.process.full_tiers import is_full, note_taken, note_untaken
-from myrtlehook_core.process.quarantine import find_hold_s
 from myrtlehook_core.process.refusals import (
     choose_last_refusal,
     find_refusal,
@@ -108,12 +107,12 @@
     if not candidates or admission.request.deadline_s <= now_s:
         late = admission.request.deadline_s <= now_s
         reason = RefusalReason.DEADLINE_PASSED if late else RefusalReason.NO_BACKEND_SERVER
-        refuse_admission(admissions, context, admission, reason)
+        refuse_admission(admissions, context, admission, reason, now_s)
         return
     if not left or admission.hop >= options.engines_asked:
         full = admissions.full_tiers[admission.request.pool]
         note_untaken(full, admission.tier, admission.retry_after_s, now_s)
-        refuse_admission(admissions, context, admission, RefusalReason.DEADLINE_UNREACHABLE)
+        refuse_admission(admissions, context, admission, RefusalReason.DEADLINE_UNREACHABLE, now_s)
         return
     admission.backend_server = left[0]
     admission.tried.add(left[0])
@@ -139,7 +138,7 @@
     if admission.granted:
         return
     if admission.request.deadline_s <= now_s:
-        refuse_admission(admissions, context, admission, RefusalReason.DEADLINE_PASSED)
+        refuse_admission(admissions, context, admission, RefusalReason.DEADLINE_PASSED, now_s)
     else:
         _dispatch(admissions, context, admission, grant.unread_tokens, now_s)
 
@@ -209,10 +208,8 @@
         context.entry_context.out.add(RetryNoted(request_id, reason))
         ask_next(admissions, context, admission, now_s)
         return True
-    held_s = find_hold_s(context.entry_context.quarantine, admission.request.fingerprint, now_s)
-    admission.retry_after_s = held_s or admission.retry_after_s
     refusal = choose_last_refusal(context.entry_context, admission.request, now_s)
-    refuse_admission(admissions, context, admission, refusal)
+    refuse_admission(admissions, context, admission, refusal, now_s)
     return True
 
 
@@ -222,10 +219,10 @@
         if admission.granted:
             continue
         if admission.request.deadline_s <= now_s:
-            refuse_admission(admissions, context, admission, RefusalReason.DEADLINE_PASSED)
+            refuse_admission(admissions, context, admission, RefusalReason.DEADLINE_PASSED, now_s)
         elif admission.request.workspace not in context.entry_context.configuration.workspaces:
             reason = RefusalReason.CONFIGURATION_REMOVED
-            refuse_admission(admissions, context, admission, reason)
+            refuse_admission(admissions, context, admission, reason, now_s)
         elif not is_usable_engine(context, admission.backend_server):
             ask_next(admissions, context, admission, now_s)
         elif now_s >= admission.next_ask_s:
--- a/packages/core/src/myrtlehook_core/process/event_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/event_handlers.py
@@ -51,8 +51,8 @@
 from myrtlehook_core.process.quarantine import forget_old
 from myrtlehook_core.process.quarantine_handlers import (
     note_completed,
-    object_again,
     on_server_ended,
+    repeat_sound_reports,
 )
 from myrtlehook_core.process.refusals import refuse_hopeless
 from myrtlehook_core.process.runs import (
@@ -259,7 +259,7 @@
     drop_idle_queues(core.entry, now_s, core.options.idle_drop_s)
     drop_idle_accounts(core.ledger, now_s, core.options)
     forget_old(core.quarantine, now_s)
-    object_again(core, now_s)
+    repeat_sound_reports(core, now_s)
     sweep_source(core, now_s)
 
 
--- a/packages/core/src/myrtlehook_core/process/quarantine_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/quarantine_handlers.py
@@ -60,7 +60,7 @@
         return
     verdict = hold(core.quarantine, fingerprint, suspect, now_s)
     _note(core, fingerprint, verdict, QuarantineCause.COUNTED)
-    _object(core, fingerprint, now_s)
+    _report_sound_run(core, fingerprint, now_s)
     announce(core.probe_context())
 
 
@@ -84,7 +84,7 @@
             continue
         is_news = True
         _note(core, row.fingerprint, verdict, QuarantineCause.TOLD)
-        _object(core, row.fingerprint, now_s)
+        _report_sound_run(core, row.fingerprint, now_s)
     return is_news
 
 
@@ -99,14 +99,14 @@
     if not request.fingerprint:
         return
     note_sound_run(core.quarantine, request.fingerprint, now_s)
-    _object(core, request.fingerprint, now_s)
+    _report_sound_run(core, request.fingerprint, now_s)
 
 
-def object_again(core: "RouterCore", now_s: float) -> None:
+def repeat_sound_reports(core: "RouterCore", now_s: float) -> None:
     """Repeat what may have been lost: that held requests have ended well here."""
     for fingerprint, verdict in core.quarantine.verdicts.items():
         if now_s < verdict.held_until_s:
-            _object(core, fingerprint, now_s)
+            _report_sound_run(core, fingerprint, now_s)
 
 
 def refuse_waiting(core: "RouterCore", now_s: float) -> None:
@@ -114,11 +114,10 @@
     core.quarantine.is_news = False
     admission_context = core.admission_context()
     for admission in list(core.admissions.open.values()):
-        left_s = find_hold_s(core.quarantine, admission.request.fingerprint, now_s)
-        if left_s and not admission.granted:
-            admission.retry_after_s = left_s
+        is_held = find_hold_s(core.quarantine, admission.request.fingerprint, now_s) > 0.0
+        if is_held and not admission.granted:
             reason = RefusalReason.QUARANTINED
-            refuse_admission(core.admissions, admission_context, admission, reason)
+            refuse_admission(core.admissions, admission_context, admission, reason, now_s)
     context = core.entry_context()
     for queue in core.entry.queues.values():
         held = [
@@ -132,7 +131,7 @@
             refuse_request(core.entry, context, request, RefusalReason.QUARANTINED, now_s)
 
 
-def _object(core: "RouterCore", fingerprint: bytes, now_s: float) -> None:
+def _report_sound_run(core: "RouterCore", fingerprint: bytes, now_s: float) -> None:
     """Tell the collectors that a held request has ended well here meanwhile."""
     if not is_cleared(core.quarantine, fingerprint):
         return
--- a/tests/steps/link_steps.py
+++ b/tests/steps/link_steps.py
@@ -2,7 +2,6 @@
 
 import socket
 import threading
-import time
 from typing import Any
 
 import pynng
@@ -114,10 +113,19 @@
     context.add_cleanup(context.sender.close)
     wait_for(lambda: _arrives(context), "a message to arrive on the sound link")
     context.link.sever()
-    time.sleep(0.2)
+    _take_all(context)
     assert not _arrives(context), "a message passed a link that has gone silent"
 
 
+def _take_all(context: Any) -> None:
+    """Take what was sent before: several may have been until the first one arrived."""
+    try:
+        while True:
+            context.receiver.recv()
+    except pynng.Timeout:
+        return
+
+
 def _arrives(context: Any) -> bool:
     context.sender.send("r2", context.address, (DELIVERED,))
     try:
