--- a/packages/router/src/myrtlehook_router/request/attempts.py
+++ b/packages/router/src/myrtlehook_router/request/attempts.py
@@ -8,15 +8,18 @@
 from myrtlehook_router.connection.clients import Exchange, OutgoingRequest
 from myrtlehook_router.process import clocks
 from myrtlehook_router.request.headers import find_header, keep_end_to_end, router_only
-from myrtlehook_router.request.relays import Relay, begin_attempt, note_broken
+from myrtlehook_router.request.relays import (
+    REPLACED_STATUS,
+    Relay,
+    begin_attempt,
+    note_broken,
+    note_head,
+)
 
 READ_BYTES = 64 * 1024
 DISCARDED_PIECES = 16
 """An answer that is not passed on is read to its end up to so many pieces."""
 
-REPLACED_STATUS = 421
-"""Another server than the expected one has the address, and declined."""
-
 FIRST_BYTE_AIMS = 3.0
 """A request that may be repeated is tried elsewhere after so many aims of silence,"""
 
@@ -45,6 +48,7 @@
     response = sent.ok_value
     if find_header(response.headers.items(), relay.names.request_id) != relay.request.request_id:
         return _distrust(relay, exchange, "id")
+    note_head(relay, response)
     if relay.names.not_run in response.headers or response.status == REPLACED_STATUS:
         _read_to_end(exchange, relay.request.deadline_s)
         replaced = response.status == REPLACED_STATUS
--- a/packages/router/src/myrtlehook_router/request/headers.py
+++ b/packages/router/src/myrtlehook_router/request/headers.py
@@ -36,6 +36,8 @@
     expected_instance: str = "X-Expected-Instance"
     not_run: str = "X-Not-Run"
     """With this, a backend server says that it did not run a request."""
+    server_leaving: str = "X-Server-Leaving"
+    """With the value 1, a backend server says that it leaves."""
     token_counts: str = "X-Token-Counts"
     """Tokens of the prompt, and the most to be made: ``1460,80``."""
     prompt_parts: str = "X-Prompt-Parts"
--- a/packages/router/src/myrtlehook_router/request/relays.py
+++ b/packages/router/src/myrtlehook_router/request/relays.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+import urllib3
+
 from myrtlehook_core import Outcome, RefusalReason, RetryReason
 from myrtlehook_router.connection.backends import SendFailure
 from myrtlehook_router.connection.clients import ClientPool, Exchange
@@ -18,8 +20,12 @@
 )
 from myrtlehook_router.request.refusal_sums import RefusedKind, note_refusal
 from myrtlehook_router.request.routed import RoutedRequest
+from myrtlehook_router.request.server_notices import NO_NOTICE, ServerNotice, note_answer
 from myrtlehook_router.request.tickets import CallerLeft
 
+REPLACED_STATUS = 421
+"""Another server than the expected one has the address, and declined."""
+
 UNITS_A_SECOND = 1000.0
 """Service of a plain service is counted in slot milliseconds."""
 
@@ -50,6 +56,10 @@
     first_byte_at_s: float = 0.0
     begun: bool = False
     """The present attempt has brought output."""
+    status: int = 0
+    """Of the present attempt's answer; 0 without one."""
+    notice: ServerNotice = NO_NOTICE
+    """What that answer says of its server."""
 
 
 def note_caller_left(relay: Relay) -> None:
@@ -71,6 +81,23 @@
     relay.attempts += 1
     relay.sent_at_s = clocks.now_s()
     relay.begun = False
+    relay.status = 0
+    relay.notice = NO_NOTICE
+
+
+def note_head(relay: Relay, response: urllib3.HTTPResponse) -> None:
+    """Take an answer's status and what it says of its server."""
+    relay.status = response.status
+    if response.status == REPLACED_STATUS:
+        # Another server says it, which has the address by now.
+        return
+    relay.notice = note_answer(
+        relay.place.services,
+        relay.request.request_id,
+        relay.backend_server,
+        response,
+        relay.names,
+    )
 
 
 def give_back(relay: Relay, reason: RetryReason) -> None:
@@ -81,6 +108,9 @@
         backend_server=relay.backend_server,
         reason=reason,
         maybe_run=relay.maybe_run,
+        status=relay.status or None,
+        leaving=relay.notice.leaving,
+        backoff_s=relay.notice.backoff_s,
     )
     not_started(relay.place, reason)
 
