--- a/emulator/engines.py
+++ b/emulator/engines.py
@@ -2,7 +2,8 @@
 
 import hashlib
 import socket
-from collections import Counter, OrderedDict
+import time
+from collections import Counter, OrderedDict, deque
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from typing import Any
@@ -22,6 +23,8 @@
 REFUSED_HEADERS = frozenset({"retention", "kv-from"})
 """Of these, those that name what an engine has to know: a forged one is refused."""
 
+ARRIVALS_KEPT = 3000
+
 _select = patcher.original("select")
 
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
@@ -53,6 +56,11 @@
     silent: bool = False
     """Nothing is made for anyone, though requests are taken."""
     leaving: bool = False
+    """All answers say that the engine leaves, whatever its entry says."""
+    refuse_every: int = 0
+    """One in so many requests is refused."""
+    retry_after: str = ""
+    """Refusals ask to be left alone for this long, in seconds."""
 
 
 @dataclass(slots=True)
@@ -98,6 +106,7 @@
         self.runs: Counter[str] = Counter()
         """How often each attempt was begun."""
         self.cancelled: Counter[str] = Counter()
+        self.arrivals = Arrivals()
         self.seen_headers: dict[str, dict[str, str]] = {}
         self.system_headers: list[tuple[str, str]] = []
         """Headers that the system alone may set, as they came, with their values."""
@@ -124,11 +133,13 @@
     def answer(self, environ: dict[str, Any], start_response: StartResponse) -> Any:
         """Serve one request; a WSGI application."""
         attempt_id = environ.get("HTTP_ATTEMPT_ID", "")
+        self.arrivals.note(attempt_id)
         refusal = self._find_refusal(environ, attempt_id)
         if refusal is not None:
             environ["wsgi.input"].read()
             headers = [("Content-Length", "0"), ("Attempt-Id", attempt_id)]
-            start_response(refusal, [*headers, ("Not-Executed", "1")])
+            told = tell_of_server(self.faults.leaving, self.faults.retry_after, refusal)
+            start_response(refusal, [*headers, ("Not-Executed", "1"), *told])
             return []
         body = environ["wsgi.input"].read()
         self.runs[attempt_id] += 1
@@ -152,6 +163,7 @@
             ("Response-Seal", self.seal(attempt_id)),
             ("X-Body-Digest", hashlib.sha256(body).hexdigest()),
         ]
+        headers += tell_of_server(self.faults.leaving)
         if self.faults.leaving:
             headers.append(("Connection", "close"))
         start_response("200 OK", headers)
@@ -183,6 +195,8 @@
         if self.faults.refusals > 0:
             self.faults.refusals -= 1
             return "503 Service Unavailable"
+        if is_refused(self.faults.refuse_every, self.arrivals):
+            return "503 Service Unavailable"
         if len(self.waiting) >= self.speed.queue:
             return "503 Service Unavailable"
         return None
@@ -240,6 +254,32 @@
         return 0 < limit <= run.made_tokens
 
 
+class Arrivals:
+    """What reached a server, run or not: attempts with the steady clock's time."""
+
+    def __init__(self) -> None:
+        self.seen: deque[tuple[str, float]] = deque(maxlen=ARRIVALS_KEPT)
+        self.count = 0
+
+    def note(self, attempt_id: str) -> None:
+        """Note one request, as its head has been read."""
+        self.seen.append((attempt_id, time.monotonic()))
+        self.count += 1
+
+
+def is_refused(refuse_every: int, arrivals: Arrivals) -> bool:
+    """Tell whether the last request to arrive is one of those that are turned away."""
+    return refuse_every > 0 and arrivals.count % refuse_every == 0
+
+
+def tell_of_server(leaving: bool, retry_after: str = "", status: str = "") -> list[tuple[str, str]]:
+    """Return the headers by which a server tells of itself in an answer."""
+    told = [("Server-Leaving", "1")] if leaving else []
+    if retry_after and status.startswith("503"):
+        told.append(("Retry-After", retry_after))
+    return told
+
+
 def find_system_headers(environ: dict[str, Any]) -> list[tuple[str, str]]:
     """Return a request's headers that only the system may set, however they are spelled."""
     plain = [(name.lower().replace("_", "-"), value) for name, value in environ["headers_raw"]]
--- a/emulator/services.py
+++ b/emulator/services.py
@@ -10,7 +10,13 @@
 
 import eventlet
 
-from emulator.engines import break_connection, find_system_headers
+from emulator.engines import (
+    Arrivals,
+    break_connection,
+    find_system_headers,
+    is_refused,
+    tell_of_server,
+)
 
 RESET_DELAY_S = 0.1
 """The half that was sent has surely been read by then."""
@@ -28,6 +34,12 @@
     unframed_resets: int = 0
     """So many answers have no length and are reset half-way."""
     work_ms: float = 5.0
+    leaving: bool = False
+    """All answers say that the server leaves, whatever its entry says."""
+    refuse_every: int = 0
+    """One in so many requests is refused."""
+    retry_after: str = ""
+    """Refusals ask to be left alone for this long, in seconds."""
 
 
 class PlainService:
@@ -39,17 +51,20 @@
         self.busy = 0
         self.faults = ServiceFaults()
         self.runs: Counter[str] = Counter()
+        self.arrivals = Arrivals()
         self.seen_headers: dict[str, dict[str, str]] = {}
         self.system_headers: list[tuple[str, str]] = []
 
     def answer(self, environ: dict[str, Any], start_response: StartResponse) -> list[bytes]:
         """Serve one request; a WSGI application."""
         attempt_id = environ.get("HTTP_ATTEMPT_ID", "")
+        self.arrivals.note(attempt_id)
         expected = environ.get("HTTP_EXPECTED_INSTANCE")
         body = environ["wsgi.input"].read()
         if expected and expected != self.identifier:
             return self._decline("421 Misdirected Request", attempt_id, start_response)
-        if self.faults.refusals > 0 or self.busy >= self.slots:
+        is_unlucky = is_refused(self.faults.refuse_every, self.arrivals)
+        if is_unlucky or self.faults.refusals > 0 or self.busy >= self.slots:
             self.faults.refusals = max(self.faults.refusals - 1, 0)
             return self._decline("503 Service Unavailable", attempt_id, start_response)
         self.runs[attempt_id] += 1
@@ -76,12 +91,14 @@
             ("Content-Length", str(len(content))),
             ("Attempt-Id", attempt_id),
             ("Response-Seal", seal),
+            *tell_of_server(self.faults.leaving),
         ]
         start_response("500 Internal Server Error" if failed else "200 OK", headers)
         return [content]
 
     def _decline(self, status: str, attempt_id: str, start_response: StartResponse) -> list[bytes]:
         headers = [("Content-Length", "0"), ("Attempt-Id", attempt_id), ("Not-Executed", "1")]
+        headers += tell_of_server(self.faults.leaving, self.faults.retry_after, status)
         start_response(status, headers)
         return []
 
--- a/emulator/sites.py
+++ b/emulator/sites.py
@@ -192,6 +192,7 @@
                 "runs": dict(server.runs),
                 "cancelled": dict(getattr(server, "cancelled", {})),
                 "seen_headers": server.seen_headers,
+                "arrivals": list(server.arrivals.seen),
                 "system_headers": server.system_headers,
                 "read_tokens": getattr(server, "read_tokens", 0),
                 "faults": asdict(server.faults),
--- a/tests/environment.py
+++ b/tests/environment.py
@@ -27,6 +27,9 @@
 SMALL_MEMORY_MB = 88
 """VMs on which few connections fit."""
 
+SEVERAL_SERVICES = 3
+"""Servers of the plain service, so that others can take what one does not."""
+
 MANY_ENGINES = 6
 """So many that some are left while others have ended."""
 
@@ -83,6 +86,8 @@
     nodes = NodeFleet()
     if option == "small":
         nodes.memory_mb = SMALL_MEMORY_MB
+    if option == "desks":
+        nodes.services = SEVERAL_SERVICES
     nodes.options = {f"edge-{number}": BUSY_OPTIONS.get(option, {}) for number in range(1, 10)}
     nodes.options["edge-1"] = ALWAYS_PASSING if option in BUSY_OPTIONS else {}
     try:
--- a/tests/standins/nodes.py
+++ b/tests/standins/nodes.py
@@ -50,6 +50,8 @@
     processes: list[subprocess.Popen[bytes]] = field(default_factory=list)
     ports: dict[str, int] = field(default_factory=dict)
     memory_mb: int = 512
+    services: int = 1
+    """Servers of the plain service."""
     stores: dict[str, str] = field(default_factory=dict)
     """By router, another way to the store."""
     options: dict[str, dict[str, Any]] = field(default_factory=dict)
@@ -57,7 +59,8 @@
 
     def start(self, routers: int, engines: int = 2, empty: bool = False) -> None:
         """Start everything, and wait until all routers answer; ``empty``: no configuration."""
-        options = ["--engines", str(engines)] + (["--empty"] if empty else [])
+        options = ["--engines", str(engines), "--services", str(self.services)]
+        options += ["--empty"] if empty else []
         self.addresses = self.start_emulator(options)
         self.start_nodes(routers, 503 if empty else 200)
 
