--- a/packages/core/src/myrtlehook_core/process/actions.py
+++ b/packages/core/src/myrtlehook_core/process/actions.py
@@ -98,6 +98,27 @@
     """The platform, or the router that told of it."""
 
 
+@dataclass(frozen=True, slots=True)
+class ServerLeavingNoted:
+    """A backend server leaves, as its own answer or another router has told."""
+
+    backend_server: str
+    source: str
+    """``answer``, or the router that told of it."""
+    request_id: str = ""
+    """The request whose answer said so."""
+
+
+@dataclass(frozen=True, slots=True)
+class ServerBackoffNoted:
+    """A backend server wants nothing of this router for a time."""
+
+    backend_server: str
+    until_s: float
+    request_id: str
+    """The request whose answer said so."""
+
+
 @dataclass(frozen=True, slots=True)
 class ReadSource:
     """Read the source from now on, or leave that to other routers."""
@@ -240,6 +261,8 @@
     | ConfigurationChanged
     | ConfigurationRejected
     | BackendServersChanged
+    | ServerLeavingNoted
+    | ServerBackoffNoted
     | ReadSource
     | AdmissionDecided
     | ShareLevelNoted
--- a/packages/core/src/myrtlehook_core/process/admission_asking.py
+++ b/packages/core/src/myrtlehook_core/process/admission_asking.py
@@ -11,6 +11,7 @@
     EngineEstimate,
     PartRow,
 )
+from myrtlehook_core.process.backoffs import backs_off
 from myrtlehook_core.process.entries import Entry, EntryContext
 from myrtlehook_core.process.full_tiers import FullTiers
 from myrtlehook_core.process.hashing import rank_routers
@@ -105,7 +106,7 @@
     entry_context: EntryContext
     shares: Shares
     owner_of: Callable[[str], str | None]
-    leaving: frozenset[str]
+    now_s: float
     availability_zone: str = ""
     """Of this router."""
 
@@ -145,9 +146,11 @@
 
 
 def is_usable_engine(context: AdmissionContext, name: str) -> bool:
-    """Tell whether an engine is known and not leaving."""
+    """Tell whether an engine is known, not leaving, and takes requests of this router."""
     server = context.entry_context.configuration.backend_servers.get(name)
-    return server is not None and not server.leaving and name not in context.leaving
+    if server is None or server.leaving:
+        return False
+    return not backs_off(context.entry.backoffs, name, context.now_s)
 
 
 def find_source(
--- a/packages/core/src/myrtlehook_core/process/admission_ends.py
+++ b/packages/core/src/myrtlehook_core/process/admission_ends.py
@@ -10,7 +10,7 @@
 from myrtlehook_core.process.entries import account_of, count_queued, key_of
 from myrtlehook_core.process.events import RunEnded
 from myrtlehook_core.process.quarantine import find_hold_s
-from myrtlehook_core.process.refusals import refuse_with
+from myrtlehook_core.process.refusals import find_return_s, refuse_with
 from myrtlehook_core.process.shares import note_refused
 from myrtlehook_core.request.charges import settle_charge
 from myrtlehook_core.request.outcomes import RefusalReason
@@ -60,8 +60,10 @@
     request = admission.request
     del admissions.open[request.request_id]
     _forget(context, admission, ran=False)
-    held_s = find_hold_s(context.entry_context.quarantine, request.fingerprint, now_s)
-    wait_s = held_s or admission.retry_after_s
+    entry_context = context.entry_context
+    held_s = find_hold_s(entry_context.quarantine, request.fingerprint, now_s)
+    backoff_s = find_return_s(context.entry, entry_context, request, now_s)
+    wait_s = held_s or max(admission.retry_after_s, backoff_s)
     refuse_with(context.entry_context, request, reason, wait_s)
 
 
--- a/packages/core/src/myrtlehook_core/process/admissions.py
+++ b/packages/core/src/myrtlehook_core/process/admissions.py
@@ -5,7 +5,7 @@
 one takes over from it.
 """
 
-from myrtlehook_core.process.actions import Dispatch, RetryNoted
+from myrtlehook_core.process.actions import Dispatch, DropNoted, RetryNoted
 from myrtlehook_core.process.admission_asking import (
     Admission,
     AdmissionContext,
@@ -24,6 +24,7 @@
     AdmissionRefusal,
     AdmissionRelease,
 )
+from myrtlehook_core.process.backoffs import find_pool_wait_s
 from myrtlehook_core.process.entries import (
     EntryContext,
     account_of,
@@ -38,7 +39,7 @@
     refuse_request,
     refuse_with,
 )
-from myrtlehook_core.process.runs import may_retry
+from myrtlehook_core.process.runs import NO_FAILURES, may_retry
 from myrtlehook_core.process.shares import (
     asks_above_share,
     note_asked,
@@ -49,7 +50,7 @@
     charge_known,
     grow_charge,
 )
-from myrtlehook_core.request.outcomes import RefusalReason, RetryReason
+from myrtlehook_core.request.outcomes import DropReason, RefusalReason, RetryReason
 from myrtlehook_core.request.requests import RequestSpecification
 
 
@@ -104,10 +105,11 @@
         admission.ranking = rank_engines(context, admission.request).names
         candidates = list(admission.ranking)
         left = [name for name in candidates if name not in admission.tried]
-    if not candidates or admission.request.deadline_s <= now_s:
-        late = admission.request.deadline_s <= now_s
-        reason = RefusalReason.DEADLINE_PASSED if late else RefusalReason.NO_BACKEND_SERVER
-        refuse_admission(admissions, context, admission, reason, now_s)
+    if admission.request.deadline_s <= now_s:
+        refuse_admission(admissions, context, admission, RefusalReason.DEADLINE_PASSED, now_s)
+        return
+    if not candidates:
+        _wait_or_refuse(admissions, context, admission, now_s)
         return
     if not left or admission.hop >= options.engines_asked:
         full = admissions.full_tiers[admission.request.pool]
@@ -139,6 +141,11 @@
         return
     if admission.request.deadline_s <= now_s:
         refuse_admission(admissions, context, admission, RefusalReason.DEADLINE_PASSED, now_s)
+    elif not is_usable_engine(context, grant.backend_server):
+        # The last look before it is sent: what the engine has told this router since it was
+        # asked, its owner may not have heard.
+        context.entry_context.out.add(DropNoted(DropReason.GRANT_CLOSED))
+        _leave_engine(admissions, context, admission, now_s)
     else:
         _dispatch(admissions, context, admission, grant.unread_tokens, now_s)
 
@@ -196,7 +203,7 @@
     entry = context.entry
     account = account_of(entry, key_of(admission.request), context.entry_context.draw)
     cancel_charge(account, request_id)
-    failed = reason is not RetryReason.LEASE_EXPIRED
+    failed = reason not in NO_FAILURES
     release = AdmissionRelease(request_id, admission.backend_server, False, failed)
     tell_owner(context, admission, release)
     admission.granted = False
@@ -224,11 +231,42 @@
             reason = RefusalReason.CONFIGURATION_REMOVED
             refuse_admission(admissions, context, admission, reason, now_s)
         elif not is_usable_engine(context, admission.backend_server):
-            ask_next(admissions, context, admission, now_s)
+            _leave_engine(admissions, context, admission, now_s)
         elif now_s >= admission.next_ask_s:
             ask_owner(admissions, context, admission, now_s)
 
 
+def _leave_engine(
+    admissions: Admissions, context: AdmissionContext, admission: Admission, now_s: float
+) -> None:
+    """Withdraw a request from an engine that is not to be used, and ask for the next one."""
+    if admission.backend_server:
+        release = AdmissionRelease(
+            admission.request.request_id, admission.backend_server, ran=False
+        )
+        tell_owner(context, admission, release)
+    ask_next(admissions, context, admission, now_s)
+
+
+def _wait_or_refuse(
+    admissions: Admissions, context: AdmissionContext, admission: Admission, now_s: float
+) -> None:
+    """Hold a request that no engine takes, if one will in time for its aim; else refuse it."""
+    request = admission.request
+    entry_context = context.entry_context
+    backoffs = context.entry.backoffs
+    wait_s = find_pool_wait_s(backoffs, entry_context.configuration, request.pool, now_s)
+    if not wait_s:
+        reason = RefusalReason.NO_BACKEND_SERVER
+        refuse_admission(admissions, context, admission, reason, now_s)
+    elif now_s + wait_s >= min(request.aim_deadline_s, request.deadline_s):
+        refuse_admission(admissions, context, admission, RefusalReason.BACKED_OFF, now_s)
+    else:
+        # The next ticks look again; an engine that turned it away may be asked once more.
+        admission.backend_server = ""
+        admission.tried.clear()
+
+
 def _dispatch(
     admissions: Admissions,
     context: AdmissionContext,
--- a/packages/core/src/myrtlehook_core/process/bidding.py
+++ b/packages/core/src/myrtlehook_core/process/bidding.py
@@ -1,5 +1,6 @@
 """When an entry tells owners what waits, renews its leases, and reports service."""
 
+from myrtlehook_core.process.backoffs import list_backed_off
 from myrtlehook_core.process.choosers import Draw
 from myrtlehook_core.process.entries import (
     Entry,
@@ -65,8 +66,14 @@
     bid_to(entry, request.pool, owner, post, now_s)
 
 
-def bid_to(entry: Entry, pool: str, owner: str, post: Post, now_s: float) -> None:
-    """Tell one owner now what is already offered to it."""
+def bid_to(
+    entry: Entry, pool: str, owner: str, post: Post, now_s: float, unusable: str = ""
+) -> None:
+    """Tell one owner now what is already offered to it.
+
+    :param unusable: a backend server that nothing is sent to from here, whatever the owner
+        believes; the next bid does not say so any more.
+    """
     settled = {key for key in entry.told.get(owner, {}) if key.pool == pool}
     keys = [
         key
@@ -74,7 +81,7 @@
         if queue.waiting and (key in settled or entry.first_offers.get(key) == owner)
         if key.pool == pool
     ]
-    _send_bid(entry, pool, owner, keys, post, now_s)
+    _send_bid(entry, pool, owner, keys, post, now_s, unusable)
 
 
 def send_bids(
@@ -197,13 +204,22 @@
 
 
 def _send_bid(
-    entry: Entry, pool: str, owner: str, keys: list[PoolKey], post: Post, now_s: float
+    entry: Entry,
+    pool: str,
+    owner: str,
+    keys: list[PoolKey],
+    post: Post,
+    now_s: float,
+    unusable: str = "",
 ) -> None:
     others = {key: told for key, told in entry.told.get(owner, {}).items() if key.pool != pool}
     counts = {key: len(entry.queues[key].waiting) for key in keys}
     entry.told[owner] = others | counts
     rows = tuple(make_bid_row(entry, key) for key in keys)
-    post.add(owner, Bid(pool, now_s, rows))
+    barred = list_backed_off(entry.backoffs, pool, now_s)
+    if unusable and unusable not in barred:
+        barred = (*barred, unusable)
+    post.add(owner, Bid(pool, now_s, rows, barred))
 
 
 def _note_owed(account: ServiceAccount, standby: bool) -> None:
--- a/packages/core/src/myrtlehook_core/process/bids.py
+++ b/packages/core/src/myrtlehook_core/process/bids.py
@@ -28,6 +28,8 @@
     """The bidder's clock."""
     deadline_s: float
     lines: dict[str, BidLine]
+    barred_servers: frozenset[str] = frozenset()
+    """Backend servers to which this router sends nothing for now."""
 
 
 @dataclass(slots=True)
@@ -46,7 +48,9 @@
     if known is not None and known.sent_at_s > bid.sent_at_s:
         return False
     lines = {row.workspace: _make_line(row) for row in bid.rows}
-    bids.routers[sender] = RouterBid(bid.sent_at_s, deadline_s, lines)
+    bids.routers[sender] = RouterBid(
+        bid.sent_at_s, deadline_s, lines, frozenset(bid.barred_servers)
+    )
     return True
 
 
@@ -74,10 +78,18 @@
         bids.unreflected.popleft()
 
 
-def list_candidates(bids: PoolBids, share_of: Callable[[str], float | None]) -> list[Candidate]:
-    """Return every workspace with work waiting, at its highest known virtual service."""
+def list_candidates(
+    bids: PoolBids, share_of: Callable[[str], float | None], backend_server: str
+) -> list[Candidate]:
+    """Return every workspace with work waiting, at its highest known virtual service.
+
+    :param backend_server: whose slot is free; what waits at routers that send it nothing does
+        not count.
+    """
     merged: dict[str, BidLine] = {}
     for bid in bids.routers.values():
+        if backend_server in bid.barred_servers:
+            continue
         for workspace, line in bid.lines.items():
             if line.waiting_requests <= 0:
                 continue
@@ -97,11 +109,12 @@
     return candidates
 
 
-def pick_bidder(bids: PoolBids, workspace: str, draw: Draw) -> str:
+def pick_bidder(bids: PoolBids, workspace: str, backend_server: str, draw: Draw) -> str:
     """Pick the router that gets a workspace's slot, in proportion to what waits there."""
     waiting = {
         router: bid.lines[workspace].waiting_requests
         for router, bid in bids.routers.items()
+        if backend_server not in bid.barred_servers
         if workspace in bid.lines and bid.lines[workspace].waiting_requests > 0
     }
     mark = draw() * sum(waiting.values())
--- a/packages/core/src/myrtlehook_core/process/engine_decisions.py
+++ b/packages/core/src/myrtlehook_core/process/engine_decisions.py
@@ -47,7 +47,6 @@
 
     options: CoreOptions
     configuration: Configuration
-    leaving: frozenset[str]
     reachable: Callable[[str], bool]
     out: Outbox
     post: Post
@@ -159,7 +158,7 @@
 ) -> bool:
     if not may_use(load.health, len(load.granted), now_s):
         return False
-    if server.leaving or server.name in context.leaving:
+    if server.leaving:
         return False
     return now_s >= load.owned_since_s + context.options.adopt_delay_s
 
@@ -206,7 +205,7 @@
 
 def _is_usable(context: QueueContext, name: str) -> bool:
     server = context.configuration.backend_servers.get(name)
-    return server is not None and not server.leaving and name not in context.leaving
+    return server is not None and not server.leaving
 
 
 def _grant(
--- a/packages/core/src/myrtlehook_core/process/entries.py
+++ b/packages/core/src/myrtlehook_core/process/entries.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 from myrtlehook_core.process.actions import Outbox
+from myrtlehook_core.process.backoffs import Backoffs
 from myrtlehook_core.process.choosers import Draw
 from myrtlehook_core.process.messages import BidRow, Release, TotalRow
 from myrtlehook_core.process.options import CoreOptions
@@ -65,6 +66,8 @@
     """When each grant that was taken may be forgotten: a doubled one starts nothing."""
     unconfirmed_releases: list[Release] = field(default_factory=list)
     """Sent once; sent again at the next refresh, because a lost one idles a slot."""
+    backoffs: Backoffs = field(default_factory=dict)
+    """The backend servers that want nothing of this router for now."""
     queued_requests: int = 0
     queued_bytes: int = 0
     next_refresh_s: float = 0.0
--- a/packages/core/src/myrtlehook_core/process/event_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/event_handlers.py
@@ -13,6 +13,7 @@
     retry_admission,
     tick_admissions,
 )
+from myrtlehook_core.process.backoffs import forget_passed
 from myrtlehook_core.process.bidding import (
     keys_to_report,
     offer_first,
@@ -27,14 +28,18 @@
     RunningRequest,
     drop_idle_queues,
 )
+from myrtlehook_core.process.leaving_servers import (
+    forget_left,
+    note_incarnation,
+    note_leaving,
+)
 from myrtlehook_core.process.ledgers import drop_idle_accounts
 from myrtlehook_core.process.members import (
     MemberState,
     StateCause,
     add_candidate,
     change_state,
-    note_leaving_server,
-    note_server_incarnation,
+    count_news,
 )
 from myrtlehook_core.process.membership_messages import LeavingRow
 from myrtlehook_core.process.messages import Release
@@ -62,6 +67,7 @@
     observe_service,
     retry_run,
 )
+from myrtlehook_core.process.server_notice_handlers import on_server_noticed
 from myrtlehook_core.process.shares import Reporters, send_collected, send_demands
 from myrtlehook_core.process.source_handlers import (
     PLATFORM,
@@ -152,9 +158,10 @@
 
 
 def _on_load(core: "RouterCore", event: events.LoadReported, now_s: float) -> None:
-    note_server_incarnation(core.table, event.backend_server, event.incarnation)
+    note_incarnation(core.leaving, event.backend_server, event.incarnation)
     if event.leaving:
-        note_leaving_server(core.table, LeavingRow(event.backend_server, event.incarnation))
+        row = LeavingRow(event.backend_server, event.incarnation)
+        note_leaving(core.leaving, row, count_news(core.table))
     receive_load(core.owner, core.owner_context(), event, now_s)
     order = find_order(core.configuration, event)
     if order is not None and event.backend_server in core.owner.servers:
@@ -259,6 +266,8 @@
     drop_idle_queues(core.entry, now_s, core.options.idle_drop_s)
     drop_idle_accounts(core.ledger, now_s, core.options)
     forget_old(core.quarantine, now_s)
+    forget_left(core.leaving, core.configuration.backend_servers, now_s)
+    forget_passed(core.entry.backoffs, now_s)
     repeat_sound_reports(core, now_s)
     sweep_source(core, now_s)
 
@@ -270,6 +279,7 @@
     events.ServiceObserved: _on_service,
     events.RunEnded: _on_ended,
     events.ServerEndedInRun: on_server_ended,
+    events.ServerNoticed: on_server_noticed,
     events.RunNotStarted: _on_not_started,
     events.MessageReceived: _on_message,
     events.LoadReported: _on_load,
--- a/packages/core/src/myrtlehook_core/process/events.py
+++ b/packages/core/src/myrtlehook_core/process/events.py
@@ -62,6 +62,18 @@
     """When its answer broke off."""
 
 
+@dataclass(frozen=True, slots=True)
+class ServerNoticed:
+    """A backend server has said something of itself in the head of an answer."""
+
+    backend_server: str
+    request_id: str
+    """Of the request that it answered."""
+    leaving: bool = False
+    backoff_until_s: float = 0.0
+    """Until then it wants nothing of this router; 0 where it did not say."""
+
+
 @dataclass(frozen=True, slots=True)
 class RunNotStarted:
     """A dispatched request certainly was not run."""
@@ -171,6 +183,7 @@
     | ServiceObserved
     | RunEnded
     | ServerEndedInRun
+    | ServerNoticed
     | RunNotStarted
     | MessageReceived
     | LoadReported
--- a/packages/core/src/myrtlehook_core/process/members.py
+++ b/packages/core/src/myrtlehook_core/process/members.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from enum import IntEnum, StrEnum
 
-from myrtlehook_core.process.membership_messages import LeavingRow, MemberRow
+from myrtlehook_core.process.membership_messages import MemberRow
 
 NEWS_ROWS = 16
 """Most member rows that ride on one probe."""
@@ -80,14 +80,6 @@
     availability_zone: str = ""
 
 
-@dataclass(slots=True)
-class LeavingServer:
-    """A backend server that said it is leaving."""
-
-    incarnation: int
-    news_left: int
-
-
 @dataclass(slots=True)
 class MemberTable:
     """All members, with a version that moves whenever ownership may move."""
@@ -95,7 +87,6 @@
     identity: RouterIdentity
     incarnation: int
     members: dict[str, Member] = field(default_factory=dict)
-    leaving_servers: dict[str, LeavingServer] = field(default_factory=dict)
     fresh: dict[str, Member] = field(default_factory=dict)
     """Members that are news; kept so that a probe need not search the whole table."""
     suspects: dict[str, Member] = field(default_factory=dict)
@@ -243,27 +234,11 @@
     if state is MemberState.SUSPECT:
         member.suspect_deadline_s = now_s + suspicion_s
         table.suspects[member.router_id] = member
-    member.news_left = _news_count(table)
+    member.news_left = count_news(table)
     table.fresh[member.router_id] = member
     table.version += 1
 
 
-def note_leaving_server(table: MemberTable, row: LeavingRow) -> bool:
-    """Note that a backend server is leaving; True when that is new."""
-    known = table.leaving_servers.get(row.backend_server)
-    if known is not None and known.incarnation >= row.incarnation:
-        return False
-    table.leaving_servers[row.backend_server] = LeavingServer(row.incarnation, _news_count(table))
-    return True
-
-
-def note_server_incarnation(table: MemberTable, backend_server: str, incarnation: int) -> None:
-    """Forget that a server was leaving once a later incarnation of it reports."""
-    known = table.leaving_servers.get(backend_server)
-    if known is not None and incarnation > known.incarnation:
-        del table.leaving_servers[backend_server]
-
-
 def collect_member_news(table: MemberTable, about: str) -> tuple[MemberRow, ...]:
     """Pick the rows for one probe: own row, the receiver's if it must refute, fresh news."""
     rows = [own_row(table)]
@@ -279,16 +254,6 @@
     return tuple(rows)
 
 
-def collect_leaving_news(table: MemberTable) -> tuple[LeavingRow, ...]:
-    """Pick the leaving backend servers that ride on one probe."""
-    rows: list[LeavingRow] = []
-    for name, server in table.leaving_servers.items():
-        if server.news_left > 0 and len(rows) < NEWS_ROWS:
-            server.news_left -= 1
-            rows.append(LeavingRow(name, server.incarnation))
-    return tuple(rows)
-
-
 def _make_row(
     router_id: str, address: str, incarnation: int, state: MemberState, zone: str
 ) -> MemberRow:
@@ -302,5 +267,6 @@
         table.incarnation = row.incarnation + 1
 
 
-def _news_count(table: MemberTable) -> int:
+def count_news(table: MemberTable) -> int:
+    """Return on how many probes a piece of news rides, so that all are likely to hear it."""
     return NEWS_FACTOR * math.ceil(math.log2(len(table.members) + 2))
--- a/packages/core/src/myrtlehook_core/process/membership_messages.py
+++ b/packages/core/src/myrtlehook_core/process/membership_messages.py
@@ -24,6 +24,12 @@
     incarnation: int
 
 
+class LeavingNotice(msgspec.Struct, frozen=True, array_like=True, tag=30):
+    """Tells a backend server's owner what an answer has told the sender."""
+
+    row: LeavingRow
+
+
 class News(msgspec.Struct, frozen=True, array_like=True):
     """What rides on probes."""
 
--- a/packages/core/src/myrtlehook_core/process/message_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/message_handlers.py
@@ -37,6 +37,7 @@
     Ack,
     Announcement,
     IndirectProbe,
+    LeavingNotice,
     MembersQuery,
     MembersReply,
     Probe,
@@ -79,6 +80,7 @@
 from myrtlehook_core.process.runs import (
     spend_grant,
 )
+from myrtlehook_core.process.server_notice_handlers import take_leaving_notice
 from myrtlehook_core.process.shares import take_level, take_zone_report
 from myrtlehook_core.process.source_handlers import (
     hear_source,
@@ -152,7 +154,7 @@
     core: "RouterCore", sender: str, message: Announcement, now_s: float
 ) -> None:
     before = find_state(core.table, sender)
-    take_news(core.probe_context(), message.news, now_s)
+    take_news(core.probe_context(), sender, message.news, now_s)
     hear_source(core, sender, message.news, now_s)
     relay_quarantine(core, sender, hear_quarantine(core, message.news, now_s))
     if not core.is_near(sender) and find_state(core.table, sender) is not before:
@@ -173,7 +175,7 @@
 def _take_members_reply(
     core: "RouterCore", sender: str, message: MembersReply, now_s: float
 ) -> None:
-    take_news(core.probe_context(), message.news, now_s)
+    take_news(core.probe_context(), sender, message.news, now_s)
     hear_source(core, sender, message.news, now_s)
     hear_quarantine(core, message.news, now_s)
 
@@ -267,6 +269,7 @@
     AdmissionRelease: _take_admission_release,
     HeldAdmissions: _take_held_admissions,
     Announcement: _take_announcement,
+    LeavingNotice: take_leaving_notice,
     ServersQuery: take_servers_query,
     ServersReply: take_servers_reply,
     ServerEndReport: take_end_report,
--- a/packages/core/src/myrtlehook_core/process/messages.py
+++ b/packages/core/src/myrtlehook_core/process/messages.py
@@ -23,6 +23,7 @@
     Ack,
     Announcement,
     IndirectProbe,
+    LeavingNotice,
     MembersQuery,
     MembersReply,
     Probe,
@@ -47,6 +48,8 @@
     sent_at_s: float
     """Sender's clock; comes back in a grant, so that no clocks are compared."""
     rows: tuple[BidRow, ...]
+    barred_servers: tuple[str, ...] = ()
+    """Backend servers of the pool to which the sender sends nothing for now."""
 
 
 class Grant(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -199,6 +202,7 @@
     | HoldList
     | Report
     | Totals
+    | LeavingNotice
     | Probe
     | Ack
     | IndirectProbe
--- a/packages/core/src/myrtlehook_core/process/owners.py
+++ b/packages/core/src/myrtlehook_core/process/owners.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from myrtlehook_core.process.actions import Outbox, PollLoad, ServerEjected
+from myrtlehook_core.process.backoffs import Backoffs, backs_off
 from myrtlehook_core.process.bids import (
     REFLECT_REFRESHES,
     PoolBids,
@@ -72,7 +73,8 @@
     configuration: Configuration
     other_owners: Callable[[str], tuple[str, ...]]
     """The other routers that own servers of a pool."""
-    leaving: frozenset[str]
+    backoffs: Backoffs
+    """Of the servers that want nothing of this router."""
     draw: Draw
     out: Outbox
     post: Post
@@ -191,6 +193,8 @@
         configured = context.configuration.backend_servers.get(name)
         if configured is None or math.isinf(context.options.load_interval_s):
             continue
+        if backs_off(context.backoffs, name, now_s):
+            continue
         if now_s >= owner.next_poll_s.get(name, 0.0):
             owner.next_poll_s[name] = now_s + context.options.load_interval_s
             context.out.add(PollLoad(name, configured.address))
@@ -208,10 +212,14 @@
         return
     choose = _chooser(context, pool)
     while free:
-        candidates = list_candidates(bids, _share_lookup(context.configuration))
-        if not candidates:
-            return
         name = max(free, key=lambda server: (free[server], server))
+        candidates = list_candidates(bids, _share_lookup(context.configuration), name)
+        if not candidates and not any(bid.barred_servers for bid in bids.routers.values()):
+            return
+        if not candidates:
+            # Whoever has work waiting sends this server nothing.
+            del free[name]
+            continue
         _grant_one(owner, context, bids, name, choose(candidates, context.draw), now_s)
         free[name] -= 1
         if free[name] == 0:
@@ -232,7 +240,7 @@
     now_s: float,
 ) -> None:
     options = context.options
-    router = pick_bidder(bids, candidate.workspace, context.draw)
+    router = pick_bidder(bids, candidate.workspace, backend_server, context.draw)
     note_granted(bids, router, candidate.workspace)
     pool = context.configuration.backend_servers[backend_server].pool
     if options.early_charge:
@@ -287,7 +295,7 @@
 def _may_grant(
     server: ServerSlots, configured: BackendServer, context: OwnerContext, now_s: float
 ) -> bool:
-    if configured.leaving or configured.name in context.leaving:
+    if configured.leaving:
         return False
     if not may_use(server.health, len(server.holds), now_s):
         return False
--- a/packages/core/src/myrtlehook_core/process/probing.py
+++ b/packages/core/src/myrtlehook_core/process/probing.py
@@ -3,8 +3,13 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from myrtlehook_core.process.actions import Outbox, RenewLink, Send
+from myrtlehook_core.process.actions import Outbox, RenewLink, Send, ServerLeavingNoted
 from myrtlehook_core.process.choosers import Draw
+from myrtlehook_core.process.leaving_servers import (
+    LeavingServers,
+    collect_rows,
+    note_leaving,
+)
 from myrtlehook_core.process.members import (
     Member,
     MemberState,
@@ -12,11 +17,10 @@
     StateCause,
     can_probe,
     change_state,
-    collect_leaving_news,
     collect_member_news,
+    count_news,
     forget_member,
     member_row,
-    note_leaving_server,
     own_row,
     take_row,
 )
@@ -90,6 +94,7 @@
     """What the probing functions need besides their own state."""
 
     table: MemberTable
+    leaving: LeavingServers
     options: CoreOptions
     draw: Draw
     version: ConfigurationVersion
@@ -123,7 +128,7 @@
 
 def take_probe(context: ProbeContext, sender: str, probe: Probe, now_s: float) -> None:
     """Acknowledge a probe and take its news."""
-    take_news(context, probe.news, now_s)
+    take_news(context, sender, probe.news, now_s)
     _send(
         context,
         sender,
@@ -133,7 +138,7 @@
 
 def take_ack(prober: Prober, context: ProbeContext, sender: str, ack: Ack, now_s: float) -> None:
     """Take an acknowledgement: its target is alive."""
-    take_news(context, ack.news, now_s)
+    take_news(context, sender, ack.news, now_s)
     if sender == ack.target:
         prober.missed.pop(sender, None)
     pending = prober.pending.pop(ack.probe_id, None)
@@ -168,12 +173,13 @@
     _send(context, sender, MembersReply(_make_news(context, tuple(rows))))
 
 
-def take_news(context: ProbeContext, news: News, now_s: float) -> None:
+def take_news(context: ProbeContext, sender: str, news: News, now_s: float) -> None:
     """Take the members and leaving servers that rode on a message."""
     for row in news.members:
         take_row(context.table, row, now_s, context.options.suspicion_s)
     for leaving in news.leaving:
-        note_leaving_server(context.table, leaving)
+        if note_leaving(context.leaving, leaving, count_news(context.table)):
+            context.out.add(ServerLeavingNoted(leaving.backend_server, sender))
 
 
 def announce(context: ProbeContext) -> None:
@@ -303,7 +309,7 @@
 def _make_news(context: ProbeContext, members: tuple[MemberRow, ...]) -> News:
     return News(
         members=members,
-        leaving=collect_leaving_news(context.table),
+        leaving=collect_rows(context.leaving),
         configuration_number=context.version.number,
         configuration_digest=context.version.digest,
         servers_revision=context.servers_revision,
--- a/packages/core/src/myrtlehook_core/process/routers.py
+++ b/packages/core/src/myrtlehook_core/process/routers.py
@@ -33,6 +33,7 @@
     EntryContext,
 )
 from myrtlehook_core.process.event_handlers import EVENT_HANDLERS
+from myrtlehook_core.process.leaving_servers import LeavingServers, mark_leaving
 from myrtlehook_core.process.ledgers import Ledger
 from myrtlehook_core.process.members import (
     MemberState,
@@ -91,7 +92,8 @@
         self.placement = Placement()
         self.exchange = ConfigurationExchange(parser=parser)
         self.discovery = Discovery()
-        self._applied_revision = 0
+        self.leaving = LeavingServers()
+        self._applied_revisions = (0, 0)
         self._applied_base = self.exchange.current
         self._configuration = self.exchange.current
         self.entry = Entry(options.retry_burst)
@@ -111,13 +113,17 @@
 
     @property
     def configuration(self) -> Configuration:
-        """The configuration in force, with the servers that discovery knows."""
+        """The configuration in force, with the servers that discovery knows.
+
+        Those that have said that they leave are marked, in whichever way it was heard.
+        """
         base = self.exchange.current
-        revision = self.discovery.revision
-        if self._applied_base is not base or self._applied_revision != revision:
+        revisions = (self.discovery.revision, self.leaving.revision)
+        if self._applied_base is not base or self._applied_revisions != revisions:
             self._applied_base = base
-            self._applied_revision = revision
-            self._configuration = apply_discovery(base, self.discovery)
+            self._applied_revisions = revisions
+            discovered = apply_discovery(base, self.discovery)
+            self._configuration = mark_leaving(discovered, self.leaving)
         return self._configuration
 
     def add_seeds(self, seeds: Iterable[tuple[str, str]], now_s: float) -> None:
@@ -178,7 +184,7 @@
             options=self.options,
             configuration=self.configuration,
             other_owners=self._other_owners,
-            leaving=frozenset(self.table.leaving_servers),
+            backoffs=self.entry.backoffs,
             draw=self.draw,
             out=self.out,
             post=self.post,
@@ -191,7 +197,7 @@
             entry_context=self.entry_context(),
             shares=self.shares,
             owner_of=self.placement.server_owners.get,
-            leaving=frozenset(self.table.leaving_servers),
+            now_s=self._now_s,
             availability_zone=self.identity.availability_zone,
         )
 
@@ -200,7 +206,6 @@
         return QueueContext(
             options=self.options,
             configuration=self.configuration,
-            leaving=frozenset(self.table.leaving_servers),
             reachable=self.reachable,
             out=self.out,
             post=self.post,
@@ -210,6 +215,7 @@
         """Return the failure detector's context for this event."""
         return ProbeContext(
             table=self.table,
+            leaving=self.leaving,
             options=self.options,
             draw=self.draw,
             version=self.configuration.version,
--- a/packages/core/src/myrtlehook_core/process/runs.py
+++ b/packages/core/src/myrtlehook_core/process/runs.py
@@ -1,6 +1,8 @@
 """The course of a request at its entry: queued, dispatched on a grant, ended or retried."""
 
 from myrtlehook_core.process.actions import Dispatch, DropNoted, RetryNoted
+from myrtlehook_core.process.backoffs import backs_off
+from myrtlehook_core.process.bidding import bid_to
 from myrtlehook_core.process.entries import (
     Entry,
     EntryContext,
@@ -36,6 +38,10 @@
 """Retry reasons at which not even one byte was sent; only then is a request that
 must not be repeated queued again."""
 
+NO_FAILURES = frozenset({RetryReason.LEASE_EXPIRED, RetryReason.SERVER_BACKED_OFF})
+"""Retry reasons that say nothing against the server. One that names when it takes requests
+again has not failed; to eject it would keep others away, of whom it wanted nothing."""
+
 UNSENT_ATTEMPTS = 4
 """Bounds how often a request is dispatched again that never reached a server."""
 
@@ -86,8 +92,15 @@
     lease_deadline_s = grant.bid_sent_at_s + context.options.grant_lease_s
     expired = now_s >= lease_deadline_s
     workspace = context.configuration.workspaces.get(grant.workspace)
-    if expired or queue is None or not queue.waiting or workspace is None:
-        reason = DropReason.GRANT_EXPIRED if expired else DropReason.GRANT_UNUSED
+    # The last look before anything is sent there: its owner may not know what it told here.
+    server = context.configuration.backend_servers.get(grant.backend_server)
+    backs_off_here = backs_off(entry.backoffs, grant.backend_server, now_s)
+    closed = backs_off_here or server is None or server.leaving
+    if expired or closed or queue is None or not queue.waiting or workspace is None:
+        if closed:
+            # Ahead of the release, which would have the owner grant the same slot again.
+            bid_to(entry, grant.pool, owner, context.post, now_s, grant.backend_server)
+        reason = _name_drop(expired, closed)
         context.out.add(DropNoted(reason))
         release = _release_unused(entry, key, grant, now_s)
         entry.unconfirmed_releases.append(release)
@@ -144,7 +157,7 @@
     else:
         refusal = choose_last_refusal(context, request, now_s)
         refuse_request(entry, context, request, refusal, now_s)
-    failed = reason is not RetryReason.LEASE_EXPIRED
+    failed = reason not in NO_FAILURES
     return running, _release_running(entry, key, running, now_s, failed)
 
 
@@ -217,6 +230,12 @@
     return request.attempts
 
 
+def _name_drop(expired: bool, closed: bool) -> DropReason:
+    if expired:
+        return DropReason.GRANT_EXPIRED
+    return DropReason.GRANT_CLOSED if closed else DropReason.GRANT_UNUSED
+
+
 def _release_running(
     entry: Entry, key: PoolKey, running: RunningRequest, now_s: float, failed: bool
 ) -> Release:
--- a/packages/core/src/myrtlehook_core/process/source_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/source_handlers.py
@@ -10,7 +10,8 @@
     FetchPart,
     ReadSource,
 )
-from myrtlehook_core.process.members import note_leaving_server
+from myrtlehook_core.process.leaving_servers import note_leaving
+from myrtlehook_core.process.members import count_news
 from myrtlehook_core.process.membership_messages import LeavingRow, News
 from myrtlehook_core.process.messages import ConfigurationQuery
 from myrtlehook_core.process.probing import announce, announce_near
@@ -135,7 +136,7 @@
     known = core.discovery.known
     leaving = tuple(sorted(name for name, server in known.items() if server.leaving))
     for name in leaving:
-        note_leaving_server(core.table, LeavingRow(name, 0))
+        note_leaving(core.leaving, LeavingRow(name, 0), count_news(core.table))
     revision = core.discovery.source_revision
     core.out.add(BackendServersChanged(tuple(known), leaving, revision, source))
 
--- a/packages/core/src/myrtlehook_core/process/statuses.py
+++ b/packages/core/src/myrtlehook_core/process/statuses.py
@@ -88,7 +88,7 @@
                 backend_server=name,
                 pool=server.pool,
                 owner=core.placement.server_owners.get(name, ""),
-                leaving=server.leaving or name in core.table.leaving_servers,
+                leaving=server.leaving,
                 slots=server.slots,
                 held_slots=None if owned is None else len(owned.holds),
                 foreign_requests=None if owned is None else foreign_requests(owned),
--- a/packages/router/src/myrtlehook_router/connection/engines.py
+++ b/packages/router/src/myrtlehook_router/connection/engines.py
@@ -4,7 +4,7 @@
 replaces this one.
 """
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from enum import StrEnum
 
 import msgspec
@@ -86,9 +86,15 @@
 
 
 def start_run(
-    address: str, order: RunOrder, read_timeout_s: float
+    address: str,
+    order: RunOrder,
+    read_timeout_s: float,
+    note_head: Callable[[urllib3.BaseHTTPResponse], object],
 ) -> Result[urllib3.BaseHTTPResponse, StartFailure]:
-    """Ask an engine to run a request."""
+    """Ask an engine to run a request.
+
+    :param note_head: hears of the answer's head, whatever it says.
+    """
     request = BackendRequest(
         method="POST",
         address=address,
@@ -102,6 +108,7 @@
         not_sent = sent.err_value is SendFailure.NOT_SENT
         return Err(StartFailure.NOT_SENT if not_sent else StartFailure.UNKNOWN)
     response = sent.ok_value
+    note_head(response)
     if response.status == 200:
         return Ok(response)
     return Err(_read_refusal(response))
--- a/packages/router/src/myrtlehook_router/process/core_tasks.py
+++ b/packages/router/src/myrtlehook_router/process/core_tasks.py
@@ -199,6 +199,25 @@
             source=action.source,
         )
 
+    def _note_leaving(self, action: actions.ServerLeavingNoted) -> None:
+        self._counters.add("backend.leaving")
+        _log.info(
+            "backend server leaves",
+            backend_server=action.backend_server,
+            source=action.source,
+            request_id=action.request_id or None,
+        )
+
+    def _note_backoff(self, action: actions.ServerBackoffNoted) -> None:
+        self._counters.add("backend.backoff")
+        left_s = action.until_s - clocks.now_s()
+        _log.info(
+            "backend server backs off",
+            backend_server=action.backend_server,
+            for_s=round(left_s, 2),
+            request_id=action.request_id,
+        )
+
     def _read_source(self, action: actions.ReadSource) -> None:
         self._counters.add(f"source.{'read' if action.wanted else 'left_to_others'}")
         self._reading.set(action.wanted)
@@ -319,6 +338,8 @@
     actions.FetchPart: CoreTask._fetch_part,
     actions.ConfigurationChanged: CoreTask._note_configuration,
     actions.BackendServersChanged: CoreTask._note_servers,
+    actions.ServerLeavingNoted: CoreTask._note_leaving,
+    actions.ServerBackoffNoted: CoreTask._note_backoff,
     actions.ReadSource: CoreTask._read_source,
     actions.ConfigurationRejected: CoreTask._note_rejection,
     actions.AdmissionDecided: CoreTask._note_admission,
--- a/packages/router/src/myrtlehook_router/request/attempts.py
+++ b/packages/router/src/myrtlehook_router/request/attempts.py
@@ -16,6 +16,10 @@
     note_head,
 )
 
+NAMED_BACKOFF_S = 0.5
+"""A server that wants to be left alone for less is still counted as failing, so that one which
+turns everything away gets ever fewer requests: an ejection begins with as much."""
+
 READ_BYTES = 64 * 1024
 DISCARDED_PIECES = 16
 """An answer that is not passed on is read to its end up to so many pieces."""
@@ -51,14 +55,24 @@
     note_head(relay, response)
     if relay.names.not_run in response.headers or response.status == REPLACED_STATUS:
         _read_to_end(exchange, relay.request.deadline_s)
-        replaced = response.status == REPLACED_STATUS
-        return Err(RetryReason.SERVER_REPLACED if replaced else RetryReason.SERVER_REFUSED)
+        return Err(_name_refusal(relay))
     if response.status < 300 and relay.names.seal not in response.headers:
         return _distrust(relay, exchange, "seal")
     relay.first_byte_at_s = clocks.now_s()
     return Ok(response)
 
 
+def _name_refusal(relay: Relay) -> RetryReason:
+    """Return why a server did not run the request."""
+    if relay.status == REPLACED_STATUS:
+        return RetryReason.SERVER_REPLACED
+    if relay.notice.leaving:
+        return RetryReason.SERVER_LEAVING
+    if relay.notice.backoff_s >= NAMED_BACKOFF_S:
+        return RetryReason.SERVER_BACKED_OFF
+    return RetryReason.SERVER_REFUSED
+
+
 def read_deadline_s(relay: Relay, patience_s: float) -> float:
     """Return until when a server may be silent: less while another one may be asked."""
     route = relay.request.route
--- a/packages/router/src/myrtlehook_router/request/calls.py
+++ b/packages/router/src/myrtlehook_router/request/calls.py
@@ -32,7 +32,7 @@
 )
 from myrtlehook_router.request.broken_runs import note_broken_run
 from myrtlehook_router.request.callers import CallerRequest, read_body
-from myrtlehook_router.request.headers import HeaderNames, router_only
+from myrtlehook_router.request.headers import OWN_NAMES, router_only
 from myrtlehook_router.request.placements import (
     Place,
     close_place,
@@ -42,6 +42,7 @@
     server_address,
     wait_for_slot,
 )
+from myrtlehook_router.request.server_notices import note_answer
 from myrtlehook_router.request.services import RequestServices
 
 SERVICE_PREFIX = "/services/"
@@ -73,7 +74,7 @@
         "x-request-id",
         "x-timeout-ms",
     }
-) | router_only(HeaderNames())
+) | router_only(OWN_NAMES)
 """Headers of one hop, and those meant for the router or set by it; the key stays here."""
 
 
@@ -164,6 +165,7 @@
             return Err(RetryReason.CONNECT_FAILED)
         return Ok(_fail(call, sent.err_value))
     response = sent.ok_value
+    note_answer(place.services, call.request.request_id, call.backend_server, response, OWN_NAMES)
     if response.headers.get(RUN_STATE_HEADER) == NOT_STARTED_STATE and response.status == 503:
         response.drain_conn()
         response.release_conn()
--- a/packages/router/src/myrtlehook_router/request/chats.py
+++ b/packages/router/src/myrtlehook_router/request/chats.py
@@ -38,6 +38,7 @@
 )
 from myrtlehook_router.request.broken_runs import note_broken_run
 from myrtlehook_router.request.callers import CallerRequest, read_body
+from myrtlehook_router.request.headers import OWN_NAMES
 from myrtlehook_router.request.placements import (
     Place,
     close_place,
@@ -48,6 +49,7 @@
     server_address,
     wait_for_slot,
 )
+from myrtlehook_router.request.server_notices import note_answer, note_leaving
 from myrtlehook_router.request.services import RequestServices
 
 PREFIX_CHARACTERS = 512
@@ -189,7 +191,16 @@
         deadline_s = place.specification.deadline_s
         order = _make_order(chat, dispatch.attempt, dispatch.priority_units)
         sent_at_s = clocks.now_s()
-        started = start_run(address, order, read_timeout_s(deadline_s))
+        note_head = partial(
+            note_answer,
+            place.services,
+            chat.request_id,
+            dispatch.backend_server,
+            names=OWN_NAMES,
+        )
+        started = start_run(address, order, read_timeout_s(deadline_s), note_head)
+        if isinstance(started, Err) and started.err_value is StartFailure.LEAVING:
+            note_leaving(place.services, chat.request_id, dispatch.backend_server)
         if isinstance(started, Err) and started.err_value is not StartFailure.UNKNOWN:
             not_started(place, RETRY_REASONS[started.err_value])
             continue
--- a/packages/router/src/myrtlehook_router/request/headers.py
+++ b/packages/router/src/myrtlehook_router/request/headers.py
@@ -55,6 +55,10 @@
     """Another engine, from which an engine takes what that one keeps of a prompt."""
 
 
+OWN_NAMES = HeaderNames()
+"""Those of the product's own interface."""
+
+
 def router_only(names: HeaderNames) -> frozenset[str]:
     """Return the headers of a request that only the router may set, in lower case.
 
--- a/packages/router/src/myrtlehook_router/request/placements.py
+++ b/packages/router/src/myrtlehook_router/request/placements.py
@@ -36,6 +36,7 @@
     RefusalReason.SHARE_EXCEEDED: "the workspace asks for more than its share",
     RefusalReason.DEADLINE_PASSED: "the deadline passed before a slot was free",
     RefusalReason.NO_BACKEND_SERVER: "no backend server is configured for this pool",
+    RefusalReason.BACKED_OFF: "each backend server wants nothing of this router for now",
     RefusalReason.QUARANTINED: "backend servers ended again and again while they ran this request",
     RefusalReason.RETRIES_EXHAUSTED: "no backend server would start the request",
     RefusalReason.DRAINING: "this router is stopping; ask another",
--- a/packages/router/src/myrtlehook_router/request/server_notices.py
+++ b/packages/router/src/myrtlehook_router/request/server_notices.py
@@ -11,6 +11,8 @@
 
 import urllib3
 
+from myrtlehook_core import events
+from myrtlehook_router.process import clocks
 from myrtlehook_router.process.logs import get_logger
 from myrtlehook_router.request.headers import HeaderNames
 from myrtlehook_router.request.services import RequestServices
@@ -22,6 +24,9 @@
 """A server that asks for more is asked again after an hour: nobody may be there at night who
 would notice that it never is."""
 
+UNREADABLE_TOLD = 1000
+"""Of so many servers a process tells that they sent something unreadable."""
+
 RETRY_AFTER = "Retry-After"
 LEAVING_VALUE = "1"
 
@@ -81,19 +86,44 @@
     notice = read_notice(response.status, response.headers.items(), names)
     if notice == NO_NOTICE:
         return notice
-    if notice.leaving:
-        services.counters.add("backend.told.leaving")
+    if notice.unreadable:
+        _note_unreadable(services, request_id, backend_server, notice)
     if notice.backoff_s:
         services.counters.add("backend.told.backoff")
-    if notice.unreadable:
-        services.counters.add("backend.told.unreadable")
-    _log.info(
-        "server told",
+    if notice.leaving:
+        services.counters.add("backend.told.leaving")
+    if notice.backoff_s or (notice.leaving and not _is_leaving(services, backend_server)):
+        until_s = clocks.now_s() + notice.backoff_s if notice.backoff_s else 0.0
+        services.mailbox.post(
+            events.ServerNoticed(backend_server, request_id, notice.leaving, until_s)
+        )
+    return notice
+
+
+def note_leaving(services: RequestServices, request_id: str, backend_server: str) -> None:
+    """Take it that a server has refused a request because it leaves."""
+    services.counters.add("backend.told.leaving")
+    services.mailbox.post(events.ServerNoticed(backend_server, request_id, leaving=True))
+
+
+def _is_leaving(services: RequestServices, backend_server: str) -> bool:
+    server = services.configuration().backend_servers.get(backend_server)
+    return server is not None and server.leaving
+
+
+def _note_unreadable(
+    services: RequestServices, request_id: str, backend_server: str, notice: ServerNotice
+) -> None:
+    """Count what cannot be read, and tell of the first of each server."""
+    services.counters.add("backend.told.unreadable")
+    told = services.unreadable_notices
+    if backend_server in told or len(told) >= UNREADABLE_TOLD:
+        return
+    told.add(backend_server)
+    _log.warning(
+        "server told nothing readable",
         request_id=request_id,
         backend_server=backend_server,
-        status=response.status,
-        leaving=notice.leaving,
-        backoff_s=notice.backoff_s,
-        unreadable=notice.unreadable,
+        seen=notice.unreadable,
+        expected="1 for a server that leaves; seconds to be left alone for",
     )
-    return notice
--- a/packages/router/src/myrtlehook_router/request/services.py
+++ b/packages/router/src/myrtlehook_router/request/services.py
@@ -26,3 +26,5 @@
     shedding: Shedding = field(default_factory=Shedding)
     refusal_sums: RefusalSums = field(default_factory=RefusalSums)
     checks: ServerChecks = field(default_factory=ServerChecks)
+    unreadable_notices: set[str] = field(default_factory=set)
+    """Backend servers of whose unreadable headers the log has told."""
--- a/tests/features/server_notices.feature
+++ b/tests/features/server_notices.feature
@@ -51,3 +51,52 @@
     When the busiest "desk" turns 1 in 2 requests away for 2 s, beside requests to "/setpoint/a"
     Then it got at most 2 requests of each router after the first 0.5 s of that time
     And it runs requests again
+
+  Scenario: No router sends to a server that has told it not to, whatever else happens
+    Then in any history no router sends to a server that has told it not to
+
+  Scenario: Nobody stays without an answer, and servers are used again
+    Then in any history callers are served again once servers turn nobody away
+
+  Scenario: What one answer told, the server's owner knows at once and all others soon
+    Given a fleet of 12 routers before 6 engines, all of which know one another
+    When an answer tells one router that "e3" leaves
+    Then within 0.05 s the owner of "e3" grants it no more
+    And within 2 s every router takes "e3" for leaving
+
+  Scenario: Where no server takes a router's requests for long, callers hear when one will
+    Given a fleet of 3 routers before 4 engines, all of which know one another
+    When every engine turns router 1 away for 3 s
+    Then a request there is refused at once, to come back within 0.5 s after that time
+    And another router serves as before
+
+  Scenario: Where a server takes requests again within their aim, they wait for it
+    Given a fleet of 3 routers before 4 engines, all of which know one another
+    When every engine turns router 1 away for 0.3 s
+    Then a request there waits, and is served after that time within its aim
+
+  Scenario: The head of an answer is read strictly
+    Then an answer's head is read so
+      | status | headers                                          | leaves | for s | unreadable |
+      | 200    |                                                  | no     | 0     | 0          |
+      | 200    | Leaves: 1                                        | yes    | 0     | 0          |
+      | 503    | leaves: 1; retry-after: 3                        | yes    | 3     | 0          |
+      | 200    | Leaves: 0                                        | no     | 0     | 1          |
+      | 200    | Leaves: true                                     | no     | 0     | 1          |
+      | 200    | Retry-After: 3                                   | no     | 0     | 0          |
+      | 429    | Retry-After: 3                                   | no     | 0     | 0          |
+      | 503    | Retry-After: 0                                   | no     | 0     | 0          |
+      | 503    | Retry-After: 0.2                                 | no     | 0.2   | 0          |
+      | 503    | Retry-After: 30                                  | no     | 30    | 0          |
+      | 503    | Retry-After: 100000                              | no     | 3600  | 0          |
+      | 503    | Retry-After: -1                                  | no     | 0     | 1          |
+      | 503    | Retry-After: soon                                | no     | 0     | 1          |
+      | 503    | Retry-After: Wed, 21 Oct 2026 07:28:00 GMT       | no     | 0     | 2          |
+      | 503    | Retry-After: 3; Retry-After: 5                   | no     | 5     | 0          |
+      | 503    | Retry-After: 3, 5                                | no     | 5     | 0          |
+      | 503    | Retry-After: 3, soon                             | no     | 3     | 1          |
+    And for any status and headers, reading an answer's head raises nothing, and bounds the time
+
+  Scenario: A server's word ends with its start
+    Then a late report of the start that leaves does not bring it back, but a later start does
+    And that a server leaves is remembered for an hour after its entry has gone, and no longer
--- a/tests/standins/engine_models.py
+++ b/tests/standins/engine_models.py
@@ -186,7 +186,6 @@
         context = QueueContext(
             options=self.options,
             configuration=self.configuration,
-            leaving=frozenset(),
             reachable=lambda name: True,
             out=Outbox(),
             post=post,
--- a/tests/standins/histories.py
+++ b/tests/standins/histories.py
@@ -38,6 +38,9 @@
 NOTICE_S = 0.06
 """How long a router takes to be sure that an engine has ended, and to hear what that means."""
 
+ANSWER_S = 0.002
+"""What an engine's refusal takes to come back."""
+
 BACK_AFTER_S = 1.5
 """How long after its end an engine is back."""
 
@@ -136,6 +139,16 @@
         """Whether a request ends each engine that begins it."""
         self.ended_at_s: list[float] = []
         """When engines ended."""
+        self.leaving_engines: set[str] = set()
+        """Those that say in each answer that they leave, and nowhere else."""
+        self.backoff_s: Callable[[str], float] = lambda engine: 0.0
+        """For how long an engine turns the router away whose request has just come; 0: not."""
+        self.told_leaving_s: dict[tuple[str, str], float] = {}
+        """When each router was first told by an answer that an engine leaves."""
+        self.told_backoffs: dict[tuple[str, str], list[tuple[float, float]]] = {}
+        """By router and engine: when it was told to leave the engine alone, and until when."""
+        self.dispatches: list[tuple[str, str, float]] = []
+        """Each send: by which router, to which engine, when."""
         self.refusal_reasons: dict[str, list[str]] = {}
         """By request."""
         self.is_cut: Callable[[str, str], bool] = lambda sender, receiver: False
@@ -197,6 +210,10 @@
         """End a router; the engines drop what it ran."""
         if self.alive.pop(name, None) is None:
             return
+        for told in (self.told_leaving_s, self.told_backoffs):
+            for key in [key for key in told if key[0] == name]:
+                # Nothing of a router outlasts it.
+                del told[key]
         for outcome in self.outcomes.values():
             if outcome.entry == name:
                 outcome.running = False
@@ -294,11 +311,16 @@
         outcome.dispatched.append(engine)
         outcome.dispatched_at_s.append(self.now_s)
         outcome.memory_sources.append(action.memory_source)
+        self.dispatches.append((name, engine, self.now_s))
         if engine in self.broken_engines:
             reason = RetryReason.CONNECT_FAILED
             failed = events.RunNotStarted(request_id, reason)
             self.at(self.now_s + 0.001, lambda: self.feed(name, failed))
             return
+        backoff_s = self.backoff_s(engine)
+        if backoff_s > 0.0:
+            self.at(self.now_s + ANSWER_S, partial(self._turn_away, name, core, action, backoff_s))
+            return
         outcome.running = True
         unread = core.admissions.open[request_id].unread_tokens
         outcome.unread_tokens.append(unread)
@@ -315,6 +337,18 @@
             self.at(begin_s + END_DELAY_S, lambda: self._end_by(run, engine))
         self.at(begin_s + 0.1, lambda: self._end(run, engine))
 
+    def _turn_away(
+        self, name: str, core: RouterCore, action: actions.Dispatch, backoff_s: float
+    ) -> None:
+        """Let an engine answer that it wants nothing more of a router for a time."""
+        if self.alive.get(name) is not core:
+            return
+        engine, until_s = action.backend_server, self.now_s + backoff_s
+        self.told_backoffs.setdefault((name, engine), []).append((self.now_s, until_s))
+        said = events.ServerNoticed(engine, action.request_id, backoff_until_s=until_s)
+        self.feed(name, said)
+        self.feed(name, events.RunNotStarted(action.request_id, RetryReason.SERVER_BACKED_OFF))
+
     def end_engine(self, engine: str) -> None:
         """End an engine with all that it runs; it is back after a while."""
         self.ended_at_s.append(self.now_s)
@@ -345,6 +379,10 @@
     def _begin(self, run: EngineRun, engine: str, unread: int) -> None:
         self.unread_tokens[engine] -= unread
         if self.alive.get(run.entry) is run.core and self._is_at(run, engine):
+            if engine in self.leaving_engines:
+                self.told_leaving_s.setdefault((run.entry, engine), self.now_s)
+                said = events.ServerNoticed(engine, run.request.request_id, leaving=True)
+                self.feed(run.entry, said)
             self.feed(run.entry, events.ServiceObserved(run.request.request_id, 1.0))
 
     def _end(self, run: EngineRun, engine: str) -> None:
--- a/tests/steps/engine_model_steps.py
+++ b/tests/steps/engine_model_steps.py
@@ -203,7 +203,6 @@
     queue_context = QueueContext(
         options=context.new.options,
         configuration=context.new.configuration,
-        leaving=frozenset(),
         reachable=lambda name: True,
         out=Outbox(),
         post=Post(),
--- /dev/null
+++ b/tests/steps/server_notice_property_steps.py
@@ -0,0 +1,251 @@
+"""What servers say of themselves in answers: its reading, and the core alone in histories."""
+
+import random
+from dataclasses import dataclass
+from functools import partial
+from typing import Any
+
+from behave import given, then, when
+from hypothesis import Phase, settings
+from hypothesis import given as drawn
+from hypothesis import strategies as st
+
+from myrtlehook_core import CoreOptions, RefusalReason, events
+from myrtlehook_core.process.leaving_servers import (
+    REMEMBERED_S,
+    LeavingServers,
+    forget_left,
+    make_row,
+    note_incarnation,
+    note_leaving,
+)
+from myrtlehook_router.request.headers import HeaderNames
+from myrtlehook_router.request.server_notices import read_notice
+from standins.histories import History, Network
+from standins.pools import make_request
+
+OPTIONS = CoreOptions(retry_burst=1000.0)
+HISTORIES = 25
+UNSHRUNK = (Phase.explicit, Phase.generate)
+"""A history that fails is played again from its seed; a smaller seed is no simpler one."""
+
+PLAYED_S = 12.0
+REQUESTS = 400
+SETTLED_S = 3.0
+"""After the last fault, within which callers are served as before."""
+
+NAMES = HeaderNames(server_leaving="Leaves")
+
+
+@dataclass(frozen=True, slots=True)
+class Sends:
+    """Sends of one history that a router should have held back."""
+
+    to_leaving: list[tuple[str, str, float]]
+    too_early: list[tuple[str, str, float]]
+
+
+def find_wrong_sends(history: History) -> Sends:
+    """Return what was sent to servers that had told its router not to."""
+    to_leaving, too_early = [], []
+    for router, engine, at_s in history.dispatches:
+        told_s = history.told_leaving_s.get((router, engine))
+        if told_s is not None and at_s > told_s:
+            to_leaving.append((router, engine, at_s))
+        for since_s, until_s in history.told_backoffs.get((router, engine), ()):
+            if since_s < at_s < until_s:
+                too_early.append((router, engine, at_s))
+    return Sends(to_leaving, too_early)
+
+
+def _ask(history: History, entry: str, number: int) -> None:
+    request = make_request(f"r{number}", "abcd"[number % 4], number % 7, 300, history.now_s, True)
+    history.ask(entry, request)
+
+
+def _restart(history: History, name: str) -> None:
+    history.kill_router(name)
+    history.start_router(name)
+
+
+def _play(seed: int, lost_part: float, restarts: int, routers: int = 4) -> History:
+    """Play a history in which engines leave, and turn requests away, at moments of chance."""
+    history = History(seed, routers, 6, Network(lost_part, 0.1, 0.02), OPTIONS)
+    draw = random.Random(seed)
+    part, longest_s = draw.choice([0.2, 0.5, 1.0]), draw.choice([0.6, 3.0])
+    ends_s = {f"e{number}": draw.uniform(2.0, PLAYED_S) for number in draw.sample(range(6), 3)}
+
+    def turn_away(engine: str) -> float:
+        strikes = engine in ends_s and 1.5 < history.now_s < ends_s[engine]
+        return draw.uniform(0.5, longest_s) if strikes and draw.random() < part else 0.0
+
+    history.backoff_s = turn_away
+    for number in draw.sample(range(6), 2):
+        at_s = draw.uniform(2.0, PLAYED_S)
+        history.at(at_s, partial(history.leaving_engines.add, f"e{number}"))
+    names = list(history.alive)
+    for _ in range(restarts):
+        history.at(draw.uniform(2.0, PLAYED_S), partial(_restart, history, draw.choice(names)))
+    for number in range(REQUESTS):
+        at_s = 1.5 + number * (PLAYED_S + SETTLED_S - 1.5) / REQUESTS
+        history.at(at_s, partial(_ask, history, draw.choice(names), number))
+    history.run_until(PLAYED_S + SETTLED_S + 4.0)
+    return history
+
+
+@then("in any history no router sends to a server that has told it not to")
+def check_histories(context: Any) -> None:
+    @settings(max_examples=HISTORIES, phases=UNSHRUNK)
+    @drawn(st.integers(0, 10**6), st.sampled_from([0.0, 0.1, 0.3]), st.integers(0, 3))
+    def check(seed: int, lost_part: float, restarts: int) -> None:
+        history = _play(seed, lost_part, restarts)
+        wrong = find_wrong_sends(history)
+        assert not wrong.to_leaving, f"sent after it had said that it leaves: {wrong.to_leaving}"
+        assert not wrong.too_early, f"sent before its time was over: {wrong.too_early}"
+
+    check()
+
+
+@then("in any history callers are served again once servers turn nobody away")
+def check_served_again(context: Any) -> None:
+    @settings(max_examples=HISTORIES, phases=UNSHRUNK)
+    @drawn(st.integers(0, 10**6), st.sampled_from([0.0, 0.1]))
+    def check(seed: int, lost_part: float) -> None:
+        history = _play(seed, lost_part, 0)
+        late = [
+            outcome
+            for name, outcome in history.outcomes.items()
+            if outcome.deadline_s > PLAYED_S + 1.0 + 3.0
+        ]
+        served = [outcome for outcome in late if outcome.ended_at_s is not None]
+        assert late and len(served) >= 0.97 * len(late), f"{len(served)} of {len(late)} served"
+        open_requests = sum(len(core.admissions.open) for core in history.alive.values())
+        assert open_requests == 0, f"{open_requests} requests have no end"
+
+    check()
+
+
+@given("a fleet of {routers:d} routers before {engines:d} engines, all of which know one another")
+def start_known(context: Any, routers: int, engines: int) -> None:
+    context.history = History(1, routers, engines, Network(), OPTIONS)
+    context.history.run_until(1.5)
+
+
+@when('an answer tells one router that "{engine}" leaves')
+def tell_one(context: Any, engine: str) -> None:
+    history = context.history
+    teller = next(iter(history.alive))
+    context.owner = history.alive[teller].placement.server_owners[engine]
+    history.feed(teller, events.ServerNoticed(engine, "a/r", leaving=True))
+
+
+@then('within {wait_s:g} s the owner of "{engine}" grants it no more')
+def check_owner(context: Any, wait_s: float, engine: str) -> None:
+    history = context.history
+    history.run_until(history.now_s + wait_s)
+    owner = history.alive[context.owner]
+    assert owner.configuration.backend_servers[engine].leaving
+
+
+@then('within {wait_s:g} s every router takes "{engine}" for leaving')
+def check_all_know(context: Any, wait_s: float, engine: str) -> None:
+    history = context.history
+    history.run_until(history.now_s + wait_s)
+    unaware = [
+        name
+        for name, core in history.alive.items()
+        if not core.configuration.backend_servers[engine].leaving
+    ]
+    assert not unaware, f"{len(unaware)} of {len(history.alive)} routers do not know"
+
+
+@when("every engine turns router 1 away for {backoff_s:g} s")
+def turn_all_away(context: Any, backoff_s: float) -> None:
+    history = context.history
+    context.router = next(iter(history.alive))
+    context.until_s = history.now_s + backoff_s
+    for engine in history.alive[context.router].configuration.backend_servers:
+        said = events.ServerNoticed(engine, "a/r", backoff_until_s=context.until_s)
+        history.feed(context.router, said)
+
+
+@then("a request there is refused at once, to come back within 0.5 s after that time")
+def check_refused(context: Any) -> None:
+    history = context.history
+    request = make_request("held", "a", 1, 300, history.now_s, True)
+    done = history.alive[context.router].handle(events.RequestArrived(request), history.now_s)
+    refusals = [action for action in done if hasattr(action, "retry_after_s")]
+    assert [action.reason for action in refusals] == [RefusalReason.BACKED_OFF], done
+    back_s = history.now_s + refusals[0].retry_after_s
+    assert context.until_s <= back_s <= context.until_s + 0.5, back_s
+
+
+@then("a request there waits, and is served after that time within its aim")
+def check_waits(context: Any) -> None:
+    history = context.history
+    history.ask(context.router, make_request("held", "a", 1, 300, history.now_s, True))
+    history.run_until(history.now_s + 1.0)
+    outcome = history.outcomes["held"]
+    assert not outcome.refused_at_s, history.refusal_reasons
+    assert outcome.dispatched_at_s[0] >= context.until_s
+    assert outcome.ended_at_s is not None
+
+
+@then("another router serves as before")
+def check_other(context: Any) -> None:
+    history = context.history
+    other = list(history.alive)[1]
+    history.ask(other, make_request("other", "b", 1, 300, history.now_s, True))
+    history.run_until(history.now_s + 0.5)
+    assert history.outcomes["other"].ended_at_s is not None
+
+
+@then("an answer's head is read so")
+def check_reading(context: Any) -> None:
+    for row in context.table:
+        headers = [tuple(part.split(": ", 1)) for part in row["headers"].split("; ") if part]
+        notice = read_notice(int(row["status"]), headers, NAMES)
+        seen = (notice.leaving, notice.backoff_s, len(notice.unreadable))
+        expected = (row["leaves"] == "yes", float(row["for s"]), int(row["unreadable"]))
+        assert seen == expected, f"{row['headers']!r}: seen {seen}, expected {expected}"
+
+
+@then("for any status and headers, reading an answer's head raises nothing, and bounds the time")
+def check_any_head(context: Any) -> None:
+    @drawn(
+        st.integers(100, 999),
+        st.lists(st.tuples(st.sampled_from(["Retry-After", "leaves", "X"]), st.text())),
+    )
+    def check(status: int, headers: list[tuple[str, str]]) -> None:
+        notice = read_notice(status, headers, NAMES)
+        assert 0.0 <= notice.backoff_s <= 3600.0
+        assert status == 503 or notice.backoff_s == 0.0
+
+    check()
+
+
+@then("that a server leaves is remembered for an hour after its entry has gone, and no longer")
+def check_forgetting(context: Any) -> None:
+    leaving = LeavingServers()
+    note_leaving(leaving, make_row(leaving, "e"), 1)
+    forget_left(leaving, {"e"}, 0.0)
+    forget_left(leaving, set(), 10.0)
+    forget_left(leaving, set(), 9.0 + REMEMBERED_S)
+    assert "e" in leaving.servers
+    forget_left(leaving, {"e"}, 9.5 + REMEMBERED_S)
+    forget_left(leaving, set(), 11.0 + REMEMBERED_S)
+    assert "e" in leaving.servers, "its time begins anew once it was named again"
+    forget_left(leaving, set(), 12.0 + 2 * REMEMBERED_S)
+    assert not leaving.servers
+
+
+@then("a late report of the start that leaves does not bring it back, but a later start does")
+def check_incarnations(context: Any) -> None:
+    leaving = LeavingServers()
+    note_incarnation(leaving, "e", 5)
+    note_leaving(leaving, make_row(leaving, "e"), 1)
+    note_incarnation(leaving, "e", 5)
+    note_incarnation(leaving, "e", 4)
+    assert "e" in leaving.servers
+    note_incarnation(leaving, "e", 6)
+    assert "e" not in leaving.servers
