--- a/packages/core/src/myrtlehook_core/process/backoffs.py
+++ b/packages/core/src/myrtlehook_core/process/backoffs.py
@@ -19,6 +19,7 @@
     """What one server has asked for."""
 
     pool: str
+    """Empty where the server was not known when it said so."""
     until_s: float
 
 
--- a/packages/core/src/myrtlehook_core/process/leaving_servers.py
+++ b/packages/core/src/myrtlehook_core/process/leaving_servers.py
@@ -84,6 +84,18 @@
     return tuple(rows)
 
 
+def list_rows(leaving: LeavingServers) -> tuple[LeavingRow, ...]:
+    """Return all that leave and that the configuration still names, for a router that starts.
+
+    The news of them may have run out, and the source may not tell it for long.
+    """
+    return tuple(
+        LeavingRow(name, server.incarnation)
+        for name, server in leaving.servers.items()
+        if math.isinf(server.forgotten_at_s)
+    )
+
+
 def mark_leaving(configuration: Configuration, leaving: LeavingServers) -> Configuration:
     """Return the configuration with the servers marked that have said that they leave."""
     servers = configuration.backend_servers
@@ -103,5 +115,6 @@
             server.forgotten_at_s = now_s + REMEMBERED_S
         elif now_s >= server.forgotten_at_s:
             del leaving.servers[name]
-    for name in leaving.incarnations.keys() - set(named) - leaving.servers.keys():
-        del leaving.incarnations[name]
+    for name in list(leaving.incarnations):
+        if name not in named and name not in leaving.servers:
+            del leaving.incarnations[name]
--- a/packages/core/src/myrtlehook_core/process/probing.py
+++ b/packages/core/src/myrtlehook_core/process/probing.py
@@ -8,6 +8,7 @@
 from myrtlehook_core.process.leaving_servers import (
     LeavingServers,
     collect_rows,
+    list_rows,
     note_leaving,
 )
 from myrtlehook_core.process.members import (
@@ -28,6 +29,7 @@
     Ack,
     Announcement,
     IndirectProbe,
+    LeavingRow,
     MemberRow,
     MembersQuery,
     MembersReply,
@@ -170,7 +172,8 @@
     take_row(context.table, query.sender_row, now_s, context.options.suspicion_s)
     rows = [own_row(context.table)]
     rows += [member_row(member) for member in context.table.members.values() if not member.silent]
-    _send(context, sender, MembersReply(_make_news(context, tuple(rows))))
+    news = _make_news(context, tuple(rows), list_rows(context.leaving))
+    _send(context, sender, MembersReply(news))
 
 
 def take_news(context: ProbeContext, sender: str, news: News, now_s: float) -> None:
@@ -303,13 +306,16 @@
 
 
 def _news_for(context: ProbeContext, receiver: str) -> News:
-    return _make_news(context, collect_member_news(context.table, receiver))
+    members = collect_member_news(context.table, receiver)
+    return _make_news(context, members, collect_rows(context.leaving))
 
 
-def _make_news(context: ProbeContext, members: tuple[MemberRow, ...]) -> News:
+def _make_news(
+    context: ProbeContext, members: tuple[MemberRow, ...], leaving: tuple[LeavingRow, ...]
+) -> News:
     return News(
         members=members,
-        leaving=collect_rows(context.leaving),
+        leaving=leaving,
         configuration_number=context.version.number,
         configuration_digest=context.version.digest,
         servers_revision=context.servers_revision,
--- a/packages/core/src/myrtlehook_core/process/server_notice_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/server_notice_handlers.py
@@ -49,14 +49,14 @@
 def _note_backoff(core: "RouterCore", event: events.ServerNoticed, now_s: float) -> None:
     name = event.backend_server
     server = core.configuration.backend_servers.get(name)
-    if server is None:
-        return
+    # Its entry may have gone for a moment: its word holds when it is back.
+    pool = "" if server is None else server.pool
     entry = core.entry
-    if not note_backoff(entry.backoffs, name, server.pool, event.backoff_until_s):
+    if not note_backoff(entry.backoffs, name, pool, event.backoff_until_s):
         return
     core.out.add(ServerBackoffNoted(name, event.backoff_until_s, event.request_id))
     owner = core.placement.server_owners.get(name)
     if owner is not None and entry.told.get(owner):
         # Bids tell it: an owner that does not know would grant slots that come back unused.
-        bid_to(entry, server.pool, owner, core.post, now_s)
+        bid_to(entry, pool, owner, core.post, now_s)
     refuse_hopeless(entry, core.entry_context(), now_s)
--- a/tests/features/server_notices.feature
+++ b/tests/features/server_notices.feature
@@ -63,6 +63,8 @@
     When an answer tells one router that "e3" leaves
     Then within 0.05 s the owner of "e3" grants it no more
     And within 2 s every router takes "e3" for leaving
+    When a router starts again after 10 s
+    Then within 1 s every router takes "e3" for leaving
 
   Scenario: Where no server takes a router's requests for long, callers hear when one will
     Given a fleet of 3 routers before 4 engines, all of which know one another
@@ -75,6 +77,11 @@
     When every engine turns router 1 away for 0.3 s
     Then a request there waits, and is served after that time within its aim
 
+  Scenario: A request that the only engine turned away for a moment is sent there again
+    Given a fleet of 2 routers before 1 engines, all of which know one another
+    When the engine turns a request away for 0.2 s, once
+    Then that request is served after that time
+
   Scenario: The head of an answer is read strictly
     Then an answer's head is read so
       | status | headers                                          | leaves | for s | unreadable |
--- a/tests/steps/server_notice_property_steps.py
+++ b/tests/steps/server_notice_property_steps.py
@@ -191,6 +191,32 @@
     assert outcome.ended_at_s is not None
 
 
+@when("the engine turns a request away for {backoff_s:g} s, once")
+def turn_away_once(context: Any, backoff_s: float) -> None:
+    history = context.history
+    context.until_s = history.now_s + backoff_s
+    answers_s = [backoff_s]
+    history.backoff_s = lambda engine: answers_s.pop() if answers_s else 0.0
+    entry = next(iter(history.alive))
+    history.ask(entry, make_request("again", "a", 1, 300, history.now_s, True))
+    history.run_until(history.now_s + 1.0)
+
+
+@then("that request is served after that time")
+def check_served_later(context: Any) -> None:
+    outcome = context.history.outcomes["again"]
+    assert len(outcome.dispatched_at_s) == 2, outcome
+    assert outcome.dispatched_at_s[1] >= context.until_s
+    assert outcome.ended_at_s is not None, context.history.refusal_reasons
+
+
+@when("a router starts again after {wait_s:g} s")
+def restart_later(context: Any, wait_s: float) -> None:
+    history = context.history
+    history.run_until(history.now_s + wait_s)
+    _restart(history, list(history.alive)[-1])
+
+
 @then("another router serves as before")
 def check_other(context: Any) -> None:
     history = context.history
