--- a/soak/callers.py
+++ b/soak/callers.py
@@ -49,6 +49,8 @@
     shown_id: str = ""
     content_digest: str = ""
     event_ids: list[int] = field(default_factory=list)
+    server_leaves: bool = False
+    """The answer says that its server leaves."""
 
 
 class Caller:
@@ -100,6 +102,7 @@
         seen.seal = response.headers.get("Response-Seal", "")
         seen.shown_id = response.headers.get("Attempt-Id", "")
         seen.retry_after = "Retry-After" in response.headers
+        seen.server_leaves = "Server-Leaving" in response.headers
         content = response.read()
         seen.content_digest = hashlib.sha256(content).hexdigest()
         if seen.path in STREAMED and seen.status == 200:
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -13,7 +13,8 @@
 from emulator.sites import make_configuration
 from soak.callers import PATHS, Seen
 from soak.checks import Violation, check_answers, check_in_time, check_runs
-from soak.schedules import Fault, draw_endings, draw_schedule
+from soak.notice_checks import BACKOFF_S, Struck, check_notices
+from soak.schedules import Fault, draw_endings, draw_notices, draw_schedule
 from standins.attempts import make_headers, new_id, send
 from standins.nodes import ROOT, Node, NodeFleet
 from standins.processes import start_process
@@ -47,6 +48,8 @@
     engines: int = 3
     endings: bool = False
     """Whether engines end as well."""
+    notices: bool = False
+    """Whether servers say in answers that they leave, or want to be left alone."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,6 +121,9 @@
             engines = [name for name in self._servers() if _ends(name)]
             faults += draw_endings(order.seed, order.seconds, engines)
             self.fleet.order(faults={"engines": {"keeps_id": True}})
+        if order.notices:
+            engines = [name for name in self._servers() if _ends(name)]
+            faults += draw_notices(order.seed, order.seconds, self._servers(), engines)
         callers = self._start_callers()
         start_s = time.monotonic()
         self._strike(faults, start_s)
@@ -130,6 +136,9 @@
         sealing = {*self._servers(), *self.fleet.describe()["servers"]}
         self.violations += check_answers(seen, sealing)
         self.violations += check_in_time(seen, faults, routers, start_s)
+        site = self.fleet.describe()
+        struck = Struck(tuple(faults), start_s)
+        self.violations += check_notices(seen, site, struck, routers)
         self.violations += self._check_recovery()
         self.violations += check_runs(seen, self._count_runs(seen))
         self.violations += self._check_ends(faults)
@@ -184,11 +193,22 @@
             self.fleet.order(faults={fault.target: {fault.how: 3 if begins else 0}})
         elif fault.kind == "store":
             self._change_store(fault, begins)
+        elif fault.kind == "notice":
+            self._change_notice(fault, begins)
         elif fault.kind == "ending":
             self._end_engines(fault, begins)
         elif begins:
             self._change_site(fault)
 
+    def _change_notice(self, fault: Fault, begins: bool) -> None:
+        if fault.how == "tells_leaving":
+            # A server that leaves does not stay after all.
+            self.fleet.order(faults={fault.target: {"leaving": True}})
+            return
+        turned_away = {"refuse_every": 2, "retry_after": str(BACKOFF_S)}
+        sound = {"refuse_every": 0, "retry_after": ""}
+        self.fleet.order(faults={fault.target: turned_away if begins else sound})
+
     def _end_engines(self, fault: Fault, begins: bool) -> None:
         if fault.how == "end":
             if begins:
--- a/soak/schedules.py
+++ b/soak/schedules.py
@@ -11,6 +11,10 @@
 ENDINGS = ("end", "spoilt")
 """One engine ends by chance; one caller's request ends each engine that begins it."""
 
+NOTICES = ("turns_away", "tells_leaving")
+"""A server turns one request in two away for a time, and says for how long; an engine says in
+all its answers that it leaves, while its entry stays as it is."""
+
 CHANGES = ("configuration", "drain", "break_stream")
 KINDS = ("router", "store_link", "server_link", "server", "store", "change")
 
@@ -56,6 +60,24 @@
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
+def draw_notices(seed: int, seconds: float, servers: list[str], engines: list[str]) -> list[Fault]:
+    """Draw what servers say in answers, beside the other faults of the same seed.
+
+    One engine at most leaves: a site with none left serves nobody.
+    """
+    draw = random.Random(f"notices/{seed}")
+    faults: list[Fault] = []
+    for _ in range(draw.randint(2, 4)):
+        at_s = draw.uniform(FIRST_FAULT_S, seconds * 0.8)
+        until_s = min(at_s + draw.uniform(SHORTEST_FAULT_S, LONGEST_FAULT_S), seconds)
+        how = draw.choice(NOTICES)
+        if any(fault.how == "tells_leaving" for fault in faults):
+            how = "turns_away"
+        target = draw.choice(engines if how == "tells_leaving" else servers)
+        faults.append(Fault(round(at_s, 3), round(until_s, 3), "notice", how, target))
+    return sorted(faults, key=lambda fault: fault.at_s)
+
+
 def _draw_target(
     draw: random.Random, kind: str, routers: list[str], servers: list[str]
 ) -> tuple[str, str]:
--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -20,6 +20,20 @@
       | 3009 | 8       |
       | 3048 | 8       |
 
+  Scenario Outline: The promises are kept while servers tell of themselves in answers
+    When the soak plays seed <seed> for <seconds> s, engines end, and servers tell of themselves
+    Then no promise was broken, and callers were served
+
+    Examples:
+      | seed | seconds |
+      | 5000 | 9       |
+      | 5003 | 9       |
+
+  Scenario: The checks tell what reached a server that was to be left alone
+    Then 3 requests within what a server asked for are found, and 2 are not
+    And a request 2 s after its router passed on that the server leaves is found
+    And neither is found where its router was paused, or the way to its server was struck
+
   Scenario: The checks tell each broken promise
     Given an attempt with a whole answer of "i-engine-1" that was run once
     Then the checks find nothing
--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -9,7 +9,9 @@
 
 from soak.callers import LAST_EVENT, Seen
 from soak.checks import Violation, check_answers, check_in_time, check_runs
+from soak.notice_checks import Struck, check_notices
 from soak.runs import Order, play
+from soak.schedules import Fault
 
 SERVER = "i-engine-1"
 ROUTER = "127.0.0.1:80"
@@ -25,6 +27,11 @@
     context.result = play(Order(seed, seconds, endings=True))
 
 
+@when("the soak plays seed {seed:d} for {seconds:g} s, engines end, and servers tell of themselves")
+def play_notices(context: Any, seed: int, seconds: float) -> None:
+    context.result = play(Order(seed, seconds, endings=True, notices=True))
+
+
 @then("no promise was broken, and callers were served")
 def check_result(context: Any) -> None:
     assert not context.result.violations, context.result
@@ -71,3 +78,46 @@
         found = _check(*SPOILT[row["fault"]](context.whole))
         promises = [violation.promise for violation in found]
         assert any(promise.startswith(row["promise"]) for promise in promises), (row, found)
+
+
+TURNED_AWAY = Fault(0.0, 9.0, "notice", "turns_away", SERVER)
+PAUSED = Fault(0.0, 9.0, "router", "pause", "edge-1")
+CUT = Fault(0.0, 9.0, "server_link", "one_way", SERVER)
+
+
+def _check_arrivals(
+    arrivals: list[tuple[str, float]], told: list[str], *faults: Fault
+) -> list[Violation]:
+    """Check requests that reached the server, each sent as it arrived, the first turned away."""
+    seen = [
+        Seen(name, "/summary/a", ROUTER, at_s, at_s, server_leaves=name in told)
+        for name, at_s in arrivals
+    ]
+    runs = {name: 1 for name, _ in arrivals[1:]}
+    site = {"ended": [], "servers": {SERVER: {"arrivals": arrivals, "runs": runs}}}
+    return check_notices(seen, site, Struck(faults, 0.0), {ROUTER: "edge-1"})
+
+
+FOUR = [("a", 1.0), ("b", 1.6), ("c", 1.7), ("d", 1.8)]
+LATE = [("a", 1.0), ("b", 3.1)]
+
+
+@then("3 requests within what a server asked for are found, and 2 are not")
+def check_early(context: Any) -> None:
+    assert len(_check_arrivals(FOUR, [], TURNED_AWAY)) == 1
+    assert not _check_arrivals(FOUR[:3], [], TURNED_AWAY)
+    assert not _check_arrivals([*FOUR[:3], ("d", 2.6)], [], TURNED_AWAY)
+
+
+@then("a request 2 s after its router passed on that the server leaves is found")
+def check_late(context: Any) -> None:
+    assert len(_check_arrivals(LATE, ["a"])) == 1
+    assert not _check_arrivals([("a", 1.0), ("b", 2.9)], ["a"])
+    assert not _check_arrivals(LATE, [])
+
+
+@then("neither is found where its router was paused, or the way to its server was struck")
+def check_excused(context: Any) -> None:
+    for excuse in (PAUSED, CUT):
+        assert not _check_arrivals(FOUR, [], TURNED_AWAY, excuse)
+        assert not _check_arrivals(LATE, ["a"], excuse)
