--- a/packages/router/src/myrtlehook_router/request/attempts.py
+++ b/packages/router/src/myrtlehook_router/request/attempts.py
@@ -15,10 +15,7 @@
     note_broken,
     note_head,
 )
-
-NAMED_BACKOFF_S = 0.5
-"""A server that wants to be left alone for less is still counted as failing, so that one which
-turns everything away gets ever fewer requests: an ejection begins with as much."""
+from myrtlehook_router.request.server_notices import name_refusal
 
 READ_BYTES = 64 * 1024
 DISCARDED_PIECES = 16
@@ -66,11 +63,7 @@
     """Return why a server did not run the request."""
     if relay.status == REPLACED_STATUS:
         return RetryReason.SERVER_REPLACED
-    if relay.notice.leaving:
-        return RetryReason.SERVER_LEAVING
-    if relay.notice.backoff_s >= NAMED_BACKOFF_S:
-        return RetryReason.SERVER_BACKED_OFF
-    return RetryReason.SERVER_REFUSED
+    return name_refusal(relay.notice)
 
 
 def read_deadline_s(relay: Relay, patience_s: float) -> float:
--- a/packages/router/src/myrtlehook_router/request/calls.py
+++ b/packages/router/src/myrtlehook_router/request/calls.py
@@ -42,7 +42,7 @@
     server_address,
     wait_for_slot,
 )
-from myrtlehook_router.request.server_notices import note_answer
+from myrtlehook_router.request.server_notices import name_refusal, note_answer
 from myrtlehook_router.request.services import RequestServices
 
 SERVICE_PREFIX = "/services/"
@@ -165,11 +165,13 @@
             return Err(RetryReason.CONNECT_FAILED)
         return Ok(_fail(call, sent.err_value))
     response = sent.ok_value
-    note_answer(place.services, call.request.request_id, call.backend_server, response, OWN_NAMES)
+    notice = note_answer(
+        place.services, call.request.request_id, call.backend_server, response, OWN_NAMES
+    )
     if response.headers.get(RUN_STATE_HEADER) == NOT_STARTED_STATE and response.status == 503:
         response.drain_conn()
         response.release_conn()
-        return Err(RetryReason.SERVER_REFUSED)
+        return Err(name_refusal(notice))
     return Ok(_pass_on(call, response))
 
 
--- a/packages/router/src/myrtlehook_router/request/chats.py
+++ b/packages/router/src/myrtlehook_router/request/chats.py
@@ -2,12 +2,13 @@
 
 import hashlib
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from functools import partial
 from typing import Annotated
 
 import msgspec
+import urllib3
 from pydantic import BaseModel, ConfigDict, Field
 from result import Err, Ok, Result
 
@@ -49,7 +50,7 @@
     server_address,
     wait_for_slot,
 )
-from myrtlehook_router.request.server_notices import note_answer, note_leaving
+from myrtlehook_router.request.server_notices import ServerNotice, note_answer, note_leaving
 from myrtlehook_router.request.services import RequestServices
 
 PREFIX_CHARACTERS = 512
@@ -191,13 +192,7 @@
         deadline_s = place.specification.deadline_s
         order = _make_order(chat, dispatch.attempt, dispatch.priority_units)
         sent_at_s = clocks.now_s()
-        note_head = partial(
-            note_answer,
-            place.services,
-            chat.request_id,
-            dispatch.backend_server,
-            names=OWN_NAMES,
-        )
+        note_head = _make_note_head(chat, dispatch.backend_server)
         started = start_run(address, order, read_timeout_s(deadline_s), note_head)
         if isinstance(started, Err) and started.err_value is StartFailure.LEAVING:
             note_leaving(place.services, chat.request_id, dispatch.backend_server)
@@ -218,6 +213,14 @@
         return Ok(run)
 
 
+def _make_note_head(
+    chat: Chat, backend_server: str
+) -> Callable[[urllib3.BaseHTTPResponse], ServerNotice]:
+    """Make what hears of the head of an engine's answer."""
+    services = chat.place.services
+    return lambda head: note_answer(services, chat.request_id, backend_server, head, OWN_NAMES)
+
+
 def _make_order(chat: Chat, attempt: int, priority_units: float) -> RunOrder:
     specification = chat.place.specification
     remaining_s = max(specification.deadline_s - clocks.now_s(), 0.0)
--- a/packages/router/src/myrtlehook_router/request/server_notices.py
+++ b/packages/router/src/myrtlehook_router/request/server_notices.py
@@ -11,7 +11,7 @@
 
 import urllib3
 
-from myrtlehook_core import events
+from myrtlehook_core import RetryReason, events
 from myrtlehook_router.process import clocks
 from myrtlehook_router.process.logs import get_logger
 from myrtlehook_router.request.headers import HeaderNames
@@ -24,6 +24,10 @@
 """A server that asks for more is asked again after an hour: nobody may be there at night who
 would notice that it never is."""
 
+NAMED_BACKOFF_S = 0.5
+"""A server that wants to be left alone for less still counts as failing, so that one which
+turns everything away gets ever fewer requests: an ejection begins with as much."""
+
 UNREADABLE_TOLD = 1000
 """Of so many servers a process tells that they sent something unreadable."""
 
@@ -100,6 +104,15 @@
     return notice
 
 
+def name_refusal(notice: ServerNotice) -> RetryReason:
+    """Return why a server did not run a request, by what it said of itself."""
+    if notice.leaving:
+        return RetryReason.SERVER_LEAVING
+    if notice.backoff_s >= NAMED_BACKOFF_S:
+        return RetryReason.SERVER_BACKED_OFF
+    return RetryReason.SERVER_REFUSED
+
+
 def note_leaving(services: RequestServices, request_id: str, backend_server: str) -> None:
     """Take it that a server has refused a request because it leaves."""
     services.counters.add("backend.told.leaving")
--- a/tests/features/failures.feature
+++ b/tests/features/failures.feature
@@ -70,6 +70,13 @@
     Then engine 1 starts nothing new after 4 seconds
     And router 2 still serves "control-room"
 
+  @fleet.3x2
+  Scenario: An engine that refuses a run because it leaves is asked no more, whatever it reports
+    Given "planners" keeps 10 callers at every router
+    When engine 1 refuses runs because it leaves, and its load report never says so
+    Then engine 1 is asked for nothing new after 2 seconds
+    And router 2 still serves "control-room"
+
   @fleet.3x2
   Scenario: A stale platform that lists a leaving server as live changes nothing
     Given "planners" keeps 10 callers at every router
--- a/tests/features/repeats.feature
+++ b/tests/features/repeats.feature
@@ -8,6 +8,13 @@
     And the plain service ran "planners/try-1" 1 times
     And router 1 counts "retry.server_refused" at least 1
 
+  Scenario: A call that the service turned away for a time is sent again when that is over
+    Given the plain service turns the next 1 calls away for 1 s
+    When "planners" calls the plain service at router 1 with request id "later-1"
+    Then the answer has status 200 and outcome "completed"
+    And it took 1 s or more
+    And router 1 counts "retry.server_backed_off" at least 1
+
   Scenario: A call not to be repeated is sent once, even if the service did not start it
     Given the plain service does not start the next 1 calls
     When "planners" calls the plain service once at router 1 with request id "once-1"
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -4,7 +4,7 @@
 test sees whose answer it got. Tests set faults by ``POST /test/faults``:
 ``refuse`` and ``die_before_answer`` (how many), ``break_after`` (events, once),
 ``hold_after`` (tokens, until cleared), ``duplicate``, ``foreign`` and ``lose_runs``
-(switches), ``leaving``, ``load_lag_ms``.
+(switches), ``leaving``, ``refuses_leaving`` (only to who asks for a run), ``load_lag_ms``.
 """
 
 import argparse
@@ -53,6 +53,8 @@
         self.running: list[Run] = []
         self.runs: dict[str, Run] = {}
         self.started: dict[str, int] = {}
+        self.asked = 0
+        """How often a run was asked for, started or not."""
         self.busy_slot_s = 0.0
         self.tokens_out = 0
         self.served_tokens: dict[str, int] = {}
@@ -215,6 +217,7 @@
         if path == "/test/ledger":
             ledger = {
                 "started": engine.started,
+                "asked": engine.asked,
                 "tokens_out": engine.tokens_out,
                 "running": len(engine.running) + len(engine.waiting),
                 "order": engine.order,
@@ -227,7 +230,8 @@
 
 def _start(engine: Engine, environ: dict[str, Any], start_response: Any) -> Body:
     order = read_json(environ)
-    if engine.faults.get("leaving"):
+    engine.asked += 1
+    if engine.faults.get("leaving") or engine.faults.get("refuses_leaving"):
         return reply(start_response, 503, {"started": False, "reason": "leaving"}, [])
     if engine.faults.get("refuse", 0) > 0:
         engine.faults["refuse"] -= 1
--- a/tests/standins/service.py
+++ b/tests/standins/service.py
@@ -1,7 +1,8 @@
 """Stand-in for a plain service: counts its runs by request id.
 
 Tests set faults by ``POST /test/faults``: ``not_started`` (how many calls are told
-so), ``break`` (how many connections break after the run), ``slow_ms``, ``leaving``.
+so, with ``retry_after``), ``break`` (how many connections break after the run), ``slow_ms``,
+``leaving``.
 """
 
 import argparse
@@ -54,7 +55,10 @@
     if faults.get("not_started", 0) > 0:
         faults["not_started"] -= 1
         environ["wsgi.input"].read()
-        return reply(start_response, 503, {}, [("X-Run-State", "not-started")])
+        told = [("X-Run-State", "not-started")]
+        if "retry_after" in faults:
+            told.append(("Retry-After", faults["retry_after"]))
+        return reply(start_response, 503, {}, told)
     request_id = environ.get("HTTP_X_REQUEST_ID", "")
     if faults.get("break_before_body", 0) > 0:
         faults["break_before_body"] -= 1
--- a/tests/steps/backend_steps.py
+++ b/tests/steps/backend_steps.py
@@ -56,6 +56,16 @@
     set_faults(service(context), {"not_started": count})
 
 
+@given("the plain service turns the next {count:d} calls away for {wait_s:d} s")
+def turned_away(context: Any, count: int, wait_s: int) -> None:
+    set_faults(service(context), {"not_started": count, "retry_after": str(wait_s)})
+
+
+@then("it took {least_s:g} s or more")
+def check_waited(context: Any, least_s: float) -> None:
+    assert context.result.elapsed_s >= least_s, context.result
+
+
 @given("the plain service breaks the next connection before the body")
 def break_before(context: Any) -> None:
     set_faults(service(context), {"break_before_body": 1})
--- a/tests/steps/failure_steps.py
+++ b/tests/steps/failure_steps.py
@@ -271,6 +271,21 @@
     set_faults(context.fleet.engines["engine-1"], {"leaving_report": True})
 
 
+@when("engine 1 refuses runs because it leaves, and its load report never says so")
+def engine_refuses(context: Any) -> None:
+    set_faults(context.fleet.engines["engine-1"], {"refuses_leaving": True})
+
+
+@then("engine 1 is asked for nothing new after {seconds:d} seconds")
+def check_nothing_asked(context: Any, seconds: int) -> None:
+    time.sleep(seconds)
+    address = context.fleet.engines["engine-1"].address
+    before = get_json(address, "/test/ledger")["asked"]
+    time.sleep(3)
+    asked = get_json(address, "/test/ledger")["asked"]
+    assert asked == before, f"asked {asked - before} times more"
+
+
 @then("engine 1 starts nothing new after {seconds:d} seconds")
 def check_nothing_new(context: Any, seconds: int) -> None:
     time.sleep(seconds)
