--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -102,10 +102,13 @@
 
 def _run_slopes() -> None:
     from bench.admission_slopes import measure_admission_slopes
+    from bench.notice_slopes import measure_notices
     from bench.quarantine_slopes import measure_quarantine
     from bench.slopes import measure_slopes
 
-    for slope in [*measure_admission_slopes(), *measure_quarantine(), *measure_slopes()]:
+    slopes = [*measure_admission_slopes(), *measure_notices()]
+    slopes += [*measure_quarantine(), *measure_slopes()]
+    for slope in slopes:
         print(f"{slope.name}: {slope.value:.3g} {slope.unit}")
 
 
--- /dev/null
+++ b/bench/notice_slopes.py
@@ -0,0 +1,105 @@
+"""What it costs to hear and to keep what servers say of themselves, at full table sizes."""
+
+import time
+from collections.abc import Callable
+
+from bench.slopes import Slope
+from myrtlehook_core import (
+    BackendServer,
+    Configuration,
+    ConfigurationVersion,
+    encode_envelope,
+)
+from myrtlehook_core.process.backoffs import Backoffs, find_pool_wait_s, note_backoff
+from myrtlehook_core.process.leaving_servers import (
+    LeavingServers,
+    forget_left,
+    make_row,
+    mark_leaving,
+    note_leaving,
+)
+from myrtlehook_core.process.membership_messages import LeavingNotice, News, Probe
+from myrtlehook_core.process.messages import Bid, Envelope, Message
+from myrtlehook_router.request.headers import HeaderNames
+from myrtlehook_router.request.server_notices import read_notice
+
+SERVERS = 10_000
+POOLS = 15
+LEAVING = 100
+"""Servers that leave at a time: a release of one in a hundred."""
+
+BACKED_OFF = 20
+REPEATS = 200
+NAME = "i-724948be74@1796262595649"
+HEAD = (
+    ("Content-Type", "text/event-stream"),
+    ("Attempt-Id", "9c41d07be2a35f68"),
+    ("Response-Seal", "3e1b.07.5a2.600.0.c9f2a4d1"),
+    ("Transfer-Encoding", "chunked"),
+    ("Date", "Thu, 03 Dec 2026 05:00:00 GMT"),
+)
+
+
+def measure_notices() -> list[Slope]:
+    """Measure every slope of what servers say of themselves."""
+    names = HeaderNames()
+    servers = [_make_server(number) for number in range(SERVERS)]
+    configuration = Configuration(
+        ConfigurationVersion(1, ""), backend_servers={server.name: server for server in servers}
+    )
+    leaving = LeavingServers()
+    for server in servers[:LEAVING]:
+        note_leaving(leaving, make_row(leaving, server.name), 1)
+    backoffs: Backoffs = {}
+    for server in servers[: BACKED_OFF * POOLS : POOLS]:
+        note_backoff(backoffs, server.name, server.pool, 3.0)
+    barred = tuple(backoffs)
+    none: Backoffs = {}
+    return [
+        _time("an answer's head read", lambda: _keep(read_notice(200, HEAD, names))),
+        _time("100 of 10,000 marked", lambda: _keep(mark_leaving(configuration, leaving))),
+        _time("the sweep over 100 that leave", lambda: _sweep(leaving, configuration)),
+        _time("a request, no backoff", lambda: _wait(none, configuration)),
+        _time("a request, 20 backoffs", lambda: _wait(backoffs, configuration)),
+        Slope("a notice to an owner", _size(LeavingNotice(make_row(leaving, NAME))), "bytes"),
+        Slope("a leaving server on a probe", _probe(leaving, 10) / 10, "bytes"),
+        Slope("a server named in a bid", _bid(barred) / BACKED_OFF, "bytes"),
+    ]
+
+
+def _make_server(number: int) -> BackendServer:
+    name = f"i-{number:010x}@1796262595649"
+    return BackendServer(name, f"pool-{number % POOLS}", "10.0.1.9:80", "z", 64, False, False)
+
+
+def _keep(value: object) -> None:
+    """Take a value that is of no use."""
+
+
+def _sweep(leaving: LeavingServers, configuration: Configuration) -> None:
+    forget_left(leaving, configuration.backend_servers, 1.0)
+
+
+def _wait(backoffs: Backoffs, configuration: Configuration) -> None:
+    find_pool_wait_s(backoffs, configuration, "pool-0", 1.0)
+
+
+def _probe(leaving: LeavingServers, count: int) -> int:
+    rows = tuple(make_row(leaving, NAME) for _ in range(count))
+    full, empty = (Probe(1, News((), told, 5, "0" * 16)) for told in (rows, ()))
+    return _size(full) - _size(empty)
+
+
+def _bid(barred: tuple[str, ...]) -> int:
+    return _size(Bid("pool-0", 1e5, (), barred)) - _size(Bid("pool-0", 1e5, ()))
+
+
+def _size(message: Message) -> int:
+    return len(encode_envelope(Envelope("vm-1234", 2**40, (message,))))
+
+
+def _time(name: str, step: Callable[[], None]) -> Slope:
+    started_s = time.process_time()
+    for _ in range(REPEATS):
+        step()
+    return Slope(name, (time.process_time() - started_s) / REPEATS * 1000.0, "ms")
