--- a/emulator/control.py
+++ b/emulator/control.py
@@ -5,7 +5,15 @@
 from dataclasses import fields
 from typing import Any
 
-from emulator.sites import MODEL_SERVICE, PLAIN_SERVICE, Site, describe, end_engine, put_server
+from emulator.sites import (
+    MODEL_SERVICE,
+    PLAIN_SERVICE,
+    Site,
+    describe,
+    end_engine,
+    put_server,
+    return_from_copy,
+)
 
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 
@@ -52,6 +60,10 @@
         _put_entry(site, name, state)
     for name in order.get("end", []):
         end_engine(site, site.engines[name])
+    if order.get("keep_copy"):
+        site.store.keep_copy()
+    if order.get("return_from_copy"):
+        return_from_copy(site)
     if order.get("forget_history"):
         site.store.forget_history()
 
--- a/emulator/sites.py
+++ b/emulator/sites.py
@@ -1,5 +1,6 @@
 """A small site: a store, engines and plain services on loopback, and its configuration."""
 
+import base64
 import itertools
 import json
 import time
@@ -19,6 +20,12 @@
 PLAIN_SERVICE = "desk"
 HOST = "site.example"
 SPLIT = [{"Service": PLAIN_SERVICE, "Weight": 1}, {"Service": PLAIN_SERVICE, "Weight": 3}]
+WRITTEN_AGAIN_S = 1.0
+"""How long after the store's return its operator and servers have written again."""
+
+LAPSED_S = 3.0
+"""How long after it the entries go that nobody renews."""
+
 LAPSE_S = 1.0
 """How long after its end a server's entry goes."""
 
@@ -78,6 +85,25 @@
         eventlet.spawn_after(LAPSE_S, site.store.drop, f"servers/{identifier}")
 
 
+def return_from_copy(site: Site) -> None:
+    """Let the store come back from its copy; whoever lives writes again what it wrote."""
+    before = site.store.return_from_copy()
+    eventlet.spawn_after(WRITTEN_AGAIN_S, _write_again, site, before)
+    eventlet.spawn_after(LAPSED_S, _drop_lapsed, site, before)
+
+
+def _write_again(site: Site, before: dict[str, dict[str, Any]]) -> None:
+    for key, item in before.items():
+        if site.store.items.get(key, {}).get("Value") != item["Value"]:
+            site.store.put(key, base64.b64decode(item["Value"]).decode())
+
+
+def _drop_lapsed(site: Site, before: dict[str, dict[str, Any]]) -> None:
+    """Drop the servers that have left since the copy: nobody renews their entries."""
+    for key in set(site.store.copied[0]) - before.keys():
+        site.store.drop(key)
+
+
 def _make_end(site: Site, engine: Engine) -> Callable[[], None]:
     return lambda: end_engine(site, engine)
 
--- a/emulator/store.py
+++ b/emulator/store.py
@@ -40,6 +40,29 @@
     changed: Event = field(default_factory=Event)
     faults: StoreFaults = field(default_factory=StoreFaults)
     calls: Counter[str] = field(default_factory=Counter)
+    era: int = 1
+    """Rises each time the store comes back from a copy."""
+    copied: tuple[dict[str, dict[str, Any]], int] = field(default_factory=lambda: ({}, 0))
+    """The items of the copy, and its revision."""
+
+    def keep_copy(self) -> None:
+        """Keep a copy of what is there now."""
+        self.copied = (dict(self.items), self.revision)
+
+    def return_from_copy(self) -> dict[str, dict[str, Any]]:
+        """Go back to the copy: what was written since is gone; returns what there was.
+
+        Revisions are given out again, and history ends where the copy does.
+        """
+        before = dict(self.items)
+        items, self.revision = self.copied
+        self.items = dict(items)
+        kept = [item for item in self.history if item["Revision"] <= self.revision]
+        self.history.clear()
+        self.history.extend(kept)
+        self.era += 1
+        self._wake()
+        return before
 
     def put(self, key: str, text: str) -> None:
         """Write an item."""
@@ -85,7 +108,11 @@
         if self.faults.nonsense:
             content = {"events": 7, "Entries": [{"Value": "?"}], "at": "soon"}
         body = json.dumps(content).encode()
-        headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
+        headers = [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(body))),
+            ("Store-Era", str(self.era)),
+        ]
         start_response(status, headers)
         return [body]
 
@@ -107,7 +134,7 @@
         timeout = eventlet.Timeout(int(query.get("WaitMs", "0")) / 1000.0, False)
         with timeout:
             while True:
-                if after < self.forgotten_revision:
+                if not self.forgotten_revision <= after <= self.revision:
                     return "410 Gone", {"at": self.revision}
                 found = self._since(prefix, after)
                 if found:
