--- a/tests/standins/histories.py
+++ b/tests/standins/histories.py
@@ -69,6 +69,19 @@
     refuses: set[str] = field(default_factory=set)
     calls: Counter[str] = field(default_factory=Counter)
 
+    copied: tuple[dict[str, BackendServer], int, int] = field(default_factory=lambda: ({}, 1, 1))
+    """Of the copy: servers, revision and configuration."""
+
+    def keep_copy(self) -> None:
+        """Keep a copy of what is published now."""
+        self.copied = (dict(self.servers), self.revision, self.configuration_number)
+
+    def return_from_copy(self) -> None:
+        """Come back from the copy; what was published since is gone."""
+        servers, self.revision, self.configuration_number = self.copied
+        self.servers = dict(servers)
+        self.era += 1
+
     @property
     def order(self) -> SourceOrder:
         """Return the order of what is published now."""
--- /dev/null
+++ b/tests/steps/copied_store_property_steps.py
@@ -0,0 +1,250 @@
+"""Properties of a source that comes back from a copy of its own."""
+
+import random
+from typing import Any
+
+from behave import given, then, when
+from hypothesis import Phase, settings
+from hypothesis import given as drawn
+from hypothesis import strategies as st
+from result import Err, Ok, Result
+
+from myrtlehook_core import (
+    BackendServer,
+    Configuration,
+    ConfigurationVersion,
+    CoreOptions,
+    SourceOrder,
+)
+from myrtlehook_core.version.discovery import (
+    DOUBTED_S,
+    RETURN_GRACE_S,
+    Discovery,
+    ServerChanges,
+    apply_discovery,
+    collect_changes,
+    expire_lapsed,
+    take_changes,
+    take_servers,
+)
+from myrtlehook_platform.store import Followed, Store, StoreAnswer, StoreFailure
+from myrtlehook_router.process.counters import Counters
+from myrtlehook_router.process.read_switches import ReadSwitch
+from standins.histories import History, Network, Source
+from standins.pools import POOL
+
+OPTIONS = CoreOptions(source_readers=2)
+UNSHRUNK = (Phase.explicit, Phase.generate)
+HISTORIES = 15
+SETTLE_S = 9.0
+"""More than a server is doubted, and news of the end takes."""
+
+CHANGES = 10
+CALLS = 40
+
+
+def _server(name: str) -> BackendServer:
+    return BackendServer(name, POOL, "10.0.1.1:80", "z", 1, False, False)
+
+
+@then("in any history with copies, all routers end with what is published, and none goes back")
+def check_histories(context: Any) -> None:
+    @settings(max_examples=HISTORIES, phases=UNSHRUNK)
+    @drawn(st.integers(0, 10**6), st.sampled_from([0.0, 0.2]), st.integers(2, 5))
+    def check(seed: int, lost_part: float, routers: int) -> None:
+        source = Source()
+        source.put("first")
+        history = History(seed, routers, 0, Network(lost_part, 0.1, 0.05), OPTIONS, source)
+        draw = random.Random(seed)
+        lives: dict[int, int] = {}
+        highest = 1
+        for number in range(CHANGES):
+            history.run_until(history.now_s + draw.random() * 1.5)
+            highest = max(highest, source.configuration_number)
+            _change(history, source, draw, number, highest)
+            _check_versions(history, lives)
+        source.silent_to.clear()
+        source.configuration_number = highest + 10
+        source.put("last")
+        for _ in range(int(SETTLE_S / 0.5)):
+            history.run_until(history.now_s + 0.5)
+            _check_versions(history, lives)
+        for name, core in history.alive.items():
+            known = core.configuration
+            assert known.backend_servers == source.servers, (name, known.backend_servers, source)
+            assert known.version.number == source.configuration_number, name
+
+    check()
+
+
+def _change(
+    history: History, source: Source, draw: random.Random, number: int, highest: int
+) -> None:
+    kind = draw.choice(["copy", "return", "return", "put", "drop", "number", "restart", "silent"])
+    router = draw.choice(sorted(history.alive))
+    if kind == "copy":
+        source.keep_copy()
+    elif kind == "return":
+        source.return_from_copy()
+    elif kind == "put":
+        source.put(f"s{number}")
+    elif kind == "drop" and source.servers:
+        source.drop(draw.choice(sorted(source.servers)))
+    elif kind == "number":
+        source.configuration_number = highest + 1
+    elif kind == "restart":
+        history.kill_router(router)
+        history.start_router(router)
+    elif kind == "silent":
+        source.silent_to.add(router)
+
+
+def _check_versions(history: History, lives: dict[int, int]) -> None:
+    """Check that no life of a router has gone back to an earlier configuration."""
+    for core in history.alive.values():
+        number = core.configuration.version.number
+        life = core.identity.incarnation
+        assert number >= lives.get(life, 0), f"{number} after {lives[life]}"
+        lives[life] = number
+
+
+class ScriptedStore(Store):
+    """A reader before a store that is played here; some answers are of a lagging replica."""
+
+    def __init__(self, draw: random.Random) -> None:
+        super().__init__("10.0.0.1:80", Counters(None), ReadSwitch(True))
+        self.draw = draw
+        self.era, self.revision = 1, 3
+        self.items = {"servers/a": 1, "servers/b": 2, "servers/c": 3}
+        self.copied: tuple[dict[str, int], int] = ({}, 0)
+        self.history: list[tuple[int, str, bool]] = []
+        self.before: tuple[int, int, dict[str, int]] = (1, 3, dict(self.items))
+        """What a lagging replica still answers."""
+        self.lags = True
+
+    def change(self) -> None:
+        """Change something at the store, or let it come back from a copy."""
+        self.before = (self.era, self.revision, dict(self.items))
+        kind = self.draw.choice(["put", "put", "drop", "copy", "return"])
+        key = f"servers/{self.draw.choice('abcdef')}"
+        if kind == "copy":
+            self.copied = (dict(self.items), self.revision)
+        elif kind == "return":
+            items, self.revision = self.copied
+            self.items = dict(items)
+            self.history = [change for change in self.history if change[0] <= self.revision]
+            self.era += 1
+        elif kind == "put" or key in self.items:
+            self.revision += 1
+            self.history.append((self.revision, key, kind == "drop"))
+            self.items.pop(key, None)
+            if kind == "put":
+                self.items[key] = self.revision
+
+    def _call(
+        self, name: str, query: dict[str, str], timeout_s: float
+    ) -> Result[StoreAnswer, StoreFailure]:
+        if name == "kv-range":
+            era, revision, items = self.era, self.revision, self.items
+            if self.lags and self.draw.random() < 0.3:
+                era, revision, items = self.before
+            entries = [
+                {"PrivateKey": key, "Value": "", "Revision": written}
+                for key, written in items.items()
+            ]
+            return Ok(StoreAnswer(era, {"Entries": entries, "more": False, "at": revision}))
+        after = int(query["After"])
+        if after > self.revision:
+            return Err(StoreFailure("status 410", history_gone=True, era=self.era))
+        changes = {key: gone for written, key, gone in self.history if written > after}
+        told = [
+            {"PrivateKey": key, "gone": True} if gone else {"PrivateKey": key, "Value": ""}
+            for key, gone in changes.items()
+        ]
+        return Ok(StoreAnswer(self.era, {"events": told, "at": self.revision}))
+
+
+@then("in any history of calls a reader ends with the store's content, and its order only rises")
+def check_reader(context: Any) -> None:
+    @settings(max_examples=200)
+    @drawn(st.integers(0, 10**6))
+    def check(seed: int) -> None:
+        store = ScriptedStore(random.Random(seed))
+        followed = Followed()
+        loaded, order = False, followed.order
+        for number in range(CALLS):
+            store.lags = number < CALLS - 4
+            if store.lags and store.draw.random() < 0.5:
+                store.change()
+            taken = store._take(followed, loaded)
+            assert followed.order >= order, f"{followed.order} after {order}"
+            order = followed.order
+            if isinstance(taken, Ok):
+                loaded = True
+            elif taken.err_value.new_era or taken.err_value.history_gone:
+                loaded = False
+        assert followed.order == SourceOrder(store.era, store.revision), followed.order
+        assert followed.items.keys() == store.items.keys(), (followed.items, store.items)
+
+    check()
+
+
+def _usable(context: Any, now_s: float) -> set[str]:
+    expire_lapsed(context.discovery, now_s)
+    base = Configuration(ConfigurationVersion(1, ""))
+    servers = apply_discovery(base, context.discovery).backend_servers
+    return {name for name, server in servers.items() if not server.leaving}
+
+
+@given('a router that knows servers "a" and "b", and that "c" has gone')
+def know_servers(context: Any) -> None:
+    context.discovery = Discovery()
+    everything = [_server(name) for name in "abc"]
+    take_servers(context.discovery, everything, False, 0.0, SourceOrder(1, 10))
+    take_servers(context.discovery, everything[:2], False, 1.0, SourceOrder(1, 11))
+
+
+@when('the store comes back from a copy with "a" and "c"')
+def take_copy(context: Any) -> None:
+    copied = [_server("a"), _server("c")]
+    assert take_servers(context.discovery, copied, False, 10.0, SourceOrder(2, 5))
+
+
+@then('"b" is used for 2 s more, and "c" is not used for 6 s')
+def check_moment(context: Any) -> None:
+    assert (RETURN_GRACE_S, DOUBTED_S) == (2.0, 6.0)
+    assert _usable(context, 11.9) == {"a", "b"}
+    assert _usable(context, 12.0) == {"a"}
+    assert _usable(context, 15.9) == {"a"}
+
+
+@when('"c" is still there after 6 s')
+def keep_third(context: Any) -> None:
+    copied = [_server("a"), _server("c")]
+    take_servers(context.discovery, copied, False, 15.95, SourceOrder(2, 7))
+
+
+@then('"c" is used again')
+def check_third(context: Any) -> None:
+    assert _usable(context, 16.0) == {"a", "c"}
+
+
+@then("lists of an earlier era are refused, however high their revision")
+def check_refused(context: Any) -> None:
+    discovery = Discovery()
+    take_servers(discovery, [_server("a")], False, 0.0, SourceOrder(2, 5))
+    assert not take_servers(discovery, [_server("b")], False, 1.0, SourceOrder(1, 900))
+    late = ServerChanges(SourceOrder(1, 900), True, (_server("b"),), frozenset(), ())
+    assert not take_changes(discovery, late, False, 1.0)
+    assert set(discovery.known) == {"a"}
+
+
+@then("a peer of an earlier era is told the whole list")
+def check_whole(context: Any) -> None:
+    discovery = Discovery()
+    take_servers(discovery, [_server("a"), _server("b")], False, 0.0, SourceOrder(1, 5))
+    take_servers(discovery, [_server("a")], False, 1.0, SourceOrder(1, 6))
+    take_servers(discovery, [_server("a"), _server("c")], False, 2.0, SourceOrder(2, 4))
+    changes = collect_changes(discovery, SourceOrder(1, 900))
+    assert changes.whole and not changes.gone
+    assert {server.name for server in changes.servers} == {"a", "c"}, changes
