--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -18,13 +18,14 @@
     routers: int = typer.Option(3, help="router processes in each run"),
     engines: int = typer.Option(3, help="model engines in each run"),
     endings: bool = typer.Option(True, help="whether engines end as well"),
+    copies: bool = typer.Option(True, help="whether the store comes back from a copy"),
     notices: bool = typer.Option(True, help="whether servers tell of themselves in answers"),
 ) -> None:
     """Run real routers under random faults, and check their promises; status 1 if any broke."""
     first = seed if seed >= 0 else random.SystemRandom().randrange(1_000_000_000)
     broken = 0
     for number in range(first, first + runs):
-        result = play(Order(number, seconds, routers, engines, endings, notices))
+        result = play(Order(number, seconds, routers, engines, endings, notices, copies))
         broken += bool(result.violations)
         _print(result)
     print(f"{runs} runs, {broken} with a broken promise")
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -14,7 +14,7 @@
 from soak.callers import PATHS, Seen
 from soak.checks import Violation, check_answers, check_in_time, check_runs
 from soak.notice_checks import BACKOFF_S, Struck, check_notices
-from soak.schedules import Fault, draw_endings, draw_notices, draw_schedule
+from soak.schedules import Fault, draw_copies, draw_endings, draw_notices, draw_schedule
 from standins.attempts import make_headers, new_id, send
 from standins.nodes import ROOT, Node, NodeFleet
 from standins.processes import start_process
@@ -50,6 +50,8 @@
     """Whether engines end as well."""
     notices: bool = False
     """Whether servers say in answers that they leave, or want to be left alone."""
+    copies: bool = False
+    """Whether the store comes back from a copy."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,6 +126,8 @@
         if order.notices:
             engines = [name for name in self._servers() if _ends(name)]
             faults += draw_notices(order.seed, order.seconds, self._servers(), engines)
+        if order.copies:
+            faults += draw_copies(order.seed, order.seconds)
         callers = self._start_callers()
         start_s = time.monotonic()
         self._strike(faults, start_s)
@@ -193,6 +197,8 @@
             self.fleet.order(faults={fault.target: {fault.how: 3 if begins else 0}})
         elif fault.kind == "store":
             self._change_store(fault, begins)
+        elif fault.kind == "copy":
+            self.fleet.order(keep_copy=begins, return_from_copy=not begins)
         elif fault.kind == "notice":
             self._change_notice(fault, begins)
         elif fault.kind == "ending":
--- a/soak/schedules.py
+++ b/soak/schedules.py
@@ -78,6 +78,14 @@
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
+def draw_copies(seed: int, seconds: float) -> list[Fault]:
+    """Draw when the store keeps a copy, and when it comes back from that."""
+    draw = random.Random(f"copies/{seed}")
+    at_s = draw.uniform(FIRST_FAULT_S, seconds * 0.5)
+    until_s = at_s + draw.uniform(SHORTEST_FAULT_S, LONGEST_FAULT_S)
+    return [Fault(round(at_s, 3), round(min(until_s, seconds), 3), "copy", "returns", "store")]
+
+
 def _draw_target(
     draw: random.Random, kind: str, routers: list[str], servers: list[str]
 ) -> tuple[str, str]:
--- a/tests/features/copied_store.feature
+++ b/tests/features/copied_store.feature
@@ -46,3 +46,4 @@
   Scenario: A peer that knows another era is told all, and an older era tells it nothing
     Then lists of an earlier era are refused, however high their revision
     And a peer of an earlier era is told the whole list
+    And a range of an earlier era than a watch has shown is refused
--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -29,6 +29,14 @@
       | 5000 | 9       |
       | 5003 | 9       |
 
+  Scenario Outline: The promises are kept while the store comes back from a copy
+    When the soak plays seed <seed> for <seconds> s, servers tell of themselves, the store returns
+    Then no promise was broken, and callers were served
+
+    Examples:
+      | seed | seconds |
+      | 5100 | 8       |
+
   Scenario: The checks tell what reached a server that was to be left alone
     Then 3 requests within what a server asked for are found, and 2 are not
     And a request 2 s after its router passed on that the server leaves is found
--- a/tests/steps/copied_store_property_steps.py
+++ b/tests/steps/copied_store_property_steps.py
@@ -248,3 +248,20 @@
     changes = collect_changes(discovery, SourceOrder(1, 900))
     assert changes.whole and not changes.gone
     assert {server.name for server in changes.servers} == {"a", "c"}, changes
+
+
+@then("a range of an earlier era than a watch has shown is refused")
+def check_mixed(context: Any) -> None:
+    store = ScriptedStore(random.Random(1))
+    store.lags = False
+    followed = Followed()
+    assert isinstance(store._take(followed, loaded=False), Ok)
+    store.era = 2
+    shown = store._take(followed, loaded=True)
+    assert isinstance(shown, Err) and shown.err_value.new_era, shown
+    store.era = 1
+    refused = store._take(followed, loaded=False)
+    assert isinstance(refused, Err) and not refused.err_value.new_era, refused
+    store.era = 2
+    assert isinstance(store._take(followed, loaded=False), Ok)
+    assert followed.order.era == 2
--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -32,6 +32,13 @@
     context.result = play(Order(seed, seconds, endings=True, notices=True))
 
 
+@when(
+    "the soak plays seed {seed:d} for {seconds:g} s, servers tell of themselves, the store returns"
+)
+def play_copies(context: Any, seed: int, seconds: float) -> None:
+    context.result = play(Order(seed, seconds, notices=True, copies=True))
+
+
 @then("no promise was broken, and callers were served")
 def check_result(context: Any) -> None:
     assert not context.result.violations, context.result
