Tell from logs what each workspace asked for, received and was refused for

Now a request's last line and the sums tell its size as shares count it, the line 'share level' what was received, and 'losses' sums both up by workspace over any six seconds in each of which it was refused something. No decision changes.

--- a/packages/core/src/myrtlehook_core/__init__.py
+++ b/packages/core/src/myrtlehook_core/__init__.py
@@ -44,7 +44,12 @@
 from myrtlehook_core.request.admission import QueueLimits
 from myrtlehook_core.request.fingerprints import fingerprint_request
 from myrtlehook_core.request.outcomes import DropReason, Outcome, RefusalReason, RetryReason
-from myrtlehook_core.request.requests import PoolKey, PromptPart, RequestSpecification
+from myrtlehook_core.request.requests import (
+    PoolKey,
+    PromptPart,
+    RequestSpecification,
+    find_share_tokens,
+)
 from myrtlehook_core.version.configurations import (
     BackendServer,
     Configuration,
@@ -135,6 +140,7 @@
     "ConfigurationParser",
     "ListenAddress",
     "Listener",
+    "find_share_tokens",
     "fingerprint_request",
     "count_held",
     "read_record",
--- a/packages/core/src/myrtlehook_core/process/admission_ends.py
+++ b/packages/core/src/myrtlehook_core/process/admission_ends.py
@@ -14,12 +14,7 @@
 from myrtlehook_core.process.shares import note_refused
 from myrtlehook_core.request.charges import settle_charge
 from myrtlehook_core.request.outcomes import RefusalReason
-from myrtlehook_core.request.requests import RequestSpecification, count_share_tokens
-
-
-def expected_tokens(request: RequestSpecification) -> int:
-    """Return a request's size as shares count it."""
-    return count_share_tokens(request.prompt_tokens, request.output_tokens)
+from myrtlehook_core.request.requests import find_share_tokens
 
 
 def end_admission(
@@ -76,7 +71,7 @@
         count_queued(context.entry, admission.request, -1)
     if not ran:
         request = admission.request
-        tokens = expected_tokens(request)
+        tokens = find_share_tokens(request)
         note_refused(
             context.shares,
             request.pool,
--- a/packages/core/src/myrtlehook_core/process/admissions.py
+++ b/packages/core/src/myrtlehook_core/process/admissions.py
@@ -16,7 +16,7 @@
     rank_engines,
     tell_owner,
 )
-from myrtlehook_core.process.admission_ends import expected_tokens, refuse_admission
+from myrtlehook_core.process.admission_ends import refuse_admission
 from myrtlehook_core.process.admission_handover import hear_estimate, remember_parts
 from myrtlehook_core.process.admission_messages import (
     AdmissionGrant,
@@ -51,7 +51,7 @@
     grow_charge,
 )
 from myrtlehook_core.request.outcomes import DropReason, RefusalReason, RetryReason
-from myrtlehook_core.request.requests import RequestSpecification
+from myrtlehook_core.request.requests import RequestSpecification, find_share_tokens
 
 
 def is_admitted_by_tokens(context: EntryContext, request: RequestSpecification) -> bool:
@@ -69,7 +69,7 @@
     if reason is not None:
         refuse_request(entry, context.entry_context, request, reason, now_s)
         return
-    tokens = expected_tokens(request)
+    tokens = find_share_tokens(request)
     tier = note_asked(context.shares, request.pool, request.workspace, tokens, now_s)
     options = context.entry_context.options
     full = admissions.full_tiers[request.pool]
@@ -285,7 +285,7 @@
     priority_units = virtual_service_units(entry, key_of(request))
     workspace = context.entry_context.configuration.workspaces.get(request.workspace)
     share = 1.0 if workspace is None else workspace.share
-    charge_known(account, request.request_id, float(expected_tokens(request)), share)
+    charge_known(account, request.request_id, float(find_share_tokens(request)), share)
     attempt = entry.attempts.get(request.request_id, 0) + 1
     entry.attempts[request.request_id] = attempt
     entry.retry_budget = min(entry.retry_budget + options.retry_ratio, options.retry_burst)
--- a/packages/core/src/myrtlehook_core/request/requests.py
+++ b/packages/core/src/myrtlehook_core/request/requests.py
@@ -48,6 +48,11 @@
     return prompt_tokens + 2 * output_tokens
 
 
+def find_share_tokens(request: RequestSpecification) -> int:
+    """Return a request's size as shares count it, with the output that its caller expects."""
+    return count_share_tokens(request.prompt_tokens, request.output_tokens)
+
+
 @dataclass(frozen=True, slots=True)
 class PoolKey:
     """The account key: service is counted per workspace and pool."""
--- a/packages/operator/src/myrtlehook_operator/process/commands.py
+++ b/packages/operator/src/myrtlehook_operator/process/commands.py
@@ -17,10 +17,12 @@
     print_json,
     print_losses,
     print_plan,
+    print_shares,
     print_statuses,
     print_story,
 )
 from myrtlehook_operator.request.losses import LossReport, report_losses
+from myrtlehook_operator.request.share_accounts import find_worst_shares
 from myrtlehook_operator.request.stories import tell_story
 from myrtlehook_operator.version.intents import apply_intent, load_intent
 from myrtlehook_operator.version.plans import (
@@ -109,6 +111,7 @@
 ) -> None:
     """Tell what callers lost, the largest first, from log files; exit 1 if none is read."""
     report = report_losses(_read_file(path).splitlines() for path in logs)
+    shares = find_worst_shares(report.ends, report.begins_s)
     if as_json:
         tables = {name: [asdict(row) for row in found] for name, found in report.tables.items()}
         print_json(
@@ -118,10 +121,12 @@
                 "summed": report.summed,
                 "dropped_lines": report.dropped_lines,
                 "tables": tables,
+                "shares": [asdict(account) | {"part": account.part} for account in shares],
             }
         )
     else:
         print_losses(report, rows)
+        print_shares(shares[:rows])
     if plot is not None:
         _draw(report, plot)
     if not report.requests:
--- a/packages/operator/src/myrtlehook_operator/process/reports.py
+++ b/packages/operator/src/myrtlehook_operator/process/reports.py
@@ -9,6 +9,7 @@
 
 from myrtlehook_core import Finding
 from myrtlehook_operator.request.losses import LossReport
+from myrtlehook_operator.request.share_accounts import SPAN_S, ShareAccount
 from myrtlehook_operator.request.stories import StoryLine
 from myrtlehook_operator.version.plans import Plan
 
@@ -150,3 +151,25 @@
         OUT.print(table)
         if len(losses) > most_rows:
             OUT.print(f"{len(losses) - most_rows} more")
+
+
+def print_shares(accounts: Sequence[ShareAccount]) -> None:
+    """Print what the worst served workspaces asked for and received."""
+    if not accounts:
+        return
+    OUT.print(f"shares, {SPAN_S} s each, of workspaces that were refused something in each second")
+    table = Table(
+        "workspace", "from second", "asked", "received", "best received", "part", "refused"
+    )
+    for account in accounts:
+        refused = ", ".join(f"{name} {count}" for name, count in account.refused_tokens.items())
+        table.add_row(
+            account.workspace,
+            str(account.begins_s),
+            str(account.asked_tokens),
+            str(account.received_tokens),
+            str(account.best_received_tokens),
+            f"{account.part:.2f}",
+            refused,
+        )
+    OUT.print(table)
--- a/packages/operator/src/myrtlehook_operator/request/losses.py
+++ b/packages/operator/src/myrtlehook_operator/request/losses.py
@@ -49,6 +49,12 @@
     reason: str
     requests: int = 1
     """More than one where the log tells of refusals in a sum."""
+    share_tokens: int = 0
+    """As shares count them; 0 for plain services, and where the body was not read."""
+    asked_at_s: float = 0.0
+    """When the request came, on the scale of its end."""
+    begun_at_s: float | None = None
+    """When its answer began; None for none."""
 
 
 @dataclass(slots=True)
@@ -115,8 +121,11 @@
         return None
     kind, reason = _judge(content)
     ids = content.get("request_ids") or [""]
+    at_s = _read_time(str(content.get("timestamp", "")))
+    asked_at_s = at_s - float(content.get("elapsed_ms") or 0.0) / 1000.0
+    first_byte_ms = content.get("first_byte_ms")
     return RequestEnd(
-        at_s=_read_time(str(content.get("timestamp", ""))),
+        at_s=at_s,
         request_id=str(content.get("request_id") or ids[0]),
         vm=str(content.get("vm", "")),
         route=str(content.get("route") or ""),
@@ -125,6 +134,9 @@
         kind=kind,
         reason=reason,
         requests=int(content.get("requests") or 1),
+        share_tokens=int(content.get("share_tokens") or 0),
+        asked_at_s=asked_at_s,
+        begun_at_s=None if first_byte_ms is None else asked_at_s + first_byte_ms / 1000.0,
     )
 
 
--- a/packages/router/src/myrtlehook_router/process/core_tasks.py
+++ b/packages/router/src/myrtlehook_router/process/core_tasks.py
@@ -268,7 +268,13 @@
             asked_tokens=action.asked_tokens,
             refused_tokens=action.refused_tokens,
             reports=action.reports,
-            above={row.workspace: row.asked_tokens for row in action.above},
+            above={
+                row.workspace: {
+                    "asked_tokens": row.asked_tokens,
+                    "received_tokens": row.asked_tokens - row.refused_tokens,
+                }
+                for row in action.above
+            },
         )
 
     def _note_member(self, action: actions.MemberNoted) -> None:
--- a/packages/router/src/myrtlehook_router/request/gateways.py
+++ b/packages/router/src/myrtlehook_router/request/gateways.py
@@ -14,6 +14,7 @@
     RequestSpecification,
     book_return,
     choose_pool,
+    find_share_tokens,
     fingerprint_request,
     sheds,
 )
@@ -130,10 +131,11 @@
     # Streams are what costs processor time.
     costly = pool is not None and pool.engine is not None
     if costly and sheds(services.requests.shedding, specification.workspace):
-        return _refuse(services, request.environ, _overloaded(services, request), request)
+        refusal = _overloaded(services, request)
+        return _refuse(services, request.environ, refusal, request, specification)
     opened = queue_request(services.requests, specification, request.environ)
     if isinstance(opened, Err):
-        return _refuse(services, request.environ, opened.err_value, request)
+        return _refuse(services, request.environ, opened.err_value, request, specification)
     relay = Relay(
         request=request,
         place=opened.ok_value,
@@ -198,23 +200,30 @@
     environ: dict[str, Any],
     refusal: Refusal,
     request: RoutedRequest | None = None,
+    specification: RequestSpecification | None = None,
 ) -> Answer:
     """Answer a request that the core has not taken.
 
     :param request: None while its route is not known.
+    :param specification: None while its body has not been read.
     """
     request_id = find_header(environ["headers_raw"], services.names.request_id) or ""
     services.requests.counters.add(f"refusal.{refusal.reason}")
     route = request.route.name if request else ""
     workspace = request.workspace.name if request else ""
     kind = RefusedKind(refusal.reason, route, workspace)
-    if note_refusal(services.requests.refusal_sums, kind, request_id):
+    prompt_tokens = specification.prompt_tokens if specification else 0
+    share_tokens = find_share_tokens(specification) if specification else 0
+    sums = services.requests.refusal_sums
+    if note_refusal(sums, kind, request_id, prompt_tokens, share_tokens):
         _log.info(
             "request refused",
             request_id=request_id,
             reason=refusal.reason,
             route=route or None,
             workspace=workspace or None,
+            prompt_tokens=prompt_tokens,
+            share_tokens=share_tokens,
             configuration=services.requests.configuration().version.number,
         )
     return answer_refusal(services.names, request_id, refusal)
--- a/packages/router/src/myrtlehook_router/request/refusal_sums.py
+++ b/packages/router/src/myrtlehook_router/request/refusal_sums.py
@@ -37,6 +37,8 @@
     """Of them, those that had no line of their own."""
     prompt_tokens: int = 0
     """Of those."""
+    share_tokens: int = 0
+    """Of those, as shares count them."""
     request_ids: list[str] = field(default_factory=list)
 
 
@@ -48,7 +50,11 @@
 
 
 def note_refusal(
-    sums: RefusalSums, kind: RefusedKind, request_id: str, prompt_tokens: int = 0
+    sums: RefusalSums,
+    kind: RefusedKind,
+    request_id: str,
+    prompt_tokens: int = 0,
+    share_tokens: int = 0,
 ) -> bool:
     """Count a refusal; True when it is to have a log line of its own."""
     found = sums.kinds.get(kind)
@@ -59,6 +65,7 @@
         return True
     found.summed += 1
     found.prompt_tokens += prompt_tokens
+    found.share_tokens += share_tokens
     if len(found.request_ids) < EXAMPLES:
         found.request_ids.append(request_id)
     return False
@@ -77,5 +84,6 @@
             workspace=kind.workspace or None,
             requests=found.summed,
             prompt_tokens=found.prompt_tokens,
+            share_tokens=found.share_tokens,
             request_ids=found.request_ids,
         )
--- a/packages/router/src/myrtlehook_router/request/relays.py
+++ b/packages/router/src/myrtlehook_router/request/relays.py
@@ -4,7 +4,7 @@
 
 import urllib3
 
-from myrtlehook_core import Outcome, RefusalReason, RetryReason
+from myrtlehook_core import Outcome, RefusalReason, RetryReason, find_share_tokens
 from myrtlehook_router.connection.backends import SendFailure
 from myrtlehook_router.connection.clients import ClientPool, Exchange
 from myrtlehook_router.process import clocks
@@ -139,7 +139,8 @@
     request = relay.request
     kind = RefusedKind(reason, request.route.name, request.workspace.name)
     sums = relay.place.services.refusal_sums
-    is_told = note_refusal(sums, kind, request.request_id, relay.prompt_tokens)
+    tokens = find_share_tokens(relay.place.specification)
+    is_told = note_refusal(sums, kind, request.request_id, relay.prompt_tokens, tokens)
     end_relay(relay, Outcome.NOT_RUN, f"refused: {reason}", is_told=is_told)
 
 
@@ -166,6 +167,7 @@
         route=relay.request.route.name,
         workspace=relay.request.workspace.name,
         prompt_tokens=relay.prompt_tokens,
+        share_tokens=find_share_tokens(place.specification),
         aim_ms=round(relay.request.route.aim_s * 1000.0),
         backend_server=relay.backend_server,
         attempts=relay.attempts,
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -119,6 +119,10 @@
     And the tool's losses name the attempts to explain
     And the tool draws its losses
 
+  Scenario: A request's last log line tells its size as shares count it
+    When "planners" sends "POST" "/diagnosis/a" with "900,60" tokens to router 1
+    Then the log of router 1 tells "request ended" with "share_tokens" 1020
+
   Scenario: A resumable stream goes on at another server from its last whole event
     Given the next stream breaks off after 4 events
     When "planners" sends "POST" "/diagnosis/a" with "900,60" tokens to router 1
--- a/tests/features/shares.feature
+++ b/tests/features/shares.feature
@@ -4,6 +4,11 @@
     When a workspace floods engines that 120000 tokens a second are configured for
     Then the accountant has told the level and who is above it, once a second
 
+  Scenario: On-call can tell from logs what a workspace asked for, received, and was refused for
+    Given logs of 8 s in which "a" is answered and "b" is refused half of what it asks, for two reasons
+    Then the tool's worst share is that of "b", 0.5 of it, with both reasons
+    And the tool tells no share of "c", which was refused nothing in one of these seconds
+
   Scenario Outline: What engines cannot do any more is missed by all alike
     When <lost> of 4 engines are lost while "a" floods, "b" asks for slightly less than its share and "c" for slightly more
     Then over six seconds each workspace receives half of what the best served one does, or of what it asks
--- a/tests/steps/platform_operator_steps.py
+++ b/tests/steps/platform_operator_steps.py
@@ -272,3 +272,13 @@
         return bool(lines) and all(wanted <= line.keys() for line in lines)
 
     wait_for(told, f"the logs tell {event!r}")
+
+
+@then('the log of router {router:d} tells "{event}" with "{name}" {value:d}')
+def check_log_field(context: Any, router: int, event: str, name: str, value: int) -> None:
+    def told() -> bool:
+        lines = node(context, router).log_path.read_text().splitlines()
+        found = [json.loads(line) for line in lines if f'"event": "{event}"' in line]
+        return any(line.get(name) == value for line in found)
+
+    wait_for(told, f"the log of router {router} to tell {event!r} with {name} {value}")
