--- a/tests/features/shares.feature
+++ b/tests/features/shares.feature
@@ -23,6 +23,16 @@
     When "a" floods in short prompts, and "b" and "c" ask for more than their shares, "b" in long ones
     Then over six seconds each workspace receives half of what the best served one does, or of what it asks
 
+  # Shares rested on requests that still waited, so that a flood of callers who come back got nothing.
+  Scenario Outline: Callers that come back to fewer engines take no workspace's share away
+    When of five workspaces "d" asks in prompts of <tokens> tokens, callers of each reach <reached> routers, and <routers> of 12 routers and <engines> of 8 engines are lost
+    Then from 4 s after the loss on, each workspace receives 0.5 of what the best served one does, or of what it asks, in any six seconds
+
+    Examples:
+      | tokens | reached | routers | engines |
+      | 12000  | 2       | 0       | 4       |
+      | 3000   | 1       | 4       | 4       |
+
   Scenario Outline: A router that is short of processor time takes no workspace's share away
     When a router that all callers of "a" reach sheds 0.97 of what it can, while "a" asks for <factor> times what "b" asks of the others
     Then over six seconds each workspace receives half of what the best served one does, or of what it asks
--- /dev/null
+++ b/tests/steps/long_prompt_steps.py
@@ -0,0 +1,89 @@
+"""Steps of workspaces that ask in long prompts beside others that ask in short ones."""
+
+import random
+from typing import Any
+
+from behave import then, when
+
+from myrtlehook_core import CoreOptions
+from standins.histories import History, Network
+from standins.share_histories import (
+    BEGINS_S,
+    ServedHistory,
+    Workload,
+    find_worst_part,
+)
+
+ROUTERS = 12
+ENGINES = 8
+ZONES = 3
+CONFIGURED_TOKENS_PER_S = 240_000.0
+"""What eight engines of 30 tokens a ms read."""
+
+RATES_TOKENS_PER_S = {"a": 300_000.0, "b": 150_000.0, "c": 120_000.0, "d": 80_000.0, "e": 80_000.0}
+OWN_TOKENS = {"a": 700, "b": 1_500, "c": 2_500, "e": 1_000}
+"""Of the mean prompt; "d" asks in long ones."""
+
+SEED = 0
+LOST_S = 5.0
+SETTLED_S = 4.0
+"""From so long after any change on, shares are judged."""
+
+ENDS_S = 17.0
+NETWORK = Network(lost_part=0.005, doubled_part=0.005)
+
+
+def play_mix(
+    seed: int,
+    long_tokens: int,
+    lost_routers: int,
+    lost_engines: int,
+    reached: int,
+    options: CoreOptions | None = None,
+) -> ServedHistory:
+    """Let five workspaces ask for three times what engines do.
+
+    :param long_tokens: of the mean prompt of "d".
+    :param reached: how many routers each workspace's callers reach.
+    """
+    history = History(
+        seed,
+        ROUTERS,
+        ENGINES,
+        NETWORK,
+        options or CoreOptions(),
+        zones=ZONES,
+        tokens_per_s=CONFIGURED_TOKENS_PER_S,
+    )
+    history.run_until(BEGINS_S)
+    served = ServedHistory(history, returns=True)
+    draw = random.Random(seed)
+    routers = list(history.alive)
+    for number, (name, rate) in enumerate(RATES_TOKENS_PER_S.items()):
+        entries = [routers[(2 * number + step) % ROUTERS] for step in range(reached)]
+        workload = Workload(name, rate, OWN_TOKENS.get(name, long_tokens))
+        served.ask_at_random(workload, entries, draw, ENDS_S)
+    for router in routers[ROUTERS - lost_routers :]:
+        history.at(LOST_S, lambda router=router: history.kill_router(router))
+    history.at(LOST_S, lambda: history.keep_engines(ENGINES - lost_engines))
+    history.run_until(ENDS_S + 2.0)
+    return served
+
+
+@when(
+    'of five workspaces "d" asks in prompts of {long_tokens:d} tokens, callers of each reach'
+    " {reached:d} routers, and {routers:d} of 12 routers and {engines:d} of 8 engines are lost"
+)
+def ask_in_long_prompts(
+    context: Any, long_tokens: int, reached: int, routers: int, engines: int
+) -> None:
+    context.served = play_mix(SEED, long_tokens, routers, engines, reached)
+
+
+@then(
+    "from 4 s after the loss on, each workspace receives {part:g} of what the best served one does,"
+    " or of what it asks, in any six seconds"
+)
+def check_parts(context: Any, part: float) -> None:
+    worst = find_worst_part(context.served, LOST_S + SETTLED_S, ENDS_S)
+    assert worst.part >= part, worst
--- a/tests/steps/share_steps.py
+++ b/tests/steps/share_steps.py
@@ -1,64 +1,35 @@
 """Steps of shares in a pool whose engines do less than its configuration says."""
 
 import random
-from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from typing import Any
 
 from behave import then, when
 
 from myrtlehook_core import CoreOptions, RequestSpecification, Shedding, sheds
 from standins.histories import History, Network
-from standins.pools import make_request
+from standins.share_histories import (
+    BEGINS_S,
+    OWN_TOKENS,
+    SPAN_S,
+    ServedHistory,
+    Workload,
+    find_unfair,
+)
 
 CONFIGURED_TOKENS_PER_S = 120_000.0
 """What four engines of 30 tokens a ms read."""
 
-BEGINS_S = 1.5
-"""When callers come: the routers know one another by then."""
-
 LOST_S = 6.0
 """When engines are lost."""
 
 SETTLED_S = 2.0
 """A level follows what is asked and done within one window of the shares."""
 
-SPAN_S = 6.0
-"""Over so long the users compare workspaces."""
-
-FAIR_PART = 0.5
-"""The users' bound: each gets this part of the lesser of what it asks for and what the best
-served one gets."""
-
-OWN_TOKENS = 700
-REQUEST_TOKENS = 500 + OWN_TOKENS + 2 * 30
-"""As shares count a request of a history: its session's part, its own, and its output."""
-
 RATES_TOKENS_PER_S = {"a": 200_000.0, "b": 36_000.0, "c": 44_000.0}
 """Of 120,000 tokens a second the max-min share is 42,000."""
 
 
-@dataclass(frozen=True, slots=True)
-class Asked:
-    """What a workspace asked for, and when."""
-
-    workspace: str
-    time_s: float
-    tokens: int
-    """As shares count them."""
-
-
-@dataclass(frozen=True, slots=True)
-class Workload:
-    """What a workspace asks for at random moments."""
-
-    workspace: str
-    rate_tokens_per_s: float
-    own_tokens: int
-    """Of the mean prompt, beside the part that its session shares."""
-
-
 WORKLOADS = (
     Workload("a", 300_000.0, 700),
     Workload("b", 80_000.0, 9_000),
@@ -68,63 +39,6 @@
 """Prompts of 9,000 tokens take half of their aim to read; the max-min share is 33,000."""
 
 
-@dataclass(slots=True)
-class ServedHistory:
-    """A history, and what its workspaces have asked of it."""
-
-    history: History
-    asked: dict[str, Asked] = field(default_factory=dict)
-    """By request."""
-
-    def flood(self, entry: str, workspace: str, rate_tokens_per_s: float, end_s: float) -> None:
-        """Let a workspace ask at a steady rate through one router."""
-        interval_s = REQUEST_TOKENS / rate_tokens_per_s
-        for number in range(int((end_s - BEGINS_S) / interval_s)):
-            time_s = BEGINS_S + number * interval_s
-            self.ask_at(entry, workspace, number, OWN_TOKENS, time_s)
-
-    def ask_at(
-        self, entry: str, workspace: str, number: int, own_tokens: int, time_s: float
-    ) -> None:
-        """Let a workspace ask once; its sessions are its own."""
-        request_id = f"{workspace}{number}"
-        session = number % 7 + 7 * ord(workspace[0])
-        request = make_request(request_id, workspace, session, own_tokens, time_s, True)
-        tokens = request.prompt_tokens + 2 * request.output_tokens
-        self.asked[request_id] = Asked(workspace, time_s, tokens)
-        self.history.at(time_s, lambda: self.history.ask(entry, request))
-
-    def ask_at_random(
-        self, workload: Workload, entries: list[str], draw: random.Random, end_s: float
-    ) -> None:
-        """Let a workspace ask at random moments for prompts of random sizes.
-
-        :param entries: the routers that its callers reach.
-        """
-        time_s = BEGINS_S
-        number = 0
-        while time_s < end_s:
-            own_tokens = round(workload.own_tokens * draw.uniform(0.3, 1.7))
-            entry = draw.choice(entries)
-            self.ask_at(entry, workload.workspace, number, own_tokens, time_s)
-            tokens = own_tokens + REQUEST_TOKENS - OWN_TOKENS
-            time_s += draw.expovariate(workload.rate_tokens_per_s / tokens)
-            number += 1
-
-    def count(self, begins_s: float) -> tuple[Counter[str], Counter[str]]:
-        """Return the tokens asked and begun by workspace over the users' span."""
-        asked: Counter[str] = Counter()
-        begun: Counter[str] = Counter()
-        for request_id, item in self.asked.items():
-            if begins_s <= item.time_s < begins_s + SPAN_S:
-                asked[item.workspace] += item.tokens
-            ended_at_s = self.history.outcomes[request_id].ended_at_s
-            # An answer of a history ends 0.1 s after it has begun.
-            if ended_at_s is not None and begins_s <= ended_at_s - 0.1 < begins_s + SPAN_S:
-                begun[item.workspace] += item.tokens
-        return asked, begun
-
-
 def _start(
     seed: int,
     engines: int,
@@ -143,12 +57,6 @@
     return ServedHistory(history)
 
 
-def find_unfair(asked: Counter[str], begun: Counter[str]) -> list[str]:
-    """Return the workspaces that received less than the users' bound."""
-    best = max(begun.values())
-    return [name for name in asked if begun[name] < FAIR_PART * min(asked[name], best)]
-
-
 @when("a workspace floods engines that 120000 tokens a second are configured for")
 def flood_alone(context: Any) -> None:
     served = _start(1, engines=2)
