Share out what engines take, also where less is configured

What callers saw: where engines do more than is configured, a workspace with long prompts got 0.39 of what the best served one did, with no engine lost and no processor short. Cause: the level never rose above the configured capacity. The rest, most of the service, went in tiers above the first, which are shared by what is asked: a refusal there spends its workspace's part, and long prompts are refused more often. Now 0.8 of what engines take is shared out whatever is configured; the configuration bounds only what is expected of them while next to nothing is refused. Ruled out: no bound at all, with which floods that just fit would have no level. The new scenario failed before (0.39). Two properties took a capacity for shared out whatever was taken; the one on sums now checks all three sums and the rows told.

--- a/packages/core/src/myrtlehook_core/process/accountants.py
+++ b/packages/core/src/myrtlehook_core/process/accountants.py
@@ -16,7 +16,7 @@
 
 TAKEN_FACTOR = 1.1
 """What engines may do beyond what they have lately taken, while next to nothing is refused: then
-there is no level."""
+there is no level, unless they do more than is configured."""
 
 SAFE_FACTOR = 0.8
 """Of what engines have lately taken, the part that is shared out while much is refused, so that
@@ -117,20 +117,21 @@
 
 
 def find_shared_tokens(account: PoolAccount, configured_tokens: float) -> float:
-    """Return what is to be shared out: what a configuration says, or what engines take.
+    """Return what is to be shared out: what engines take, whatever a configuration says.
 
     :param configured_tokens: what the engines produce within the window, by the configuration.
 
     Engines that are lost, slow or read prompts anew do less than is configured. Shares of what
     they cannot do would leave the whole shortage to the workspaces just above the level: those
-    below it come first, whatever there is. Nothing is lost by sharing out too little, since
-    what exceeds a share is served as well while there is room. What still waits does not count
+    below it come first, whatever there is. Engines that keep most of their prompts do more.
+    Shares of less than that would leave the rest to whoever asks in the shortest prompts: only
+    what is within a share is asked for again after a refusal. What still waits does not count
     as taken: shares of it would let more of it wait.
     """
     refused = sum(account.refused_tokens.values())
     taken = sum(account.granted_tokens.values())
-    follows = max(SAFE_FACTOR * taken, TAKEN_FACTOR * taken - refused)
-    return min(configured_tokens, max(follows, LEAST_PART * configured_tokens))
+    while_calm = min(TAKEN_FACTOR * taken - refused, configured_tokens)
+    return max(SAFE_FACTOR * taken, while_calm, LEAST_PART * configured_tokens)
 
 
 def find_level(demands: list[int], capacity: float) -> float | None:
--- a/tests/features/shares.feature
+++ b/tests/features/shares.feature
@@ -33,6 +33,11 @@
       | 12000  | 2       | 0       | 4       |
       | 3000   | 1       | 4       | 4       |
 
+  # Shares of a capacity that is configured too low left most of the service to short prompts.
+  Scenario: Engines that do more than is configured take no workspace's share away
+    When a third of what engines do is configured, "d" of five workspaces asks in prompts of 12000 tokens, and 4 of 12 routers are lost
+    Then from 4 s after the loss on, each workspace receives 0.5 of what the best served one does, or of what it asks, in any six seconds
+
   Scenario Outline: A router that is short of processor time takes no workspace's share away
     When a router that all callers of "a" reach sheds 0.97 of what it can, while "a" asks for <factor> times what "b" asks of the others
     Then over six seconds each workspace receives half of what the best served one does, or of what it asks
--- a/tests/steps/accountant_steps.py
+++ b/tests/steps/accountant_steps.py
@@ -12,6 +12,8 @@
     UNLIMITED,
     PoolAccount,
     find_level,
+    find_shared_tokens,
+    note_report,
     take_demand,
 )
 from myrtlehook_core.process.admission_messages import DemandReport, DemandRow
@@ -22,7 +24,8 @@
 
 @then("for any reports of any routers, the level is the one of the last reports together")
 def check_sums(context: Any) -> None:
-    row = st.builds(_taken_row, st.sampled_from(["a", "b", "c", "d"]), st.integers(0, 5000))
+    tokens = st.integers(0, 5000)
+    row = st.builds(DemandRow, st.sampled_from(["a", "b", "c", "d"]), tokens, tokens, tokens)
     reports = st.lists(st.tuples(st.sampled_from(["r1", "r2", "r3"]), st.lists(row, max_size=4)))
 
     @given(reports, st.integers(1, 20_000))
@@ -36,25 +39,35 @@
         now_s += REPORT_STEP_S
         told = take_demand(accounts, "r9", DemandReport("p", ()), capacity, now_s)
         sums = _sum_last(heard, now_s)
-        level = find_level(list(sums.values()), float(capacity))
+        asked = [row.asked_tokens for row in sums]
+        level = find_level(asked, find_shared_tokens(_account_of(sums), float(capacity)))
         assert told.level_tokens == (UNLIMITED if level is None else round(level)), (told, sums)
+        assert {*told.rows} == {
+            row for row in sums if level is not None and row.asked_tokens > level
+        }, (told, sums)
 
     check()
 
 
-def _taken_row(workspace: str, tokens: int) -> DemandRow:
-    """Return what a workspace asked for and engines took, all of it."""
-    return DemandRow(workspace, tokens, 0, tokens)
+def _account_of(rows: list[DemandRow]) -> PoolAccount:
+    """Return the account of one router that has reported all of this."""
+    account = PoolAccount()
+    note_report(account, "r", tuple(rows), 0.0)
+    return account
 
 
-def _sum_last(heard: list[tuple[str, list[DemandRow]]], now_s: float) -> Counter[str]:
+def _sum_last(heard: list[tuple[str, list[DemandRow]]], now_s: float) -> list[DemandRow]:
     """Add up the last report of each router that is not too old."""
     last: dict[str, tuple[float, list[DemandRow]]] = {}
     for number, (router, rows) in enumerate(heard, start=1):
         last[router] = (number * REPORT_STEP_S, rows)
-    sums: Counter[str] = Counter()
+    asked: Counter[str] = Counter()
+    refused: Counter[str] = Counter()
+    granted: Counter[str] = Counter()
     for heard_at_s, rows in last.values():
         if now_s < heard_at_s + REPORT_LEASE_S:
             for row in rows:
-                sums[row.workspace] += row.asked_tokens
-    return +sums
+                asked[row.workspace] += row.asked_tokens
+                refused[row.workspace] += row.refused_tokens
+                granted[row.workspace] += row.granted_tokens
+    return [DemandRow(name, asked[name], refused[name], granted[name]) for name in asked]
--- a/tests/steps/admission_steps.py
+++ b/tests/steps/admission_steps.py
@@ -1,5 +1,6 @@
 """Properties of admission to model engines, shares, prompt caches and routes."""
 
+import math
 import random
 from collections import Counter
 from typing import Any
@@ -150,7 +151,8 @@
     def check(sizes: list[int], over: int) -> None:
         shares = Shares()
         total = sum(sizes)
-        report = DemandReport("p", (DemandRow("w", total, 0, total),))
+        # Engines take just what is configured.
+        report = DemandReport("p", (DemandRow("w", total, 0, math.ceil(total / over)),))
         take_level(shares, take_demand({}, "r", report, total / over, 0.0), 0.0)
         held: Counter[int] = Counter()
         for size in sizes:
--- a/tests/steps/long_prompt_steps.py
+++ b/tests/steps/long_prompt_steps.py
@@ -20,6 +20,9 @@
 CONFIGURED_TOKENS_PER_S = 240_000.0
 """What eight engines of 30 tokens a ms read."""
 
+LOW_TOKENS_PER_S = 100_000.0
+"""A third of what they do, since sessions' shared parts are kept."""
+
 RATES_TOKENS_PER_S = {"a": 300_000.0, "b": 150_000.0, "c": 120_000.0, "d": 80_000.0, "e": 80_000.0}
 OWN_TOKENS = {"a": 700, "b": 1_500, "c": 2_500, "e": 1_000}
 """Of the mean prompt; "d" asks in long ones."""
@@ -39,7 +42,7 @@
     lost_routers: int,
     lost_engines: int,
     reached: int,
-    options: CoreOptions | None = None,
+    configured_tokens_per_s: float = CONFIGURED_TOKENS_PER_S,
 ) -> ServedHistory:
     """Let five workspaces ask for three times what engines do.
 
@@ -51,9 +54,9 @@
         ROUTERS,
         ENGINES,
         NETWORK,
-        options or CoreOptions(),
+        CoreOptions(),
         zones=ZONES,
-        tokens_per_s=CONFIGURED_TOKENS_PER_S,
+        tokens_per_s=configured_tokens_per_s,
     )
     history.run_until(BEGINS_S)
     served = ServedHistory(history, returns=True)
@@ -80,6 +83,14 @@
     context.served = play_mix(SEED, long_tokens, routers, engines, reached)
 
 
+@when(
+    'a third of what engines do is configured, "d" of five workspaces asks in prompts of'
+    " {long_tokens:d} tokens, and {routers:d} of 12 routers are lost"
+)
+def ask_beyond_configured(context: Any, long_tokens: int, routers: int) -> None:
+    context.served = play_mix(SEED, long_tokens, routers, 0, 2, LOW_TOKENS_PER_S)
+
+
 @then(
     "from 4 s after the loss on, each workspace receives {part:g} of what the best served one does,"
     " or of what it asks, in any six seconds"
