Accept a few connections a turn, so that a burst of callers delays nobody else

What callers saw: of a workspace that floods, nearly all callers of one router got nothing: connections waited in its queue until they left. Cause: accepting a connection does not wait while others are there, and passing it on does not either, so that a flooded router took its whole queue, up to 1,024, in one turn. Timers were late by as long: neighbours' verdicts timed out, its own probes and leases as well. Now other tasks have their turns after each four. The same for connections from neighbours.

--- a/packages/router/src/myrtlehook_router/connection/listeners.py
+++ b/packages/router/src/myrtlehook_router/connection/listeners.py
@@ -16,6 +16,9 @@
     from myrtlehook_core import LimitSettings
 
 BACKLOG = 1024
+ACCEPTED_A_TURN = 4
+"""So many connections are accepted before all other tasks have their turns."""
+
 SPARE_CONNECTIONS = 64
 """Connections above the bound that are taken only to be told so."""
 
@@ -50,6 +53,36 @@
     )
 
 
+class PacedListener:
+    """A listening socket that leaves other tasks their turns while callers connect in a burst.
+
+    Accepting never waits while connections do: without it one turn of the loop would take all of
+    them, and each timer and each answer under way would be late by as long.
+    """
+
+    def __init__(self, listener: Any) -> None:
+        """Pace a listening socket of eventlet's."""
+        self._listener = listener
+        self._accepted = 0
+        self.family = listener.family
+        """The server asks for it."""
+
+    def accept(self) -> Any:
+        """Return the next connection and its other end's address; waits for it."""
+        self._accepted += 1
+        if self._accepted % ACCEPTED_A_TURN == 0:
+            eventlet.sleep(0)
+        return self._listener.accept()
+
+    def getsockname(self) -> Any:
+        """Return the address that callers connect to."""
+        return self._listener.getsockname()
+
+    def close(self) -> None:
+        """Take no connections any more."""
+        self._listener.close()
+
+
 def silent_log() -> logging.Logger:
     """Return a logger that swallows what the server itself would write."""
     silent = logging.getLogger("eventlet.wsgi")
--- a/packages/router/src/myrtlehook_router/process/caller_servers.py
+++ b/packages/router/src/myrtlehook_router/process/caller_servers.py
@@ -10,7 +10,7 @@
 from myrtlehook_core import CoreOptions, EntryLimits, Listener, passes_on
 from myrtlehook_router.connection.entrances import Entrance
 from myrtlehook_router.connection.heads import make_strict_protocol
-from myrtlehook_router.connection.listeners import open_listener, silent_log
+from myrtlehook_router.connection.listeners import PacedListener, open_listener, silent_log
 from myrtlehook_router.connection.passed import make_passed_protocol
 from myrtlehook_router.connection.passing import Passer
 from myrtlehook_router.process.busy_meters import BusyMeter
@@ -74,7 +74,7 @@
         protocol = make_passed_protocol(
             one_request, services.router_id, services.fleet_key, self._takes, services.counters
         )
-        self._run(open_listener(listener), protocol)
+        self._run(PacedListener(open_listener(listener)), protocol)
 
     def _run(self, listener: Any, protocol: type) -> None:
         wsgi.server(
--- a/tests/features/passing.feature
+++ b/tests/features/passing.feature
@@ -133,3 +133,8 @@
     Given a neighbour serves a caller's request that was passed on
     When the neighbour has been taken for dead for 3 seconds
     Then the caller's connection is reset, and the neighbour's end is counted
+
+  # A router that accepted all waiting callers in one turn woke seconds late, and lost its callers.
+  Scenario: Callers that connect in a burst leave other tasks their turns
+    When 300 callers have connected before a router accepts the first one, and neighbours take all
+    Then between two turns of another task at most 8 of them are accepted
