Read a neighbour's verdict before taking it for missing

What callers saw: a router short of processor time served callers itself whom neighbours had taken, which costs it several times as much, and shed them. Cause: when its loop is late, the timer of a verdict fires before the bytes are read that arrived in time, and a neighbour is left alone for a second besides. Now the timer looks for the verdict first. The test failed before (the neighbour's connection was ended after it had taken the caller).

--- a/packages/router/src/myrtlehook_router/connection/passing.py
+++ b/packages/router/src/myrtlehook_router/connection/passing.py
@@ -86,6 +86,8 @@
     tried: set[str] = field(default_factory=set)
     neighbour: str = ""
     helper: Any = None
+    introduced: bool = False
+    """Whether the neighbour has been told who asks."""
     listener: Any = None
     timer: Any = None
     splice: Splice | None = None
@@ -155,6 +157,7 @@
         if helper is None:
             return False
         passed.helper = helper
+        passed.introduced = False
         passed.tried.add(member.router_id)
         passed.neighbour = member.router_id
         note_opened(self.neighbours, member.router_id)
@@ -177,9 +180,7 @@
 
     def _connect(self, passed: PassedConnection, helper: Any, member: Member) -> None:
         hub = hubs.get_hub()
-        passed.timer = hub.schedule_call_global(
-            VERDICT_TIMEOUT_S, lambda: self._give_up(passed, "no_answer")
-        )
+        passed.timer = hub.schedule_call_global(VERDICT_TIMEOUT_S, lambda: self._time_out(passed))
         ip = member.address.rpartition(":")[0]
         status = helper.connect_ex((ip, self._places.port))
         if status not in (0, errno.EINPROGRESS):
@@ -203,8 +204,17 @@
         except OSError:
             self._give_up(passed, "not_connected")
             return
+        passed.introduced = True
         self._listen(passed, helper, hubs.hub.READ, self._take_verdict)
 
+    def _time_out(self, passed: PassedConnection) -> None:
+        """Give a neighbour up whose verdict has not arrived, also not while the loop was late."""
+        asked = passed.helper
+        if passed.introduced:
+            self._take_verdict(passed)
+        if passed.helper is asked:
+            self._give_up(passed, "no_answer")
+
     def _take_verdict(self, passed: PassedConnection) -> None:
         helper = passed.helper
         if helper is None:
--- a/tests/features/passing.feature
+++ b/tests/features/passing.feature
@@ -138,3 +138,9 @@
   Scenario: Callers that connect in a burst leave other tasks their turns
     When 300 callers have connected before a router accepts the first one, and neighbours take all
     Then between two turns of another task at most 8 of them are accepted
+
+  # A late router took neighbours' answers that had come in time for silence, and served the callers itself.
+  Scenario: A neighbour's answer that came in time counts, however late the router reads it
+    Given a neighbour that has taken a connection 10 ms after it was asked
+    When the router's loop stands still beyond the time that a neighbour has to answer
+    Then the neighbour serves the caller, and no answer is counted as missing
--- a/tests/steps/passer_steps.py
+++ b/tests/steps/passer_steps.py
@@ -22,7 +22,7 @@
 from myrtlehook_core.process.members import take_row
 from myrtlehook_core.process.membership_messages import Announcement, MemberRow, News
 from myrtlehook_router.connection.introductions import TAKEN
-from myrtlehook_router.connection.passing import Passer, PassingPlaces
+from myrtlehook_router.connection.passing import VERDICT_TIMEOUT_S, Passer, PassingPlaces
 from myrtlehook_router.process.counters import Counters
 
 NEIGHBOUR = "127.0.0.1:1"
@@ -33,6 +33,8 @@
 TICKS_PER_S = 50
 
 _raw = patcher.original("socket")
+_stand_still = patcher.original("time").sleep
+"""Sleeps without giving other tasks a turn."""
 
 
 def _tell(context: Any, state: MemberState, now_s: float) -> None:
@@ -49,14 +51,20 @@
     return caller, accepted
 
 
-@given("a neighbour serves a caller's request that was passed on")
-def pass_one(context: Any) -> None:
+def _make_passer(context: Any) -> GreenSocket:
+    """Make a passer with one neighbour; returns the listening socket of that one."""
     listener = eventlet.listen(("127.0.0.1", 0))
     places = PassingPlaces("127.0.0.1:2", "key", listener.getsockname()[1])
     context.members = MemberTable(RouterIdentity("127.0.0.1:2", "", 1, "hall-1"), 1)
     _tell(context, MemberState.ALIVE, time.monotonic())
     context.counters = Counters(None)
     context.passer = Passer(places, context.members, lambda: 0.5, context.counters)
+    return listener
+
+
+@given("a neighbour serves a caller's request that was passed on")
+def pass_one(context: Any) -> None:
+    listener = _make_passer(context)
     context.caller, accepted = _accept_caller()
     with eventlet.Timeout(WAIT_S):
         assert context.passer.pass_on(accepted, lambda _: None)
@@ -105,6 +113,37 @@
     assert context.counters.values["passed.neighbour_died"] == 1, context.counters.values
 
 
+@given("a neighbour that has taken a connection {wait_ms:d} ms after it was asked")
+def take_one(context: Any, wait_ms: int) -> None:
+    listener = _make_passer(context)
+    context.caller, accepted = _accept_caller()
+    context.given_back = []
+    with eventlet.Timeout(WAIT_S):
+        assert context.passer.pass_on(accepted, context.given_back.append)
+        helper, _ = listener.accept()
+        assert helper.recv(256).endswith(b"\n"), "no introduction"
+    # The loop of the router does not turn from here on until its time is over.
+    _stand_still(wait_ms / 1000.0)
+    helper.sendall(TAKEN)
+    context.helper = helper
+    listener.close()
+
+
+@when("the router's loop stands still beyond the time that a neighbour has to answer")
+def stand_still(context: Any) -> None:
+    _stand_still(2.0 * VERDICT_TIMEOUT_S)
+
+
+@then("the neighbour serves the caller, and no answer is counted as missing")
+def check_served(context: Any) -> None:
+    with eventlet.Timeout(WAIT_S):
+        context.caller.sendall(b"a request")
+        heard = context.helper.recv(256)
+    assert heard == b"a request", f"the neighbour heard {heard!r}, not the caller's request"
+    assert not context.given_back, "the router serves the caller itself"
+    assert not context.counters.values["passed.no_answer"], context.counters.values
+
+
 # -- what a router believes of its neighbours -----------------------------------------
 
 
