Pace accepting by time, so that callers do not wait where nobody sees it

Four connections a turn, with turns of some 20 ms in a flood, are 200 a second: callers waited in the kernel's queue, which no lag shows, so that too little was refused. Now connections are accepted for 10 ms before other tasks have their turns.

--- a/packages/router/src/myrtlehook_router/connection/entrances.py
+++ b/packages/router/src/myrtlehook_router/connection/entrances.py
@@ -6,7 +6,6 @@
 import eventlet
 from eventlet.queue import Full, LightQueue
 
-from myrtlehook_router.connection.listeners import PacedListener
 from myrtlehook_router.connection.passing import Accepted, Passer
 
 READY_CONNECTIONS = 64
@@ -32,7 +31,7 @@
         :param passes_on: counts a connection and tells whether another router is to serve it.
         :param has_room: whether the descriptors suffice for another connection.
         """
-        self._listener = PacedListener(listener)
+        self._listener = listener
         self.family = listener.family
         """The server asks for it."""
         self._passer = passer
--- a/packages/router/src/myrtlehook_router/connection/listeners.py
+++ b/packages/router/src/myrtlehook_router/connection/listeners.py
@@ -10,14 +10,16 @@
 from eventlet.greenio import GreenSocket
 
 from myrtlehook_core import Listener
+from myrtlehook_router.process import clocks
 from myrtlehook_router.process.counters import Counters
 
 if TYPE_CHECKING:
     from myrtlehook_core import LimitSettings
 
 BACKLOG = 1024
-ACCEPTED_A_TURN = 4
-"""So many connections are accepted before all other tasks have their turns."""
+ACCEPTING_S = 0.01
+"""For so long connections are accepted before all other tasks have their turns. A number of them
+would do so too, but leave callers in the kernel's queue, where nobody sees how long they wait."""
 
 SPARE_CONNECTIONS = 64
 """Connections above the bound that are taken only to be told so."""
@@ -60,18 +62,19 @@
     them, and each timer and each answer under way would be late by as long.
     """
 
-    def __init__(self, listener: Any) -> None:
+    def __init__(self, listener: Any, clock: Callable[[], float] = clocks.now_s) -> None:
         """Pace a listening socket of eventlet's."""
         self._listener = listener
-        self._accepted = 0
+        self._clock = clock
+        self._turn_began_s = clock()
         self.family = listener.family
         """The server asks for it."""
 
     def accept(self) -> Any:
         """Return the next connection and its other end's address; waits for it."""
-        self._accepted += 1
-        if self._accepted % ACCEPTED_A_TURN == 0:
+        if self._clock() - self._turn_began_s >= ACCEPTING_S:
             eventlet.sleep(0)
+            self._turn_began_s = self._clock()
         return self._listener.accept()
 
     def getsockname(self) -> Any:
--- a/packages/router/src/myrtlehook_router/process/caller_servers.py
+++ b/packages/router/src/myrtlehook_router/process/caller_servers.py
@@ -60,7 +60,7 @@
     def serve(self, listener: Any) -> None:
         """Serve callers at a listening socket; the loop of this task."""
         self.meter.watch(hubs.get_hub())
-        entrance = Entrance(listener, self._passer, self._passes_on, self._has_room)
+        entrance = Entrance(PacedListener(listener), self._passer, self._passes_on, self._has_room)
         eventlet.spawn(guard, entrance.accept_forever)
         protocol = make_strict_protocol(
             self._services.limits, self._is_closing, self._services.counters
