Shed by share, and count what is shed as asked for and refused

Cause: shedding drew among a workspace's requests without regard to its share, and before any count, so that no level could follow. Now a request for an engine is counted for its workspace first; what exceeds a share is refused first, and of the share of a workspace that asks for more at most a quarter. Its tier goes on to the core with the request, which counts it once. The history now sheds by the function that routers call, in place of a copy of its own; part and load are as before.

--- a/packages/core/src/myrtlehook_core/__init__.py
+++ b/packages/core/src/myrtlehook_core/__init__.py
@@ -19,6 +19,7 @@
 )
 from myrtlehook_core.process.engine_loads import EngineFigures
 from myrtlehook_core.process.events import Event
+from myrtlehook_core.process.intakes import Intake, count_in, turn_away
 from myrtlehook_core.process.members import Member, MemberState, MemberTable, RouterIdentity
 from myrtlehook_core.process.messages import (
     EncodedEnvelope,
@@ -39,6 +40,7 @@
 from myrtlehook_core.process.options import CoreOptions
 from myrtlehook_core.process.quarantine import count_held
 from myrtlehook_core.process.routers import RouterCore
+from myrtlehook_core.process.shares import Shares
 from myrtlehook_core.process.shedding import Shedding, book_return, note_lag, sheds
 from myrtlehook_core.process.statuses import RouterStatus, describe_router
 from myrtlehook_core.request.admission import QueueLimits
@@ -101,6 +103,7 @@
 
 _LATE_MODULES = {
     "process.settings": (
+        "Intake",
         "LimitSettings",
         "ListenSettings",
         "Settings",
@@ -197,6 +200,7 @@
     "RouterCore",
     "RouterIdentity",
     "RouterStatus",
+    "Shares",
     "Shedding",
     "StreamPosition",
     "VmDocument",
@@ -207,6 +211,7 @@
     "build_configuration",
     "change_options",
     "choose_lowest",
+    "count_in",
     "decode_envelope",
     "describe_router",
     "digest_text",
@@ -223,5 +228,6 @@
     "sheds",
     "messages",
     "parse_document",
+    "turn_away",
     "validate_content",
 ]
--- a/packages/core/src/myrtlehook_core/process/admissions.py
+++ b/packages/core/src/myrtlehook_core/process/admissions.py
@@ -33,6 +33,7 @@
     virtual_service_units,
 )
 from myrtlehook_core.process.full_tiers import is_full, note_taken, note_untaken
+from myrtlehook_core.process.intakes import Intake
 from myrtlehook_core.process.refusals import (
     choose_last_refusal,
     find_refusal,
@@ -40,12 +41,7 @@
     refuse_with,
 )
 from myrtlehook_core.process.runs import NO_FAILURES, may_retry
-from myrtlehook_core.process.shares import (
-    asks_above_share,
-    note_asked,
-    note_granted,
-    note_refused,
-)
+from myrtlehook_core.process.shares import note_granted, note_refused
 from myrtlehook_core.request.charges import (
     cancel_charge,
     charge_known,
@@ -62,7 +58,11 @@
 
 
 def open_admission(
-    admissions: Admissions, context: AdmissionContext, request: RequestSpecification, now_s: float
+    admissions: Admissions,
+    context: AdmissionContext,
+    request: RequestSpecification,
+    intake: Intake,
+    now_s: float,
 ) -> None:
     """Ask for an engine for a new request, or refuse it."""
     entry = context.entry
@@ -70,11 +70,11 @@
     if reason is not None:
         refuse_request(entry, context.entry_context, request, reason, now_s)
         return
-    tokens = find_share_tokens(request)
-    tier = note_asked(context.shares, request.pool, request.workspace, tokens, now_s)
     options = context.entry_context.options
     full = admissions.full_tiers[request.pool]
+    tier = intake.tier
     if options.refuses_full_tiers and options.keeps_shares and is_full(full, tier, now_s):
+        tokens = find_share_tokens(request)
         note_refused(context.shares, request.pool, request.workspace, tokens, tier, now_s)
         refuse_with(
             context.entry_context, request, RefusalReason.SHARE_EXCEEDED, full.retry_after_s
@@ -85,8 +85,7 @@
     admission = Admission(request, noted_at_s=now_s)
     if options.keeps_shares:
         admission.tier = tier
-        above = asks_above_share(context.shares, request.pool, request.workspace, now_s)
-        admission.above_share = above and options.small_workspaces_first
+        admission.above_share = intake.above_share and options.small_workspaces_first
     ranking = rank_engines(context, request)
     admission.ranking = ranking.names
     admission.eager = ranking.near_first
--- a/packages/core/src/myrtlehook_core/process/event_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/event_handlers.py
@@ -28,6 +28,7 @@
     RunningRequest,
     drop_idle_queues,
 )
+from myrtlehook_core.process.intakes import count_in
 from myrtlehook_core.process.leaving_servers import (
     forget_left,
     note_incarnation,
@@ -99,7 +100,8 @@
 def _on_request(core: "RouterCore", event: events.RequestArrived, now_s: float) -> None:
     entry = core.entry
     if is_admitted_by_tokens(core.entry_context(), event.request):
-        open_admission(core.admissions, core.admission_context(), event.request, now_s)
+        intake = event.intake or count_in(core.shares, event.request, now_s)
+        open_admission(core.admissions, core.admission_context(), event.request, intake, now_s)
         return
     key = accept_request(entry, core.entry_context(), event.request, now_s)
     if key is None or key not in entry.fresh_keys:
--- a/packages/core/src/myrtlehook_core/process/events.py
+++ b/packages/core/src/myrtlehook_core/process/events.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from myrtlehook_core.process.intakes import Intake
 from myrtlehook_core.process.messages import Message
 from myrtlehook_core.request.outcomes import RetryReason
 from myrtlehook_core.request.requests import RequestSpecification
@@ -18,6 +19,8 @@
     """A checked request wants a slot."""
 
     request: RequestSpecification
+    intake: Intake | None = None
+    """How it stands to its workspace's share; None while it is not counted there."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/myrtlehook_core/process/shedding.py
+++ b/packages/core/src/myrtlehook_core/process/shedding.py
@@ -2,7 +2,8 @@
 
 A request that waits for the processor misses its aim here, while another router may be
 idle: its caller comes back on a new connection, which goes elsewhere. So an overloaded
-router refuses a part of its requests at once, of the workspaces that send it the most.
+router refuses a part of its requests at once, of the workspaces that send it the most: first
+what exceeds their shares, and of the shares only a small part.
 
 Overload shows in how late the process's loop is: if even its least late turn within an
 interval is over a bound, work comes in faster than it is done.
@@ -24,6 +25,10 @@
 STEP_FACTOR = 0.03
 LARGEST_PART = 0.97
 
+LARGEST_SHARE_PART = 0.25
+"""Of what is within the share of a workspace that asks for more. All callers of a workspace may
+reach one router, so that what is refused there is refused of its share in the whole fleet."""
+
 EASING_PART = 0.05
 """A router that keeps up again refuses this much less, of what it refused, each interval."""
 
@@ -31,6 +36,7 @@
 """Workspaces that send at least this part of what the largest one sends are shed."""
 
 SMALLEST_COUNT = 0.1
+SMALLEST_PART = 0.001
 
 COUNT_S = 1.0
 """Requests are counted over about this long to find the largest workspaces."""
@@ -59,8 +65,11 @@
     interval_deadline_s: float = 0.0
     counts: dict[str, float] = field(default_factory=dict)
     """Requests by workspace, the earlier ones counting less and less."""
-    owed: dict[str, float] = field(default_factory=dict)
-    """By workspace, refusals due; one is made at each whole number."""
+    excess: dict[str, float] = field(default_factory=dict)
+    """Of them, those that exceeded their workspace's share."""
+    owed: dict[tuple[str, bool], float] = field(default_factory=dict)
+    """By workspace, and whether they exceed its share, refusals due; one is made at each whole
+    number."""
     served: float = 0.0
     """Requests that were not refused, the earlier ones counting less and less."""
     next_return_s: float = 0.0
@@ -104,28 +113,53 @@
     return max(longest_s * (0.5 + 0.5 * draw()), 0.0)
 
 
-def sheds(shedding: Shedding, workspace: str) -> bool:
-    """Count a request and tell whether it is to be refused."""
+def sheds(shedding: Shedding, workspace: str, tier: int = 0, above_share: bool = False) -> bool:
+    """Count a request and tell whether it is to be refused.
+
+    :param tier: how many levels its workspace had asked for before it.
+    :param above_share: whether its workspace asks for more than its share.
+    """
+    exceeds = tier > 0
     shedding.counts[workspace] = shedding.counts.get(workspace, 0.0) + 1.0
-    shed = shedding.part > 0.0 and _owes_refusal(shedding, workspace)
+    if exceeds:
+        shedding.excess[workspace] = shedding.excess.get(workspace, 0.0) + 1.0
+    most_part = LARGEST_SHARE_PART if above_share and not exceeds else LARGEST_PART
+    shed = shedding.part > 0.0 and _owes_refusal(shedding, workspace, exceeds, most_part)
     if not shed:
         shedding.served += 1.0
     return shed
 
 
-def _owes_refusal(shedding: Shedding, workspace: str) -> bool:
+def _owes_refusal(shedding: Shedding, workspace: str, exceeds: bool, most_part: float) -> bool:
     largest = max(shedding.counts.values())
     if shedding.counts[workspace] < LARGE_PART * largest:
         return False
     large = sum(count for count in shedding.counts.values() if count >= LARGE_PART * largest)
     part = min(shedding.part * sum(shedding.counts.values()) / large, LARGEST_PART)
-    owed = shedding.owed.get(workspace, 0.0) + part
-    shedding.owed[workspace] = owed % 1.0
+    part = min(_find_part(shedding, workspace, exceeds, part), most_part)
+    owed = shedding.owed.get((workspace, exceeds), 0.0) + part
+    shedding.owed[workspace, exceeds] = owed % 1.0
     return owed >= 1.0
 
 
+def _find_part(shedding: Shedding, workspace: str, exceeds: bool, part: float) -> float:
+    """Return the part to refuse of what exceeds a workspace's share, or of what does not.
+
+    :param part: of all its requests; what exceeds its share is refused first.
+    """
+    excess_part = shedding.excess.get(workspace, 0.0) / shedding.counts[workspace]
+    if exceeds:
+        return part / excess_part
+    return max(part - excess_part, 0.0) / max(1.0 - excess_part, SMALLEST_PART)
+
+
 def _forget_counts(shedding: Shedding) -> None:
     kept_part = 1.0 - INTERVAL_S / COUNT_S
     shedding.served *= kept_part
-    counts = {name: count * kept_part for name, count in shedding.counts.items()}
-    shedding.counts = {name: count for name, count in counts.items() if count > SMALLEST_COUNT}
+    shedding.counts = _forget(shedding.counts, kept_part)
+    shedding.excess = _forget(shedding.excess, kept_part)
+
+
+def _forget(counts: dict[str, float], kept_part: float) -> dict[str, float]:
+    kept = {name: count * kept_part for name, count in counts.items()}
+    return {name: count for name, count in kept.items() if count > SMALLEST_COUNT}
--- a/packages/router/src/myrtlehook_router/process/gateway_daemons.py
+++ b/packages/router/src/myrtlehook_router/process/gateway_daemons.py
@@ -200,6 +200,7 @@
             is_refusing=lambda: self._refusing,
             body_limit_bytes=0,
             shedding=self._shedding,
+            shares=self._core_task.core.shares,
             refusal_sums=self._refusal_sums,
         )
         services = CallerServices(
--- a/packages/router/src/myrtlehook_router/request/gateways.py
+++ b/packages/router/src/myrtlehook_router/request/gateways.py
@@ -10,13 +10,15 @@
 from result import Err, Result
 
 from myrtlehook_core import (
+    Intake,
     RefusalReason,
     RequestSpecification,
     book_return,
     choose_pool,
+    count_in,
     find_share_tokens,
     fingerprint_request,
-    sheds,
+    turn_away,
 )
 from myrtlehook_router.connection.clients import ClientPool
 from myrtlehook_router.connection.watches import CallerWatch
@@ -130,10 +132,11 @@
     pool = services.requests.configuration().pools.get(specification.pool)
     # Streams are what costs processor time.
     costly = pool is not None and pool.engine is not None
-    if costly and sheds(services.requests.shedding, specification.workspace):
+    intake = count_in(services.requests.shares, specification, clocks.now_s()) if costly else None
+    if intake is not None and _turns_away(services, specification, intake):
         refusal = _overloaded(services, request)
         return _refuse(services, request.environ, refusal, request, specification)
-    opened = queue_request(services.requests, specification, request.environ)
+    opened = queue_request(services.requests, specification, request.environ, intake)
     if isinstance(opened, Err):
         return _refuse(services, request.environ, opened.err_value, request, specification)
     relay = Relay(
@@ -161,6 +164,14 @@
     return Answer(answer.status, WatchedBody(answer.body, watch), answer.headers)
 
 
+def _turns_away(
+    services: GatewayServices, specification: RequestSpecification, intake: Intake
+) -> bool:
+    """Tell whether to refuse a request for want of processor time."""
+    shares = services.requests.shares
+    return turn_away(shares, services.requests.shedding, specification, intake, clocks.now_s())
+
+
 def _overloaded(services: GatewayServices, request: RoutedRequest) -> Refusal:
     """Refuse a request for want of processor time, here and at the neighbours."""
     now_s = clocks.now_s()
--- a/packages/router/src/myrtlehook_router/request/placements.py
+++ b/packages/router/src/myrtlehook_router/request/placements.py
@@ -6,6 +6,7 @@
 from result import Err, Ok, Result
 
 from myrtlehook_core import (
+    Intake,
     Outcome,
     Pool,
     RefusalReason,
@@ -99,14 +100,20 @@
 
 
 def queue_request(
-    services: RequestServices, specification: RequestSpecification, environ: dict[str, Any]
+    services: RequestServices,
+    specification: RequestSpecification,
+    environ: dict[str, Any],
+    intake: Intake | None = None,
 ) -> Result[Place, Refusal]:
-    """Hand a specified request to the core."""
+    """Hand a specified request to the core.
+
+    :param intake: how it stands to its workspace's share, if it was counted there.
+    """
     ticket = services.tickets.open(specification.request_id)
     if ticket is None:
         reason = RefusalReason.DUPLICATE_REQUEST_ID
         return Err(Refusal(reason, "a request of this id is still open"))
-    services.mailbox.post(events.RequestArrived(specification))
+    services.mailbox.post(events.RequestArrived(specification, intake))
     return Ok(Place(specification, ticket, services, environ))
 
 
--- a/packages/router/src/myrtlehook_router/request/services.py
+++ b/packages/router/src/myrtlehook_router/request/services.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from myrtlehook_core import Configuration, Shedding
+from myrtlehook_core import Configuration, Shares, Shedding
 from myrtlehook_router.connection.server_checks import ServerChecks
 from myrtlehook_router.process.counters import Counters
 from myrtlehook_router.process.mailboxes import Mailbox
@@ -24,6 +24,8 @@
     is_refusing: Callable[[], bool] = lambda: False
     """Whether the router is stopping and takes no request any more."""
     shedding: Shedding = field(default_factory=Shedding)
+    shares: Shares = field(default_factory=Shares)
+    """The core's own: what is turned away before the core hears of it counts there."""
     refusal_sums: RefusalSums = field(default_factory=RefusalSums)
     checks: ServerChecks = field(default_factory=ServerChecks)
     unreadable_notices: set[str] = field(default_factory=set)
--- a/tests/standins/histories.py
+++ b/tests/standins/histories.py
@@ -24,10 +24,13 @@
     RetryReason,
     RouterCore,
     RouterIdentity,
+    Shedding,
     SourceOrder,
     actions,
+    count_in,
     encode_message,
     events,
+    turn_away,
 )
 from standins.pools import POOL, make_configuration, name_zone
 
@@ -179,8 +182,8 @@
         """By kind of message, and by "own zone" or "other zones"."""
         self.zones: dict[str, str] = {}
         """By router."""
-        self.sheds: Callable[[str, RequestSpecification], bool] = lambda entry, request: False
-        """Whether a router that is short of processor time turns a request away."""
+        self.shedding: dict[str, Shedding] = {}
+        """What routers that are short of processor time know of that."""
         self.owners_refused = 0
         """How often an engine's owner has refused a request."""
         self.levels_noted: list[actions.ShareLevelNoted] = []
@@ -261,10 +264,13 @@
         if entry not in self.alive:
             return
         outcome = self.outcomes[request.request_id] = Outcome(entry, request.deadline_s)
-        if self.sheds(entry, request):
+        shares = self.alive[entry].shares
+        intake = count_in(shares, request, self.now_s)
+        shedding = self.shedding.get(entry)
+        if shedding is not None and turn_away(shares, shedding, request, intake, self.now_s):
             outcome.refused_at_s.append(self.now_s)
             return
-        self.feed(entry, events.RequestArrived(request))
+        self.feed(entry, events.RequestArrived(request, intake))
 
     def feed(self, name: str, event: events.Event) -> None:
         """Hand an event to a router and carry out what it asks for."""
--- a/tests/steps/share_steps.py
+++ b/tests/steps/share_steps.py
@@ -1,12 +1,11 @@
 """Steps of shares in a pool whose engines do less than its configuration says."""
 
 import random
-from collections.abc import Callable
 from typing import Any
 
 from behave import then, when
 
-from myrtlehook_core import CoreOptions, RequestSpecification, Shedding, sheds
+from myrtlehook_core import CoreOptions, Shedding
 from standins.histories import History, Network
 from standins.share_histories import (
     BEGINS_S,
@@ -134,7 +133,7 @@
 def shed_one(context: Any, part: float, factor: int) -> None:
     served = _start(3, engines=4)
     short, *others = served.history.alive
-    served.history.sheds = _make_shedding(short, part)
+    served.history.shedding[short] = Shedding(part=part)
     end_s = BEGINS_S + SETTLED_S + SPAN_S
     draw = random.Random(3)
     crowd = Workload("a", factor * CROWD_TOKENS_PER_S, OWN_TOKENS)
@@ -146,15 +145,6 @@
     context.unfair = {3: (unfair, dict(asked), dict(begun))} if unfair else {}
 
 
-def _make_shedding(short: str, part: float) -> Callable[[str, RequestSpecification], bool]:
-    shedding = Shedding(part=part)
-
-    def decide(entry: str, request: RequestSpecification) -> bool:
-        return entry == short and sheds(shedding, request.workspace)
-
-    return decide
-
-
 FLOOD_S = 6.0
 """How long a flood of many times the capacity lasts."""
 
