--- a/packages/core/src/myrtlehook_core/__init__.py
+++ b/packages/core/src/myrtlehook_core/__init__.py
@@ -103,7 +103,6 @@
 
 _LATE_MODULES = {
     "process.settings": (
-        "Intake",
         "LimitSettings",
         "ListenSettings",
         "Settings",
@@ -138,6 +137,7 @@
 
 
 __all__ = [
+    "Intake",
     "NO_ORDER",
     "SourceOrder",
     "ConfigurationParser",
