--- a/packages/core/src/myrtlehook_core/process/accountants.py
+++ b/packages/core/src/myrtlehook_core/process/accountants.py
@@ -25,6 +25,10 @@
 what the best served one gets, as long as refused requests get nothing back (0.00 to 0.5 while
 shares followed the configuration)."""
 
+BEYOND_FACTOR = 0.7
+"""The same part where engines take more than is configured. The rest is asked for once by each
+request, which keeps room for the short ones that fit into it."""
+
 LEAST_PART = 0.05
 """Of what is configured, this part is shared out although engines take nothing: a level of no
 tokens would be none at all."""
@@ -131,7 +135,9 @@
     refused = sum(account.refused_tokens.values())
     taken = sum(account.granted_tokens.values())
     while_calm = min(TAKEN_FACTOR * taken - refused, configured_tokens)
-    return max(SAFE_FACTOR * taken, while_calm, LEAST_PART * configured_tokens)
+    within_tokens = min(SAFE_FACTOR * taken, configured_tokens)
+    beyond_tokens = BEYOND_FACTOR * taken
+    return max(within_tokens, beyond_tokens, while_calm, LEAST_PART * configured_tokens)
 
 
 def find_level(demands: list[int], capacity: float) -> float | None:
