--- a/packages/core/src/myrtlehook_core/process/accountants.py
+++ b/packages/core/src/myrtlehook_core/process/accountants.py
@@ -20,14 +20,11 @@
 
 SAFE_FACTOR = 0.8
 """Of what engines have lately taken, the part that is shared out while much is refused, so that
-they take all that is within the shares. In histories of four engines of which three are lost, 12
-drawn demands, the worst served workspace gets 0.8 or more of the lesser of what it asks for and
-what the best served one gets, as long as refused requests get nothing back (0.00 to 0.5 while
-shares followed the configuration)."""
+they take all that is within the shares."""
 
 BEYOND_FACTOR = 0.7
-"""The same part where engines take more than is configured. The rest is asked for once by each
-request, which keeps room for the short ones that fit into it."""
+"""The same part where engines take more than is configured. What is within shares comes before all
+else, whatever its length; the rest leaves room for the short requests that fit into it."""
 
 LEAST_PART = 0.05
 """Of what is configured, this part is shared out although engines take nothing: a level of no
--- a/packages/core/src/myrtlehook_core/process/shares.py
+++ b/packages/core/src/myrtlehook_core/process/shares.py
@@ -39,9 +39,8 @@
 of a zone is no longer than that of one busy router, and levels are 0.2 s older."""
 
 RETURNED_LEVELS = 0.5
-"""A workspace that is refused may save this much of a level for later requests. With a whole
-level, and three of four engines lost, the worst served of 12 drawn demands gets 0.54 of what the
-best served one gets, with half of one 0.70, and without any 0.80."""
+"""A workspace that is refused may save this much of a level for later requests. More of it lets
+requests in that engines cannot take once some of them are lost."""
 
 HIGHEST_TIER = 15
 """Everything beyond so many levels counts alike."""
@@ -166,9 +165,7 @@
 
     A share is what a workspace receives. Long prompts are refused more often than short ones
     that ask for as much; if a refused request spent its share, its workspace would receive
-    less the longer its prompts are. In histories of four engines, twice its share asked in
-    prompts that take half of their aim to read: 0.35 to 0.53 of what the best served workspace
-    gets before, 0.63 to 0.73 now. What exceeds a share is not given back: engines cannot take
+    less the longer its prompts are. What exceeds a share is not given back: engines cannot take
     all of that, and whoever asks the most would get the most.
     """
     credits_tokens = demand.credits_tokens.get(workspace)
