--- a/tests/steps/zone_steps.py
+++ b/tests/steps/zone_steps.py
@@ -9,7 +9,12 @@
 from behave import then, when
 
 from myrtlehook_core import CoreOptions, MemberState, PromptPart, actions, events
-from myrtlehook_core.process.accountants import find_level
+from myrtlehook_core.process.accountants import (
+    PoolAccount,
+    find_level,
+    find_shared_tokens,
+    note_report,
+)
 from myrtlehook_core.process.admission_asking import AdmissionContext, rank_engines
 from myrtlehook_core.process.admission_messages import DemandReport, DemandRow
 from myrtlehook_core.process.hashing import rank_routers
@@ -172,17 +177,26 @@
     history: History = context.history
     window_s = CoreOptions().quota_window_s
     routers = len(history.alive)
-    asked = [
-        round(routers * (500 + tokens + 60) * window_s / ASK_INTERVAL_S)
-        for tokens in ASKED_TOKENS.values()
-    ]
+    asked = {
+        workspace: round(routers * (500 + tokens + 60) * window_s / ASK_INTERVAL_S)
+        for workspace, tokens in ASKED_TOKENS.items()
+    }
     limits = next(iter(history.alive.values())).configuration.limits
-    wanted = find_level(asked, limits.tokens_per_s * window_s)
-    assert wanted is not None
     for name, core in history.alive.items():
         demand = core.shares.demands[POOL]
         level = demand.level
         assert level is not None and history.now_s < demand.level_deadline_s, name
+        # All three ask for more than the level, so that its rows tell all that was taken.
+        told = {row.workspace: row.asked_tokens for row in level.rows}
+        assert told.keys() == asked.keys(), (name, level, asked)
+        for workspace, tokens in asked.items():
+            missing = abs(told[workspace] - tokens)
+            assert missing <= LEVEL_TOLERANCE_PART * tokens, (name, level, asked)
+        account = PoolAccount()
+        note_report(account, "r", level.rows, 0.0)
+        shared_tokens = find_shared_tokens(account, limits.tokens_per_s * window_s)
+        wanted = find_level(list(asked.values()), shared_tokens)
+        assert wanted is not None
         wrong = abs(level.level_tokens - wanted)
         assert wrong <= LEVEL_TOLERANCE_PART * wanted, (name, level, wanted)
 
