Count refusals and grants of shares in one place, also what a router refuses before asking

Reading the change: three places measured a request and counted its refusal by hand, and a fourth, a refusal before any engine is asked (quarantined, router full, stopping), counted nothing since requests are counted when they are taken in: asked for, and neither refused nor received. Now 'intakes' does all of it.

--- a/packages/core/src/myrtlehook_core/process/admission_ends.py
+++ b/packages/core/src/myrtlehook_core/process/admission_ends.py
@@ -9,12 +9,11 @@
 from myrtlehook_core.process.admission_messages import AdmissionRelease
 from myrtlehook_core.process.entries import account_of, count_queued, key_of
 from myrtlehook_core.process.events import RunEnded
+from myrtlehook_core.process.intakes import count_refused
 from myrtlehook_core.process.quarantine import find_hold_s
 from myrtlehook_core.process.refusals import find_return_s, refuse_with
-from myrtlehook_core.process.shares import note_refused
 from myrtlehook_core.request.charges import settle_charge
 from myrtlehook_core.request.outcomes import RefusalReason
-from myrtlehook_core.request.requests import find_share_tokens
 
 
 def end_admission(
@@ -70,16 +69,7 @@
     if not admission.granted:
         count_queued(context.entry, admission.request, -1)
     if not ran:
-        request = admission.request
-        tokens = find_share_tokens(request)
-        note_refused(
-            context.shares,
-            request.pool,
-            request.workspace,
-            tokens,
-            admission.tier,
-            admission.noted_at_s,
-        )
+        count_refused(context.shares, admission.request, admission.tier, admission.noted_at_s)
     if admission.backend_server:
         release = AdmissionRelease(request_id, admission.backend_server, ran, failed)
         tell_owner(context, admission, release)
--- a/packages/core/src/myrtlehook_core/process/admissions.py
+++ b/packages/core/src/myrtlehook_core/process/admissions.py
@@ -33,7 +33,7 @@
     virtual_service_units,
 )
 from myrtlehook_core.process.full_tiers import is_full, note_taken, note_untaken
-from myrtlehook_core.process.intakes import Intake
+from myrtlehook_core.process.intakes import Intake, count_granted, count_refused
 from myrtlehook_core.process.refusals import (
     choose_last_refusal,
     find_refusal,
@@ -41,7 +41,6 @@
     refuse_with,
 )
 from myrtlehook_core.process.runs import NO_FAILURES, may_retry
-from myrtlehook_core.process.shares import note_granted, note_refused
 from myrtlehook_core.request.charges import (
     cancel_charge,
     charge_known,
@@ -68,14 +67,14 @@
     entry = context.entry
     reason = find_refusal(entry, context.entry_context, key_of(request), request, now_s)
     if reason is not None:
+        count_refused(context.shares, request, intake.tier, now_s)
         refuse_request(entry, context.entry_context, request, reason, now_s)
         return
     options = context.entry_context.options
     full = admissions.full_tiers[request.pool]
     tier = intake.tier
     if options.refuses_full_tiers and options.keeps_shares and is_full(full, tier, now_s):
-        tokens = find_share_tokens(request)
-        note_refused(context.shares, request.pool, request.workspace, tokens, tier, now_s)
+        count_refused(context.shares, request, tier, now_s)
         refuse_with(
             context.entry_context, request, RefusalReason.SHARE_EXCEEDED, full.retry_after_s
         )
@@ -289,8 +288,7 @@
     attempt = entry.attempts.get(request.request_id, 0) + 1
     entry.attempts[request.request_id] = attempt
     if attempt == 1:
-        tokens = find_share_tokens(request)
-        note_granted(context.shares, request.pool, request.workspace, tokens, now_s)
+        count_granted(context.shares, request, now_s)
     entry.retry_budget = min(entry.retry_budget + options.retry_ratio, options.retry_burst)
     remember_parts(admissions, admission)
     context.entry_context.out.add(
--- a/packages/core/src/myrtlehook_core/process/intakes.py
+++ b/packages/core/src/myrtlehook_core/process/intakes.py
@@ -1,12 +1,18 @@
-"""How a router takes a request for a model engine in, before any engine is asked.
+"""How requests for model engines count for the shares of their workspaces.
 
-It is counted for its workspace's share first, so that what is turned away for want of processor
-time is asked for and refused like all else, and the share decides whose requests are.
+Each is counted when its router takes it in, before anything is decided, so that what is turned
+away for want of processor time is asked for and refused like all else.
 """
 
 from dataclasses import dataclass
 
-from myrtlehook_core.process.shares import Shares, asks_above_share, note_asked, note_refused
+from myrtlehook_core.process.shares import (
+    Shares,
+    asks_above_share,
+    note_asked,
+    note_granted,
+    note_refused,
+)
 from myrtlehook_core.process.shedding import Shedding, sheds
 from myrtlehook_core.request.requests import RequestSpecification, find_share_tokens
 
@@ -40,6 +46,21 @@
     """Tell whether a request is to be refused for want of processor time; counted then."""
     if not sheds(shedding, request.workspace, intake.tier, intake.above_share):
         return False
-    tokens = find_share_tokens(request)
-    note_refused(shares, request.pool, request.workspace, tokens, intake.tier, now_s)
+    count_refused(shares, request, intake.tier, now_s)
     return True
+
+
+def count_refused(
+    shares: Shares, request: RequestSpecification, tier: int, asked_at_s: float
+) -> None:
+    """Count a request that nobody runs.
+
+    :param asked_at_s: when it was counted as asked for.
+    """
+    tokens = find_share_tokens(request)
+    note_refused(shares, request.pool, request.workspace, tokens, tier, asked_at_s)
+
+
+def count_granted(shares: Shares, request: RequestSpecification, now_s: float) -> None:
+    """Count a request that an engine has taken."""
+    note_granted(shares, request.pool, request.workspace, find_share_tokens(request), now_s)
--- a/packages/core/src/myrtlehook_core/process/shedding.py
+++ b/packages/core/src/myrtlehook_core/process/shedding.py
@@ -36,7 +36,6 @@
 """Workspaces that send at least this part of what the largest one sends are shed."""
 
 SMALLEST_COUNT = 0.1
-SMALLEST_PART = 0.001
 
 COUNT_S = 1.0
 """Requests are counted over about this long to find the largest workspaces."""
@@ -150,7 +149,7 @@
     excess_part = shedding.excess.get(workspace, 0.0) / shedding.counts[workspace]
     if exceeds:
         return part / excess_part
-    return max(part - excess_part, 0.0) / max(1.0 - excess_part, SMALLEST_PART)
+    return max(part - excess_part, 0.0) / (1.0 - excess_part)
 
 
 def _forget_counts(shedding: Shedding) -> None:
--- a/tests/steps/accountant_steps.py
+++ b/tests/steps/accountant_steps.py
@@ -1,6 +1,7 @@
 """Steps of a pool's accountant: its sums against the reports that it heard."""
 
 from collections import Counter
+from collections.abc import Iterable
 from typing import Any
 
 from behave import then
@@ -40,7 +41,7 @@
         told = take_demand(accounts, "r9", DemandReport("p", ()), capacity, now_s)
         sums = _sum_last(heard, now_s)
         asked = [row.asked_tokens for row in sums]
-        level = find_level(asked, find_shared_tokens(_account_of(sums), float(capacity)))
+        level = find_level(asked, find_shared_tokens(account_of(sums), float(capacity)))
         assert told.level_tokens == (UNLIMITED if level is None else round(level)), (told, sums)
         assert {*told.rows} == {
             row for row in sums if level is not None and row.asked_tokens > level
@@ -49,7 +50,7 @@
     check()
 
 
-def _account_of(rows: list[DemandRow]) -> PoolAccount:
+def account_of(rows: Iterable[DemandRow]) -> PoolAccount:
     """Return the account of one router that has reported all of this."""
     account = PoolAccount()
     note_report(account, "r", tuple(rows), 0.0)
--- a/tests/steps/long_prompt_steps.py
+++ b/tests/steps/share_mix_steps.py
@@ -1,4 +1,4 @@
-"""Steps of workspaces that ask in long prompts beside others that ask in short ones."""
+"""Steps of five workspaces that ask for more than engines do, one of them in long prompts."""
 
 import random
 from typing import Any
--- a/tests/steps/zone_steps.py
+++ b/tests/steps/zone_steps.py
@@ -5,16 +5,12 @@
 from dataclasses import replace
 from typing import Any
 
+from accountant_steps import account_of
 from behave import given as before
 from behave import then, when
 
 from myrtlehook_core import CoreOptions, MemberState, PromptPart, actions, events
-from myrtlehook_core.process.accountants import (
-    PoolAccount,
-    find_level,
-    find_shared_tokens,
-    note_report,
-)
+from myrtlehook_core.process.accountants import find_level, find_shared_tokens
 from myrtlehook_core.process.admission_asking import AdmissionContext, rank_engines
 from myrtlehook_core.process.admission_messages import DemandReport, DemandRow
 from myrtlehook_core.process.hashing import rank_routers
@@ -192,9 +188,8 @@
         for workspace, tokens in asked.items():
             missing = abs(told[workspace] - tokens)
             assert missing <= LEVEL_TOLERANCE_PART * tokens, (name, level, asked)
-        account = PoolAccount()
-        note_report(account, "r", level.rows, 0.0)
-        shared_tokens = find_shared_tokens(account, limits.tokens_per_s * window_s)
+        configured_tokens = limits.tokens_per_s * window_s
+        shared_tokens = find_shared_tokens(account_of(level.rows), configured_tokens)
         wanted = find_level(list(asked.values()), shared_tokens)
         assert wanted is not None
         wrong = abs(level.level_tokens - wanted)
