Leave evacuated zones alone, and space what cold engines get

Cause: of the new pages `op/evacuate/ZONE` was read by nothing, so an evacuated zone's engines got requests as ever; and an engine that had come back cold was granted a full window at once, as no owner knew that it was cold.

Change: evacuated zones are a part of the source's list, with its order, told between routers with it; their servers are closed in the configuration that every decision reads, for as long as the zone is named. An engine is held to be cold when it is new, says so, belongs to a zone that is taken back, or answers again after it failed or was silent; its owner then spaces grants below half of what a cold engine may get, so that two owners for a moment stay within the bound.

Ruled out: the whole allowance for one owner (two at once exceed it); a burst at the beginning (what was granted before arrives in the same second); `leaving` for good (a zone comes back under the same names).

--- a/emulator/control.py
+++ b/emulator/control.py
@@ -53,6 +53,13 @@
         # The server is reached by another way from now on.
         site.addresses[name] = address
         _put_entry(site, name, "ready")
+    for name, zone in order.get("zones", {}).items():
+        site.zones[name] = zone
+        _put_entry(site, name, "ready")
+    for zone in order.get("evacuate", []):
+        site.store.put(f"op/evacuate/{zone}", "{}")
+    for zone in order.get("take_back", []):
+        site.store.drop(f"op/evacuate/{zone}")
     for name, state in order.get("servers", {}).items():
         if state == "gone":
             site.store.drop(f"servers/{name}")
--- a/emulator/sites.py
+++ b/emulator/sites.py
@@ -20,6 +20,7 @@
 PLAIN_SERVICE = "desk"
 HOST = "site.example"
 SPLIT = [{"Service": PLAIN_SERVICE, "Weight": 1}, {"Service": PLAIN_SERVICE, "Weight": 3}]
+ZONE = "hall-1"
 WRITTEN_AGAIN_S = 1.0
 """How long after the store's return its operator and servers have written again."""
 
@@ -46,6 +47,8 @@
     """Of the engines, by id."""
     born_ms: dict[str, int] = field(default_factory=dict)
     """When each engine started, in Unix time."""
+    zones: dict[str, str] = field(default_factory=dict)
+    """Of the servers that stand elsewhere than most."""
     ended: list[str] = field(default_factory=list)
     """The engines that ended, in order."""
     starts: "itertools.count[int]" = field(default_factory=lambda: itertools.count(1))
@@ -130,7 +133,7 @@
     entry = {
         "Service": service,
         "Address": site.addresses[identifier],
-        "Zone": "hall-1",
+        "Zone": site.zones.get(identifier, ZONE),
         "Version": "v1",
         "SlotCount": slots,
         "State": state,
--- a/packages/core/src/myrtlehook_core/__init__.py
+++ b/packages/core/src/myrtlehook_core/__init__.py
@@ -54,6 +54,7 @@
 )
 from myrtlehook_core.version.configurations import (
     BackendServer,
+    ColdStart,
     Configuration,
     ConfigurationVersion,
     EngineCapacity,
@@ -168,6 +169,7 @@
     "BackendServer",
     "Candidate",
     "Chooser",
+    "ColdStart",
     "Configuration",
     "ConfigurationVersion",
     "CoreOptions",
--- a/packages/core/src/myrtlehook_core/process/actions.py
+++ b/packages/core/src/myrtlehook_core/process/actions.py
@@ -97,6 +97,16 @@
     """Of the source."""
     source: str
     """The platform, or the router that told of it."""
+    evacuated_zones: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class ColdEngineNoted:
+    """An engine is held to be cold, as news, its entry or its own answers show."""
+
+    backend_server: str
+    until_s: float
+    reason: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -262,6 +272,7 @@
     | ConfigurationChanged
     | ConfigurationRejected
     | BackendServersChanged
+    | ColdEngineNoted
     | ServerLeavingNoted
     | ServerBackoffNoted
     | ReadSource
--- a/packages/core/src/myrtlehook_core/process/engine_decisions.py
+++ b/packages/core/src/myrtlehook_core/process/engine_decisions.py
@@ -6,6 +6,7 @@
 
 from myrtlehook_core.process.actions import AdmissionDecided, Outbox
 from myrtlehook_core.process.admission_messages import AdmissionGrant, AdmissionRefusal
+from myrtlehook_core.process.cold_engines import find_opening, is_cold, note_grant
 from myrtlehook_core.process.ejections import may_use
 from myrtlehook_core.process.engine_forecasts import forecast_waiting, order_waiting
 from myrtlehook_core.process.engine_loads import (
@@ -61,8 +62,8 @@
         if not _fits(context, server, load, waiting, now_s):
             return
         _grant(context, name, load, waiting, now_s)
-        if load.health.suspect:
-            # One request at a time tries a server that failed.
+        if load.health.suspect or is_cold(load.pace, now_s):
+            # One request at a time tries a server that failed, and a cold one gets few.
             return
 
 
@@ -79,9 +80,9 @@
     """
     next_s = math.inf
     for load in queues.loads.values():
-        if load.waiting and load.reading:
+        if load.waiting and (load.reading or is_cold(load.pace, now_s)):
             ahead_s = find_window(load, options) / load.model.rate_tokens_per_s
-            due_s = find_read_end(load, now_s) - ahead_s
+            due_s = max(find_read_end(load, now_s) - ahead_s, find_opening(load.pace, now_s))
             if due_s > now_s:
                 next_s = min(next_s, due_s)
     return next_s
@@ -160,6 +161,8 @@
         return False
     if server.leaving:
         return False
+    if now_s < find_opening(load.pace, now_s):
+        return False
     return now_s >= load.owned_since_s + context.options.adopt_delay_s
 
 
@@ -213,6 +216,7 @@
 ) -> None:
     decided = _describe_decision(context, name, load, waiting, now_s)
     item = grant_admission(load, waiting, now_s)
+    note_grant(load.pace, now_s)
     grant = AdmissionGrant(waiting.request_id, name, item.unread_tokens, decided.estimate)
     context.post.add(waiting.router_id, grant)
     context.out.add(decided)
--- a/packages/core/src/myrtlehook_core/process/engine_forecasts.py
+++ b/packages/core/src/myrtlehook_core/process/engine_forecasts.py
@@ -3,6 +3,7 @@
 import heapq
 from dataclasses import dataclass
 
+from myrtlehook_core.process.cold_engines import find_opening
 from myrtlehook_core.process.engine_loads import (
     EngineLoad,
     WaitingAdmission,
@@ -29,12 +30,15 @@
     """
     model = load.model
     read_end_s = find_read_end(load, now_s)
+    opening_s = find_opening(load.pace, now_s)
     ends_s = _expect_ends(load, read_end_s, now_s)
     found = []
     for waiting in order_waiting(load, now_s):
-        start_s = read_end_s
+        start_s = max(read_end_s, opening_s)
         if len(ends_s) >= slots > 0:
             start_s = max(start_s, heapq.heappop(ends_s))
+        if start_s < load.pace.until_s:
+            opening_s = start_s + load.pace.gap_s
         read_end_s = start_s + estimate_unread(load, waiting) / model.rate_tokens_per_s
         begin_s = read_end_s + model.delay_s
         heapq.heappush(ends_s, begin_s + waiting.output_tokens * model.token_s)
--- a/packages/core/src/myrtlehook_core/process/engine_loads.py
+++ b/packages/core/src/myrtlehook_core/process/engine_loads.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field, replace
 
 from myrtlehook_core.process.admission_messages import EngineEstimate, PartRow
+from myrtlehook_core.process.cold_engines import SILENCE_S, ColdPace
 from myrtlehook_core.process.ejections import ServerHealth
 from myrtlehook_core.process.engine_models import (
     EngineModel,
@@ -94,6 +95,12 @@
     """Those of them whose prompts the engine has not read to their end, as far as it has
     shown, in the same order."""
     health: ServerHealth = field(default_factory=ServerHealth)
+    pace: ColdPace = field(default_factory=ColdPace)
+    heard_at_s: float = -math.inf
+    """When an answer began last."""
+    doubted: bool = False
+    """A request has ended here of which nothing was heard for far too long, nor of others since:
+    the engine may have been down."""
     read_until_s: float = -math.inf
     """When the prompt of the last answer was read, less what a grant takes to arrive."""
     batch: ReadSample | None = None
@@ -111,6 +118,8 @@
     backlog_tokens: float
     waiting_requests: int
     granted_requests: int
+    cold_until_s: float = -math.inf
+    """Until when it is held to be cold."""
 
 
 def find_read_end(load: EngineLoad, now_s: float) -> float:
@@ -206,6 +215,16 @@
     return True
 
 
+def was_silent(load: EngineLoad, request_id: str, now_s: float) -> bool:
+    """Tell whether an engine has begun nothing since long before a request's answer was due."""
+    item = load.granted.get(request_id)
+    if item is None or item.begun:
+        return False
+    owed_since_s = max(item.granted_at_s, load.heard_at_s)
+    reading_s = item.unread_tokens / load.model.rate_tokens_per_s
+    return now_s > owed_since_s + load.model.delay_s + reading_s + SILENCE_S
+
+
 def drop_granted(load: EngineLoad, request_id: str) -> None:
     """Forget a granted request of which nobody tells how it ended."""
     load.granted.pop(request_id, None)
--- a/packages/core/src/myrtlehook_core/process/engine_queues.py
+++ b/packages/core/src/myrtlehook_core/process/engine_queues.py
@@ -4,7 +4,10 @@
 no workspaces. Just enough prompt tokens are granted ahead to keep the engine reading.
 """
 
-from myrtlehook_core.process.actions import ServerEjected
+import math
+from collections.abc import Mapping
+
+from myrtlehook_core.process.actions import ColdEngineNoted, ServerEjected
 from myrtlehook_core.process.admission_messages import (
     AdmissionGrant,
     AdmissionProgress,
@@ -14,6 +17,7 @@
     HeldAdmissionRow,
     HeldAdmissions,
 )
+from myrtlehook_core.process.cold_engines import make_pace, start_cold
 from myrtlehook_core.process.ejections import note_end
 from myrtlehook_core.process.engine_decisions import (
     EngineQueues,
@@ -32,16 +36,26 @@
     end_granted,
     expire_granted,
     note_begun,
+    was_silent,
 )
 from myrtlehook_core.process.engine_models import adopt_estimate, describe_model, make_model
+from myrtlehook_core.process.options import CoreOptions
 from myrtlehook_core.process.prompt_caches import PromptCache, use_parts
 from myrtlehook_core.version.configurations import Configuration
 
 
 def set_owned_engines(
-    queues: EngineQueues, names: set[str], configuration: Configuration, now_s: float
+    queues: EngineQueues,
+    names: set[str],
+    configuration: Configuration,
+    now_s: float,
+    options: CoreOptions | None = None,
+    cold_deadlines_s: Mapping[str, float] | None = None,
 ) -> None:
-    """Take over the engines that are newly owned, and drop what is owned no longer."""
+    """Take over the engines that are newly owned, and drop what is owned no longer.
+
+    :param cold_deadlines_s: until when engines are held to be cold.
+    """
     for name in list(queues.loads):
         if name not in names:
             del queues.loads[name]
@@ -53,7 +67,10 @@
                 owned_since_s=now_s,
                 cache=PromptCache(pool.engine.memory_tokens),
                 model=make_model(like),
+                pace=make_pace(options or CoreOptions(), pool.cold_start),
             )
+            cold_until_s = (cold_deadlines_s or {}).get(name, -math.inf)
+            start_cold(queues.loads[name].pace, cold_until_s, now_s)
 
 
 def receive_request(
@@ -93,6 +110,7 @@
     """Note that an answer has begun, and grant what the engine can read next."""
     load = queues.loads.get(message.backend_server)
     if load is not None:
+        _note_alive(context, message.backend_server, load, now_s)
         note_begun(load, message.request_id, context.options.learns_engines, now_s)
         # A suspect engine has proved itself by beginning an answer.
         note_end(load.health, False, now_s)
@@ -108,6 +126,7 @@
         return
     load.waiting.pop(message.request_id, None)
     ran = message.ran and not message.failed
+    load.doubted = load.doubted or was_silent(load, message.request_id, now_s)
     known = end_granted(load, message.request_id, ran and context.options.learns_engines, now_s)
     ended = known and (message.ran or message.failed)
     failed = message.failed and context.options.ejects_servers
@@ -161,6 +180,18 @@
         load.owned_since_s = now_s
 
 
+def _note_alive(context: QueueContext, name: str, load: EngineLoad, now_s: float) -> None:
+    """Note that an engine begins an answer; one that may have been down is cold now."""
+    oldest = next(iter(load.reading), "")
+    silent = load.doubted or was_silent(load, oldest, now_s)
+    reason = "failed before" if load.health.suspect else "was silent" if silent else ""
+    load.doubted = False
+    load.heard_at_s = now_s
+    until_s = now_s + load.pace.lasts_s
+    if reason and start_cold(load.pace, until_s, now_s):
+        context.out.add(ColdEngineNoted(name, until_s, reason))
+
+
 def _find_like(
     queues: EngineQueues, configuration: Configuration, pool: str, now_s: float
 ) -> EngineEstimate | None:
--- a/packages/core/src/myrtlehook_core/process/events.py
+++ b/packages/core/src/myrtlehook_core/process/events.py
@@ -147,6 +147,8 @@
     """The first list after the source could not be read or had lost its history."""
     order: SourceOrder = NO_ORDER
     """Of the source; a list older than what is known changes nothing."""
+    evacuated_zones: frozenset[str] = frozenset()
+    """Availability zones whose servers are to get nothing."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/myrtlehook_core/process/options.py
+++ b/packages/core/src/myrtlehook_core/process/options.py
@@ -118,6 +118,10 @@
     """False only in the bench's baseline that keeps its own counters."""
     serves_while_draining: bool = False
     """Whether a stopping router takes new requests until its balancer has noticed."""
+    cold_overshoot: float = 1.0
+    """A cold engine may get so many times the requests a second that its pool is said to take,"""
+    cold_tolerance_requests: float = 0.0
+    """and so many more, from all routers together."""
     router_requests: int = 20_000
     router_bytes: int = 512 * 1024 * 1024
     retry_ratio: float = 0.2
--- a/packages/core/src/myrtlehook_core/process/routers.py
+++ b/packages/core/src/myrtlehook_core/process/routers.py
@@ -20,6 +20,8 @@
     send_holds_to_new_owners,
 )
 from myrtlehook_core.process.choosers import Draw
+from myrtlehook_core.process.cold_engines import ColdEngines
+from myrtlehook_core.process.cold_handlers import follow_servers
 from myrtlehook_core.process.engine_decisions import (
     EngineQueues,
     QueueContext,
@@ -93,6 +95,7 @@
         self.exchange = ConfigurationExchange(parser=parser)
         self.discovery = Discovery()
         self.leaving = LeavingServers()
+        self.cold = ColdEngines()
         self._applied_revisions = (0, 0)
         self._applied_base = self.exchange.current
         self._configuration = self.exchange.current
@@ -156,6 +159,7 @@
                 backlog_tokens=find_backlog(load, self._now_s),
                 waiting_requests=len(load.waiting),
                 granted_requests=len(load.granted),
+                cold_until_s=load.pace.until_s,
             )
             for name, load in sorted(self.queues.loads.items())
         ]
@@ -248,6 +252,7 @@
     def _settle(self, now_s: float) -> None:
         """Follow ownership, then deliver messages, this router's own included."""
         self._follow_ownership(now_s)
+        follow_servers(self, now_s)
         self._deliver(now_s)
         if self.quarantine.is_news:
             refuse_waiting(self, now_s)
@@ -270,7 +275,9 @@
             return
         owned = owned_servers(self.placement, self.identity.router_id)
         set_owned_servers(self.owner, owned, now_s)
-        set_owned_engines(self.queues, owned, self.configuration, now_s)
+        set_owned_engines(
+            self.queues, owned, self.configuration, now_s, self.options, self.cold.deadlines_s
+        )
         owners = self.placement.server_owners
         moved = {name: owner for name, owner in owners.items() if before.get(name) != owner}
         announce_admissions(self.admissions, self.admission_context(), moved, now_s)
--- a/packages/core/src/myrtlehook_core/process/source_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/source_handlers.py
@@ -64,7 +64,8 @@
 def on_servers(core: "RouterCore", event: events.BackendServersRead, now_s: float) -> None:
     """Take the source's list of backend servers, and tell of changes."""
     after_outage = event.after_outage or knows_outage(core.readers, now_s)
-    if take_servers(core.discovery, event.servers, after_outage, now_s, event.order):
+    zones = event.evacuated_zones
+    if take_servers(core.discovery, event.servers, after_outage, now_s, event.order, zones):
         tell_servers(core, PLATFORM)
         _announce(core)
 
@@ -111,7 +112,9 @@
     """Tell a peer what changed among the backend servers."""
     changes = collect_changes(core.discovery, message.known_order)
     rows = tuple(_make_row(server, changes.lapsed) for server in changes.servers)
-    core.post.add(sender, ServersReply(changes.order, changes.whole, rows, changes.gone))
+    zones = tuple(sorted(changes.evacuated_zones))
+    reply = ServersReply(changes.order, changes.whole, rows, changes.gone, zones)
+    core.post.add(sender, reply)
 
 
 def take_servers_reply(
@@ -125,6 +128,7 @@
         servers=tuple(_read_row(row) for row in message.rows),
         lapsed=frozenset(row.name for row in message.rows if row.lapsed),
         gone=message.gone,
+        evacuated_zones=frozenset(message.evacuated_zones),
     )
     if take_changes(core.discovery, changes, knows_outage(core.readers, now_s), now_s):
         tell_servers(core, sender)
@@ -138,7 +142,8 @@
     for name in leaving:
         note_leaving(core.leaving, LeavingRow(name, 0), count_news(core.table))
     order = core.discovery.source_order
-    core.out.add(BackendServersChanged(tuple(known), leaving, order, source))
+    zones = tuple(sorted(core.discovery.evacuated_zones))
+    core.out.add(BackendServersChanged(tuple(known), leaving, order, source, zones))
 
 
 def take_configuration(core: "RouterCore", result: Accepted | Rejected | None) -> None:
@@ -187,6 +192,7 @@
         leaving=server.leaving,
         instance=server.instance,
         lapsed=server.name in lapsed,
+        cold_ms=server.cold_ms,
     )
 
 
@@ -200,4 +206,5 @@
         checks_orders=row.checks_orders,
         leaving=row.leaving,
         instance=row.instance,
+        cold_ms=row.cold_ms,
     )
--- a/packages/core/src/myrtlehook_core/process/source_messages.py
+++ b/packages/core/src/myrtlehook_core/process/source_messages.py
@@ -30,6 +30,7 @@
     instance: str
     lapsed: bool
     """Its entry was missing after an outage of the source, and may still come back."""
+    cold_ms: int = 0
 
 
 class ServersQuery(msgspec.Struct, frozen=True, array_like=True, tag=25):
@@ -47,3 +48,5 @@
     """``rows`` are all servers; those that are not among them are gone."""
     rows: tuple[ServerRow, ...]
     gone: tuple[str, ...]
+    evacuated_zones: tuple[str, ...] = ()
+    """All of them, whatever was asked for."""
--- a/packages/core/src/myrtlehook_core/process/statuses.py
+++ b/packages/core/src/myrtlehook_core/process/statuses.py
@@ -53,6 +53,7 @@
     configuration_number: int
     configuration_digest: str
     configuration_source: str
+    evacuated_zones: tuple[str, ...]
     queued_requests: int
     running_requests: int
     ledger_accounts: int
@@ -70,6 +71,7 @@
         configuration_number=core.configuration.version.number,
         configuration_digest=core.configuration.version.digest,
         configuration_source=core.exchange.source,
+        evacuated_zones=tuple(sorted(core.discovery.evacuated_zones)),
         queued_requests=core.entry.queued_requests,
         running_requests=len(core.entry.running),
         ledger_accounts=len(core.ledger.accounts),
--- a/packages/core/src/myrtlehook_core/version/configurations.py
+++ b/packages/core/src/myrtlehook_core/version/configurations.py
@@ -54,6 +54,15 @@
     """Tokens in one event of a stream."""
 
 
+@dataclass(frozen=True, slots=True)
+class ColdStart:
+    """What the servers of a pool take after a start, before they are warm."""
+
+    lasts_s: float
+    requests_per_s: float
+    """That one of them works off meanwhile."""
+
+
 @dataclass(frozen=True, slots=True)
 class EntryLimits:
     """What callers may send, and how long they may take."""
@@ -82,6 +91,8 @@
     """Known for model engines whose requests are placed by tokens instead of slots."""
     connections: int = 512
     """The most connections that one backend server takes, from all routers together."""
+    cold_start: ColdStart | None = None
+    """None for servers that take as much as ever right after a start."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,6 +119,8 @@
     instance: str = ""
     """Names this start of the server; sent along so that another server at its
     address declines the request."""
+    cold_ms: int = 0
+    """How much longer it was to stay cold, as it said last; see ``process/cold_engines``."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/myrtlehook_core/version/discovery.py
+++ b/packages/core/src/myrtlehook_core/version/discovery.py
@@ -48,6 +48,8 @@
     """Changes are remembered from this order of the source on."""
     doubted_deadlines_s: dict[str, float] = field(default_factory=dict)
     """Until when a server gets nothing that was gone and came back with a copy."""
+    evacuated_zones: frozenset[str] = frozenset()
+    """Availability zones whose servers get nothing until the operator takes them back."""
     active: bool = False
     """False while the configuration itself lists the backend servers."""
 
@@ -62,6 +64,8 @@
     servers: tuple[BackendServer, ...]
     lapsed: frozenset[str]
     gone: tuple[str, ...]
+    evacuated_zones: frozenset[str] = frozenset()
+    """All of them."""
 
 
 def take_servers(
@@ -70,11 +74,12 @@
     after_outage: bool,
     now_s: float,
     order: SourceOrder = NO_ORDER,
+    evacuated_zones: frozenset[str] = frozenset(),
 ) -> bool:
     """Take the source's whole list at an order; True when anything changed."""
     if order < discovery.source_order:
         return False
-    listed = {server.name: _keep_leaving(discovery, server) for server in servers}
+    listed = {server.name: _keep_known(discovery, server) for server in servers}
     after_outage = _note_era(discovery, order, listed.keys(), now_s) or after_outage
     missing = discovery.known.keys() - listed.keys()
     lapsed_before = set(discovery.lapsed_deadlines_s)
@@ -92,7 +97,7 @@
     if not discovery.active:
         discovery.complete_since_order = order
     _note_orders(discovery, listed, lapsed_before, order)
-    return _replace_known(discovery, listed)
+    return _replace_known(discovery, listed, evacuated_zones)
 
 
 def collect_changes(discovery: Discovery, after: SourceOrder) -> ServerChanges:
@@ -111,6 +116,7 @@
         servers=tuple(discovery.known[name] for name in names),
         lapsed=frozenset(discovery.lapsed_deadlines_s).intersection(names),
         gone=tuple(name for name, order in removed if not is_other_era and order > after),
+        evacuated_zones=discovery.evacuated_zones,
     )
 
 
@@ -123,7 +129,7 @@
     """
     if changes.order <= discovery.source_order:
         return False
-    told = {server.name: _keep_leaving(discovery, server) for server in changes.servers}
+    told = {server.name: _keep_known(discovery, server) for server in changes.servers}
     after_outage = _note_era(discovery, changes.order, told.keys(), now_s) or after_outage
     listed = told if changes.whole else discovery.known | told
     listed = {name: server for name, server in listed.items() if name not in changes.gone}
@@ -145,7 +151,7 @@
     if not discovery.active:
         discovery.complete_since_order = changes.order
     _note_orders(discovery, listed, lapsed_before, changes.order)
-    return _replace_known(discovery, listed)
+    return _replace_known(discovery, listed, changes.evacuated_zones)
 
 
 def expire_lapsed(discovery: Discovery, now_s: float) -> bool:
@@ -166,21 +172,22 @@
         del discovery.lapsed_deadlines_s[name]
     kept = {name: server for name, server in discovery.known.items() if name not in late}
     _note_orders(discovery, kept, lapsed_before, discovery.source_order)
-    return _replace_known(discovery, kept)
+    return _replace_known(discovery, kept, discovery.evacuated_zones)
 
 
 def apply_discovery(configuration: Configuration, discovery: Discovery) -> Configuration:
     """Return the configuration with the servers that discovery knows."""
     if not discovery.active:
         return configuration
-    doubted = {
-        name: replace(discovery.known[name], leaving=True)
-        for name in discovery.doubted_deadlines_s
-        if name in discovery.known
+    closed = {
+        name: replace(server, leaving=True)
+        for name, server in discovery.known.items()
+        if name in discovery.doubted_deadlines_s
+        or server.availability_zone in discovery.evacuated_zones
     }
     return replace(
         configuration,
-        backend_servers=discovery.known | doubted if doubted else discovery.known,
+        backend_servers=discovery.known | closed if closed else discovery.known,
         served_pools=frozenset(server.pool for server in discovery.known.values()),
         servers_revision=discovery.revision,
     )
@@ -209,7 +216,14 @@
     return {server.instance for server in servers.values() if server.instance}
 
 
-def _keep_leaving(discovery: Discovery, server: BackendServer) -> BackendServer:
+def _keep_known(discovery: Discovery, server: BackendServer) -> BackendServer:
+    """Return a listed server with what is known of it that the list takes back.
+
+    A lower figure of how long it stays cold is no news: the deadline of the first one stands.
+    """
+    known = discovery.known.get(server.name)
+    if known is not None and known.cold_ms > server.cold_ms > 0:
+        server = replace(server, cold_ms=known.cold_ms)
     if server.leaving:
         discovery.leaving.add(server.name)
     if server.name in discovery.leaving and not server.leaving:
@@ -238,11 +252,14 @@
         discovery.complete_since_order = discovery.removed_orders.pop(oldest)
 
 
-def _replace_known(discovery: Discovery, servers: dict[str, BackendServer]) -> bool:
+def _replace_known(
+    discovery: Discovery, servers: dict[str, BackendServer], evacuated_zones: frozenset[str]
+) -> bool:
     discovery.active = True
-    if servers == discovery.known:
+    if servers == discovery.known and evacuated_zones == discovery.evacuated_zones:
         return False
     discovery.leaving &= servers.keys()
     discovery.known = servers
+    discovery.evacuated_zones = evacuated_zones
     discovery.revision += 1
     return True
--- a/packages/router/src/myrtlehook_router/process/core_tasks.py
+++ b/packages/router/src/myrtlehook_router/process/core_tasks.py
@@ -195,11 +195,21 @@
             "backend servers changed",
             servers=action.servers,
             leaving=action.leaving,
+            evacuated_zones=action.evacuated_zones,
             era=action.order.era,
             revision=action.order.revision,
             source=action.source,
         )
 
+    def _note_cold(self, action: actions.ColdEngineNoted) -> None:
+        self._counters.add(f"engines.cold.{action.reason.replace(' ', '_')}")
+        _log.info(
+            "engine is cold",
+            backend_server=action.backend_server,
+            left_s=round(action.until_s - clocks.now_s(), 3),
+            reason=action.reason,
+        )
+
     def _note_leaving(self, action: actions.ServerLeavingNoted) -> None:
         self._counters.add("backend.leaving")
         _log.info(
@@ -345,6 +355,7 @@
     actions.FetchPart: CoreTask._fetch_part,
     actions.ConfigurationChanged: CoreTask._note_configuration,
     actions.BackendServersChanged: CoreTask._note_servers,
+    actions.ColdEngineNoted: CoreTask._note_cold,
     actions.ServerLeavingNoted: CoreTask._note_leaving,
     actions.ServerBackoffNoted: CoreTask._note_backoff,
     actions.ReadSource: CoreTask._read_source,
--- a/packages/router/src/myrtlehook_router/process/engine_gauges.py
+++ b/packages/router/src/myrtlehook_router/process/engine_gauges.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterable
 
 from myrtlehook_core import EngineFigures
+from myrtlehook_router.process import clocks
 
 GAUGES: dict[str, Callable[[EngineFigures], float]] = {
     "engine_rate_tokens_per_s": lambda item: item.estimate.rate_tokens_per_s,
@@ -12,6 +13,7 @@
     "engine_window_tokens": lambda item: item.window_tokens,
     "engine_backlog_tokens": lambda item: item.backlog_tokens,
     "engine_waiting_requests": lambda item: item.waiting_requests,
+    "engine_cold_left_s": lambda item: max(item.cold_until_s - clocks.now_s(), 0.0),
 }
 """How each gauge of docs/operators/metrics.md is read off."""
 
--- a/packages/router/src/myrtlehook_router/process/gateway_daemons.py
+++ b/packages/router/src/myrtlehook_router/process/gateway_daemons.py
@@ -252,6 +252,7 @@
             "open_requests": len(self._tickets),
             "configuration_number": core.configuration.version.number,
             "backend_servers": len(core.configuration.backend_servers),
+            "evacuated_zones": len(core.discovery.evacuated_zones),
             "routers_alive": sum(
                 member.state is MemberState.ALIVE for member in core.table.members.values()
             ),
--- a/tests/standins/histories.py
+++ b/tests/standins/histories.py
@@ -17,6 +17,7 @@
 
 from myrtlehook_core import (
     BackendServer,
+    ColdStart,
     Configuration,
     ConfigurationVersion,
     CoreOptions,
@@ -68,6 +69,7 @@
     era: int = 1
     revision: int = 1
     servers: dict[str, BackendServer] = field(default_factory=dict)
+    evacuated_zones: frozenset[str] = frozenset()
     silent_to: set[str] = field(default_factory=set)
     refuses: set[str] = field(default_factory=set)
     calls: Counter[str] = field(default_factory=Counter)
@@ -95,6 +97,11 @@
         self.revision += 1
         self.servers[name] = BackendServer(name, POOL, "10.0.1.9:80", "z", 16, False, leaving)
 
+    def evacuate(self, *zones: str) -> None:
+        """Let these zones get nothing, and all others be as ever."""
+        self.revision += 1
+        self.evacuated_zones = frozenset(zones)
+
     def drop(self, name: str) -> None:
         """Withdraw a backend server."""
         self.revision += 1
@@ -140,6 +147,7 @@
         source: Source | None = None,
         zones: int = 1,
         tokens_per_s: float = 60_000.0,
+        cold_start: ColdStart | None = None,
     ) -> None:
         """Start the routers of a history.
 
@@ -188,9 +196,10 @@
         """How often an engine's owner has refused a request."""
         self.levels_noted: list[actions.ShareLevelNoted] = []
         """What accountants have told on-call."""
-        self._tokens_per_s = tokens_per_s
+        self._configuration = make_configuration(tokens_per_s, cold_start)
         self._source = source
         self._options = options
+        self._evacuated: frozenset[str] = frozenset()
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
         self._numbers = itertools.count()
         self._incarnations = itertools.count(1)
@@ -214,7 +223,7 @@
     def start_router(self, name: str) -> None:
         """Start a router, or start it again with an empty memory."""
         identity = RouterIdentity(name, name, next(self._incarnations), self.zones[name])
-        configuration = make_configuration(self._tokens_per_s)
+        configuration = self._configuration
 
         def parse(text: str) -> Ok[Configuration]:
             return Ok(replace(configuration, version=ConfigurationVersion(int(text), "")))
@@ -224,7 +233,8 @@
         self.alive[name] = core
         if self._source is None:
             self.feed(name, events.ConfigurationRead("1"))
-            self.feed(name, events.BackendServersRead(self._servers, False))
+            servers, zones = self._servers, self._evacuated
+            self.feed(name, events.BackendServersRead(servers, False, evacuated_zones=zones))
         else:
             self._read_source(name, core, self._source)
         self._tick(name, core)
@@ -243,9 +253,21 @@
 
     def keep_engines(self, count: int) -> None:
         """Withdraw all but the first engines; every router learns of it at once."""
-        self._servers = self._servers[:count]
+        self.publish(self._servers[:count])
+
+    def publish(
+        self, servers: tuple[BackendServer, ...], evacuated: frozenset[str] = frozenset()
+    ) -> None:
+        """List other engines, and zones that get nothing; every router learns of it at once."""
+        self._servers = servers
+        self._evacuated = evacuated
         for name in list(self.alive):
-            self.feed(name, events.BackendServersRead(self._servers, False))
+            self.feed(name, events.BackendServersRead(servers, False, evacuated_zones=evacuated))
+
+    @property
+    def servers(self) -> tuple[BackendServer, ...]:
+        """Return the engines that are listed."""
+        return self._servers
 
     def at(self, time_s: float, work: Callable[[], None]) -> None:
         """Do something at a time."""
@@ -298,7 +320,8 @@
             return
         self.feed(name, events.ConfigurationRead(str(source.configuration_number)))
         servers = tuple(source.servers.values())
-        self.feed(name, events.BackendServersRead(servers, False, source.order))
+        zones = source.evacuated_zones
+        self.feed(name, events.BackendServersRead(servers, False, source.order, zones))
         self.feed(name, events.SourceAnswered())
 
     def _carry_out(self, name: str, core: RouterCore, action: Any) -> None:
--- a/tests/standins/pools.py
+++ b/tests/standins/pools.py
@@ -1,6 +1,7 @@
 """The one pool of a history: its configuration, its requests, and where its servers stand."""
 
 from myrtlehook_core import (
+    ColdStart,
     Configuration,
     ConfigurationVersion,
     EngineCapacity,
@@ -53,7 +54,7 @@
     )
 
 
-def make_configuration(tokens_per_s: float) -> Configuration:
+def make_configuration(tokens_per_s: float, cold_start: ColdStart | None = None) -> Configuration:
     """Return a configuration of one pool.
 
     :param tokens_per_s: what it says that all engines produce.
@@ -67,6 +68,7 @@
         no_repeat=False,
         default_timeout_s=10.0,
         engine=EngineCapacity(memory_tokens=100_000),
+        cold_start=cold_start,
     )
     workspaces = {name: Workspace(name, 1.0, (), frozenset({POOL}), LIMITS) for name in "abcdefgh"}
     return Configuration(
--- /dev/null
+++ b/tests/steps/evacuation_steps.py
@@ -0,0 +1,205 @@
+"""Steps of availability zones that are evacuated and taken back."""
+
+import time
+from collections import Counter
+from typing import Any
+
+from behave import given as before
+from behave import then, when
+from cold_engine_steps import BOUND, COLD_S, LAST_S, find_most_sent
+from server_notice_steps import find_busiest, send_for
+from zone_steps import run_until_holds
+
+from myrtlehook_platform.evacuations import read_evacuated
+from standins.histories import History
+
+HEARD_S = 0.05
+"""A grant that was given before the news may be used this long after it."""
+
+SETTLED_S = 0.6
+SENT_AFTER_S = 1.0
+PATH = "/diagnosis/a"
+OTHERS_MOVED = 2
+"""The routers' own zone keeps too few engines to be asked before the home of all."""
+
+
+@when('zone "{zone}" is evacuated from {start_s:g} s to {end_s:g} s')
+def evacuate_for(context: Any, zone: str, start_s: float, end_s: float) -> None:
+    history: History = context.history
+    history.at(start_s, lambda: history.publish(history.servers, frozenset({zone})))
+    history.at(end_s, lambda: history.publish(history.servers))
+    context.zone, context.from_s, context.to_s = zone, start_s, end_s
+    history.run_until(LAST_S)
+
+
+def _count_sent(context: Any, start_s: float, end_s: float) -> Counter[bool]:
+    """Count the requests sent to the zone's engines, and to all others."""
+    zones = {server.name: server.availability_zone for server in context.history.servers}
+    return Counter(
+        zones[engine] == context.zone
+        for _, engine, at_s in context.history.dispatches
+        if start_s <= at_s < end_s
+    )
+
+
+@then("its engines get nothing in between, and what ran there ends well")
+def check_nothing(context: Any) -> None:
+    history: History = context.history
+    sent = _count_sent(context, context.from_s + HEARD_S, context.to_s)
+    assert not sent[True] and sent[False], sent
+    assert _count_sent(context, 1.0, context.from_s)[True], "got nothing before either"
+    for request_id, outcome in history.outcomes.items():
+        was_there = outcome.dispatched_at_s and outcome.dispatched_at_s[0] < context.from_s
+        if was_there:
+            assert outcome.ended_at_s is not None, request_id
+
+
+@then("the engines of the other zones get more than before")
+def check_others(context: Any) -> None:
+    before_s = context.from_s - SETTLED_S
+    earlier = _count_sent(context, before_s, context.from_s)[False] / SETTLED_S
+    span_s = context.to_s - context.from_s
+    meanwhile = _count_sent(context, context.from_s, context.to_s)[False] / span_s
+    assert meanwhile >= earlier, (meanwhile, earlier)
+
+
+@then("in the 3 s after it is taken back none of its engines gets more than {most:d} requests in "
+      "a second")  # fmt: skip
+def check_paced(context: Any, most: int) -> None:
+    end_s = context.to_s + COLD_S
+    for server in context.history.servers:
+        if server.availability_zone == context.zone:
+            seen = find_most_sent(context, server.name, context.to_s, end_s)
+            assert 0 < seen <= min(most, BOUND), (server.name, seen)
+
+
+@when('zone "{zone}" is evacuated in the source')
+def evacuate_in_source(context: Any, zone: str) -> None:
+    source = context.history._source
+    source.keep_copy()
+    source.evacuate(zone)
+    context.zone = zone
+
+
+@when('zone "{zone}" is taken back in the source')
+def take_back_in_source(context: Any, zone: str) -> None:
+    source = context.history._source
+    source.silent_to.clear()
+    source.evacuate(*(source.evacuated_zones - {zone}))
+
+
+@when("the source comes back from a copy of before that")
+def return_source(context: Any) -> None:
+    source = context.history._source
+    source.return_from_copy()
+    source.evacuated_zones = frozenset()
+
+
+@when("a router starts anew")
+def restart_router(context: Any) -> None:
+    history: History = context.history
+    name = list(history.alive)[3]
+    history.kill_router(name)
+    history.start_router(name)
+
+
+@when("the source is silent to every router for {seconds:g} s")
+def silence(context: Any, seconds: float) -> None:
+    history: History = context.history
+    history._source.silent_to |= set(history.alive)
+    history.run_until(history.now_s + seconds)
+
+
+@when("a router is cut off from all others and from the source")
+def cut_router(context: Any) -> None:
+    history: History = context.history
+    lost = list(history.alive)[5]
+    history.is_cut = lambda sender, receiver: lost in (sender, receiver)
+    history._source.silent_to.add(lost)
+
+
+@when("it is cut off no more")
+def heal_router(context: Any) -> None:
+    context.history.is_cut = lambda sender, receiver: False
+    context.history._source.silent_to.clear()
+
+
+@when("{seconds:g} s go by")
+def wait_on(context: Any, seconds: float) -> None:
+    context.history.run_until(context.history.now_s + seconds)
+
+
+def _all_hold(context: Any, zones: frozenset[str]) -> bool:
+    cores = context.history.alive.values()
+    return all(core.discovery.evacuated_zones == zones for core in cores)
+
+
+@then("within {seconds:g} s every router holds it to be evacuated")
+def wait_evacuated(context: Any, seconds: float) -> None:
+    zones = frozenset({context.zone})
+    run_until_holds(context, seconds, lambda: _all_hold(context, zones))
+
+
+@then("within {seconds:g} s every router holds none to be evacuated")
+def wait_none(context: Any, seconds: float) -> None:
+    run_until_holds(context, seconds, lambda: _all_hold(context, frozenset()))
+
+
+@before("a store with the keys {keys}")
+def name_keys(context: Any, keys: str) -> None:
+    context.keys = keys.split(", ")
+
+
+@then("the evacuated zones are {zones}")
+def check_zones(context: Any, zones: str) -> None:
+    expected = frozenset() if zones == "none" else frozenset(zones.split())
+    assert read_evacuated(context.keys) == expected, context.keys
+
+
+@before('a site whose busiest engine and two others stand in zone "{zone}"')
+def place_engine(context: Any, zone: str) -> None:
+    busiest = find_busiest(context, "engine", PATH)
+    engines = [name for name in context.nodes.addresses if name.startswith("i-engine")]
+    others = [name for name in engines if name != busiest][:OTHERS_MOVED]
+    context.moved = (busiest, *others)
+    context.nodes.order(zones=dict.fromkeys(context.moved, zone))
+
+
+def _send_after_change(context: Any, seconds: float) -> None:
+    time.sleep(SENT_AFTER_S)
+    context.sent_from_s = time.monotonic()
+    context.sent = send_for(context, PATH, seconds)
+
+
+@when('zone "{zone}" is evacuated there, and callers send for {seconds:g} s after a second')
+def evacuate_site(context: Any, zone: str, seconds: float) -> None:
+    context.nodes.order(evacuate=[zone])
+    _send_after_change(context, seconds)
+
+
+@when('zone "{zone}" is taken back there, and callers send for {seconds:g} s after a second')
+def take_back_site(context: Any, zone: str, seconds: float) -> None:
+    context.nodes.order(take_back=[zone])
+    _send_after_change(context, seconds)
+
+
+def _count_arrived(context: Any) -> int:
+    servers = context.nodes.describe()["servers"]
+    statuses = Counter(sent.attempt.status for sent in context.sent)
+    assert statuses.keys() == {200}, statuses
+    return sum(
+        at_s >= context.sent_from_s
+        for name in context.moved
+        for _, at_s in servers[name]["arrivals"]
+    )
+
+
+@then('the servers of zone "{zone}" got none of that, and all were answered')
+def check_got_none(context: Any, zone: str) -> None:
+    assert _count_arrived(context) == 0
+
+
+@then('the servers of zone "{zone}" got some of that, and all were answered')
+def check_got_some(context: Any, zone: str) -> None:
+    arrived = _count_arrived(context)
+    assert arrived > 0, len(context.sent)
--- a/tests/steps/server_notice_steps.py
+++ b/tests/steps/server_notice_steps.py
@@ -75,7 +75,8 @@
     return seen
 
 
-def _find_busiest(context: Any, kind: str, path: str) -> str:
+def find_busiest(context: Any, kind: str, path: str) -> str:
+    """Send a little, and return the server of a kind that has got the most."""
     send_for(context, path, WARM_UP_S)
     servers = context.nodes.describe()["servers"]
     names = [name for name in servers if name.startswith(f"i-{kind}")]
@@ -89,7 +90,7 @@
 
 @when('the busiest "{kind}" says in its answers that it leaves, beside requests to "{path}"')
 def send_while_leaving(context: Any, kind: str, path: str) -> None:
-    context.server = _find_busiest(context, kind, path)
+    context.server = find_busiest(context, kind, path)
     context.nodes.order(faults={context.server: {"leaving": True}})
     context.sent = send_for(context, path, DRAIN_BOUND_S + 1.5)
 
@@ -117,7 +118,7 @@
     'beside requests to "{path}"'
 )
 def send_while_away(context: Any, kind: str, part: int, backoff_s: int, path: str) -> None:
-    context.server = _find_busiest(context, kind, path)
+    context.server = find_busiest(context, kind, path)
     context.backoff_s = float(backoff_s)
     turned_away = {"refuse_every": part, "retry_after": str(backoff_s)}
     context.nodes.order(faults={context.server: turned_away})
