Keep room at engines for requests with short aims, and ask one engine for what exceeds a share

Cause: requests with a long aim fill an engine's queue up to times at which each new request with a short aim would make late what was taken before, so that it is refused.

Change: where a workspace asks for more than its share, its requests wait at most 0.3 of the shortest aim that at least a fiftieth of the engine's tokens is asked for with, if their own aim is longer. What exceeds a share asks its home engine alone. Workspaces within their share wait as ever.

--- a/packages/core/src/myrtlehook_core/process/admission_asking.py
+++ b/packages/core/src/myrtlehook_core/process/admission_asking.py
@@ -221,6 +221,7 @@
         fetch_tokens=admission.asked_source.tokens,
         above_share=admission.above_share,
         eager=admission.eager,
+        aim_ms=round((request.aim_deadline_s - request.arrived_at_s) * 1000.0),
     )
     context.entry_context.post.add(owner, message)
 
--- a/packages/core/src/myrtlehook_core/process/admission_messages.py
+++ b/packages/core/src/myrtlehook_core/process/admission_messages.py
@@ -33,6 +33,8 @@
     """Whether the workspace asks for more than its share, this request included or not."""
     eager: bool = False
     """The engine is wanted only if it is soon free: others are asked next."""
+    aim_ms: int = 0
+    """All of the aim, of which ``aim_left_ms`` are left."""
 
 
 class EngineEstimate(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/core/src/myrtlehook_core/process/admissions.py
+++ b/packages/core/src/myrtlehook_core/process/admissions.py
@@ -7,6 +7,7 @@
 
 from myrtlehook_core.process.actions import Dispatch, DropNoted, RetryNoted
 from myrtlehook_core.process.admission_asking import (
+    ASK_INTERVAL_S,
     Admission,
     AdmissionContext,
     Admissions,
@@ -110,7 +111,8 @@
     if not candidates:
         _wait_or_refuse(admissions, context, admission, now_s)
         return
-    if not left or admission.hop >= options.engines_asked:
+    most = options.excess_engines_asked if admission.tier else options.engines_asked
+    if not left or admission.hop >= most:
         full = admissions.full_tiers[admission.request.pool]
         note_untaken(full, admission.tier, admission.retry_after_s, now_s)
         refuse_admission(admissions, context, admission, RefusalReason.DEADLINE_UNREACHABLE, now_s)
@@ -118,6 +120,7 @@
     admission.backend_server = left[0]
     admission.tried.add(left[0])
     admission.asked_at_s = now_s
+    admission.ask_gap_s = ASK_INTERVAL_S
     ask_owner(admissions, context, admission, now_s)
 
 
--- a/packages/core/src/myrtlehook_core/process/engine_decisions.py
+++ b/packages/core/src/myrtlehook_core/process/engine_decisions.py
@@ -24,6 +24,7 @@
 from myrtlehook_core.process.options import CoreOptions
 from myrtlehook_core.process.posts import Post
 from myrtlehook_core.process.prompt_caches import count_kept
+from myrtlehook_core.process.urgent_demands import SHORTER_PART, find_shortest
 from myrtlehook_core.request.requests import count_share_tokens
 from myrtlehook_core.version.configurations import BackendServer, Configuration
 
@@ -32,6 +33,9 @@
 
 SHORTEST_RETRY_MS = 50
 
+WITHIN_SHARE = (0, False)
+"""The rank of a request whose workspace asks for no more than its share."""
+
 
 @dataclass(slots=True)
 class EngineQueues:
@@ -122,6 +126,8 @@
             # What exceeds a share gives way, and whoever asks for more than theirs.
             break
         limit_s = _limit_s(context, other)
+        if other is waiting and waiting.rank > WITHIN_SHARE:
+            limit_s = min(limit_s, _room_limit_s(context, load, waiting, own_s, now_s))
         if other is waiting and waiting.eager:
             limit_s = min(limit_s, _soon_s(context, waiting))
         if other is not waiting and forecast.begin_s - own_s > limit_s:
@@ -200,6 +206,19 @@
     return waiting.asked_at_s + part * (waiting.aim_deadline_s - waiting.asked_at_s)
 
 
+def _room_limit_s(
+    context: QueueContext, load: EngineLoad, waiting: WaitingAdmission, own_s: float, now_s: float
+) -> float:
+    """Return until when an answer should begin for requests with shorter aims to find room."""
+    options = context.options
+    limit_s = math.inf
+    shortest_s = find_shortest(load.urgent, waiting.aim_s, now_s)
+    if options.urgent_wait_part > 0.0 and shortest_s < SHORTER_PART * waiting.aim_s:
+        part = 1.0 if waiting.hop == 0 else options.stranger_aim_part / options.aim_slack_part
+        limit_s = part * options.urgent_wait_part * shortest_s + own_s
+    return waiting.asked_at_s + limit_s
+
+
 def _soon_s(context: QueueContext, waiting: WaitingAdmission) -> float:
     """Return until when an answer should begin for no other engine to be asked."""
     aim_s = waiting.aim_deadline_s - waiting.asked_at_s
--- a/packages/core/src/myrtlehook_core/process/engine_loads.py
+++ b/packages/core/src/myrtlehook_core/process/engine_loads.py
@@ -14,6 +14,7 @@
 )
 from myrtlehook_core.process.options import CoreOptions
 from myrtlehook_core.process.prompt_caches import PromptCache, count_unread, use_parts
+from myrtlehook_core.process.urgent_demands import UrgentDemands
 
 MEMORY_PART = 0.9
 """Requests are granted up to this part of an engine's memory, since outputs grow."""
@@ -45,6 +46,8 @@
     priority: int
     tier: int
     hop: int
+    aim_s: float = 0.0
+    """All of it, from the request's arrival at its router to its aim's deadline."""
     fetch_tokens: int = 0
     """What the engine can take of its prompt from another one."""
     eager: bool = False
@@ -96,6 +99,7 @@
     shown, in the same order."""
     health: ServerHealth = field(default_factory=ServerHealth)
     pace: ColdPace = field(default_factory=ColdPace)
+    urgent: UrgentDemands = field(default_factory=UrgentDemands)
     heard_at_s: float = -math.inf
     """When an answer began last."""
     doubted: bool = False
--- a/packages/core/src/myrtlehook_core/process/engine_queues.py
+++ b/packages/core/src/myrtlehook_core/process/engine_queues.py
@@ -34,6 +34,7 @@
     WaitingAdmission,
     drop_granted,
     end_granted,
+    estimate_unread,
     expire_granted,
     note_begun,
     was_silent,
@@ -41,6 +42,7 @@
 from myrtlehook_core.process.engine_models import adopt_estimate, describe_model, make_model
 from myrtlehook_core.process.options import CoreOptions
 from myrtlehook_core.process.prompt_caches import PromptCache, use_parts
+from myrtlehook_core.process.urgent_demands import note_asked
 from myrtlehook_core.version.configurations import Configuration
 
 
@@ -99,6 +101,8 @@
     known = fingerprint(waiting) in queues.refused
     waiting.returned = known and context.options.favours_returned
     plan_start(load, waiting, context.options.aim_slack_part, now_s)
+    if message.hop == 0:
+        note_asked(load.urgent, waiting.aim_s, estimate_unread(load, waiting), now_s)
     load.waiting[message.request_id] = waiting
     if admit_or_refuse(queues, context, message.backend_server, load, waiting, now_s):
         grant_waiting(context, message.backend_server, load, now_s)
@@ -257,4 +261,5 @@
         fetch_tokens=message.fetch_tokens,
         above_share=message.above_share,
         eager=message.eager,
+        aim_s=message.aim_ms / 1000.0,
     )
--- a/packages/core/src/myrtlehook_core/process/options.py
+++ b/packages/core/src/myrtlehook_core/process/options.py
@@ -51,6 +51,10 @@
     fetches_memory: bool = True
     """Whether an engine that is not the home of a prompt takes what the home keeps of it,
     instead of reading that again."""
+    urgent_wait_part: float = 0.3
+    """A request of a workspace that asks for more than its share waits for an engine at most
+    this part of the shortest aim that is asked for there, if its own is longer; 0 where each
+    request may wait for most of its own aim."""
     learns_engines: bool = True
     """Whether rate and delay of an engine follow its answers; else they stay as believed
     before the first one."""
@@ -62,6 +66,8 @@
     """With so many engines in its own availability zone, a router asks there first."""
     engines_asked: int = 3
     """How many engines a request asks for before it is refused."""
+    excess_engines_asked: int = 1
+    """The same for a request that exceeds its workspace's share."""
     eager_aim_part: float = 0.4
     """An engine of the own zone that is asked before these takes a request only if its answer
     begins within this part of its aim: a zone with more callers than others must not keep
--- a/tests/features/evacuations.feature
+++ b/tests/features/evacuations.feature
@@ -7,7 +7,7 @@
     And callers that ask for more than the engines can do
     When zone "z1" is evacuated from 2 s to 5 s
     Then its engines get nothing in between, and what ran there ends well
-    And the engines of the other zones get more than before
+    And the engines of the other zones read at least 0.95 of what they can
     And in the 3 s after it is taken back none of its engines gets more than 20 requests in a second
 
   Scenario: All routers of a fleet hear of it from the few that read the source
--- a/tests/steps/evacuation_steps.py
+++ b/tests/steps/evacuation_steps.py
@@ -6,17 +6,16 @@
 
 from behave import given as before
 from behave import then, when
-from cold_engine_steps import BOUND, COLD_S, LAST_S, find_most_sent
+from cold_engine_steps import BOUND, COLD_S, LAST_S, TOKENS, find_most_sent
 from server_notice_steps import find_busiest, send_for
 from zone_steps import run_until_holds
 
 from myrtlehook_platform.evacuations import read_evacuated
-from standins.histories import History
+from standins.histories import RATE_TOKENS_PER_S, History
 
 HEARD_S = 0.05
 """A grant that was given before the news may be used this long after it."""
 
-SETTLED_S = 0.6
 SENT_AFTER_S = 1.0
 PATH = "/diagnosis/a"
 OTHERS_MOVED = 2
@@ -54,13 +53,13 @@
             assert outcome.ended_at_s is not None, request_id
 
 
-@then("the engines of the other zones get more than before")
-def check_others(context: Any) -> None:
-    before_s = context.from_s - SETTLED_S
-    earlier = _count_sent(context, before_s, context.from_s)[False] / SETTLED_S
-    span_s = context.to_s - context.from_s
-    meanwhile = _count_sent(context, context.from_s, context.to_s)[False] / span_s
-    assert meanwhile >= earlier, (meanwhile, earlier)
+@then("the engines of the other zones read at least {part:g} of what they can")
+def check_others(context: Any, part: float) -> None:
+    sent = _count_sent(context, context.from_s, context.to_s)[False]
+    zones = [server.availability_zone for server in context.history.servers]
+    engines = sum(zone != context.zone for zone in zones)
+    able = engines * RATE_TOKENS_PER_S * (context.to_s - context.from_s)
+    assert sent * TOKENS >= part * able, (sent * TOKENS, able)
 
 
 @then("in the 3 s after it is taken back none of its engines gets more than {most:d} requests in "
