--- a/packages/core/src/myrtlehook_core/process/urgent_demands.py
+++ b/packages/core/src/myrtlehook_core/process/urgent_demands.py
@@ -15,9 +15,10 @@
 """An aim is shorter than another one below this part of it."""
 
 AIMS_KEPT = 16
-"""Aims that differ by less than a part in eight are one."""
 
 STEPS_AN_OCTAVE = 8
+"""Aims on one step of this scale are taken for one."""
+
 LEAST_PART = 0.02
 """Of all that is asked for: an aim with less is too rare to keep room for."""
 
