Hand counted ends of servers over when their collectors change

Cause: an end was reported once, to the two collectors that its reporter saw at that moment. A router that has just started, or suspects the others, takes itself or the wrong ones; later collectors did not learn of the end, and counted the next one as the first. The same where a collector restarts, and where it is back before anyone suspects it nothing shows it.

Change: reports have an identity, reporter and collectors keep them, count what they hold, and send it to each router that becomes a collector; a new process of a router is noticed by the incarnation in its messages, and is sent slots, running requests, totals and ends as a router that joins is. A count is a function of the set of ends, so that messages may be doubled, reordered and repeated.

--- a/bench/quarantine_slopes.py
+++ b/bench/quarantine_slopes.py
@@ -30,9 +30,9 @@
     body = b"x" * BODY_BYTES
     quarantine = Quarantine(first_serial=1)
     fingerprint = fingerprint_request("workspace", "POST", "/summary/week", body)
-    report = ServerEndReport(fingerprint, "i-724948be74@1796262595649", 80, 1)
+    report = _make_report(fingerprint, "i-724948be74@1796262595649")
     for number in range(MAX_SUSPECTS):
-        other_report = ServerEndReport(number.to_bytes(16, "big"), "i-1", 80, 1)
+        other_report = _make_report(number.to_bytes(16, "big"))
         count_end(quarantine, other_report, 1.0)
     slopes = [
         _measure_time("fingerprint of 2,000 bytes", lambda: _compute_fingerprint(body)),
@@ -51,7 +51,7 @@
     quarantine = Quarantine(first_serial=1_796_262_595_649)
     for number in range(QUARANTINED):
         fingerprint = number.to_bytes(16, "big")
-        suspect = count_end(quarantine, ServerEndReport(fingerprint, "i-1", 80, 1), 1.0)
+        suspect = count_end(quarantine, _make_report(fingerprint), 1.0)
         assert suspect is not None
         quarantine_request(quarantine, fingerprint, suspect, 1.0)
     rows = collect_quarantine_rows(quarantine, 1.5)
@@ -65,6 +65,10 @@
     ]
 
 
+def _make_report(fingerprint: bytes, backend_server: str = "i-1") -> ServerEndReport:
+    return ServerEndReport(fingerprint, backend_server, 80, 1, "10.0.0.1:7400", 2**40)
+
+
 def _compute_fingerprint(body: bytes) -> None:
     fingerprint_request("workspace", "POST", "/summary/week", body)
 
--- a/packages/core/src/myrtlehook_core/process/actions.py
+++ b/packages/core/src/myrtlehook_core/process/actions.py
@@ -245,11 +245,24 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerEndCounted:
-    """This router, as a collector, counted one more server that ended while it ran a request."""
+    """This router counted one more server that ended while it ran a request."""
 
     fingerprint: bytes
     backend_server: str
     ends: int
+    reporter: str
+    """The router that saw the end."""
+    told_by: str
+    """The router that sent the report: the reporter, or one that handed it over."""
+    age_s: float
+    """How long before the report the server ended."""
+
+
+@dataclass(frozen=True, slots=True)
+class RestartNoticed:
+    """Another router's process is a new one, although it was never considered dead."""
+
+    router_id: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -293,6 +306,7 @@
     | MessageDropped
     | ServerEjected
     | ServerEndCounted
+    | RestartNoticed
     | QuarantineChanged
     | PauseDetected
 )
--- a/packages/core/src/myrtlehook_core/process/bidding.py
+++ b/packages/core/src/myrtlehook_core/process/bidding.py
@@ -203,11 +203,22 @@
     outbox: MessageOutbox,
 ) -> None:
     """Send each new owner of a server the list of slots that this router holds there."""
+    moved = {
+        name: owner
+        for name, owner in placement.server_owners.items()
+        if previous_owners.get(name) != owner
+    }
+    send_hold_lists(ingress, moved, outbox)
+
+
+def send_hold_lists(ingress: IngressState, owners: dict[str, str], outbox: MessageOutbox) -> None:
+    """Send owners the lists of slots that this router holds on some servers.
+
+    :param owners: the servers, and the owner of each.
+    """
     used = {running.backend_server for running in ingress.running.values()}
-    for backend_server in sorted(used):
-        owner = placement.server_owners.get(backend_server)
-        if owner is not None and previous_owners.get(backend_server) != owner:
-            send_hold_list(ingress, backend_server, owner, outbox)
+    for backend_server in sorted(used & owners.keys()):
+        send_hold_list(ingress, backend_server, owners[backend_server], outbox)
 
 
 def _find_keys_to_advertise(
--- a/packages/core/src/myrtlehook_core/process/event_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/event_handlers.py
@@ -60,6 +60,7 @@
     resend_sound_run_reports,
 )
 from myrtlehook_core.process.refusals import refuse_unservable
+from myrtlehook_core.process.restarted_peers import hand_over_after_restart
 from myrtlehook_core.process.runs import (
     abandon_request,
     accept_request,
@@ -157,6 +158,7 @@
 
 
 def _on_message(core: "RouterCore", event: events.MessageReceived, now_s: float) -> None:
+    hand_over_after_restart(core, event.sender, event.incarnation, now_s)
     core.handle_message(event.sender, event.message, now_s)
 
 
--- a/packages/core/src/myrtlehook_core/process/hashing.py
+++ b/packages/core/src/myrtlehook_core/process/hashing.py
@@ -1,6 +1,6 @@
 """Rendezvous hashing: routers agree on the owner of a key without exchanging messages."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 import xxhash
 
@@ -24,3 +24,23 @@
 def rank_routers(key: str, routers: Iterable[str], count: int) -> tuple[str, ...]:
     """Return the ``count`` routers with the highest weights for ``key``, highest first."""
     return tuple(router for _, router in rank_weights(key, routers, count))
+
+
+def update_weights(
+    key: str,
+    weights: tuple[Weight, ...],
+    routers: Collection[str],
+    joined: Collection[str],
+    count: int,
+) -> tuple[Weight, ...]:
+    """Return the ``count`` highest weights for ``key`` after some routers departed or joined.
+
+    Weighs the joined routers only, unless one of those with the highest weights departed.
+
+    :param weights: the highest weights before.
+    :param routers: all present routers.
+    """
+    if not weights or any(router not in routers for _, router in weights):
+        return rank_weights(key, routers, count)
+    claimants = [weigh_router(key, router) for router in joined]
+    return tuple(sorted([*weights, *claimants], reverse=True)[:count])
--- a/packages/core/src/myrtlehook_core/process/members.py
+++ b/packages/core/src/myrtlehook_core/process/members.py
@@ -78,6 +78,8 @@
     has_left: bool = False
     """It was leaving and no longer answers; it receives nothing until newer news of it arrives."""
     availability_zone: str = ""
+    process_incarnation: int = 0
+    """Incarnation with which its present process started, by its messages; 0 before the first."""
 
 
 @dataclass(slots=True)
--- a/packages/core/src/myrtlehook_core/process/quarantine.py
+++ b/packages/core/src/myrtlehook_core/process/quarantine.py
@@ -6,6 +6,9 @@
 same time count as one, because a lost rack would end them all. At the second counted end the
 request is quarantined: all routers refuse it. They learn of it with their probes.
 
+The reporter and the collectors keep what they have seen or received, and send it to each router
+that becomes a collector, so that the count survives restarts and false suspicions of routers.
+
 Requests that merely ran beside the harmful one are counted and quarantined in the same way. A run
 of theirs that completes (a sound run), at any router, clears them and lifts the quarantine; a
 request that ends servers never completes.
@@ -16,18 +19,20 @@
 from dataclasses import dataclass, field
 from typing import TypeVar
 
+from myrtlehook_core.process.hashing import Weight
 from myrtlehook_core.process.quarantine_messages import QuarantineRow, ServerEndReport
+from myrtlehook_core.process.server_ends import (
+    EndKey,
+    ServerEnd,
+    drop_excess_ends,
+    find_consecutive_ends,
+)
 
 ENDS_TO_QUARANTINE = 2
 """The number of consecutive ends at which a request is quarantined. A single end is no evidence,
 since it happens to all requests that the server was running. Each further one costs a whole server
 and up to 64 answers that it was producing."""
 
-CONCURRENT_WINDOW_S = 0.05
-"""A run that began less than this after a server's end counts as under way at that time: a common
-cause ends several servers within about 10 ms, and messages are under way for a few more. A router
-waits as long before it sends a request under which a server ended to another server."""
-
 FIRST_QUARANTINE_S = 60.0
 """How long the first quarantine of a request lasts. From then on a harmful request ends at most one
 server a minute."""
@@ -48,8 +53,8 @@
 are quarantined, those sent least often come first."""
 
 MAX_SUSPECTS = 4096
-"""The greatest number of requests whose ends a collector counts; the least recently counted are
-evicted. A lost server adds up to 64 of them, at two collectors each."""
+"""The greatest number of requests whose ends a router keeps; the least recently counted are
+evicted. A lost server adds up to 64 of them, at their reporter and two collectors each."""
 
 MAX_VERDICTS = 1024
 """The greatest number of requests, quarantined now or earlier, whose verdicts a router keeps."""
@@ -62,11 +67,15 @@
 
 @dataclass(slots=True)
 class SuspectRequest:
-    """The server ends that a collector has counted for one request."""
+    """The server ends that a router holds for one request."""
 
-    ends: int
-    first_end_s: float
-    last_end_s: float
+    ends: int = 0
+    """The number of consecutive ends."""
+    first_end_s: float = math.inf
+    last_end_s: float = -math.inf
+    kept_ends: dict[EndKey, ServerEnd] = field(default_factory=dict)
+    collectors: tuple[Weight, ...] = ()
+    """The collectors to which the kept ends were sent, as this router knows the fleet."""
 
 
 @dataclass(slots=True)
@@ -92,10 +101,14 @@
     first_serial: int
     """Lower bound of the serials given here; greater than that of any earlier process."""
     suspects: OrderedDict[bytes, SuspectRequest] = field(default_factory=OrderedDict)
-    """Requests counted here as a collector, the most recently changed one last."""
+    """Requests whose ends this router has seen or received, the most recently changed one last."""
     verdicts: OrderedDict[bytes, Verdict] = field(default_factory=OrderedDict)
     sound_runs: OrderedDict[bytes, float] = field(default_factory=OrderedDict)
     """When each request last completed at this router."""
+    last_end_serial: int = 0
+    """Serial of the last server end that this router has seen itself."""
+    known_routers: frozenset[str] = frozenset()
+    """The routers from which the collectors were last chosen."""
     has_new_quarantines: bool = False
     """Whether a request was quarantined since the waiting requests were last checked."""
 
@@ -103,20 +116,45 @@
 def count_end(
     quarantine: Quarantine, report: ServerEndReport, now_s: float
 ) -> SuspectRequest | None:
-    """Count a reported end; return None if it is no new evidence against the request."""
-    began_s = now_s - report.began_age_ms / 1000.0
-    ended_s = now_s - report.ended_age_ms / 1000.0
-    suspect = _find_suspect(quarantine, report.fingerprint, now_s)
-    if suspect is None:
-        suspect = SuspectRequest(1, ended_s, ended_s)
-    elif began_s < suspect.last_end_s + CONCURRENT_WINDOW_S:
-        # The run was under way when the last server ended; both may have had the same cause.
+    """Keep a reported end; return None if the number of consecutive ends stays the same."""
+    fingerprint = report.fingerprint
+    verdict = quarantine.verdicts.get(fingerprint)
+    end = _make_end(report, now_s)
+    if now_s - end.ended_s > END_MEMORY_S or _is_before_lift(verdict, end):
         return None
-    else:
-        suspect.ends += 1
-        suspect.last_end_s = ended_s
-    _store_last(quarantine.suspects, report.fingerprint, suspect, MAX_SUSPECTS)
-    return suspect
+    suspect = quarantine.suspects.get(fingerprint, SuspectRequest())
+    if end.key in suspect.kept_ends:
+        return None
+    suspect.kept_ends[end.key] = end
+    _store_last(quarantine.suspects, fingerprint, suspect, MAX_SUSPECTS)
+    counted_before = _count_known_ends(suspect, verdict)
+    _count_consecutive_ends(suspect, verdict)
+    return suspect if suspect.ends > counted_before else None
+
+
+def next_end_serial(quarantine: Quarantine) -> int:
+    """Return the serial of a server end that this router has just seen itself."""
+    quarantine.last_end_serial = max(quarantine.last_end_serial, quarantine.first_serial) + 1
+    return quarantine.last_end_serial
+
+
+def make_end_reports(
+    quarantine: Quarantine, fingerprint: bytes, now_s: float
+) -> tuple[ServerEndReport, ...]:
+    """Return reports of all kept ends of a request, for another router."""
+    suspect = quarantine.suspects.get(fingerprint)
+    ends = () if suspect is None else suspect.kept_ends.values()
+    return tuple(
+        ServerEndReport(
+            fingerprint=fingerprint,
+            backend_server=end.backend_server,
+            began_age_ms=round((now_s - end.began_s) * 1000.0),
+            ended_age_ms=round((now_s - end.ended_s) * 1000.0),
+            reporter=end.reporter,
+            serial=end.serial,
+        )
+        for end in ends
+    )
 
 
 def quarantine_request(
@@ -220,17 +258,37 @@
             del quarantine.verdicts[fingerprint]
 
 
-def _find_suspect(
-    quarantine: Quarantine, fingerprint: bytes, now_s: float
-) -> SuspectRequest | None:
-    """Return the ends counted for a request, here or, by its verdict, at another collector."""
-    suspect = quarantine.suspects.get(fingerprint)
-    verdict = quarantine.verdicts.get(fingerprint)
-    if verdict is not None and verdict.ends and (suspect is None or suspect.ends < verdict.ends):
-        suspect = SuspectRequest(verdict.ends, verdict.since_s, verdict.recorded_at_s)
-    if suspect is None or now_s - suspect.last_end_s > END_MEMORY_S:
-        return None
-    return suspect
+def _make_end(report: ServerEndReport, now_s: float) -> ServerEnd:
+    return ServerEnd(
+        reporter=report.reporter,
+        serial=report.serial,
+        backend_server=report.backend_server,
+        began_s=now_s - report.began_age_ms / 1000.0,
+        ended_s=now_s - report.ended_age_ms / 1000.0,
+    )
+
+
+def _is_before_lift(verdict: Verdict | None, end: ServerEnd) -> bool:
+    """Return whether a request has completed since an end, so that the end proves nothing."""
+    return verdict is not None and not verdict.ends and end.ended_s <= verdict.recorded_at_s
+
+
+def _count_known_ends(suspect: SuspectRequest, verdict: Verdict | None) -> int:
+    """Return how many ends are counted for a request, here or by its verdict."""
+    return max(suspect.ends, 0 if verdict is None else verdict.ends)
+
+
+def _count_consecutive_ends(suspect: SuspectRequest, verdict: Verdict | None) -> None:
+    """Count the kept ends of a request again, and those after its verdict on top of that one."""
+    series = find_consecutive_ends(suspect.kept_ends.values(), -math.inf)
+    suspect.ends = max(suspect.ends, len(series))
+    suspect.first_end_s = min(suspect.first_end_s, series[0].ended_s)
+    suspect.last_end_s = max(suspect.last_end_s, series[-1].ended_s)
+    if verdict is not None and verdict.ends:
+        later = find_consecutive_ends(suspect.kept_ends.values(), verdict.recorded_at_s)
+        suspect.ends = max(suspect.ends, verdict.ends + len(later))
+        suspect.first_end_s = min(suspect.first_end_s, verdict.since_s)
+    drop_excess_ends(suspect.kept_ends, series)
 
 
 def _next_serial(quarantine: Quarantine, fingerprint: bytes) -> int:
--- a/packages/core/src/myrtlehook_core/process/quarantine_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/quarantine_handlers.py
@@ -5,7 +5,7 @@
 from myrtlehook_core.process import events
 from myrtlehook_core.process.actions import QuarantineCause, QuarantineChanged, ServerEndCounted
 from myrtlehook_core.process.admission_ends import refuse_admission
-from myrtlehook_core.process.hashing import rank_routers
+from myrtlehook_core.process.hashing import rank_routers, rank_weights, update_weights
 from myrtlehook_core.process.ingress import update_queue_counts
 from myrtlehook_core.process.membership_messages import News
 from myrtlehook_core.process.probing import announce_news, announce_news_in_zone
@@ -17,6 +17,8 @@
     find_remaining_quarantine_s,
     is_cleared,
     lift_quarantine,
+    make_end_reports,
+    next_end_serial,
     quarantine_request,
     record_sound_run,
 )
@@ -42,20 +44,32 @@
         backend_server=event.backend_server,
         began_age_ms=round((now_s - event.began_s) * 1000.0),
         ended_age_ms=round((now_s - event.ended_s) * 1000.0),
+        reporter=core.identity.router_id,
+        serial=next_end_serial(core.quarantine),
     )
-    for router_id in _find_collectors(core, event.fingerprint):
+    for router_id in {core.identity.router_id, *_find_collectors(core, event.fingerprint)}:
         core.outbox.add(router_id, report)
 
 
 def handle_end_report(
     core: "RouterCore", sender: str, message: ServerEndReport, now_s: float
 ) -> None:
-    """Count a reported end as a collector, and quarantine the request once there are enough."""
+    """Keep and count a reported end, and quarantine the request once there are enough."""
+    fingerprint = message.fingerprint
     suspect = count_end(core.quarantine, message, now_s)
+    _send_to_collectors(core, sender, fingerprint, now_s)
     if suspect is None:
         return
-    fingerprint = message.fingerprint
-    core.actions.add(ServerEndCounted(fingerprint, message.backend_server, suspect.ends))
+    core.actions.add(
+        ServerEndCounted(
+            fingerprint,
+            message.backend_server,
+            suspect.ends,
+            reporter=message.reporter,
+            told_by=sender,
+            age_s=message.ended_age_ms / 1000.0,
+        )
+    )
     if suspect.ends < ENDS_TO_QUARANTINE:
         return
     verdict = quarantine_request(core.quarantine, fingerprint, suspect, now_s)
@@ -64,6 +78,32 @@
     announce_news(core.probe_context())
 
 
+def hand_over_ends(core: "RouterCore", now_s: float) -> None:
+    """Send the ends that this router holds to the routers that have become their collectors."""
+    quarantine = core.quarantine
+    routers = frozenset(core.placement.eligible)
+    joined = routers.difference(quarantine.known_routers)
+    if not joined and routers.issuperset(quarantine.known_routers):
+        return
+    quarantine.known_routers = routers
+    for fingerprint, suspect in quarantine.suspects.items():
+        previous = {router for _, router in suspect.collectors}
+        key = _make_key(fingerprint)
+        suspect.collectors = update_weights(
+            key, suspect.collectors, routers, joined, COLLECTOR_COUNT
+        )
+        for _, router_id in suspect.collectors:
+            if router_id not in previous:
+                _send_kept_ends(core, router_id, fingerprint, now_s)
+
+
+def resend_ends(core: "RouterCore", router_id: str, now_s: float) -> None:
+    """Send a collector that has restarted unnoticed the ends that this router holds."""
+    for fingerprint, suspect in core.quarantine.suspects.items():
+        if any(router_id == collector for _, collector in suspect.collectors):
+            _send_kept_ends(core, router_id, fingerprint, now_s)
+
+
 def handle_sound_run_report(
     core: "RouterCore", sender: str, message: SoundRunReport, now_s: float
 ) -> None:
@@ -143,9 +183,37 @@
         core.outbox.add(router_id, SoundRunReport(fingerprint))
 
 
+def _send_to_collectors(core: "RouterCore", sender: str, fingerprint: bytes, now_s: float) -> None:
+    """Note the collectors of a request's ends; send these on if this router is not one of them.
+
+    The sender may know only a part of the fleet, and so have chosen other collectors.
+    """
+    suspect = core.quarantine.suspects.get(fingerprint)
+    if suspect is None or suspect.collectors:
+        return
+    key = _make_key(fingerprint)
+    suspect.collectors = rank_weights(key, core.placement.eligible, COLLECTOR_COUNT)
+    own_id = core.identity.router_id
+    collectors = {router for _, router in suspect.collectors}
+    if sender == own_id or own_id in collectors:
+        return
+    for router_id in collectors - {sender}:
+        _send_kept_ends(core, router_id, fingerprint, now_s)
+
+
+def _send_kept_ends(core: "RouterCore", router_id: str, fingerprint: bytes, now_s: float) -> None:
+    if router_id == core.identity.router_id:
+        return
+    for report in make_end_reports(core.quarantine, fingerprint, now_s):
+        core.outbox.add(router_id, report)
+
+
 def _find_collectors(core: "RouterCore", fingerprint: bytes) -> tuple[str, ...]:
-    key = f"quarantine/{fingerprint.hex()}"
-    return rank_routers(key, core.placement.eligible, COLLECTOR_COUNT)
+    return rank_routers(_make_key(fingerprint), core.placement.eligible, COLLECTOR_COUNT)
+
+
+def _make_key(fingerprint: bytes) -> str:
+    return f"quarantine/{fingerprint.hex()}"
 
 
 def _report_verdict(
--- a/packages/core/src/myrtlehook_core/process/quarantine_messages.py
+++ b/packages/core/src/myrtlehook_core/process/quarantine_messages.py
@@ -4,7 +4,10 @@
 
 
 class ServerEndReport(msgspec.Struct, frozen=True, array_like=True, tag=28):
-    """Reports to a collector that a backend server ended while it ran this request."""
+    """Reports to a collector that a backend server ended while it ran this request.
+
+    Each router that holds the report sends it to routers that become collectors later.
+    """
 
     fingerprint: bytes
     backend_server: str
@@ -13,6 +16,10 @@
     are compared."""
     ended_age_ms: int
     """How long before this message the answer broke off."""
+    reporter: str
+    """The router that saw the end."""
+    serial: int
+    """With the reporter, identifies the end; see ``ServerEnd.serial``."""
 
 
 class SoundRunReport(msgspec.Struct, frozen=True, array_like=True, tag=29):
--- a/packages/core/src/myrtlehook_core/process/routers.py
+++ b/packages/core/src/myrtlehook_core/process/routers.py
@@ -66,7 +66,10 @@
     Prober,
 )
 from myrtlehook_core.process.quarantine import Quarantine, collect_quarantine_rows
-from myrtlehook_core.process.quarantine_handlers import refuse_quarantined_requests
+from myrtlehook_core.process.quarantine_handlers import (
+    hand_over_ends,
+    refuse_quarantined_requests,
+)
 from myrtlehook_core.process.quarantine_messages import QuarantineRow
 from myrtlehook_core.process.refusals import refuse_unservable
 from myrtlehook_core.process.shares import Shares
@@ -294,6 +297,11 @@
         announce_admissions(self.admissions, self.admission_context(), moved, now_s)
         drop_removed_engines(self.admissions, frozenset(owners))
         send_holds_to_new_owners(self.ingress, previous_owners, self.placement, self.outbox)
+        hand_over_ends(self, now_s)
+        self.begin_ledger_handover(now_s)
+
+    def begin_ledger_handover(self, now_s: float) -> None:
+        """Report all accounts with their known totals, for ledgers that start without state."""
         self.ingress.handover_until_s = now_s + self.options.handover_s
         for account in self.ingress.accounts.values():
             account.changed = True
--- /dev/null
+++ b/packages/core/src/myrtlehook_core/process/server_ends.py
@@ -0,0 +1,65 @@
+"""Ends of backend servers under one request: evidence that is counted in any order of arrival.
+
+Several routers may hold the same ends and send them to one another. An end is identified by the
+router that saw it and by that router's serial, so that each one counts once however often and
+however late it arrives.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+CONCURRENT_WINDOW_S = 0.05
+"""A run that began less than this after a server's end counts as under way at that time: a common
+cause ends several servers within about 10 ms, and messages are under way for a few more. A router
+waits as long before it sends a request under which a server ended to another server."""
+
+MAX_KEPT_ENDS = 4
+"""The greatest number of ends that are kept for one request. A verdict holds the count of those
+that had to be dropped."""
+
+EndKey = tuple[str, int]
+"""Identifies an end: the router that saw it, and that router's serial of it."""
+
+
+@dataclass(frozen=True, slots=True)
+class ServerEnd:
+    """The end of one server while it ran a request, in the holding router's time."""
+
+    reporter: str
+    """The router that saw it."""
+    serial: int
+    """Greater for each end that the reporter sees, also across its restarts."""
+    backend_server: str
+    began_s: float
+    """When the request was sent to the server."""
+    ended_s: float
+    """When the answer broke off."""
+
+    @property
+    def key(self) -> EndKey:
+        """What identifies the end at all routers."""
+        return (self.reporter, self.serial)
+
+
+def find_consecutive_ends(ends: Iterable[ServerEnd], after_s: float) -> list[ServerEnd]:
+    """Return the longest series of ends of which each run began after the previous end.
+
+    Ends of runs that were under way at the same time count once, since a lost rack would end all
+    of their servers.
+
+    :param after_s: the end before the first one of the series.
+    """
+    series: list[ServerEnd] = []
+    for end in sorted(ends, key=lambda item: (item.ended_s, item.key)):
+        if end.began_s >= after_s + CONCURRENT_WINDOW_S:
+            series.append(end)
+            after_s = end.ended_s
+    return series
+
+
+def drop_excess_ends(ends: dict[EndKey, ServerEnd], series: list[ServerEnd]) -> None:
+    """Drop ends beyond ``MAX_KEPT_ENDS``: those outside of the series first, then the oldest."""
+    counted = {end.key for end in series}
+    by_value = sorted(ends.values(), key=lambda item: (item.key in counted, item.ended_s))
+    for end in by_value[: max(len(ends) - MAX_KEPT_ENDS, 0)]:
+        del ends[end.key]
--- a/packages/router/src/myrtlehook_router/process/core_tasks.py
+++ b/packages/router/src/myrtlehook_router/process/core_tasks.py
@@ -327,8 +327,15 @@
             fingerprint=action.fingerprint.hex(),
             backend_server=action.backend_server,
             ends=action.ends,
+            reporter=action.reporter,
+            told_by=action.told_by,
+            age_s=round(action.age_s, 3),
         )
 
+    def _record_restart(self, action: actions.RestartNoticed) -> None:
+        self._counters.add("members.restart_noticed")
+        _log.warning("router has restarted unnoticed", member=action.router_id)
+
     def _record_quarantine(self, action: actions.QuarantineChanged) -> None:
         self._counters.add("quarantine.held" if action.ends else "quarantine.lifted")
         left_s = action.quarantined_until_s - clocks.now_s()
@@ -375,6 +382,7 @@
     actions.MessageDropped: CoreTask._record_dropped_message,
     actions.ServerEjected: CoreTask._record_ejection,
     actions.ServerEndCounted: CoreTask._record_server_end,
+    actions.RestartNoticed: CoreTask._record_restart,
     actions.QuarantineChanged: CoreTask._record_quarantine,
     actions.PauseDetected: CoreTask._record_pause,
 }
--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -17,6 +17,20 @@
     And the last 3 answers say "quarantined" and to retry after 30 seconds or more
     And "planners" is served at every router
 
+  # Guards against: a router that had just started and considered all others dead counted an end by
+  # itself. The collectors were other routers later and did not learn of it, so that a third engine
+  # ended with all that it ran.
+  @nodes.3.many
+  Scenario: An end counted by a router that considers all others dead is known after its restart
+    Given a request "spoilt" ends each engine that begins to run it
+    When routers 2 and 3 are paused until router 1 considers them dead
+    And "dispatch" sends "POST" "/summary/week" with body "spoilt alone" 1 times, in turn
+    And routers 2 and 3 go on until all routers consider one another alive
+    And router 1 is killed and starts again
+    And "dispatch" sends "POST" "/summary/week" with body "spoilt alone" 6 times, in turn
+    Then at most 2 engines have ended
+    And the last 3 answers say "quarantined" and to retry after 30 seconds or more
+
   # Guards against: a client got a 500 that came from no server and was not logged. A run broke
   # before the first piece of its stream, with which the head is sent; the error was raised in the
   # response body, and the HTTP server of the router answered by itself.
@@ -34,6 +48,41 @@
   Scenario: Few engines end whatever becomes of messages and routers
     Then in any history with lost messages and restarted routers a request ends few engines
 
+  # Guards against: an end was counted while routers started, restarted or suspected one another,
+  # and its count was not handed over when the collectors changed.
+  Scenario Outline: Ends are counted together whatever collectors they were first reported to
+    Then in any history, a request ends at most 2 engines if <trouble> between the first and the second end
+
+    Examples:
+      | trouble                                               |
+      | the router that saw the first end was cut off from it |
+      | the other routers start in series around the first end |
+      | each router is killed and starts again                |
+
+  Scenario: An end counted by a router that considers all others dead reaches the collectors
+    Given a fleet of 3 routers and 6 engines
+    When router 1 is cut off until it considers all others dead
+    And "spoilt" ends one engine at router 1
+    Then only router 1 holds an end of "spoilt"
+    When the cut ends and all routers consider one another alive
+    Then both collectors hold an end of "spoilt"
+    When router 1 is killed
+    And "spoilt" ends one engine at router 2
+    Then all routers quarantine "spoilt" within 1 second
+
+  Scenario: A collector that restarts before anyone suspects it is sent the ends again
+    Given a fleet of 3 routers and 6 engines
+    When "spoilt" ends one engine at router 1
+    And each router is killed and starts again at once, one after the other
+    Then both collectors hold an end of "spoilt"
+
+  Scenario: Ends are counted in any order of arrival
+    Then the same ends, reported in any order and repeatedly, are counted alike
+    And ends that were reported before a quarantine was lifted are not counted again
+
+  Scenario: Collectors follow changes of the fleet
+    Then collectors found from the previous ones are those found from the whole fleet
+
   Scenario: Engines that end by chance leave no request quarantined that completes elsewhere
     Then in any history with engines that end by chance, a request that many clients send is still served
 
--- a/tests/standins/nodes.py
+++ b/tests/standins/nodes.py
@@ -96,6 +96,16 @@
         self.nodes.append(node)
         return node
 
+    def restart_node(self, number: int) -> Node:
+        """Kill a router, the first of which has number 1, and start it again."""
+        old = self.nodes[number - 1]
+        old.process.send_signal(signal.SIGKILL)
+        old.process.wait()
+        restarted = self.start_node(old.name, old.ip, [node.ip for node in self.nodes])
+        self.nodes.remove(restarted)
+        self.nodes[number - 1] = restarted
+        return restarted
+
     def _make_working_directory(self, name: str) -> Path:
         """Create a router's working directory with its options file, and return its path."""
         deploy = self.folder / name / "deploy"
--- a/tests/steps/quarantine_property_steps.py
+++ b/tests/steps/quarantine_property_steps.py
@@ -1,5 +1,6 @@
 """Properties of the quarantine, in simulated histories of decision cores."""
 
+import itertools
 import random
 from dataclasses import replace
 from typing import Any
@@ -58,7 +59,8 @@
     return history
 
 
-def _send_request(history: History, ingress: str, number: int, fingerprint: bytes) -> str:
+def send_request(history: History, ingress: str, number: int, fingerprint: bytes) -> str:
+    """Send a request with a fingerprint to a router; returns the request's id."""
     request_id = f"{fingerprint.decode()}-{number}"
     request = make_request(request_id, "a", number, 200, history.now_s, True, fingerprint)
     history.ask(ingress, request)
@@ -82,7 +84,7 @@
         for number in range(int(HISTORY_S / REPEAT_S)):
             at_s = 1.5 + number * REPEAT_S
             ingress = draw.choice(list(history.alive))
-            history.at(at_s, lambda e=ingress, n=number: _send_request(history, e, n, POISON))
+            history.at(at_s, lambda e=ingress, n=number: send_request(history, e, n, POISON))
             request_ids.append(f"spoilt-{number}")
         for _ in range(restarts):
             name = draw.choice(list(history.alive))
@@ -112,7 +114,7 @@
         for number in range(400):
             at_s = 1.5 + number * 0.05
             ingress = draw.choice(list(history.alive))
-            history.at(at_s, lambda e=ingress, n=number: _send_request(history, e, n, POPULAR))
+            history.at(at_s, lambda e=ingress, n=number: send_request(history, e, n, POPULAR))
         for number in range(13):
             name = f"e{draw.randrange(6)}"
             history.at(2.0 + number * 1.5, lambda n=name: history.end_engine(n))
@@ -151,7 +153,7 @@
     history = context.history
     ingresses = list(history.alive)
     for number in range(40):
-        _send_request(history, ingresses[number % len(ingresses)], number, name.encode())
+        send_request(history, ingresses[number % len(ingresses)], number, name.encode())
     history.run_until(history.now_s + 0.05)
     running = [engine for engine, runs in history.engine_runs.items() if runs]
     assert len(running) >= 4, f"it runs at {running} only"
@@ -180,7 +182,7 @@
     history = context.history
     history.ends_engine = lambda request: request.fingerprint == name.encode()
     ingresses = list(history.alive)
-    _send_request(history, ingresses[0], 1, name.encode())
+    send_request(history, ingresses[0], 1, name.encode())
     while len(history.ended_at_s) < 2:
         history.run_until(history.now_s + 0.01)
         assert history.now_s < 10.0, "no two engines have ended"
@@ -230,7 +232,7 @@
     assert not _find_quarantining_routers(history, "spoilt")
     history.ends_engine = lambda request: False
     ingress = list(history.alive)[2]
-    request_id = _send_request(history, ingress, 2, POISON)
+    request_id = send_request(history, ingress, 2, POISON)
     history.run_until(history.now_s + 1.0)
     assert history.outcomes[request_id].ended_at_s is not None
     _restart(history, ingress)
@@ -240,7 +242,7 @@
 @then('after one more engine ends under "{name}" no router quarantines it')
 def check_count_reset(context: Any, name: str) -> None:
     history = context.history
-    request_id = _send_request(history, list(history.alive)[4], 3, name.encode())
+    request_id = send_request(history, list(history.alive)[4], 3, name.encode())
     while not history.outcomes[request_id].dispatched:
         history.run_until(history.now_s + 0.005)
         assert history.now_s < 100.0, "it was not sent anywhere"
@@ -249,10 +251,13 @@
     check_none_quarantines(context, name)
 
 
+_SERIALS = itertools.count(1)
+
+
 def _make_end_report(
     began_age_ms: int = 80, ended_age_ms: int = 0, name: bytes = POISON
 ) -> ServerEndReport:
-    return ServerEndReport(name, "e1", began_age_ms, ended_age_ms)
+    return ServerEndReport(name, "e1", began_age_ms, ended_age_ms, "r1", next(_SERIALS))
 
 
 @then(
--- a/tests/steps/start_stop_steps.py
+++ b/tests/steps/start_stop_steps.py
@@ -1,7 +1,6 @@
 """Steps that start and stop routers on the emulated platform while clients connect."""
 
 import json
-import signal
 import subprocess
 import sys
 from typing import Any
@@ -43,13 +42,7 @@
 
 @when("callers connect to router 1 from the moment on at which it is started again")
 def restart_while_connecting(context: Any) -> None:
-    old = node(context, 1)
-    old.process.send_signal(signal.SIGKILL)
-    old.process.wait()
-    ips = [item.ip for item in context.nodes.nodes]
-    restarted = context.nodes.start_node(old.name, old.ip, ips)
-    context.nodes.nodes.remove(restarted)
-    context.nodes.nodes[0] = restarted
+    context.nodes.restart_node(1)
     context.attempts = []
 
     def served() -> bool:
