--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -194,6 +194,14 @@
     When "planners" sends "GET" "/setpoint/a" with "" tokens to router 2
     Then the attempt has status 200 and a seal
 
+  # Guards against: the log told only the first reason of an outage, so that a store that answered
+  # nonsense within an outage by status 503 left no trace of it.
+  Scenario: A store that fails in another way during an outage is logged again
+    Given the store answers every call with 503
+    When the log of router 1 has "status 503"
+    And the store answers nonsense instead
+    Then the log of router 1 has "the answer makes no sense"
+
   Scenario: Invalid answers of the store change nothing, and later valid ones are applied
     Given the store answers nonsense
     When the operator publishes version 9 with every route
--- a/tests/steps/platform_operator_steps.py
+++ b/tests/steps/platform_operator_steps.py
@@ -69,6 +69,11 @@
     context.nodes.order(faults={"store": {"nonsense": True}})
 
 
+@when("the store answers nonsense instead")
+def replace_failure(context: Any) -> None:
+    context.nodes.order(faults={"store": {"status": 0, "nonsense": True}})
+
+
 @when("the store makes sense again")
 def heal_store(context: Any) -> None:
     context.nodes.order(faults={"store": {"nonsense": False}})
