Trace a broken connection of passing.feature to beliefs of starting routers

Suspected was one port for two listeners.

Ruled out: that.

Cause, inferred: routers that have just started suspect one another, and what a neighbour served was broken off as soon as it was considered dead.

--- a/tests/features/passing.feature
+++ b/tests/features/passing.feature
@@ -16,6 +16,17 @@
       | POST   | /valve/a     |        |
       | GET    | /setpoint/a  |        |
 
+  # Guards against: routers that have just started suspect one another, and what a neighbour served
+  # was broken off as soon as it was considered dead.
+  @nodes.3.busy
+  Scenario: A stream goes on though its neighbour is considered dead for a moment
+    Given router 1 knows its neighbours
+    And every engine holds its streams after 3 events
+    When "planners" opens a stream at router 1
+    And routers 2 and 3 are paused until router 1 considers them dead
+    And routers 2 and 3 go on until all routers consider one another alive
+    Then the stream goes on to its whole end once the engines go on
+
   @nodes.3.busy
   Scenario: A passed request carries its own id, key and deadline, and nothing is added
     Given router 1 knows its neighbours
