--- a/packages/core/src/myrtlehook_core/process/quarantine_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/quarantine_handlers.py
@@ -47,8 +47,11 @@
         reporter=core.identity.router_id,
         serial=next_end_serial(core.quarantine),
     )
-    for router_id in {core.identity.router_id, *_find_collectors(core, event.fingerprint)}:
-        core.outbox.add(router_id, report)
+    own_id = core.identity.router_id
+    core.outbox.add(own_id, report)
+    for router_id in _find_collectors(core, event.fingerprint):
+        if router_id != own_id:
+            core.outbox.add(router_id, report)
 
 
 def handle_end_report(
@@ -194,11 +197,12 @@
     key = _make_key(fingerprint)
     suspect.collectors = rank_weights(key, core.placement.eligible, COLLECTOR_COUNT)
     own_id = core.identity.router_id
-    collectors = {router for _, router in suspect.collectors}
+    collectors = [router for _, router in suspect.collectors]
     if sender == own_id or own_id in collectors:
         return
-    for router_id in collectors - {sender}:
-        _send_kept_ends(core, router_id, fingerprint, now_s)
+    for router_id in collectors:
+        if router_id != sender:
+            _send_kept_ends(core, router_id, fingerprint, now_s)
 
 
 def _send_kept_ends(core: "RouterCore", router_id: str, fingerprint: bytes, now_s: float) -> None:
