--- a/tests/features/regressions.feature
+++ b/tests/features/regressions.feature
@@ -66,3 +66,7 @@
   Scenario: A resumed stream never notified the core that its new engine had begun
     When a stream has output from one engine, breaks off and has output from another
     Then the core has been notified of a first output 2 times
+
+  Scenario: An owner that restarted unnoticed never learned what ran at its engines
+    When an engine's owner restarts before any router suspects it, while requests run
+    Then it knows every request that others run at its engines
