--- a/packages/core/src/myrtlehook_core/process/engine_models.py
+++ b/packages/core/src/myrtlehook_core/process/engine_models.py
@@ -223,7 +223,7 @@
     newest = tuple(itertools.islice(model.recent, MIN_DELAY_SAMPLES))
     far = _find_far_fit(newest, best.delay_s)
     if far.delay_s != best.delay_s:
-        # The older answers were read as if the delay were another one.
+        # The older answers do not fit this delay and would distort the rate.
         model.recent.clear()
         model.recent.extend(newest)
         best = far
