Measure pauses of streams, report them to engines' owners, and agree on the parts for hard load

Cause: the longest pause that a route allows (TargetItlMs) was read by nothing, so that neither an owner nor an operator knew of it. Now routers measure it, log it and report it; owners keep the reports and do not act on them yet. engine_decisions is split into grants, refusals and their shared context, and the ranking of engines has a module of its own, so that the parts can be built side by side; no decision changes. docs/design/hard-load.md lists what is missing and the interfaces.

--- a/packages/core/src/myrtlehook_core/process/admission_ends.py
+++ b/packages/core/src/myrtlehook_core/process/admission_ends.py
@@ -30,7 +30,7 @@
     account = get_account(ingress, make_pool_key(admission.request), context.ingress_context.draw)
     settle_charge(account, event.request_id, event.cost_units)
     account.last_active_s = now_s
-    _close_admission(context, admission, ran=True, failed=event.failed)
+    _close_admission(context, admission, True, event.failed, event.longest_pause_s)
     return True
 
 
@@ -64,7 +64,11 @@
 
 
 def _close_admission(
-    context: AdmissionContext, admission: Admission, ran: bool, failed: bool = False
+    context: AdmissionContext,
+    admission: Admission,
+    ran: bool,
+    failed: bool = False,
+    longest_pause_s: float = 0.0,
 ) -> None:
     request_id = admission.request.request_id
     context.ingress.attempts.pop(request_id, None)
@@ -75,5 +79,8 @@
             context.shares, admission.request, admission.tier, admission.counted_at_s
         )
     if admission.backend_server:
-        release = AdmissionRelease(request_id, admission.backend_server, ran, failed)
+        longest_pause_ms = round(longest_pause_s * 1000.0)
+        release = AdmissionRelease(
+            request_id, admission.backend_server, ran, failed, longest_pause_ms
+        )
         notify_owner(context, admission, release)
--- a/packages/core/src/myrtlehook_core/process/admission_handover.py
+++ b/packages/core/src/myrtlehook_core/process/admission_handover.py
@@ -91,4 +91,5 @@
         unread_tokens=admission.unread_tokens,
         begun=admission.begun,
         output_tokens=request.output_tokens,
+        pause_target_ms=round(request.pause_target_s * 1000.0),
     )
--- a/packages/core/src/myrtlehook_core/process/admission_messages.py
+++ b/packages/core/src/myrtlehook_core/process/admission_messages.py
@@ -35,6 +35,10 @@
     """Whether the engine is wanted only if it can begin the answer soon; others are asked next."""
     aim_ms: int = 0
     """The whole first-token target, of which ``aim_left_ms`` are left."""
+    pause_target_ms: int = 0
+    """The longest pause between events with which the answer is still in time; 0 for none."""
+    route: str = ""
+    """Name of the request's route, which stands for its kind of work."""
 
 
 class EngineEstimate(msgspec.Struct, frozen=True, array_like=True):
@@ -90,6 +94,17 @@
     ran: bool
     failed: bool = False
     """The engine did not serve it, or broke its answer off."""
+    longest_pause_ms: int = 0
+    """The longest pause between two events of its stream there; 0 if it had fewer than two."""
+
+
+class StreamPauseReport(msgspec.Struct, frozen=True, array_like=True, tag=31):
+    """Reports to an engine's owner a pause of a stream there that came near its target."""
+
+    request_id: str
+    backend_server: str
+    pause_ms: int
+    target_ms: int
 
 
 class HeldAdmissionRow(msgspec.Struct, frozen=True, array_like=True):
@@ -102,6 +117,7 @@
     unread_tokens: int
     begun: bool
     output_tokens: int = 0
+    pause_target_ms: int = 0
 
 
 class HeldAdmissions(msgspec.Struct, frozen=True, array_like=True, tag=22):
--- a/packages/core/src/myrtlehook_core/process/admission_requests.py
+++ b/packages/core/src/myrtlehook_core/process/admission_requests.py
@@ -10,10 +10,10 @@
     AdmissionRequest,
     EngineEstimate,
     PartRow,
+    StreamPauseReport,
 )
 from myrtlehook_core.process.backoffs import is_backing_off
 from myrtlehook_core.process.full_tiers import FullTiers
-from myrtlehook_core.process.hashing import rank_routers
 from myrtlehook_core.process.ingress import IngressContext, IngressState
 from myrtlehook_core.process.shares import Shares
 from myrtlehook_core.request.requests import PromptPart, RequestSpecification
@@ -25,11 +25,6 @@
 """Factor from one resend interval to the next. An owner sends nothing while a request waits in its
 queue, and an admission request is many times as long as its answer."""
 
-MAX_ZONE_LOCAL_SHARED_TOKENS = 1000
-"""Longer shared parts have one home engine among all zones, shorter ones may have one in each. In
-the large deployment, reading a token again costs as much as sending 30 bytes between zones, and an
-answer has 2 to 9 KB."""
-
 
 @dataclass(frozen=True, slots=True)
 class MemorySource:
@@ -42,15 +37,6 @@
 NO_SOURCE = MemorySource("", 0)
 
 
-@dataclass(frozen=True, slots=True)
-class EngineRanking:
-    """The engines that a request may be sent to, in order of preference."""
-
-    names: tuple[str, ...]
-    near_first: bool
-    """Whether the first engine is the home in this router's zone, put before the home among all."""
-
-
 @dataclass(slots=True)
 class Admission:
     """A request that waits for an engine, or runs at one."""
@@ -119,41 +105,6 @@
     """The zone of this router."""
 
 
-def rank_engines(context: AdmissionContext, request: RequestSpecification) -> EngineRanking:
-    """Rank the pool's usable engines, beginning with the likely cache of the prompt's parts.
-
-    Rendezvous hashing of the shared part gives each prompt a home engine among all zones.
-    A prompt with short shared parts also has a home in each zone with enough engines, which
-    is asked first: its parts are then read once in each zone, but its answer, which has many
-    times more bytes than the parts have tokens, does not cross zones.
-    """
-    servers = [
-        server
-        for server in context.ingress_context.configuration.backend_servers.values()
-        if server.pool == request.pool and is_usable_engine(context, server.name)
-    ]
-    key = f"engine/{find_affinity_key(request)}"
-    ranked = rank_routers(key, [server.name for server in servers], len(servers))
-    near = {
-        server.name for server in servers if server.availability_zone == context.availability_zone
-    }
-    shared_tokens = sum(part.tokens for part in request.prompt_parts[:-1])
-    fewest = context.ingress_context.options.fewest_near_engines
-    if shared_tokens > MAX_ZONE_LOCAL_SHARED_TOKENS or len(near) < fewest:
-        return EngineRanking(ranked, near_first=False)
-    home = next(name for name in ranked if name in near)
-    others = tuple(name for name in ranked if name != home)
-    return EngineRanking((home, *others), near_first=True)
-
-
-def find_affinity_key(request: RequestSpecification) -> str:
-    """Return the key by which requests with the same shared part get the same home engine."""
-    parts = request.prompt_parts
-    if len(parts) >= 2:
-        return parts[-2].part_id
-    return parts[0].part_id if parts else request.request_id
-
-
 def is_usable_engine(context: AdmissionContext, name: str) -> bool:
     """Return whether an engine is known, not leaving, and not in back-off at this router."""
     server = context.ingress_context.configuration.backend_servers.get(name)
@@ -226,6 +177,8 @@
         above_share=admission.above_share,
         eager=admission.eager,
         aim_ms=round((request.aim_deadline_s - request.arrived_at_s) * 1000.0),
+        pause_target_ms=round(request.pause_target_s * 1000.0),
+        route=request.route,
     )
     context.ingress_context.outbox.add(owner, message)
 
@@ -233,9 +186,9 @@
 def notify_owner(
     context: AdmissionContext,
     admission: Admission,
-    message: AdmissionProgress | AdmissionRelease,
+    message: AdmissionProgress | AdmissionRelease | StreamPauseReport,
 ) -> None:
-    """Report a request's progress or release to its engine's owner."""
+    """Report a request's progress, pause or release to its engine's owner."""
     owner = context.find_owner(admission.backend_server)
     if owner is not None:
         context.ingress_context.outbox.add(owner, message)
--- a/packages/core/src/myrtlehook_core/process/admissions.py
+++ b/packages/core/src/myrtlehook_core/process/admissions.py
@@ -13,6 +13,7 @@
     AdmissionProgress,
     AdmissionRefusal,
     AdmissionRelease,
+    StreamPauseReport,
 )
 from myrtlehook_core.process.admission_requests import (
     FIRST_RESEND_S,
@@ -22,10 +23,10 @@
     MemorySource,
     is_usable_engine,
     notify_owner,
-    rank_engines,
     send_admission_request,
 )
 from myrtlehook_core.process.backoffs import find_pool_backoff_s
+from myrtlehook_core.process.engine_rankings import rank_engines
 from myrtlehook_core.process.full_tiers import (
     record_tier_admitted,
     record_tier_refused,
@@ -206,6 +207,22 @@
     return True
 
 
+def send_pause_report(
+    admissions: Admissions, context: AdmissionContext, request_id: str, pause_s: float
+) -> None:
+    """Report a pause of a running request's stream to the owner of its engine."""
+    admission = admissions.open.get(request_id)
+    if admission is None or not admission.begun:
+        return
+    report = StreamPauseReport(
+        request_id=request_id,
+        backend_server=admission.backend_server,
+        pause_ms=round(pause_s * 1000.0),
+        target_ms=round(admission.request.pause_target_s * 1000.0),
+    )
+    notify_owner(context, admission, report)
+
+
 def retry_admission(
     admissions: Admissions,
     context: AdmissionContext,
--- a/packages/core/src/myrtlehook_core/process/engine_loads.py
+++ b/packages/core/src/myrtlehook_core/process/engine_loads.py
@@ -15,6 +15,7 @@
 )
 from myrtlehook_core.process.options import CoreOptions
 from myrtlehook_core.process.prompt_caches import PromptCache, count_unread_tokens, record_parts_use
+from myrtlehook_core.process.stream_pauses import EnginePauses
 
 MAX_MEMORY_FRACTION = 0.9
 """Requests are granted up to this fraction of an engine's memory, since outputs grow."""
@@ -46,6 +47,10 @@
     priority: int
     tier: int
     hop: int
+    route: str = ""
+    """Name of its route, which stands for its kind of work."""
+    pause_target_s: float = 0.0
+    """The longest pause between events with which its answer is still in time; 0 for none."""
     aim_s: float = 0.0
     """The whole first-token target, from the request's arrival at its ingress router."""
     fetch_tokens: int = 0
@@ -83,6 +88,8 @@
     deadline_s: float
     begun: bool = False
     begun_at_s: float = math.inf
+    pause_target_s: float = 0.0
+    """The longest pause between events with which its answer is still in time; 0 for none."""
 
 
 @dataclass(slots=True)
@@ -101,6 +108,7 @@
     health: ServerHealth = field(default_factory=ServerHealth)
     pace: ColdPace = field(default_factory=ColdPace)
     aim_demands: AimDemands = field(default_factory=AimDemands)
+    pauses: EnginePauses = field(default_factory=EnginePauses)
     last_answer_at_s: float = -math.inf
     """When an answer last began."""
     suspected_down: bool = False
@@ -183,6 +191,7 @@
         output_tokens=waiting.output_tokens,
         granted_at_s=now_s,
         deadline_s=waiting.deadline_s + GRANT_DEADLINE_MARGIN_S,
+        pause_target_s=waiting.pause_target_s,
     )
     load.granted[waiting.request_id] = item
     load.reading[waiting.request_id] = item
--- a/packages/core/src/myrtlehook_core/process/engine_queues.py
+++ b/packages/core/src/myrtlehook_core/process/engine_queues.py
@@ -16,19 +16,13 @@
     EngineEstimate,
     HeldAdmissionRow,
     HeldAdmissions,
+    StreamPauseReport,
 )
 from myrtlehook_core.process.aim_demands import record_aim_demand
 from myrtlehook_core.process.cold_engines import make_pace, mark_cold
 from myrtlehook_core.process.ejections import record_outcome
-from myrtlehook_core.process.engine_decisions import (
-    EngineQueues,
-    QueueContext,
-    admit_or_refuse,
-    grant_waiting,
-    make_client_retry_key,
-    refuse_unservable_admissions,
-)
 from myrtlehook_core.process.engine_forecasts import set_start_limit
+from myrtlehook_core.process.engine_grants import grant_waiting
 from myrtlehook_core.process.engine_loads import (
     EngineLoad,
     GrantedAdmission,
@@ -41,8 +35,15 @@
     record_answer_begun,
 )
 from myrtlehook_core.process.engine_models import adopt_estimate, make_estimate, make_model
+from myrtlehook_core.process.engine_refusals import (
+    admit_or_refuse,
+    make_client_retry_key,
+    refuse_unservable_admissions,
+)
 from myrtlehook_core.process.options import CoreOptions
 from myrtlehook_core.process.prompt_caches import PromptCache, record_parts_use
+from myrtlehook_core.process.queue_contexts import EngineQueues, QueueContext
+from myrtlehook_core.process.stream_pauses import record_pause_report
 from myrtlehook_core.version.configurations import Configuration
 
 
@@ -142,6 +143,13 @@
     grant_waiting(context, message.backend_server, load, now_s)
 
 
+def handle_pause_report(queues: EngineQueues, message: StreamPauseReport, now_s: float) -> None:
+    """Record a pause of a stream at an owned engine."""
+    load = queues.loads.get(message.backend_server)
+    if load is not None:
+        record_pause_report(load.pauses, message, now_s)
+
+
 def handle_held_admissions(
     queues: EngineQueues, context: QueueContext, sender: str, message: HeldAdmissions, now_s: float
 ) -> None:
@@ -230,6 +238,7 @@
             output_tokens=row.output_tokens,
             granted_at_s=now_s,
             deadline_s=lease_deadline_s,
+            pause_target_s=row.pause_target_ms / 1000.0,
         )
         load.granted[row.request_id] = item
         load.reading[row.request_id] = item
@@ -268,4 +277,6 @@
         above_share=message.above_share,
         eager=message.eager,
         aim_s=message.aim_ms / 1000.0,
+        route=message.route,
+        pause_target_s=message.pause_target_ms / 1000.0,
     )
--- /dev/null
+++ b/packages/core/src/myrtlehook_core/process/engine_rankings.py
@@ -0,0 +1,56 @@
+"""The order in which a router asks engines to serve a request."""
+
+from dataclasses import dataclass
+
+from myrtlehook_core.process.admission_requests import AdmissionContext, is_usable_engine
+from myrtlehook_core.process.hashing import rank_routers
+from myrtlehook_core.request.requests import RequestSpecification
+
+MAX_ZONE_LOCAL_SHARED_TOKENS = 1000
+"""Longer shared parts have one home engine among all zones, shorter ones may have one in each. In
+the large deployment, reading a token again costs as much as sending 30 bytes between zones, and an
+answer has 2 to 9 KB."""
+
+
+@dataclass(frozen=True, slots=True)
+class EngineRanking:
+    """The engines that a request may be sent to, in order of preference."""
+
+    names: tuple[str, ...]
+    near_first: bool
+    """Whether the first engine is the home in this router's zone, put before the home among all."""
+
+
+def rank_engines(context: AdmissionContext, request: RequestSpecification) -> EngineRanking:
+    """Rank the pool's usable engines, beginning with the likely cache of the prompt's parts.
+
+    Rendezvous hashing of the shared part gives each prompt a home engine among all zones.
+    A prompt with short shared parts also has a home in each zone with enough engines, which
+    is asked first: its parts are then read once in each zone, but its answer, which has many
+    times more bytes than the parts have tokens, does not cross zones.
+    """
+    servers = [
+        server
+        for server in context.ingress_context.configuration.backend_servers.values()
+        if server.pool == request.pool and is_usable_engine(context, server.name)
+    ]
+    key = f"engine/{find_affinity_key(request)}"
+    ranked = rank_routers(key, [server.name for server in servers], len(servers))
+    near = {
+        server.name for server in servers if server.availability_zone == context.availability_zone
+    }
+    shared_tokens = sum(part.tokens for part in request.prompt_parts[:-1])
+    fewest = context.ingress_context.options.fewest_near_engines
+    if shared_tokens > MAX_ZONE_LOCAL_SHARED_TOKENS or len(near) < fewest:
+        return EngineRanking(ranked, near_first=False)
+    home = next(name for name in ranked if name in near)
+    others = tuple(name for name in ranked if name != home)
+    return EngineRanking((home, *others), near_first=True)
+
+
+def find_affinity_key(request: RequestSpecification) -> str:
+    """Return the key by which requests with the same shared part get the same home engine."""
+    parts = request.prompt_parts
+    if len(parts) >= 2:
+        return parts[-2].part_id
+    return parts[0].part_id if parts else request.request_id
--- a/packages/core/src/myrtlehook_core/process/event_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/event_handlers.py
@@ -11,6 +11,7 @@
     open_admission,
     record_progress,
     retry_admission,
+    send_pause_report,
     tick_admissions,
 )
 from myrtlehook_core.process.backoffs import drop_ended_backoffs
@@ -22,7 +23,7 @@
     send_hold_summaries,
     send_reports,
 )
-from myrtlehook_core.process.engine_decisions import grant_due
+from myrtlehook_core.process.engine_grants import grant_due
 from myrtlehook_core.process.engine_queues import tick_queues
 from myrtlehook_core.process.ingress import (
     RunningRequest,
@@ -129,6 +130,10 @@
         record_observed_service(core.ingress, event.request_id, event.observed_units)
 
 
+def _on_stream_paused(core: "RouterCore", event: events.StreamPaused, now_s: float) -> None:
+    send_pause_report(core.admissions, core.admission_context(), event.request_id, event.pause_s)
+
+
 def _on_ended(core: "RouterCore", event: events.RunEnded, now_s: float) -> None:
     context = core.admission_context()
     request = _find_running_request(core, event.request_id)
@@ -285,6 +290,7 @@
     events.RequestAbandoned: _on_abandoned,
     events.ServiceObserved: _on_service,
     events.RunEnded: _on_ended,
+    events.StreamPaused: _on_stream_paused,
     events.ServerEndedInRun: on_server_ended,
     events.ServerNoticed: on_server_noticed,
     events.RunNotStarted: _on_not_started,
--- a/packages/core/src/myrtlehook_core/process/events.py
+++ b/packages/core/src/myrtlehook_core/process/events.py
@@ -51,6 +51,16 @@
     """The server broke off its answer, or answered with a failure."""
     completed: bool = False
     """The answer arrived in full, whatever it says, so the request did not end the server."""
+    longest_pause_s: float = 0.0
+    """The longest pause between two events of its stream; 0 if it had fewer than two."""
+
+
+@dataclass(frozen=True, slots=True)
+class StreamPaused:
+    """The stream of a running request has just gone on after a pause near its target or over."""
+
+    request_id: str
+    pause_s: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -191,6 +201,7 @@
     | RequestAbandoned
     | ServiceObserved
     | RunEnded
+    | StreamPaused
     | ServerEndedInRun
     | ServerNoticed
     | RunNotStarted
--- a/packages/core/src/myrtlehook_core/process/message_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/message_handlers.py
@@ -16,6 +16,7 @@
     DemandReport,
     HeldAdmissions,
     ShareLevel,
+    StreamPauseReport,
 )
 from myrtlehook_core.process.admissions import handle_admission_grant, handle_admission_refusal
 from myrtlehook_core.process.bidding import (
@@ -27,6 +28,7 @@
     handle_admission_release,
     handle_admission_request,
     handle_held_admissions,
+    handle_pause_report,
 )
 from myrtlehook_core.process.ingress import (
     record_totals,
@@ -236,6 +238,12 @@
     handle_admission_release(core.engine_queues, core.queue_context(), message, now_s)
 
 
+def _handle_pause_report(
+    core: "RouterCore", sender: str, message: StreamPauseReport, now_s: float
+) -> None:
+    handle_pause_report(core.engine_queues, message, now_s)
+
+
 def _handle_held_admissions(
     core: "RouterCore", sender: str, message: HeldAdmissions, now_s: float
 ) -> None:
@@ -277,6 +285,7 @@
     AdmissionProgress: _handle_admission_progress,
     AdmissionRelease: _handle_admission_release,
     HeldAdmissions: _handle_held_admissions,
+    StreamPauseReport: _handle_pause_report,
     Announcement: _handle_announcement,
     LeavingNotice: handle_leaving_notice,
     ServersQuery: handle_servers_query,
--- a/packages/core/src/myrtlehook_core/process/messages.py
+++ b/packages/core/src/myrtlehook_core/process/messages.py
@@ -19,6 +19,7 @@
     DemandReport,
     HeldAdmissions,
     ShareLevel,
+    StreamPauseReport,
 )
 from myrtlehook_core.process.membership_messages import (
     Ack,
@@ -190,6 +191,7 @@
     | AdmissionProgress
     | AdmissionRelease
     | HeldAdmissions
+    | StreamPauseReport
     | Announcement
     | ServersQuery
     | ServersReply
--- a/packages/core/src/myrtlehook_core/process/routers.py
+++ b/packages/core/src/myrtlehook_core/process/routers.py
@@ -22,11 +22,7 @@
 from myrtlehook_core.process.choosers import Draw
 from myrtlehook_core.process.cold_engines import ColdEngines
 from myrtlehook_core.process.cold_handlers import mark_cold_engines
-from myrtlehook_core.process.engine_decisions import (
-    EngineQueues,
-    QueueContext,
-    find_next_grant_s,
-)
+from myrtlehook_core.process.engine_grants import find_next_grant_s
 from myrtlehook_core.process.engine_loads import (
     EngineFigures,
     compute_window_tokens,
@@ -71,6 +67,7 @@
     refuse_quarantined_requests,
 )
 from myrtlehook_core.process.quarantine_messages import QuarantineRow
+from myrtlehook_core.process.queue_contexts import EngineQueues, QueueContext
 from myrtlehook_core.process.refusals import refuse_unservable
 from myrtlehook_core.process.shares import Shares
 from myrtlehook_core.process.source_messages import ReaderRow
--- a/packages/core/src/myrtlehook_core/request/requests.py
+++ b/packages/core/src/myrtlehook_core/request/requests.py
@@ -39,6 +39,11 @@
     """Router clock time by which the answer should begin, such as its first token."""
     priority: int = 1
     """0 is served first."""
+    route: str = ""
+    """Name of its route, which stands for its kind of work; empty if it has none."""
+    pause_target_s: float = 0.0
+    """The longest pause between two events of its stream with which the answer is still in time;
+    0 if there is no target."""
     fingerprint: bytes = b""
     """Equal for requests with the same workspace, method, path and body; empty if not known."""
 
--- a/packages/core/src/myrtlehook_core/version/routes.py
+++ b/packages/core/src/myrtlehook_core/version/routes.py
@@ -45,8 +45,9 @@
     """Requests need no API key."""
     resumable: bool = False
     """A broken stream may be resumed from its last event."""
-    inter_token_target_s: float = 0.0
-    """Target for the time between two tokens of a stream; it is read but not acted on."""
+    pause_target_s: float = 0.0
+    """The longest pause between two events of a stream with which the answer is still in time;
+    0 if the route states none."""
 
     @property
     def repeatable(self) -> bool:
--- a/packages/router/src/myrtlehook_router/request/gateways.py
+++ b/packages/router/src/myrtlehook_router/request/gateways.py
@@ -159,6 +159,7 @@
     )
     if pool is not None and pool.engine_capacity is not None:
         relay.event_tokens = pool.engine_capacity.event_tokens
+        relay.pauses.target_s = request.route.pause_target_s
     connection = get_caller_socket(request.environ)
     watch = CallerWatch(connection, lambda: handle_caller_disconnect(relay))
     try:
@@ -212,6 +213,8 @@
         prompt_parts=prompt.parts,
         aim_deadline_s=request.arrived_at_s + route.aim_s,
         priority=route.priority if own_priority is None else own_priority,
+        route=route.name,
+        pause_target_s=route.pause_target_s,
         fingerprint=fingerprint_request(
             request.workspace.name, request.method, request.target, body
         ),
--- a/packages/router/src/myrtlehook_router/request/placements.py
+++ b/packages/router/src/myrtlehook_router/request/placements.py
@@ -150,14 +150,29 @@
     )
 
 
+def report_stream_pause(placement: Placement, pause_s: float) -> None:
+    """Report a long pause between two events of a running request's stream."""
+    placement.services.mailbox.post(
+        events.StreamPaused(placement.specification.request_id, pause_s)
+    )
+
+
 def end_placement(
-    placement: Placement, cost_units: float, outcome: Outcome, failed: bool = False
+    placement: Placement,
+    cost_units: float,
+    outcome: Outcome,
+    failed: bool = False,
+    longest_pause_s: float = 0.0,
 ) -> None:
     """Report that a dispatched request has ended and close its ticket; safe to call again."""
     if placement.closed:
         return
     event = events.RunEnded(
-        placement.specification.request_id, cost_units, failed, outcome is Outcome.COMPLETED
+        placement.specification.request_id,
+        cost_units,
+        failed,
+        outcome is Outcome.COMPLETED,
+        longest_pause_s,
     )
     placement.services.mailbox.post(event)
     close_placement(placement, outcome)
--- a/packages/router/src/myrtlehook_router/request/relays.py
+++ b/packages/router/src/myrtlehook_router/request/relays.py
@@ -1,6 +1,6 @@
 """State of one routed request, and how its attempts and its end are reported and logged."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import urllib3
 
@@ -17,10 +17,16 @@
     end_placement,
     report_not_started,
     report_service,
+    report_stream_pause,
 )
 from myrtlehook_router.request.refusal_sums import RefusedKind, count_refusal
 from myrtlehook_router.request.routed import RoutedRequest
 from myrtlehook_router.request.server_notices import NO_NOTICE, ServerNotice, report_notice
+from myrtlehook_router.request.stream_pauses import (
+    StreamPauses,
+    begin_stream_attempt,
+    record_stream_event,
+)
 from myrtlehook_router.request.tickets import CallerDisconnected
 
 SERVER_REPLACED_STATUS = 421
@@ -58,6 +64,7 @@
     """The current attempt has produced output."""
     status: int = 0
     """HTTP status of the current attempt's response; 0 without one."""
+    pauses: StreamPauses = field(default_factory=StreamPauses)
     notice: ServerNotice = NO_NOTICE
     """What that response reports of the server: whether it is leaving or asks for a back-off."""
 
@@ -84,6 +91,7 @@
     relay.attempts += 1
     relay.sent_at_s = clocks.now_s()
     relay.has_output = False
+    begin_stream_attempt(relay.pauses)
     relay.status = 0
     relay.notice = NO_NOTICE
 
@@ -123,6 +131,9 @@
     if not events_seen:
         return
     relay.output_tokens += events_seen * relay.event_tokens
+    pause_s = record_stream_event(relay.pauses, clocks.now_s())
+    if pause_s:
+        report_stream_pause(relay.placement, pause_s)
     if not relay.has_output:
         relay.has_output = True
         report_service(relay.placement, compute_cost_units(relay))
@@ -161,7 +172,9 @@
     if placement.closed:
         return
     if relay.attempts:
-        end_placement(placement, compute_cost_units(relay), outcome, failed)
+        longest_pause_s = relay.pauses.longest_in_attempt_s
+        end_placement(placement, compute_cost_units(relay), outcome, failed, longest_pause_s)
+        _observe_stream(relay)
     close_placement(placement, outcome)
     if not is_logged:
         return
@@ -181,6 +194,9 @@
         detail=detail,
         waited_ms=_compute_elapsed_ms(arrived_at_s, relay.sent_at_s),
         first_byte_ms=_compute_elapsed_ms(arrived_at_s, relay.first_byte_at_s),
+        first_event_ms=_compute_elapsed_ms(arrived_at_s, relay.pauses.first_event_at_s),
+        longest_pause_ms=round(relay.pauses.longest_s * 1000.0, 1),
+        pause_target_ms=round(relay.pauses.target_s * 1000.0),
         elapsed_ms=_compute_elapsed_ms(arrived_at_s, now_s),
         remaining_ms=_compute_elapsed_ms(now_s, relay.request.deadline_s),
     )
@@ -194,5 +210,16 @@
     end_relay(relay, Outcome.UNKNOWN, detail)
 
 
+def _observe_stream(relay: Relay) -> None:
+    """Add a stream's first event and longest pause to the histograms of its route."""
+    if not relay.pauses.first_event_at_s:
+        return
+    counters = relay.placement.services.counters
+    route = relay.request.route.name
+    first_event_s = relay.pauses.first_event_at_s - relay.request.arrived_at_s
+    counters.time(f"first_event.{route}", first_event_s)
+    counters.time(f"longest_pause.{route}", relay.pauses.longest_s)
+
+
 def _compute_elapsed_ms(from_s: float, to_s: float) -> float | None:
     return round((to_s - from_s) * 1000.0, 1) if to_s else None
--- a/tests/standins/engine_models.py
+++ b/tests/standins/engine_models.py
@@ -31,12 +31,7 @@
     AdmissionRequest,
     PartRow,
 )
-from myrtlehook_core.process.engine_decisions import (
-    EngineQueues,
-    QueueContext,
-    find_next_grant_s,
-    grant_due,
-)
+from myrtlehook_core.process.engine_grants import find_next_grant_s, grant_due
 from myrtlehook_core.process.engine_loads import (
     EngineLoad,
     compute_window_tokens,
@@ -50,6 +45,7 @@
     tick_queues,
 )
 from myrtlehook_core.process.outboxes import MessageOutbox
+from myrtlehook_core.process.queue_contexts import EngineQueues, QueueContext
 
 ENGINE = "e0"
 POOL = "model"
--- a/tests/steps/engine_model_steps.py
+++ b/tests/steps/engine_model_steps.py
@@ -11,10 +11,10 @@
 from myrtlehook_core import BackendServer
 from myrtlehook_core.process.actions import ActionList
 from myrtlehook_core.process.admission_messages import HeldAdmissions
-from myrtlehook_core.process.engine_decisions import QueueContext
 from myrtlehook_core.process.engine_models import make_estimate
 from myrtlehook_core.process.engine_queues import handle_held_admissions, set_owned_engines
 from myrtlehook_core.process.outboxes import MessageOutbox
+from myrtlehook_core.process.queue_contexts import QueueContext
 from standins.engine_models import ENGINE, ROUTER, OwnedEngine, Traits, flood, schedule_arrivals
 
 EXAMPLES = 20
--- a/tests/steps/zone_steps.py
+++ b/tests/steps/zone_steps.py
@@ -11,7 +11,8 @@
 from myrtlehook_core import CoreOptions, MemberState, PromptPart, actions, events
 from myrtlehook_core.process.accountants import compute_level, compute_shared_tokens
 from myrtlehook_core.process.admission_messages import DemandReport, DemandRow
-from myrtlehook_core.process.admission_requests import AdmissionContext, rank_engines
+from myrtlehook_core.process.admission_requests import AdmissionContext
+from myrtlehook_core.process.engine_rankings import rank_engines
 from myrtlehook_core.process.hashing import rank_routers
 from myrtlehook_core.process.membership_messages import Announcement, MemberRow, News
 from myrtlehook_core.process.shares import Reporters, find_collector
