Offer a call to further owners at once where the first one has no slot

Cause: a queue that met a full owner of a plain service's slots stayed with it until the next refresh of bids (30 to 130 ms), and a call that two owners knew of was granted by both, up to 0.1 s apart, so that a slot stood still for a round trip.

Change: a first bid asks for an answer (NoFreeSlot, 10 bytes), on which at most 8 other owners are offered what waits; owners that had been offered a call are told when another one has granted it (BidUpdate, 37 bytes). Neither is repeated. Option most_spread_owners, 0 turns it off.

--- a/packages/core/src/myrtlehook_core/process/actions.py
+++ b/packages/core/src/myrtlehook_core/process/actions.py
@@ -224,6 +224,25 @@
     reason: DropReason
 
 
+@dataclass(frozen=True, slots=True)
+class BidsSpread:
+    """An owner has no slot for waiting requests, so that other owners of the pool hear of them."""
+
+    pool: str
+    full_owner: str
+    owners: tuple[str, ...]
+    """The owners that were told."""
+    waiting_requests: int
+    longest_wait_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class BidsUpdated:
+    """Owners were told that another one has granted a request that was offered to them too."""
+
+    owners: int
+
+
 @dataclass(frozen=True, slots=True)
 class ServerEjected:
     """A backend server failed several times in a row, and gets no requests until a given time."""
@@ -304,6 +323,8 @@
     | MemberStateChanged
     | RequestRequeued
     | MessageDropped
+    | BidsSpread
+    | BidsUpdated
     | ServerEjected
     | ServerEndCounted
     | RestartNoticed
--- a/packages/core/src/myrtlehook_core/process/bidding.py
+++ b/packages/core/src/myrtlehook_core/process/bidding.py
@@ -44,6 +44,7 @@
     draw: Draw,
     outbox: MessageOutbox,
     now_s: float,
+    wants_answer: bool = False,
 ) -> None:
     """Advertise a queue that just became non-empty to one owner of its pool.
 
@@ -51,6 +52,7 @@
     the same request.
 
     :param preferred: this router, if it owns a free slot of the pool.
+    :param wants_answer: whether the owner answers if it has no free slot.
     """
     owners = placement.pool_owners.get(request.pool, ())
     if not owners:
@@ -64,7 +66,7 @@
         owner = owners[int(draw() * len(owners))]
     key = PoolKey(request.workspace, request.pool)
     ingress.first_owners[key] = owner
-    send_bid(ingress, request.pool, owner, outbox, now_s)
+    send_bid(ingress, request.pool, owner, outbox, now_s, wants_answer=wants_answer)
 
 
 def send_bid(
@@ -74,11 +76,13 @@
     outbox: MessageOutbox,
     now_s: float,
     excluded_server: str = "",
+    wants_answer: bool = False,
 ) -> None:
     """Send one owner a bid at once with the queues that are already advertised to it.
 
     :param excluded_server: a backend server to exclude in this bid, because this router does
         not send it requests. The next bid excludes it only if it is backing off.
+    :param wants_answer: whether the owner answers if it has no free slot.
     """
     advertised = {key for key in ingress.advertised_requests.get(owner, {}) if key.pool == pool}
     keys = [
@@ -87,7 +91,7 @@
         if queue.waiting and (key in advertised or ingress.first_owners.get(key) == owner)
         if key.pool == pool
     ]
-    _send_bid_for_keys(ingress, pool, owner, keys, outbox, now_s, excluded_server)
+    send_bid_for_keys(ingress, pool, owner, keys, outbox, now_s, excluded_server, wants_answer)
 
 
 def send_bids(
@@ -109,10 +113,12 @@
             keys = _find_keys_to_advertise(ingress, pool, owner, settled_before_s)
             advertised = any(key.pool == pool for key in ingress.advertised_requests.get(owner, {}))
             if keys or advertised:
-                _send_bid_for_keys(ingress, pool, owner, keys, outbox, now_s)
+                send_bid_for_keys(ingress, pool, owner, keys, outbox, now_s)
 
 
 def _is_settled(queue: WorkspaceQueue, settled_before_s: float) -> bool:
+    if queue.is_spread:
+        return True
     return queue.became_nonempty_s is not None and queue.became_nonempty_s <= settled_before_s
 
 
@@ -234,7 +240,7 @@
     return keys
 
 
-def _send_bid_for_keys(
+def send_bid_for_keys(
     ingress: IngressState,
     pool: str,
     owner: str,
@@ -242,7 +248,9 @@
     outbox: MessageOutbox,
     now_s: float,
     excluded_server: str = "",
+    wants_answer: bool = False,
 ) -> None:
+    """Send one owner a bid with some queues; the owner forgets all others of the pool."""
     other_counts = {
         key: count
         for key, count in ingress.advertised_requests.get(owner, {}).items()
@@ -254,7 +262,7 @@
     excluded_servers = list_backed_off(ingress.backoffs, pool, now_s)
     if excluded_server and excluded_server not in excluded_servers:
         excluded_servers = (*excluded_servers, excluded_server)
-    outbox.add(owner, Bid(pool, now_s, rows, excluded_servers))
+    outbox.add(owner, Bid(pool, now_s, rows, excluded_servers, wants_answer))
 
 
 def _mark_reported(account: ServiceAccount, standby: bool) -> None:
--- a/packages/core/src/myrtlehook_core/process/bids.py
+++ b/packages/core/src/myrtlehook_core/process/bids.py
@@ -71,6 +71,14 @@
     known.workspace_bids[row.workspace] = _make_workspace_bid(row)
 
 
+def count_waiting_requests(bids: PoolBids, router: str) -> int:
+    """Return how many requests of a router's bid have been granted no slot yet."""
+    bid = bids.routers.get(router)
+    if bid is None:
+        return 0
+    return sum(max(row.waiting_requests, 0) for row in bid.workspace_bids.values())
+
+
 def expire_bids(bids: PoolBids, now_s: float) -> None:
     """Drop bids that were not refreshed in time, and early charges that bids now include."""
     expired = [router for router, bid in bids.routers.items() if now_s >= bid.deadline_s]
--- a/packages/core/src/myrtlehook_core/process/event_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/event_handlers.py
@@ -15,6 +15,7 @@
     tick_admissions,
 )
 from myrtlehook_core.process.backoffs import drop_ended_backoffs
+from myrtlehook_core.process.bid_spreading import spreads_bids
 from myrtlehook_core.process.bidding import (
     find_keys_to_report,
     repeat_releases,
@@ -116,7 +117,16 @@
     context = core.owner_context()
     free = count_free_in_pool(core.owner, context, key.pool, now_s)
     preferred = core.identity.router_id if free > 0 else None
-    send_first_bid(ingress, core.placement, event.request, preferred, core.draw, core.outbox, now_s)
+    send_first_bid(
+        ingress,
+        core.placement,
+        event.request,
+        preferred,
+        core.draw,
+        core.outbox,
+        now_s,
+        wants_answer=spreads_bids(core.options),
+    )
 
 
 def _on_abandoned(core: "RouterCore", event: events.RequestAbandoned, now_s: float) -> None:
--- a/packages/core/src/myrtlehook_core/process/ingress.py
+++ b/packages/core/src/myrtlehook_core/process/ingress.py
@@ -158,6 +158,11 @@
     ingress.queued_bytes += sign * request.body_bytes
 
 
+def find_waiting_keys(ingress: IngressState, pool: str) -> list[PoolKey]:
+    """Return the queues of a pool in which requests wait."""
+    return [key for key, queue in ingress.queues.items() if key.pool == pool and queue.waiting]
+
+
 def make_pool_key(request: RequestSpecification) -> PoolKey:
     """Return the key of a request's queue and account."""
     return PoolKey(request.workspace, request.pool)
--- a/packages/core/src/myrtlehook_core/process/message_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/message_handlers.py
@@ -19,6 +19,7 @@
     StreamPauseReport,
 )
 from myrtlehook_core.process.admissions import handle_admission_grant, handle_admission_refusal
+from myrtlehook_core.process.bid_spreading import spread_bids, spreads_bids
 from myrtlehook_core.process.bidding import (
     send_bid,
     send_hold_list,
@@ -46,6 +47,7 @@
 )
 from myrtlehook_core.process.messages import (
     Bid,
+    BidUpdate,
     ConfigurationQuery,
     ConfigurationReply,
     EarlyCharge,
@@ -53,12 +55,14 @@
     HoldList,
     HoldQuery,
     HoldSummary,
+    NoFreeSlot,
     Release,
     Report,
     Totals,
 )
 from myrtlehook_core.process.owners import (
     handle_bid,
+    handle_bid_update,
     handle_early_charge,
     handle_hold_list,
     handle_hold_summary,
@@ -113,7 +117,21 @@
 def _handle_grant(core: "RouterCore", sender: str, message: Grant, now_s: float) -> None:
     bid_again = handle_grant(core.ingress, core.ingress_context(), sender, message, now_s)
     if bid_again:
-        send_bid(core.ingress, message.pool, sender, core.outbox, now_s)
+        wants_answer = spreads_bids(core.options)
+        send_bid(
+            core.ingress, message.pool, sender, core.outbox, now_s, wants_answer=wants_answer
+        )
+
+
+def _handle_no_free_slot(
+    core: "RouterCore", sender: str, message: NoFreeSlot, now_s: float
+) -> None:
+    owners = core.placement.pool_owners.get(message.pool, ())
+    spread_bids(core.ingress, core.ingress_context(), message.pool, owners, sender, now_s)
+
+
+def _handle_bid_update(core: "RouterCore", sender: str, message: BidUpdate, now_s: float) -> None:
+    handle_bid_update(core.owner, core.owner_context(), sender, message, now_s)
 
 
 def _handle_release(core: "RouterCore", sender: str, message: Release, now_s: float) -> None:
@@ -294,6 +312,8 @@
     SoundRunReport: handle_sound_run_report,
     EarlyCharge: _handle_early_charge,
     Bid: _handle_bid,
+    NoFreeSlot: _handle_no_free_slot,
+    BidUpdate: _handle_bid_update,
     Grant: _handle_grant,
     Release: _handle_release,
     HoldSummary: _handle_hold_summary,
--- a/packages/core/src/myrtlehook_core/process/messages.py
+++ b/packages/core/src/myrtlehook_core/process/messages.py
@@ -52,6 +52,23 @@
     rows: tuple[BidRow, ...]
     excluded_servers: tuple[str, ...] = ()
     """Backend servers of the pool that the sender sends no requests to at present."""
+    wants_answer: bool = False
+    """Whether the owner answers with ``NoFreeSlot`` if it cannot grant all that the bid asks for."""
+
+
+class NoFreeSlot(msgspec.Struct, frozen=True, array_like=True, tag=44):
+    """Answers a bid: requests still wait at its sender, and this owner has no slot for them."""
+
+    pool: str
+
+
+class BidUpdate(msgspec.Struct, frozen=True, array_like=True, tag=45):
+    """Replaces one row of the sender's bid, after another owner has granted a slot for it."""
+
+    pool: str
+    sent_at_s: float
+    """By the sender's clock."""
+    row: BidRow
 
 
 class Grant(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -199,6 +216,8 @@
     | SoundRunReport
     | EarlyCharge
     | Bid
+    | NoFreeSlot
+    | BidUpdate
     | Grant
     | Release
     | HoldSummary
--- a/packages/core/src/myrtlehook_core/process/options.py
+++ b/packages/core/src/myrtlehook_core/process/options.py
@@ -149,3 +149,6 @@
     retry_ratio: float = 0.2
     retry_burst: float = 10.0
     attempts: int = 4
+    most_spread_owners: int = 8
+    """The number of a pool's other owners that are told at once when one has no slot for a waiting
+    request, or has granted one that was offered to them too; 0 leaves both to the next refresh."""
--- a/packages/core/src/myrtlehook_core/process/owners.py
+++ b/packages/core/src/myrtlehook_core/process/owners.py
@@ -9,6 +9,7 @@
 from myrtlehook_core.process.bids import (
     EARLY_CHARGE_REFRESHES,
     PoolBids,
+    count_waiting_requests,
     expire_bids,
     list_candidates,
     pick_bidder,
@@ -28,11 +29,13 @@
 from myrtlehook_core.process.events import LoadReported
 from myrtlehook_core.process.messages import (
     Bid,
+    BidUpdate,
     EarlyCharge,
     Grant,
     HoldList,
     HoldQuery,
     HoldSummary,
+    NoFreeSlot,
     Release,
 )
 from myrtlehook_core.process.options import CoreOptions
@@ -110,9 +113,20 @@
     if not record_bid(bids, sender, bid, now_s + context.options.bid_lease_s):
         return False
     grant_slots(owner, context, bid.pool, now_s)
+    if bid.wants_answer and count_waiting_requests(bids, sender) > 0:
+        context.outbox.add(sender, NoFreeSlot(bid.pool))
     return True
 
 
+def handle_bid_update(
+    owner: SlotOwner, context: OwnerContext, sender: str, update: BidUpdate, now_s: float
+) -> None:
+    """Replace one row of a router's bid."""
+    bids = owner.bids.setdefault(update.pool, PoolBids())
+    deadline_s = now_s + context.options.bid_lease_s
+    record_bid_row(bids, sender, update.row, update.sent_at_s, deadline_s)
+
+
 def handle_release(
     owner: SlotOwner, context: OwnerContext, sender: str, release: Release, now_s: float
 ) -> None:
--- a/packages/core/src/myrtlehook_core/process/runs.py
+++ b/packages/core/src/myrtlehook_core/process/runs.py
@@ -2,6 +2,7 @@
 
 from myrtlehook_core.process.actions import Dispatch, MessageDropped, RequestRequeued
 from myrtlehook_core.process.backoffs import is_backing_off
+from myrtlehook_core.process.bid_spreading import spreads_bids, update_other_owners
 from myrtlehook_core.process.bidding import send_bid
 from myrtlehook_core.process.ingress import (
     IngressContext,
@@ -105,7 +106,15 @@
     if expired or closed or queue is None or not queue.waiting or workspace is None:
         if closed:
             # Sent before the release: otherwise the owner would grant the same slot again.
-            send_bid(ingress, grant.pool, owner, context.outbox, now_s, grant.backend_server)
+            send_bid(
+                ingress,
+                grant.pool,
+                owner,
+                context.outbox,
+                now_s,
+                grant.backend_server,
+                wants_answer=spreads_bids(context.options),
+            )
         reason = _choose_drop_reason(expired, closed)
         context.actions.add(MessageDropped(reason))
         release = _release_unused(ingress, key, grant, now_s)
@@ -117,6 +126,7 @@
     _start_run(ingress, context, workspace, request, grant, lease_deadline_s)
     advertised = ingress.advertised_requests.setdefault(owner, {})
     advertised[key] = advertised.get(key, 0) - 1
+    update_other_owners(ingress, context, key, owner, now_s)
     return advertised[key] <= 0 and bool(queue.waiting)
 
 
--- a/packages/core/src/myrtlehook_core/request/queues.py
+++ b/packages/core/src/myrtlehook_core/request/queues.py
@@ -23,12 +23,15 @@
     """Exponential average of the gaps; None until the first dispatch."""
     became_nonempty_s: float | None = None
     """When the queue last became non-empty; bids are sent to all owners soon after."""
+    is_spread: bool = False
+    """Whether it has been offered to several owners since it became non-empty."""
 
 
 def push_request(queue: WorkspaceQueue, request: RequestSpecification, now_s: float) -> None:
     """Append a new request to the queue."""
     if not queue.waiting:
         queue.became_nonempty_s = now_s
+        queue.is_spread = False
         queue.busy_since_s = now_s
         queue.last_dispatch_s = None
     queue.waiting.append(request)
@@ -39,6 +42,7 @@
     """Put a request that is retried back at the head of the queue."""
     if not queue.waiting:
         queue.became_nonempty_s = now_s
+        queue.is_spread = False
     queue.waiting.appendleft(request)
     queue.queued_bytes += request.body_bytes
 
--- a/packages/router/src/myrtlehook_router/process/core_tasks.py
+++ b/packages/router/src/myrtlehook_router/process/core_tasks.py
@@ -315,6 +315,21 @@
     def _record_dropped_message(self, action: actions.MessageDropped) -> None:
         self._counters.add(f"drop.{DropReason(action.reason)}")
 
+    def _record_spread_bids(self, action: actions.BidsSpread) -> None:
+        self._counters.add("bids.spread")
+        self._counters.add("bids.spread_owners", len(action.owners))
+        _log.info(
+            "bids spread",
+            pool=action.pool,
+            full_owner=action.full_owner,
+            owners=action.owners,
+            waiting=action.waiting_requests,
+            longest_wait_ms=round(action.longest_wait_s * 1000.0, 1),
+        )
+
+    def _record_updated_bids(self, action: actions.BidsUpdated) -> None:
+        self._counters.add("bids.updated_owners", action.owners)
+
     def _record_ejection(self, action: actions.ServerEjected) -> None:
         self._counters.add("backend.ejected")
         left_s = action.until_s - clocks.now_s()
@@ -380,6 +395,8 @@
     actions.MemberStateChanged: CoreTask._record_member_change,
     actions.RequestRequeued: CoreTask._record_retry,
     actions.MessageDropped: CoreTask._record_dropped_message,
+    actions.BidsSpread: CoreTask._record_spread_bids,
+    actions.BidsUpdated: CoreTask._record_updated_bids,
     actions.ServerEjected: CoreTask._record_ejection,
     actions.ServerEndCounted: CoreTask._record_server_end,
     actions.RestartNoticed: CoreTask._record_restart,
