Refuse, choose and fetch by the regions that a route or a workspace allows

A router elsewhere refuses at once (region_not_allowed, 421), one without a server in an allowed region too (no_server_in_region, 503); engines, plain servers and sources of prompt memory are chosen in allowed regions only. Without the field nothing changes. The tests of spread bids are in this commit as well.

--- a/packages/core/src/myrtlehook_core/__init__.py
+++ b/packages/core/src/myrtlehook_core/__init__.py
@@ -38,6 +38,7 @@
 from myrtlehook_core.process.option_files import change_options
 from myrtlehook_core.process.options import CoreOptions
 from myrtlehook_core.process.quarantine import count_quarantined
+from myrtlehook_core.process.regions import NO_REGIONS, Regions, intersect_regions
 from myrtlehook_core.process.routers import RouterCore
 from myrtlehook_core.process.share_standings import ShareStanding, count_arrival, should_shed
 from myrtlehook_core.process.shares import Shares
@@ -202,6 +203,9 @@
     "RouterCore",
     "RouterIdentity",
     "RouterStatus",
+    "NO_REGIONS",
+    "Regions",
+    "intersect_regions",
     "Shares",
     "Shedding",
     "StreamPosition",
--- a/packages/core/src/myrtlehook_core/process/admission_requests.py
+++ b/packages/core/src/myrtlehook_core/process/admission_requests.py
@@ -15,6 +15,7 @@
 from myrtlehook_core.process.backoffs import is_backing_off
 from myrtlehook_core.process.full_tiers import FullTiers
 from myrtlehook_core.process.ingress import IngressContext, IngressState
+from myrtlehook_core.process.regions import may_serve
 from myrtlehook_core.process.shares import Shares
 from myrtlehook_core.request.requests import PromptPart, RequestSpecification
 
@@ -129,15 +130,22 @@
         best = admission.memory_source
     for name, recent in admissions.recent_parts.items():
         tokens = count_sent_tokens(recent, request.prompt_parts)
-        if tokens > best.tokens and _may_transfer_prompt(context, name, request.pool):
+        if tokens > best.tokens and _may_transfer_prompt(context, name, request):
             best = MemorySource(name, tokens)
     return NO_SOURCE if best.backend_server == admission.backend_server else best
 
 
-def _may_transfer_prompt(context: AdmissionContext, name: str, pool: str) -> bool:
-    """Return whether an engine is usable and of the pool: other pools run other models."""
+def _may_transfer_prompt(
+    context: AdmissionContext, name: str, request: RequestSpecification
+) -> bool:
+    """Return whether an engine is usable and of the request's pool and an allowed region.
+
+    Other pools run other models.
+    """
     server = context.ingress_context.configuration.backend_servers.get(name)
-    return server is not None and server.pool == pool and is_usable_engine(context, name)
+    if server is None or server.pool != request.pool or not is_usable_engine(context, name):
+        return False
+    return may_serve(context.ingress_context.regions, request, server)
 
 
 def count_sent_tokens(recent: Mapping[str, int], parts: tuple[PromptPart, ...]) -> int:
--- a/packages/core/src/myrtlehook_core/process/engine_rankings.py
+++ b/packages/core/src/myrtlehook_core/process/engine_rankings.py
@@ -4,6 +4,7 @@
 
 from myrtlehook_core.process.admission_requests import AdmissionContext, is_usable_engine
 from myrtlehook_core.process.hashing import rank_routers
+from myrtlehook_core.process.regions import may_serve
 from myrtlehook_core.request.requests import RequestSpecification
 
 MAX_ZONE_LOCAL_SHARED_TOKENS = 1000
@@ -33,6 +34,7 @@
         server
         for server in context.ingress_context.configuration.backend_servers.values()
         if server.pool == request.pool and is_usable_engine(context, server.name)
+        if may_serve(context.ingress_context.regions, request, server)
     ]
     key = f"engine/{find_affinity_key(request)}"
     ranked = rank_routers(key, [server.name for server in servers], len(servers))
--- a/packages/core/src/myrtlehook_core/process/ingress.py
+++ b/packages/core/src/myrtlehook_core/process/ingress.py
@@ -14,6 +14,7 @@
 from myrtlehook_core.process.options import CoreOptions
 from myrtlehook_core.process.outboxes import MessageOutbox
 from myrtlehook_core.process.quarantine import Quarantine
+from myrtlehook_core.process.regions import NO_REGIONS, Regions
 from myrtlehook_core.request.admission import TokenBucket
 from myrtlehook_core.request.charges import ServiceAccount
 from myrtlehook_core.request.queues import WorkspaceQueue
@@ -93,6 +94,7 @@
     actions: ActionList
     outbox: MessageOutbox
     quarantine: Quarantine
+    regions: Regions = NO_REGIONS
 
 
 def record_totals(ingress: IngressState, rows: tuple[TotalRow, ...], now_s: float) -> None:
--- a/packages/core/src/myrtlehook_core/process/message_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/message_handlers.py
@@ -118,9 +118,7 @@
     bid_again = handle_grant(core.ingress, core.ingress_context(), sender, message, now_s)
     if bid_again:
         wants_answer = spreads_bids(core.options)
-        send_bid(
-            core.ingress, message.pool, sender, core.outbox, now_s, wants_answer=wants_answer
-        )
+        send_bid(core.ingress, message.pool, sender, core.outbox, now_s, wants_answer=wants_answer)
 
 
 def _handle_no_free_slot(
--- a/packages/core/src/myrtlehook_core/process/messages.py
+++ b/packages/core/src/myrtlehook_core/process/messages.py
@@ -53,7 +53,7 @@
     excluded_servers: tuple[str, ...] = ()
     """Backend servers of the pool that the sender sends no requests to at present."""
     wants_answer: bool = False
-    """Whether the owner answers with ``NoFreeSlot`` if it cannot grant all that the bid asks for."""
+    """Whether the owner answers with ``NoFreeSlot`` if it cannot grant all that waits."""
 
 
 class NoFreeSlot(msgspec.Struct, frozen=True, array_like=True, tag=44):
--- a/packages/core/src/myrtlehook_core/process/refusals.py
+++ b/packages/core/src/myrtlehook_core/process/refusals.py
@@ -9,6 +9,7 @@
     update_queue_counts,
 )
 from myrtlehook_core.process.quarantine import find_remaining_quarantine_s
+from myrtlehook_core.process.regions import find_region_refusal
 from myrtlehook_core.request.admission import (
     TokenBucket,
     can_meet_deadline,
@@ -29,12 +30,15 @@
 
 def refuse_unservable(ingress: IngressState, context: IngressContext, now_s: float) -> None:
     """Refuse every waiting request that cannot be run in time or whose workspace was removed."""
+    regions, configuration = context.regions, context.configuration
     for key, queue in list(ingress.queues.items()):
         removed = key.workspace not in context.configuration.workspaces
         refused: list[tuple[RequestSpecification, RefusalReason]] = []
         for position, request in enumerate(queue.waiting):
             if removed:
                 refused.append((request, RefusalReason.CONFIGURATION_REMOVED))
+            elif region_reason := find_region_refusal(regions, configuration, request):
+                refused.append((request, region_reason))
             elif request.deadline_s <= now_s:
                 refused.append((request, RefusalReason.DEADLINE_PASSED))
             elif backoff_exceeds_target(ingress, context, request, now_s):
@@ -84,6 +88,9 @@
         return RefusalReason.DUPLICATE_REQUEST_ID
     if find_remaining_quarantine_s(context.quarantine, request.fingerprint, now_s):
         return RefusalReason.QUARANTINED
+    region_reason = find_region_refusal(context.regions, context.configuration, request)
+    if region_reason is not None:
+        return region_reason
     if key.pool not in context.configuration.served_pools:
         return RefusalReason.NO_BACKEND_SERVER
     if backoff_exceeds_target(ingress, context, request, now_s):
--- /dev/null
+++ b/packages/core/src/myrtlehook_core/process/regions.py
@@ -0,0 +1,56 @@
+"""Regions: where a request may be served, as its route and its workspace allow.
+
+A router of a region that is not allowed refuses the request.
+Any other router sends it only to backend servers of allowed regions, and no engine fetches its
+prompt's memory from elsewhere. A server whose region is not known is in no allowed region.
+"""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from myrtlehook_core.request.outcomes import RefusalReason
+from myrtlehook_core.request.requests import RequestSpecification
+from myrtlehook_core.version.configurations import BackendServer, Configuration
+
+
+@dataclass(frozen=True, slots=True)
+class Regions:
+    """The region of this router, and that of each availability zone."""
+
+    own: str = ""
+    by_zone: Mapping[str, str] = field(default_factory=dict)
+
+
+NO_REGIONS = Regions()
+"""For a router whose settings name no regions."""
+
+
+def intersect_regions(limits: Iterable[frozenset[str] | None]) -> frozenset[str] | None:
+    """Return the regions that all limits allow; None if there is no limit."""
+    allowed: frozenset[str] | None = None
+    for limit in limits:
+        if limit is not None:
+            allowed = limit if allowed is None else allowed & limit
+    return allowed
+
+
+def may_serve(regions: Regions, request: RequestSpecification, server: BackendServer) -> bool:
+    """Return whether a backend server is in a region in which the request may be served."""
+    allowed = request.allowed_regions
+    return allowed is None or regions.by_zone.get(server.availability_zone, "") in allowed
+
+
+def find_region_refusal(
+    regions: Regions, configuration: Configuration, request: RequestSpecification
+) -> RefusalReason | None:
+    """Return why a request may not be served from here, or None if it may."""
+    if request.allowed_regions is None:
+        return None
+    if regions.own not in request.allowed_regions:
+        return RefusalReason.REGION_NOT_ALLOWED
+    servers = configuration.backend_servers.values()
+    if any(
+        server.pool == request.pool and may_serve(regions, request, server) for server in servers
+    ):
+        return None
+    return RefusalReason.NO_SERVER_IN_REGION
--- a/packages/core/src/myrtlehook_core/process/routers.py
+++ b/packages/core/src/myrtlehook_core/process/routers.py
@@ -69,6 +69,7 @@
 from myrtlehook_core.process.quarantine_messages import QuarantineRow
 from myrtlehook_core.process.queue_contexts import EngineQueues, QueueContext
 from myrtlehook_core.process.refusals import refuse_unservable
+from myrtlehook_core.process.regions import NO_REGIONS, Regions
 from myrtlehook_core.process.shares import Shares
 from myrtlehook_core.process.source_messages import ReaderRow
 from myrtlehook_core.process.source_readers import SourceReaders, collect_reader_rows
@@ -89,10 +90,12 @@
         options: CoreOptions,
         draw: Draw,
         parser: ConfigurationParser | None = None,
+        regions: Regions = NO_REGIONS,
     ) -> None:
         self.identity = identity
         self.options = options
         self.draw = draw
+        self.regions = regions
         self.table = MemberTable(identity, identity.incarnation)
         self.prober = Prober()
         self.placement = Placement()
@@ -184,6 +187,7 @@
             actions=self.actions,
             outbox=self.outbox,
             quarantine=self.quarantine,
+            regions=self.regions,
         )
 
     def owner_context(self) -> OwnerContext:
--- a/packages/core/src/myrtlehook_core/process/runs.py
+++ b/packages/core/src/myrtlehook_core/process/runs.py
@@ -17,6 +17,7 @@
 from myrtlehook_core.process.messages import Grant, Release
 from myrtlehook_core.process.quarantine import find_remaining_quarantine_s
 from myrtlehook_core.process.refusals import choose_last_refusal, find_refusal, refuse_request
+from myrtlehook_core.process.regions import may_serve
 from myrtlehook_core.request.charges import (
     ServiceAccount,
     cancel_charge,
@@ -33,7 +34,7 @@
     remove_request,
 )
 from myrtlehook_core.request.requests import PoolKey, RequestSpecification
-from myrtlehook_core.version.configurations import Workspace
+from myrtlehook_core.version.configurations import BackendServer, Workspace
 
 UNSENT_RETRY_REASONS = frozenset({RetryReason.CONNECT_FAILED, RetryReason.LEASE_EXPIRED})
 """Retry reasons that mean that no byte was sent. Only for these is a request that must not be
@@ -103,7 +104,10 @@
     server = context.configuration.backend_servers.get(grant.backend_server)
     backed_off = is_backing_off(ingress.backoffs, grant.backend_server, now_s)
     closed = backed_off or server is None or server.leaving
-    if expired or closed or queue is None or not queue.waiting or workspace is None:
+    request = None if closed or queue is None else _find_servable(context, queue, server)
+    # In a region that no waiting request allows, a server is closed to this router.
+    closed = closed or (request is None and queue is not None and bool(queue.waiting))
+    if expired or closed or queue is None or request is None or workspace is None:
         if closed:
             # Sent before the release: otherwise the owner would grant the same slot again.
             send_bid(
@@ -121,7 +125,7 @@
         ingress.unconfirmed_releases.append(release)
         context.outbox.add(owner, release)
         return False
-    request = pop_request(queue, now_s)
+    request = pop_request(queue, now_s, request)
     update_queue_counts(ingress, request, -1)
     _start_run(ingress, context, workspace, request, grant, lease_deadline_s)
     advertised = ingress.advertised_requests.setdefault(owner, {})
@@ -130,6 +134,18 @@
     return advertised[key] <= 0 and bool(queue.waiting)
 
 
+def _find_servable(
+    context: IngressContext, queue: WorkspaceQueue, server: BackendServer | None
+) -> RequestSpecification | None:
+    """Return the oldest waiting request that may be served in the server's region."""
+    if server is None:
+        return None
+    for request in queue.waiting:
+        if may_serve(context.regions, request, server):
+            return request
+    return None
+
+
 def record_observed_service(ingress: IngressState, request_id: str, observed_units: float) -> None:
     """Raise the charge of a running request as its stream grows."""
     running = ingress.running.get(request_id)
--- a/packages/core/src/myrtlehook_core/request/queues.py
+++ b/packages/core/src/myrtlehook_core/request/queues.py
@@ -47,9 +47,14 @@
     queue.queued_bytes += request.body_bytes
 
 
-def pop_request(queue: WorkspaceQueue, now_s: float) -> RequestSpecification:
-    """Remove and return the oldest request, and update the measured dispatch rate."""
-    request = queue.waiting.popleft()
+def pop_request(
+    queue: WorkspaceQueue, now_s: float, request: RequestSpecification | None = None
+) -> RequestSpecification:
+    """Remove and return a request, the oldest if none is given, and update the dispatch rate."""
+    if request is None or request is queue.waiting[0]:
+        request = queue.waiting.popleft()
+    else:
+        queue.waiting.remove(request)
     queue.queued_bytes -= request.body_bytes
     started_s = queue.busy_since_s if queue.last_dispatch_s is None else queue.last_dispatch_s
     _record_dispatch_gap(queue, max(now_s - started_s, 0.0))
--- a/packages/core/src/myrtlehook_core/request/requests.py
+++ b/packages/core/src/myrtlehook_core/request/requests.py
@@ -46,6 +46,8 @@
     0 if there is no target."""
     fingerprint: bytes = b""
     """Equal for requests with the same workspace, method, path and body; empty if not known."""
+    allowed_regions: frozenset[str] | None = None
+    """The regions in which it may be served; None if it may be served anywhere."""
 
 
 def count_share_tokens(prompt_tokens: int, output_tokens: int) -> int:
--- a/packages/core/src/myrtlehook_core/version/configurations.py
+++ b/packages/core/src/myrtlehook_core/version/configurations.py
@@ -42,6 +42,8 @@
     limits: QueueLimits
     priority: int | None = None
     """Priority of its requests, 0 the highest; None to use that of the route."""
+    allowed_regions: frozenset[str] | None = None
+    """The regions in which its requests may be served; None if there is no limit."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/myrtlehook_core/version/routes.py
+++ b/packages/core/src/myrtlehook_core/version/routes.py
@@ -48,6 +48,8 @@
     pause_target_s: float = 0.0
     """The longest pause between two events of a stream with which the answer is still in time;
     0 if the route states none."""
+    allowed_regions: frozenset[str] | None = None
+    """The regions in which its requests may be served; None if there is no limit."""
 
     @property
     def repeatable(self) -> bool:
--- a/packages/router/src/myrtlehook_router/process/gateway_daemons.py
+++ b/packages/router/src/myrtlehook_router/process/gateway_daemons.py
@@ -158,7 +158,13 @@
         identity = RouterIdentity(
             self._router_id, self._router_id, incarnation, self._settings.availability_zone
         )
-        core = RouterCore(identity, self._settings.options, random.random, self._settings.parser)
+        core = RouterCore(
+            identity,
+            self._settings.options,
+            random.random,
+            self._settings.parser,
+            self._settings.regions,
+        )
         core.add_seeds([(seed, seed) for seed in self._settings.seeds], clocks.now_s())
         return CoreTask(
             core,
--- a/packages/router/src/myrtlehook_router/process/gateway_settings.py
+++ b/packages/router/src/myrtlehook_router/process/gateway_settings.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from myrtlehook_core import ConfigurationParser, CoreOptions, Listener
+from myrtlehook_core import NO_REGIONS, ConfigurationParser, CoreOptions, Listener, Regions
 from myrtlehook_router.request.headers import HeaderNames
 
 
@@ -26,6 +26,8 @@
     """Time for which a stopping router still accepts requests, until the load balancer notices."""
     drain_limit_s: float
     """Time after the stop signal at which the router stops waiting for open requests."""
+    regions: Regions = NO_REGIONS
+    """The regions of this VM and of the availability zones."""
     options: CoreOptions = field(default_factory=CoreOptions)
     neighbours: Listener | None = None
     """Where neighbours pass on connections to this router; None if they don't."""
--- a/packages/router/src/myrtlehook_router/request/gateways.py
+++ b/packages/router/src/myrtlehook_router/request/gateways.py
@@ -17,6 +17,7 @@
     count_arrival,
     find_share_tokens,
     fingerprint_request,
+    intersect_regions,
     schedule_retry,
     should_shed,
 )
@@ -218,6 +219,9 @@
         fingerprint=fingerprint_request(
             request.workspace.name, request.method, request.target, body
         ),
+        allowed_regions=intersect_regions(
+            (route.allowed_regions, request.workspace.allowed_regions)
+        ),
     )
 
 
--- /dev/null
+++ b/tests/features/regions.feature
@@ -0,0 +1,40 @@
+Feature: Requests are served only in the regions that their route and workspace allow
+
+  Scenario: The platform's configuration names the regions of routes and workspaces
+    Given a platform configuration that allows one route "north" and "south" and one tenant "north"
+    Then the route's requests may be served in "north" and "south", those of the tenant in "north"
+    And requests of other routes and tenants may be served anywhere
+
+  Scenario: A configuration with regions of another type is rejected with all findings
+    Given a platform configuration whose regions are a number and an empty name
+    Then both faults are among its findings
+
+  Scenario: The platform's settings name the region of the VM and of each zone
+    Given platform settings of zone "n1" in "north" that name zone "s1" in "south"
+    Then the router knows its own region and that of both zones
+
+  Scenario: Settings that contradict themselves are rejected
+    Given platform settings of zone "n1" in "north" that name zone "n1" in "south"
+    Then the settings are rejected, with the line and both regions
+
+  Scenario: A router of a region that is not allowed refuses at once
+    When requests that "south" alone may serve reach a router in "north"
+    Then each is refused at once as "region_not_allowed", the call to a plain service too
+
+  Scenario: Where no allowed region has a server, requests are refused at once
+    When requests that "north" alone may serve reach a router in "north" while all servers are in "south"
+    Then each is refused at once as "no_server_in_region", the call to a plain service too
+
+  Scenario: Prompts are read, cached and fetched in allowed regions only
+    When prompts that "north" alone may serve arrive among others, with the same beginnings
+    Then each of them ran on an engine in "north", and fetched memory from none in "south"
+    And prompts without a limit ran in both regions
+
+  Scenario: Calls run on plain servers of allowed regions only
+    When calls that "north" alone may serve arrive among others, more than its servers have slots for
+    Then each of them ran on a server in "north", once
+    And calls without a limit ran in both regions
+
+  Scenario: A waiting call is refused once its region has lost its last server
+    When a call that "north" alone may serve waits there while the last server in "north" is withdrawn
+    Then it is refused as "no_server_in_region" within 0.3 s
--- a/tests/standins/histories.py
+++ b/tests/standins/histories.py
@@ -9,7 +9,7 @@
 import itertools
 import random
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field, replace
 from functools import partial
 from typing import Any
@@ -22,6 +22,7 @@
     Configuration,
     ConfigurationVersion,
     CoreOptions,
+    Regions,
     RequestSpecification,
     RetryReason,
     RouterCore,
@@ -153,12 +154,14 @@
         zones: int = 1,
         tokens_per_s: float = 60_000.0,
         cold_start: ColdStart | None = None,
+        regions: Mapping[str, str] | None = None,
     ) -> None:
         """Start the routers of a history.
 
         :param zones: number of availability zones, to which routers and engines are assigned
             in turn.
         :param tokens_per_s: rate that the configuration states for all engines together.
+        :param regions: by zone; none if the routers' settings name no regions.
         """
         self.random = random.Random(seed)
         self.network = network
@@ -206,6 +209,7 @@
         """Share levels that accountants have reported to operators."""
         self._configuration = make_configuration(tokens_per_s, cold_start)
         self._source = source
+        self._regions = regions or {}
         self._options = options
         self._evacuated: frozenset[str] = frozenset()
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
@@ -236,7 +240,8 @@
         def parse(text: str) -> Ok[Configuration]:
             return Ok(replace(configuration, version=ConfigurationVersion(int(text), "")))
 
-        core = RouterCore(identity, self._options, self.random.random, parse)
+        regions = Regions(self._regions.get(self.zones[name], ""), self._regions)
+        core = RouterCore(identity, self._options, self.random.random, parse, regions)
         core.add_seeds([(other, other) for other in self._names if other != name], self.now_s)
         self.alive[name] = core
         if self._source is None:
--- a/tests/standins/plain_calls.py
+++ b/tests/standins/plain_calls.py
@@ -28,6 +28,7 @@
     started_at_s: float | None = None
     ended_at_s: float | None = None
     starts: int = 0
+    server: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,7 +53,8 @@
     messages: Counter[str] = field(default_factory=Counter)
     bytes: Counter[str] = field(default_factory=Counter)
     dropped: Counter[str] = field(default_factory=Counter)
-    spreads: Counter[str] = field(default_factory=Counter)
+    told_owners: dict[str, list[int]] = field(default_factory=dict)
+    """By kind of action: how many owners were told at once, each time."""
 
     def wait_ms(self, part: float) -> float:
         """Return a quantile of the waits."""
@@ -69,18 +71,19 @@
         self.service = service
         self.calls: dict[str, Call] = {}
         self.figures = CallFigures()
-        self.refused: set[str] = set()
+        self.refused: dict[str, str] = {}
         self.dead: set[str] = set()
         self.loses: Callable[[str, str, object], bool] = lambda sender, receiver, message: False
         """Whether a message from one router to another is lost."""
-        self.delay_s: Callable[[object], tuple[float, ...]] = lambda message: (LATENCY_S,)
-        """The delays of a message's copies."""
+        self.find_delays_s: Callable[[object], tuple[float, ...]] = lambda message: (LATENCY_S,)
         self.spell_offsets_s = {
             f"s{index}": random.Random(f"{seed}/{index}").random() * SPELL_INTERVAL_S
             for index in range(service.servers)
         }
 
-    def ask(self, router: str, workspace: str) -> None:
+    def ask(
+        self, router: str, workspace: str, allowed_regions: frozenset[str] | None = None
+    ) -> None:
         """Send a call to a router now."""
         if router in self.dead:
             return
@@ -88,7 +91,15 @@
         request_id = f"{workspace}/{self.requests}"
         self.calls[request_id] = Call(router, workspace, self.now_s)
         deadline_s = self.now_s + DEADLINE_S
-        request = RequestSpecification(request_id, workspace, POOL, 100, self.now_s, deadline_s)
+        request = RequestSpecification(
+            request_id,
+            workspace,
+            POOL,
+            100,
+            self.now_s,
+            deadline_s,
+            allowed_regions=allowed_regions,
+        )
         self.handle(router, events.RequestArrived(request))
 
     def arrive(self, from_s: float, until_s: float) -> None:
@@ -119,9 +130,13 @@
 
     def _carry_out(self, name: str, action: actions.Action) -> None:
         if isinstance(action, actions.Refuse):
-            self.refused.add(action.request_id)
+            self.refused[action.request_id] = action.reason
         elif isinstance(action, actions.MessageDropped):
             self.figures.dropped[action.reason] += 1
+        elif isinstance(action, actions.BidsSpread):
+            self.figures.told_owners.setdefault("BidsSpread", []).append(len(action.owners))
+        elif isinstance(action, actions.BidsUpdated):
+            self.figures.told_owners.setdefault("BidsUpdated", []).append(action.owners)
         super()._carry_out(name, action)
 
     def _send(self, name: str, action: actions.Send) -> None:
@@ -131,12 +146,13 @@
         if self.loses(name, action.router_id, action.message):
             return
         event = events.MessageReceived(name, 1, action.message)
-        for delay_s in self.delay_s(action.message):
+        for delay_s in self.find_delays_s(action.message):
             self.at(self.now_s + delay_s, lambda: self.handle(action.router_id, event))
 
     def _start_run(self, name: str, action: actions.Dispatch) -> None:
         call = self.calls[action.request_id]
         call.starts += 1
+        call.server = action.backend_server
         call.started_at_s = self.now_s
         self.figures.waits_ms.append((self.now_s - call.arrived_at_s) * 1000.0)
         server = action.backend_server
@@ -159,9 +175,19 @@
             self.figures.idle_slot_parts.append(min(max(free, 0), waiting) / self.slots)
 
 
-def play_calls(service: Service, options: CoreOptions, seed: int, seconds: float) -> CallHistory:
-    """Play calls for some seconds after a warm-up, and until all have ended."""
+def play_calls(
+    service: Service,
+    options: CoreOptions,
+    seed: int,
+    seconds: float,
+    find_delays_s: Callable[[object], tuple[float, ...]] = lambda message: (LATENCY_S,),
+) -> CallHistory:
+    """Play calls for some seconds after a warm-up, and until all have ended.
+
+    :param find_delays_s: returns the delays of a message's copies; none if it is lost.
+    """
     history = CallHistory(service, options, seed)
+    history.find_delays_s = find_delays_s
     history.advance(WARM_UP_S)
     history.figures = CallFigures()
     history.arrive(WARM_UP_S, WARM_UP_S + seconds)
--- /dev/null
+++ b/tests/steps/plain_call_steps.py
@@ -0,0 +1,162 @@
+"""Steps of calls to a plain service, between the refreshes of its bids."""
+
+from typing import Any
+
+from behave import given, then, when
+
+from bench.core_drive import LATENCY_S, POOL
+from myrtlehook_core import CoreOptions, events
+from myrtlehook_core.process.messages import Bid, NoFreeSlot
+from standins.plain_calls import WARM_UP_S, CallHistory, Service, play_calls
+
+SEED = 1
+SECONDS = 5.0
+
+EXCHANGES_MS = 4 * LATENCY_S * 1000.0 + 1.0
+"""Bid and answer, bid and grant; and a ms for rounding."""
+
+LATE_S = 0.15
+"""The delay of a late message: longer than the refresh interval."""
+
+
+def _get_options(context: Any) -> CoreOptions:
+    return getattr(context, "call_options", CoreOptions())
+
+
+@given("that no further owner is told at once")
+def turn_spreading_off(context: Any) -> None:
+    context.call_options = CoreOptions(most_spread_owners=0)
+
+
+@when(
+    "{routers:d} routers get {calls:d} calls a second of 90 ms for {servers:d} servers that have"
+    " slow spells"
+)
+def play(context: Any, routers: int, calls: int, servers: int) -> None:
+    service = Service(routers=routers, servers=servers, calls_per_s=calls)
+    context.calls = play_calls(service, _get_options(context), SEED, SECONDS)
+
+
+@when(
+    "12 routers get {calls:d} calls a second of two workspaces for 3 servers that have slow spells"
+)
+def play_two_workspaces(context: Any, calls: int) -> None:
+    service = Service(routers=12, calls_per_s=calls, workspaces=("a", "b"))
+    context.calls = play_calls(service, _get_options(context), SEED, SECONDS)
+
+
+@when("73 routers get 76 calls a second while each {kind} is {fault}")
+def play_with_fault(context: Any, kind: str, fault: str) -> None:
+    delays_s = {"lost": (), "doubled": (LATENCY_S, 3 * LATENCY_S), "late": (LATE_S,)}[fault]
+
+    def find_delays_s(message: object) -> tuple[float, ...]:
+        return delays_s if type(message).__name__ == kind else (LATENCY_S,)
+
+    context.calls = play_calls(Service(), CoreOptions(), SEED, SECONDS, find_delays_s)
+    assert context.calls.figures.messages[kind] > 0
+
+
+@when("the owner to which a call is offered first dies before it hears of the call")
+def play_dead_owner(context: Any) -> None:
+    history = CallHistory(Service(routers=12), CoreOptions(), SEED)
+    history.advance(WARM_UP_S)
+    asking = _find_router_without_servers(history)
+
+    def dies(sender: str, receiver: str, message: object) -> bool:
+        if isinstance(message, Bid) and not history.dead:
+            history.kill(receiver)
+        return receiver in history.dead
+
+    history.loses = dies
+    history.ask(asking, "a")
+    assert len(history.dead) == 1
+    history.advance(WARM_UP_S + 2.0)
+    context.calls = history
+
+
+@when("a router is told that the owner it asked has no slot while the grant is under way")
+def play_two_grants(context: Any) -> None:
+    history = CallHistory(Service(routers=12), CoreOptions(), SEED)
+    history.advance(WARM_UP_S)
+    asking = _find_router_without_servers(history)
+    history.ask(asking, "a")
+    (key,) = history.cores[asking].ingress.first_owners
+    owner = history.cores[asking].ingress.first_owners[key]
+    history.handle(asking, events.MessageReceived(owner, 1, NoFreeSlot(POOL)))
+    history.advance(WARM_UP_S + 2.0)
+    context.calls = history
+
+
+def _find_router_without_servers(history: CallHistory) -> str:
+    return next(name for name, core in history.cores.items() if not core.owner.servers)
+
+
+@then("95 in 100 calls start within two exchanges of messages")
+def check_waits(context: Any) -> None:
+    wait_ms = context.calls.figures.wait_ms(0.95)
+    assert wait_ms <= EXCHANGES_MS, wait_ms
+
+
+@then("while calls wait, less than 0.05 of the slots are idle")
+def check_idle(context: Any) -> None:
+    parts = context.calls.figures.idle_slot_parts
+    assert len(parts) > 100, len(parts)
+    assert sum(parts) / len(parts) < 0.05, sum(parts) / len(parts)
+
+
+@then("every call has been started once, and no slot is held after the last one")
+def check_started(context: Any) -> None:
+    starts = [call.starts for call in context.calls.calls.values()]
+    assert starts and set(starts) == {1}, [starts.count(0), max(starts)]
+    _check_holds(context.calls)
+
+
+@then("no call has been started twice, and no slot is held after the last one")
+def check_started_once(context: Any) -> None:
+    assert max(call.starts for call in context.calls.calls.values()) == 1
+    _check_holds(context.calls)
+
+
+def _check_holds(history: CallHistory) -> None:
+    held = [
+        len(server.holds)
+        for core in history.cores.values()
+        for server in core.owner.servers.values()
+    ]
+    assert len(held) >= history.service.servers and not any(held), held
+
+
+@then("no call was offered to, or withdrawn from, more than 8 owners between two refreshes")
+def check_bounded(context: Any) -> None:
+    figures = context.calls.figures
+    assert figures.told_owners["BidsSpread"], "no bid was spread"
+    assert max(max(counts) for counts in figures.told_owners.values()) <= 8, figures.told_owners
+
+
+@then("both workspaces have been served alike, to a tenth")
+def check_fair(context: Any) -> None:
+    started = [call.workspace for call in context.calls.calls.values() if call.starts]
+    counts = [started.count(name) for name in ("a", "b")]
+    assert max(counts) <= 1.1 * min(counts), counts
+
+
+@then("no owner has answered a bid, and no bid was spread or updated")
+def check_off(context: Any) -> None:
+    figures = context.calls.figures
+    assert not figures.messages["NoFreeSlot"] + figures.messages["BidUpdate"], figures.messages
+    assert not figures.told_owners, figures.told_owners
+
+
+@then("the call starts within 0.25 s, once")
+def check_started_soon(context: Any) -> None:
+    (call,) = context.calls.calls.values()
+    assert call.starts == 1
+    assert call.started_at_s - call.arrived_at_s < 0.25, call
+
+
+@then("the other owners have granted the call too")
+def check_granted_twice(context: Any) -> None:
+    asking = context.calls.cores[next(iter(context.calls.calls.values())).router]
+    others = len(asking.placement.pool_owners[POOL]) - 1
+    dropped = context.calls.figures.dropped
+    assert others > 0 and dropped["grant_unused"] == others, (others, dropped)
