Place owners by the processor time of their VMs

Change: each router states quarters of a core at the end of its member row; weighted rendezvous hashing. VMs of one capacity keep their owners; while one member states none (an earlier release), all count as equal. Option places_by_capacity.

--- a/packages/core/src/myrtlehook_core/process/event_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/event_handlers.py
@@ -243,7 +243,10 @@
     if now_s >= core.shares.next_report_s:
         core.shares.next_report_s = now_s + core.options.demand_interval_s
         near = core.placement.zones.get(core.identity.availability_zone, ())
-        reporters = Reporters(core.identity.router_id, core.placement.eligible, near)
+        placement = core.placement
+        reporters = Reporters(
+            core.identity.router_id, placement.eligible, near, placement.capacities
+        )
         send_demand_reports(core.shares, reporters, core.options.quota_window_s, core.outbox, now_s)
         send_zone_reports(core.shares, reporters, core.outbox, now_s)
     ingress = core.ingress
--- a/packages/core/src/myrtlehook_core/process/members.py
+++ b/packages/core/src/myrtlehook_core/process/members.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from enum import IntEnum, StrEnum
 
+from myrtlehook_core.process.hashing import EQUAL_CAPACITIES, Capacities
 from myrtlehook_core.process.membership_messages import MemberRow
 
 MAX_NEWS_ROWS = 16
@@ -58,6 +59,8 @@
     incarnation: int
     """Greater than that of any earlier process of this router."""
     availability_zone: str = ""
+    capacity: int = 0
+    """Processor time of its VM in quarters of a core; 0 if not known."""
 
 
 @dataclass(slots=True)
@@ -78,6 +81,8 @@
     has_left: bool = False
     """It was leaving and no longer answers; it receives nothing until newer news of it arrives."""
     availability_zone: str = ""
+    capacity: int = 0
+    """Processor time of its VM in quarters of a core; 0 if not known."""
     process_incarnation: int = 0
     """Incarnation with which its present process started, by its messages; 0 before the first."""
 
@@ -97,6 +102,7 @@
     draining: bool = False
     version: int = 0
     cached_eligible: tuple[int, tuple[str, ...]] = (-1, ())
+    cached_capacities: tuple[int, Capacities] = (-1, EQUAL_CAPACITIES)
 
 
 def list_eligible_routers(table: MemberTable) -> tuple[str, ...]:
@@ -115,6 +121,21 @@
     return eligible
 
 
+def collect_capacities(table: MemberTable) -> Capacities:
+    """Return the capacity of each router that may own something; nothing if one is not known."""
+    if table.cached_capacities[0] != table.version:
+        known = {router: _find_capacity(table, router) for router in list_eligible_routers(table)}
+        capacities = known if all(known.values()) else EQUAL_CAPACITIES
+        table.cached_capacities = (table.version, capacities)
+    return table.cached_capacities[1]
+
+
+def _find_capacity(table: MemberTable, router_id: str) -> int:
+    if router_id == table.identity.router_id:
+        return table.identity.capacity
+    return table.members[router_id].capacity
+
+
 def group_routers_by_zone(table: MemberTable) -> dict[str, tuple[str, ...]]:
     """Return the routers that may own backend servers, by availability zone, in name order."""
     zones: dict[str, list[str]] = {}
@@ -161,19 +182,25 @@
     """Return this router's row about itself."""
     state = MemberState.LEAVING if table.draining else MemberState.ALIVE
     identity = table.identity
-    return _make_row(
-        identity.router_id, identity.address, table.incarnation, state, identity.availability_zone
+    return MemberRow(
+        identity.router_id,
+        _shorten_address(identity.router_id, identity.address),
+        table.incarnation,
+        int(state),
+        identity.availability_zone,
+        identity.capacity,
     )
 
 
 def make_member_row(member: Member) -> MemberRow:
     """Return the row about one member."""
-    return _make_row(
+    return MemberRow(
         member.router_id,
-        member.address,
+        _shorten_address(member.router_id, member.address),
         member.incarnation,
-        member.state,
+        int(member.state),
         member.availability_zone,
+        member.capacity,
     )
 
 
@@ -209,6 +236,7 @@
     member.incarnation = row.incarnation
     member.address = address
     member.availability_zone = row.availability_zone
+    member.capacity = max(row.capacity, 0)
     member.unconfirmed = False
     member.has_left = False
     change_state(table, member, state, StateCause.TOLD, now_s, suspicion_s)
@@ -260,11 +288,8 @@
     return tuple(rows)
 
 
-def _make_row(
-    router_id: str, address: str, incarnation: int, state: MemberState, zone: str
-) -> MemberRow:
-    sent_address = "" if address == router_id else address
-    return MemberRow(router_id, sent_address, incarnation, int(state), zone)
+def _shorten_address(router_id: str, address: str) -> str:
+    return "" if address == router_id else address
 
 
 def _refute(table: MemberTable, row: MemberRow) -> None:
--- a/packages/core/src/myrtlehook_core/process/membership_messages.py
+++ b/packages/core/src/myrtlehook_core/process/membership_messages.py
@@ -16,6 +16,8 @@
     incarnation: int
     state: int
     availability_zone: str = ""
+    capacity: int = 0
+    """Processor time of its VM in quarters of a core; 0 if not known."""
 
 
 class LeavingRow(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/core/src/myrtlehook_core/process/options.py
+++ b/packages/core/src/myrtlehook_core/process/options.py
@@ -149,6 +149,9 @@
     retry_ratio: float = 0.2
     retry_burst: float = 10.0
     attempts: int = 4
+    places_by_capacity: bool = True
+    """Whether this router states its VM's processor time, by which owners are placed. While one
+    router of the fleet states none, all count as equal."""
     most_spread_owners: int = 8
     """The number of a pool's other owners that are told at once when one has no slot for a waiting
     request, or has granted one that was offered to them too; 0 leaves both to the next refresh."""
--- a/packages/core/src/myrtlehook_core/process/placements.py
+++ b/packages/core/src/myrtlehook_core/process/placements.py
@@ -7,13 +7,23 @@
 A backend server is owned by a router of its own availability zone if there is one. Messages of
 ingress routers in that zone then stay within it, and the server keeps its owner when the network
 between zones is partitioned.
+
+Routers on larger VMs own more, in proportion to the capacity that each states in its member row.
+While one states none, as an earlier release does, all count as equal, so that routers of both
+releases agree on every owner.
 """
 
 from dataclasses import dataclass, field
 
-from myrtlehook_core.process.hashing import Weight, rank_weights, weigh_router
+from myrtlehook_core.process.hashing import (
+    Capacities,
+    Weight,
+    rank_weights,
+    weigh_router,
+)
 from myrtlehook_core.process.members import (
     MemberTable,
+    collect_capacities,
     group_routers_by_zone,
     list_eligible_routers,
 )
@@ -33,6 +43,8 @@
     eligible: tuple[str, ...] = ()
     zones: dict[str, tuple[str, ...]] = field(default_factory=dict)
     """Eligible routers by availability zone."""
+    capacities: Capacities = field(default_factory=dict)
+    """By eligible router; empty if all count as equal."""
     server_weights: dict[str, Weight] = field(default_factory=dict)
     ledgers: dict[PoolKey, tuple[Weight, ...]] = field(default_factory=dict)
 
@@ -51,6 +63,14 @@
     eligible = list_eligible_routers(table)
     departed = set(placement.eligible) - set(eligible)
     joined = set(eligible) - set(placement.eligible)
+    capacities = collect_capacities(table)
+    changed = {
+        router for router in eligible if capacities.get(router) != placement.capacities.get(router)
+    }
+    # A router whose capacity changed is weighed like one that departed and joined again.
+    departed |= changed - joined
+    joined |= changed
+    placement.capacities = capacities
     same_servers = placement.server_weights.keys() == configuration.backend_servers.keys()
     same_configuration = placement.configuration_version == configuration.version
     placement.members_version = table.version
@@ -69,7 +89,9 @@
     """Return the routers that keep a workspace's ledger, the one that answers reports first."""
     weights = placement.ledgers.get(key)
     if weights is None:
-        weights = rank_weights(_make_ledger_key(key), placement.eligible, count)
+        weights = rank_weights(
+            _make_ledger_key(key), placement.eligible, count, placement.capacities
+        )
         placement.ledgers[key] = weights
     return tuple(router for _, router in weights)
 
@@ -88,10 +110,12 @@
         zone_routers = placement.zones.get(server.availability_zone, ())
         known = placement.server_weights.get(name)
         if known is None or known[1] in departed or (zone_routers and known[1] not in zone_routers):
-            weights[name] = rank_weights(key, zone_routers or placement.eligible, 1)[0]
+            routers = zone_routers or placement.eligible
+            weights[name] = rank_weights(key, routers, 1, placement.capacities)[0]
         else:
             claimants = [router for router in joined if not zone_routers or router in zone_routers]
-            weights[name] = max([known, *(weigh_router(key, router) for router in claimants)])
+            claims = [weigh_router(key, router, placement.capacities) for router in claimants]
+            weights[name] = max([known, *claims])
     placement.server_weights = weights
     placement.server_owners = {name: weight[1] for name, weight in weights.items()}
     owners: dict[str, set[str]] = {}
@@ -106,7 +130,8 @@
             del placement.ledgers[key]
             continue
         name = _make_ledger_key(key)
-        if any(weigh_router(name, router) > weights[-1] for router in joined):
+        claims = [weigh_router(name, router, placement.capacities) for router in joined]
+        if any(claim > weights[-1] for claim in claims):
             del placement.ledgers[key]
 
 
--- a/packages/core/src/myrtlehook_core/process/shares.py
+++ b/packages/core/src/myrtlehook_core/process/shares.py
@@ -26,7 +26,7 @@
     DemandRow,
     ShareLevel,
 )
-from myrtlehook_core.process.hashing import rank_routers
+from myrtlehook_core.process.hashing import Capacities, rank_routers
 from myrtlehook_core.process.outboxes import MessageOutbox
 
 BUCKET_S = 0.25
@@ -56,6 +56,7 @@
     routers: tuple[str, ...]
     zone_routers: tuple[str, ...]
     """The routers of the sender's availability zone."""
+    capacities: Capacities = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -191,7 +192,7 @@
         if not rows and not demand.reported:
             continue
         demand.reported = bool(rows)
-        accountant = find_accountant(pool, reporters.routers)
+        accountant = find_accountant(pool, reporters)
         collector = find_collector(pool, reporters) or accountant
         if collector is not None:
             outbox.add(collector, DemandReport(pool, rows, collector != accountant))
@@ -207,7 +208,7 @@
     """
     for pool, account in list(shares.zone_accounts.items()):
         expire_reports(account, now_s)
-        accountant = find_accountant(pool, reporters.routers)
+        accountant = find_accountant(pool, reporters)
         collector = find_collector(pool, reporters)
         is_collector = collector == reporters.router_id != accountant
         if accountant is not None and is_collector:
@@ -235,13 +236,13 @@
     """
     if len(reporters.routers) < MIN_ROUTERS_FOR_COLLECTORS:
         return None
-    found = rank_routers(f"shares/{pool}", reporters.zone_routers, 1)
+    found = rank_routers(f"shares/{pool}", reporters.zone_routers, 1, reporters.capacities)
     return found[0] if found else None
 
 
-def find_accountant(pool: str, routers: tuple[str, ...]) -> str | None:
+def find_accountant(pool: str, reporters: Reporters) -> str | None:
     """Return the router that sums a pool's demand and computes its level."""
-    found = rank_routers(f"shares/{pool}", routers, 1)
+    found = rank_routers(f"shares/{pool}", reporters.routers, 1, reporters.capacities)
     return found[0] if found else None
 
 
--- a/packages/router/src/myrtlehook_router/process/gateway_daemons.py
+++ b/packages/router/src/myrtlehook_router/process/gateway_daemons.py
@@ -156,7 +156,11 @@
 
     def _make_core_task(self, incarnation: int) -> CoreTask:
         identity = RouterIdentity(
-            self._router_id, self._router_id, incarnation, self._settings.availability_zone
+            self._router_id,
+            self._router_id,
+            incarnation,
+            self._settings.availability_zone,
+            self._settings.capacity if self._settings.options.places_by_capacity else 0,
         )
         core = RouterCore(
             identity,
--- a/packages/router/src/myrtlehook_router/process/gateway_settings.py
+++ b/packages/router/src/myrtlehook_router/process/gateway_settings.py
@@ -26,6 +26,8 @@
     """Time for which a stopping router still accepts requests, until the load balancer notices."""
     drain_limit_s: float
     """Time after the stop signal at which the router stops waiting for open requests."""
+    capacity: int = 0
+    """Processor time of this VM in quarters of a core; 0 if not known."""
     regions: Regions = NO_REGIONS
     """The regions of this VM and of the availability zones."""
     options: CoreOptions = field(default_factory=CoreOptions)
