--- a/tests/features/regions.feature
+++ b/tests/features/regions.feature
@@ -20,10 +20,12 @@
   Scenario: A router of a region that is not allowed refuses at once
     When requests that "south" alone may serve reach a router in "north"
     Then each is refused at once as "region_not_allowed", the call to a plain service too
+    And its caller is answered 421
 
   Scenario: Where no allowed region has a server, requests are refused at once
     When requests that "north" alone may serve reach a router in "north" while all servers are in "south"
     Then each is refused at once as "no_server_in_region", the call to a plain service too
+    And its caller is answered 503
 
   Scenario: Prompts are read, cached and fetched in allowed regions only
     When prompts that "north" alone may serve arrive among others, with the same beginnings
--- a/tests/steps/region_steps.py
+++ b/tests/steps/region_steps.py
@@ -7,9 +7,11 @@
 from behave import given, then, when
 
 from bench.core_drive import POOL as PLAIN_POOL
-from myrtlehook_core import CoreOptions, Regions, find_route, intersect_regions
+from myrtlehook_core import CoreOptions, RefusalReason, Regions, find_route, intersect_regions
 from myrtlehook_platform.configuration import parse_configuration
-from myrtlehook_platform.settings import make_settings, parse_settings
+from myrtlehook_platform.settings import HEADER_NAMES, make_settings, parse_settings
+from myrtlehook_router.request.answers import STATUS_TEXTS, Refusal
+from myrtlehook_router.request.refusals import make_routed_refusal
 from standins.histories import History, Network
 from standins.plain_calls import WARM_UP_S, CallHistory, Service
 from standins.pools import make_request
@@ -161,6 +163,14 @@
     assert list(context.calls.refused.values()) == [reason], context.calls.refused
 
 
+@then("its caller is answered {status:d}")
+def check_status(context: Any, status: int) -> None:
+    (reason,) = context.calls.refused.values()
+    answer = make_routed_refusal(HEADER_NAMES, "id", Refusal(RefusalReason(reason), "not here"))
+    assert answer.status == status, answer
+    assert status in STATUS_TEXTS
+
+
 @when('prompts that "north" alone may serve arrive among others, with the same beginnings')
 def ask_prompts(context: Any) -> None:
     history = _start_engines(("z", "z1", "z", "z1"))
