--- a/packages/core/src/myrtlehook_core/request/queues.py
+++ b/packages/core/src/myrtlehook_core/request/queues.py
@@ -8,6 +8,9 @@
 DISPATCH_GAP_WEIGHT = 0.2
 """Weight of the newest gap between dispatches in the exponential average."""
 
+RUN_WEIGHT = 0.1
+"""Weight of the newest run in the exponential average of run times."""
+
 
 @dataclass(slots=True)
 class WorkspaceQueue:
@@ -23,12 +26,17 @@
     """Exponential average of the gaps; None until the first dispatch."""
     became_nonempty_s: float | None = None
     """When the queue last became non-empty; bids are sent to all owners soon after."""
+    mean_run_s: float = 0.0
+    """Exponential average of how long its requests ran at backend servers."""
+    is_spread: bool = False
+    """Whether it has been offered to several owners since it became non-empty."""
 
 
 def push_request(queue: WorkspaceQueue, request: RequestSpecification, now_s: float) -> None:
     """Append a new request to the queue."""
     if not queue.waiting:
         queue.became_nonempty_s = now_s
+        queue.is_spread = False
         queue.busy_since_s = now_s
         queue.last_dispatch_s = None
     queue.waiting.append(request)
@@ -39,13 +47,19 @@
     """Put a request that is retried back at the head of the queue."""
     if not queue.waiting:
         queue.became_nonempty_s = now_s
+        queue.is_spread = False
     queue.waiting.appendleft(request)
     queue.queued_bytes += request.body_bytes
 
 
-def pop_request(queue: WorkspaceQueue, now_s: float) -> RequestSpecification:
-    """Remove and return the oldest request, and update the measured dispatch rate."""
-    request = queue.waiting.popleft()
+def pop_request(
+    queue: WorkspaceQueue, now_s: float, request: RequestSpecification | None = None
+) -> RequestSpecification:
+    """Remove and return a request, the oldest if none is given, and update the dispatch rate."""
+    if request is None or request is queue.waiting[0]:
+        request = queue.waiting.popleft()
+    else:
+        queue.waiting.remove(request)
     queue.queued_bytes -= request.body_bytes
     started_s = queue.busy_since_s if queue.last_dispatch_s is None else queue.last_dispatch_s
     _record_dispatch_gap(queue, max(now_s - started_s, 0.0))
@@ -79,6 +93,12 @@
     return gap_s * (position + 1)
 
 
+def record_run(queue: WorkspaceQueue, run_s: float) -> None:
+    """Record how long a request ran at its backend server."""
+    weight = RUN_WEIGHT if queue.mean_run_s else 1.0
+    queue.mean_run_s += weight * (run_s - queue.mean_run_s)
+
+
 def _record_dispatch_gap(queue: WorkspaceQueue, gap_s: float) -> None:
     if queue.mean_dispatch_gap_s is None:
         queue.mean_dispatch_gap_s = gap_s
--- a/packages/router/src/myrtlehook_router/process/gateway_daemons.py
+++ b/packages/router/src/myrtlehook_router/process/gateway_daemons.py
@@ -156,9 +156,19 @@
 
     def _make_core_task(self, incarnation: int) -> CoreTask:
         identity = RouterIdentity(
-            self._router_id, self._router_id, incarnation, self._settings.availability_zone
+            self._router_id,
+            self._router_id,
+            incarnation,
+            self._settings.availability_zone,
+            self._settings.capacity if self._settings.options.places_by_capacity else 0,
+        )
+        core = RouterCore(
+            identity,
+            self._settings.options,
+            random.random,
+            self._settings.parser,
+            self._settings.regions,
         )
-        core = RouterCore(identity, self._settings.options, random.random, self._settings.parser)
         core.add_seeds([(seed, seed) for seed in self._settings.seeds], clocks.now_s())
         return CoreTask(
             core,
