Start a router without importing rich

Cause: structlog imports rich, if it is installed, for output on a console; a router writes JSON lines. With the modules of the parts for hard load a start imported more than the 560 modules that platform.feature allows. Now rich appears not to be installed while structlog is imported. The bound of the check is as it was.

--- a/packages/router/src/myrtlehook_router/process/logs.py
+++ b/packages/router/src/myrtlehook_router/process/logs.py
@@ -1,10 +1,18 @@
 """Logging: one JSON object per line on standard output."""
 
 import sys
-from typing import TextIO
+from collections.abc import MutableMapping
+from typing import TYPE_CHECKING, Any, TextIO
 
-import structlog
-from structlog.typing import EventDict
+from myrtlehook_router.process.imports import import_without
+
+if TYPE_CHECKING:
+    import structlog
+else:
+    # It would import rich for output on a console, and with it dozens of modules.
+    structlog = import_without("structlog", "rich")
+
+EventDict = MutableMapping[str, Any]
 
 
 def set_up_logs(vm: str, stream: TextIO | None = None) -> None:
@@ -30,6 +38,6 @@
     )
 
 
-def get_logger(name: str) -> structlog.typing.FilteringBoundLogger:
+def get_logger(name: str) -> "structlog.typing.FilteringBoundLogger":
     """Return a logger whose lines carry the name of a part of the router."""
     return structlog.get_logger(part=name)
