Release the slot of a caller that leaves before its call is sent

Cause: where a caller of a plain service left after its call had been given a slot and before it was sent, RequestAbandoned found no waiting request and did nothing. The router kept the call as running and went on to report its slot as in use, for good. With 40 such callers no slot of 16 was left. Change: the run is ended, without cost, and its slot released. Test: leaving_callers.feature; before, none of 8 calls was given a slot, now all are.

--- a/packages/core/src/myrtlehook_core/process/event_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/event_handlers.py
@@ -120,8 +120,11 @@
 
 
 def _on_abandoned(core: "RouterCore", event: events.RequestAbandoned, now_s: float) -> None:
-    if not abandon_admission(core.admissions, core.admission_context(), event.request_id):
-        abandon_request(core.ingress, event.request_id)
+    if abandon_admission(core.admissions, core.admission_context(), event.request_id):
+        return
+    if not abandon_request(core.ingress, event.request_id):
+        # A slot was granted just before. Nothing has been sent, and nothing else would release it.
+        _send_release(core, end_run(core.ingress, event.request_id, 0.0, now_s))
 
 
 def _on_service(core: "RouterCore", event: events.ServiceObserved, now_s: float) -> None:
--- a/packages/core/src/myrtlehook_core/process/runs.py
+++ b/packages/core/src/myrtlehook_core/process/runs.py
@@ -68,14 +68,15 @@
     return key
 
 
-def abandon_request(ingress: IngressState, request_id: str) -> None:
-    """Remove a waiting request whose client has disconnected."""
+def abandon_request(ingress: IngressState, request_id: str) -> bool:
+    """Remove a waiting request whose client has disconnected; False if it is not waiting."""
     for queue in ingress.queues.values():
         request = remove_request(queue, request_id)
         if request is not None:
             update_queue_counts(ingress, request, -1)
             ingress.attempts.pop(request_id, None)
-            return
+            return True
+    return False
 
 
 def handle_grant(
