Believe that a slower engine's delay has grown with its steps

Change: when late answers show a slower engine, the first of them (read in part before) is dropped, the rate follows from the others at once, and the delay grows as the rate fell, up to half of the shortest step seen; undone if the engine is found fast again before 8 answers.

--- a/packages/core/src/myrtlehook_core/process/engine_models.py
+++ b/packages/core/src/myrtlehook_core/process/engine_models.py
@@ -79,11 +79,18 @@
 DEVIATION_S = 0.01
 MAX_CONSECUTIVE_DEVIATIONS = 3
 """This many consecutive answers that all come far later, or all far sooner, than expected show that
-the engine has changed: older samples are dropped, and these are kept with their whole times."""
+the engine has changed: older samples are dropped, and these are kept with their whole times. The
+first late one is dropped as well, since it may have been read in part before the change."""
+
+STEP_WAIT_PART = 0.5
+"""A prompt that reaches an engine during a step waits for its end: for half a step on average."""
 
 TOKEN_TIME_WEIGHT = 0.05
 """Weight of one answer's time per output token in the moving average."""
 
+FORECAST_ERROR_WEIGHT = 0.1
+"""Weight of one answer's forecast error in the moving average."""
+
 
 @dataclass(frozen=True, slots=True)
 class ReadSample:
@@ -118,6 +125,11 @@
     """Consecutive answers that came far too late, with their whole reading times."""
     soon_samples: list[ReadSample] = field(default_factory=list)
     """Consecutive answers that came far too soon."""
+    delay_before_slow_s: float = math.inf
+    """The delay before answers showed that the engine had become slower; infinite once it has been
+    found faster again."""
+    forecast_error_s: float = 0.0
+    """How far answers began from when they were forecast at their grants: a moving average."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -193,6 +205,11 @@
         model.token_s += TOKEN_TIME_WEIGHT * (elapsed_s / tokens - model.token_s)
 
 
+def learn_forecast_error(model: EngineModel, error_s: float) -> None:
+    """Update the mean forecast error from an answer that has begun."""
+    model.forecast_error_s += FORECAST_ERROR_WEIGHT * (abs(error_s) - model.forecast_error_s)
+
+
 def _record_deviation(
     model: EngineModel, sample: ReadSample, elapsed_s: float, expected_s: float
 ) -> None:
@@ -209,12 +226,49 @@
 
 def _reset_after_change(model: EngineModel) -> None:
     """Keep only the deviating answers when they show that the engine has changed."""
-    for deviating in (model.late_samples, model.soon_samples):
-        if len(deviating) < MAX_CONSECUTIVE_DEVIATIONS:
-            continue
-        model.recent.clear()
-        model.recent.extendleft(deviating)
-        deviating.clear()
+    if len(model.late_samples) >= MAX_CONSECUTIVE_DEVIATIONS:
+        slow_samples = model.late_samples[1:]
+        _adopt_slower_engine(model, slow_samples)
+        _keep_only(model, slow_samples)
+        model.late_samples.clear()
+    if len(model.soon_samples) >= MAX_CONSECUTIVE_DEVIATIONS:
+        if len(model.recent) < MIN_DELAY_SAMPLES:
+            # The engine was held up for a moment: too few answers have shown another delay.
+            model.delay_s = min(model.delay_s, model.delay_before_slow_s)
+        model.delay_before_slow_s = math.inf
+        _keep_only(model, model.soon_samples)
+        model.soon_samples.clear()
+
+
+def _keep_only(model: EngineModel, samples: Iterable[ReadSample]) -> None:
+    """Forget all other answers.
+
+    :param samples: the newest last.
+    """
+    model.recent.clear()
+    model.recent.extendleft(samples)
+
+
+def _adopt_slower_engine(model: EngineModel, samples: Collection[ReadSample]) -> None:
+    """Estimate an engine as slow as these answers show it, and its delay as much longer.
+
+    Steps of a slow engine are long, and so is the wait for the next one. With too short a delay
+    the steps would be partly empty, and the engine would look slower than it is.
+    """
+    elapsed_s = sum(_compute_elapsed_s(sample, model.delay_s) for sample in samples)
+    elapsed_s = max(elapsed_s, MIN_READING_S)
+    rate_tokens_per_s = sum(sample.tokens for sample in samples) / elapsed_s
+    slowdown = model.rate_tokens_per_s / rate_tokens_per_s
+    shortest_step_s = min(sample.begun_s - sample.previous_s for sample in samples)
+    longest_s = min(STEP_WAIT_PART * shortest_step_s, _find_shortest_s(samples))
+    model.delay_before_slow_s = model.delay_s
+    model.delay_s = max(model.delay_s, min(model.delay_s * slowdown, longest_s))
+    model.rate_tokens_per_s = min(model.rate_tokens_per_s, rate_tokens_per_s)
+
+
+def _compute_elapsed_s(sample: ReadSample, delay_s: float) -> float:
+    """Return how long the engine has read, if its delay is this."""
+    return sample.begun_s - max(sample.granted_s + delay_s, sample.previous_s)
 
 
 def _fit_delay_and_rate(model: EngineModel) -> None:
@@ -301,7 +355,7 @@
     weight = 1.0
     weighted = []
     for sample in samples:
-        elapsed_s = sample.begun_s - max(sample.granted_s + delay_s, sample.previous_s)
+        elapsed_s = _compute_elapsed_s(sample, delay_s)
         weighted.append((weight, elapsed_s, sample.tokens))
         tokens += weight * sample.tokens
         reading_s += weight * elapsed_s
--- a/tests/features/engines.feature
+++ b/tests/features/engines.feature
@@ -46,3 +46,17 @@
   Scenario: A new engine of a pool is expected to be like the others
     When an engine joins the pool of one that is known
     Then its first estimate is that of the known one
+
+  # Load pattern: slow spells. What an owner has granted cannot be moved, so a slow moment is not to be
+  # met with more work, and after it the engine is to be used in full again.
+  Scenario Outline: An engine with slow spells is not given more in them, and is used in full after them
+    Given an engine that reads <rate> tokens a ms in steps of <chunk>, always with work waiting
+    When it is 2.5 times as slow for 0.6 s at a time
+    Then in the spells it has at most 1.5 times as many tokens unread as in calm
+    And 1 s after a spell its rate is estimated within 1.4 of its usual one
+
+    Examples:
+      | rate | chunk |
+      | 40   | 512   |
+      | 66   | 1024  |
+      | 100  | 2048  |
