Draw engines of unequal speed and slow spells in the soak, and check pauses of streams

Engines of the emulator take a slowness, which makes each step longer, and so pauses longer the more is read. Checks: no stream breaks off within its deadline while no fault is active; the longest pauses in routers' logs are within 0.1 s of what callers saw, for nine streams in ten.

--- a/emulator/engines.py
+++ b/emulator/engines.py
@@ -61,6 +61,9 @@
     """Refuses one request in every N; 0 refuses none."""
     retry_after: str = ""
     """The ``Retry-After`` value of refusals, in seconds; empty to send none."""
+    slowness: float = 1.0
+    """How many times longer than usual a step takes. Each step that reads delays the events of all
+    streams, so their pauses grow with what is read and with this."""
 
 
 @dataclass(slots=True)
@@ -128,6 +131,7 @@
         """Run engine steps in an endless loop."""
         while True:
             spent_ms = self.speed.step_ms + self._read_prompts() / self.speed.read_tokens_per_ms
+            spent_ms *= self.faults.slowness
             eventlet.sleep(spent_ms / 1000.0 if self.running else 0.001)
             for run in list(self.running):
                 self._generate_token(run)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -51,6 +51,8 @@
     event_ids: list[int] = field(default_factory=list)
     server_leaves: bool = False
     """Whether the answer announced that its server leaves."""
+    longest_pause_s: float = 0.0
+    """The longest time between two events of a stream, as they arrived."""
 
 
 class Caller:
@@ -103,13 +105,29 @@
         record.shown_id = response.headers.get("Attempt-Id", "")
         record.retry_after = "Retry-After" in response.headers
         record.server_leaves = "Server-Leaving" in response.headers
-        content = response.read()
+        content = self._read_content(record, response)
         record.content_digest = hashlib.sha256(content).hexdigest()
         if record.path in STREAMED and record.status == 200:
             record.event_ids = [int(number) for number in EVENT_ID_PATTERN.findall(content)]
         if response.will_close:
             self._close_connection()
 
+    def _read_content(self, record: AttemptRecord, response: http.client.HTTPResponse) -> bytes:
+        if record.path not in STREAMED:
+            return response.read()
+        content = b""
+        last_event_at_s = 0.0
+        while piece := response.read1():
+            content += piece
+            if b"id: " not in piece:
+                continue
+            now_s = time.monotonic()
+            if last_event_at_s:
+                record.longest_pause_s = max(record.longest_pause_s, now_s - last_event_at_s)
+            last_event_at_s = now_s
+        # Reading on to the end makes the connection free for the next request.
+        return content + response.read()
+
     def _close_connection(self) -> None:
         if self._connection is not None:
             self._connection.close()
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -77,15 +77,15 @@
         router_faults = [
             fault for fault in all_faults if fault.target == name and fault.kind == "router"
         ]
-        if attempt.timed_out and not _is_fault_active(
+        if attempt.timed_out and not is_fault_active(
             attempt, router_faults, start_s, ("pause", "kill", "stop")
         ):
             violations.append(_make_violation("it has an answer by its deadline", attempt))
-        stopped = _is_fault_active(attempt, router_faults, start_s, ("stop",))
+        stopped = is_fault_active(attempt, router_faults, start_s, ("stop",))
         other_faults = [
             fault for fault in all_faults if fault not in router_faults or fault.how != "stop"
         ]
-        disturbed = _is_fault_active(attempt, other_faults, start_s, None)
+        disturbed = is_fault_active(attempt, other_faults, start_s, None)
         if stopped and not disturbed and attempt.broken:
             violations.append(_make_violation("a planned stop cuts nothing off", attempt))
     return violations
@@ -106,7 +106,7 @@
     return violations
 
 
-def _is_fault_active(
+def is_fault_active(
     attempt: AttemptRecord, faults: Iterable[Fault], start_s: float, kinds: tuple[str, ...] | None
 ) -> bool:
     """Return whether a fault was active while a request was open.
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -14,7 +14,15 @@
 from soak.callers import PATHS, AttemptRecord
 from soak.checks import Violation, check_answers, check_deadlines, check_runs
 from soak.notice_checks import BACKOFF_S, InjectedFaults, check_notices
-from soak.schedules import Fault, draw_endings, draw_notices, draw_schedule, draw_store_restorations
+from soak.pause_checks import check_logged_pauses, check_unbroken_streams
+from soak.schedules import (
+    Fault,
+    draw_endings,
+    draw_notices,
+    draw_paces,
+    draw_schedule,
+    draw_store_restorations,
+)
 from standins.attempts import make_headers, new_id, send
 from standins.nodes import ROOT, Node, NodeFleet
 from standins.processes import start_process
@@ -35,6 +43,11 @@
 Two end before the request is quarantined, and one more for each router that is killed
 meanwhile and loses what it had counted, or whose news is lost."""
 
+SLOWER_FACTOR = 1.6
+SPELL_FACTOR = 2.5
+PAUSE_TARGET_MS = 200
+"""The longest pause that the routes allow in runs with engines of unequal speed."""
+
 RECOVERY_S = 12.0
 FIRST_VERSION = 1
 STOP_STATUS = 0
@@ -54,6 +67,8 @@
     """Whether servers announce in answers that they leave, or ask for back-off."""
     copies: bool = False
     """Whether the store is restored from a copy."""
+    paces: bool = False
+    """Whether engines are of unequal speed, and have slow spells."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,6 +95,7 @@
     scheduled_ends: int = 0
     """The number of engines ended by the schedule, not by a request."""
     violations: list[Violation] = field(default_factory=list)
+    slower_engines: set[str] = field(default_factory=set)
 
     def execute(self) -> RunResult:
         """Execute the whole run."""
@@ -111,6 +127,8 @@
             name for name in self._list_servers() if not (self.options.endings and _is_engine(name))
         ]
         self.fleet.order(addresses={name: addresses[name] for name in proxied})
+        if self.options.paces:
+            self._publish_configuration()
         self.fleet.start_nodes(self.options.routers)
 
     def _list_servers(self) -> list[str]:
@@ -133,9 +151,13 @@
             faults += draw_notices(options.seed, options.seconds, self._list_servers(), engines)
         if options.copies:
             faults += draw_store_restorations(options.seed, options.seconds)
+        paces = []
+        if options.paces:
+            engines = [name for name in self._list_servers() if _is_engine(name)]
+            paces = draw_paces(options.seed, options.seconds, engines)
         callers = self._start_callers()
         start_s = time.monotonic()
-        self._inject_faults(faults, start_s)
+        self._inject_faults([*faults, *paces], start_s)
         self._sleep_until(start_s + options.seconds)
         self._clear_faults()
         output, _ = callers.communicate()
@@ -146,6 +168,10 @@
         sealing = {*self._list_servers(), *self.fleet.describe()["servers"]}
         self.violations += check_answers(attempts, sealing)
         self.violations += check_deadlines(attempts, faults, routers, start_s)
+        self.violations += check_unbroken_streams(attempts, faults, start_s)
+        if options.paces:
+            logs = [node.log_path.read_text() for node in self.fleet.nodes]
+            self.violations += check_logged_pauses(attempts, logs)
         site = self.fleet.describe()
         injected = InjectedFaults(tuple(faults), start_s)
         self.violations += check_notices(attempts, site, injected, routers)
@@ -156,7 +182,7 @@
         for attempt in attempts:
             statuses[attempt.status] = statuses.get(attempt.status, 0) + 1
         return RunResult(
-            options, faults, len(attempts), statuses, self.violations, self.fleet.folder
+            options, [*faults, *paces], len(attempts), statuses, self.violations, self.fleet.folder
         )
 
     def _start_callers(self) -> subprocess.Popen[bytes]:
@@ -211,6 +237,8 @@
             self._set_notice_fault(fault, begins)
         elif fault.kind == "ending":
             self._end_engines(fault, begins)
+        elif fault.kind == "pace":
+            self._set_pace(fault, begins)
         elif begins:
             self._apply_site_change(fault)
 
@@ -264,8 +292,7 @@
 
     def _apply_site_change(self, fault: Fault) -> None:
         if fault.how == "configuration":
-            self.configuration_version += 1
-            self.fleet.order(configuration=make_configuration(self.configuration_version))
+            self._publish_configuration()
         elif fault.how == "break_stream":
             self.fleet.order(faults={"engines": {"break_after_events": 4}})
         elif not self.engine_drained and fault.target.startswith("i-engine"):
@@ -274,6 +301,24 @@
             self.engine_drained = True
             self.fleet.order(servers={fault.target: "draining"})
 
+    def _publish_configuration(self) -> None:
+        self.configuration_version += 1
+        configuration = make_configuration(self.configuration_version)
+        if self.options.paces:
+            for route in configuration["Routes"]:
+                if route["Kind"] == "streaming":
+                    route["TargetItlMs"] = PAUSE_TARGET_MS
+        self.fleet.order(configuration=configuration)
+
+    def _set_pace(self, fault: Fault, begins: bool) -> None:
+        if fault.how == "slower" and begins:
+            self.slower_engines.add(fault.target)
+        usual = SLOWER_FACTOR if fault.target in self.slower_engines else 1.0
+        slowness = usual * SPELL_FACTOR if fault.how == "slow_spell" and begins else usual
+        if fault.target in self.fleet.describe()["servers"]:
+            # An engine that has ended may have started again under another id.
+            self.fleet.order(faults={fault.target: {"slowness": slowness}})
+
     def _set_router_fault(self, fault: Fault, begins: bool) -> None:
         node = self._find_node(fault.target)
         if fault.how == "pause":
--- a/soak/schedules.py
+++ b/soak/schedules.py
@@ -17,6 +17,13 @@
 ``tells_leaving``: an engine announces in all answers that it leaves, while its store entry
 stays as it is."""
 
+PACES = ("slower", "slow_spell")
+"""``slower``: an engine is slower than the others for the whole run. ``slow_spell``: one turns slow
+for a moment. Neither excuses a broken promise."""
+
+MIN_SPELL_S = 0.3
+MAX_SPELL_S = 1.0
+
 CHANGES = ("configuration", "drain", "break_stream")
 KINDS = ("router", "store_link", "server_link", "server", "store", "change")
 
@@ -80,6 +87,18 @@
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
+def draw_paces(seed: int, seconds: float, engines: list[str]) -> list[Fault]:
+    """Draw which engine is slower than the others, and slow spells of all of them."""
+    draw = random.Random(f"paces/{seed}")
+    paces = [Fault(0.0, seconds, "pace", "slower", draw.choice(engines))]
+    for _ in range(draw.randint(2, 6)):
+        at_s = draw.uniform(FIRST_FAULT_S, seconds * 0.8)
+        until_s = min(at_s + draw.uniform(MIN_SPELL_S, MAX_SPELL_S), seconds)
+        target = draw.choice(engines)
+        paces.append(Fault(round(at_s, 3), round(until_s, 3), "pace", "slow_spell", target))
+    return sorted(paces, key=lambda fault: fault.at_s)
+
+
 def draw_store_restorations(seed: int, seconds: float) -> list[Fault]:
     """Draw when the store saves a copy, and when it is restored from it."""
     draw = random.Random(f"copies/{seed}")
--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -8,6 +8,13 @@
     Examples:
       | seed |
       | 11   |
+
+  Scenario Outline: The promises are kept while engines differ in speed and have slow spells
+    When the soak plays seed <seed> for 6 s, and engines differ in speed
+    Then no promise was broken, and clients were served
+
+    Examples:
+      | seed |
       | 12   |
 
   Scenario Outline: The promises are kept while engines end, at random and under one request
@@ -51,6 +58,14 @@
     And a request 2 s after its router forwarded that the server leaves is found
     And neither is found where its router was paused, or the link to its server was cut
 
+  Scenario: The checks find streams that break without a fault
+    Then a stream that breaks off within its deadline is found
+    And it is not found while a fault is active, or after its deadline
+
+  Scenario: The checks find logs that tell other pauses than clients saw
+    Then logs that tell other pauses than clients saw are found, and logs without them
+    And logs that differ by 0.05 s, or in one stream of 20, are not found
+
   Scenario: The checks find each broken promise
     Given an attempt with a whole answer of "i-engine-1" that was run once
     Then the checks find nothing
--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -1,6 +1,7 @@
 """Steps that run the randomized soak, and test its checks."""
 
 import hashlib
+import json
 from collections.abc import Callable
 from dataclasses import replace
 from typing import Any
@@ -10,6 +11,7 @@
 from soak.callers import LAST_EVENT_NUMBER, AttemptRecord
 from soak.checks import Violation, check_answers, check_deadlines, check_runs, make_seal
 from soak.notice_checks import InjectedFaults, check_notices
+from soak.pause_checks import check_logged_pauses, check_unbroken_streams
 from soak.runs import RunOptions, execute_run
 from soak.schedules import Fault
 
@@ -22,6 +24,11 @@
     context.result = execute_run(RunOptions(seed, seconds))
 
 
+@when("the soak plays seed {seed:d} for {seconds:g} s, and engines differ in speed")
+def play_paces(context: Any, seed: int, seconds: float) -> None:
+    context.result = execute_run(RunOptions(seed, seconds, paces=True))
+
+
 @when("the soak plays seed {seed:d} for {seconds:g} s, and engines end")
 def play_endings(context: Any, seed: int, seconds: float) -> None:
     context.result = execute_run(RunOptions(seed, seconds, endings=True))
@@ -148,3 +155,50 @@
     for excuse in (PAUSED, LINK_CUT):
         assert not _check_arrivals(WITHIN_BACKOFF, [], BACKING_OFF, excuse)
         assert not _check_arrivals(AFTER_NOTICE, ["a"], excuse)
+
+
+BROKEN_STREAM = AttemptRecord("x1", "/summary/a", ROUTER, 1.0, 3.0, 200, broken=True)
+
+
+@then("a stream that breaks off within its deadline is found")
+def check_broken_stream(context: Any) -> None:
+    assert len(check_unbroken_streams([BROKEN_STREAM], [], 0.0)) == 1
+
+
+@then("it is not found while a fault is active, or after its deadline")
+def check_excused_streams(context: Any) -> None:
+    assert not check_unbroken_streams([BROKEN_STREAM], [PAUSED], 0.0)
+    late = replace(BROKEN_STREAM, ended_s=BROKEN_STREAM.started_s + 4.0)
+    assert not check_unbroken_streams([late], [], 0.0)
+
+
+def _check_pauses(logged_s: list[float]) -> list[Violation]:
+    """Check the logs of streams in which the clients saw pauses of 0.3 s."""
+    seen = [
+        AttemptRecord(f"x{number}", "/summary/a", ROUTER, 1.0, 2.0, 200, longest_pause_s=0.3)
+        for number in range(20)
+    ]
+    lines = [
+        json.dumps(
+            {
+                "event": "request ended",
+                "outcome": "completed",
+                "request_id": f"x{number}",
+                "longest_pause_ms": pause_s * 1000.0,
+            }
+        )
+        for number, pause_s in enumerate(logged_s)
+    ]
+    return check_logged_pauses(seen, ["\n".join([*lines, '{"event": "request en'])])
+
+
+@then("logs that tell other pauses than clients saw are found, and logs without them")
+def check_wrong_pauses(context: Any) -> None:
+    assert _check_pauses([0.3] * 17 + [0.0] * 3)
+    assert _check_pauses([0.3] * 2)
+
+
+@then("logs that differ by 0.05 s, or in one stream of 20, are not found")
+def check_right_pauses(context: Any) -> None:
+    assert not _check_pauses([0.35] * 20)
+    assert not _check_pauses([0.3] * 19 + [0.0])
