Show operators who is late for what, who is refused and who returns

Cause: status, metrics and losses did not tell a late first event from a late pause, nor what became of a workspace's or a route's requests. Change: each router counts at arrival and end, by workspace and by route, over a sliding minute (status) and since its start (metrics), bounded in names; an owner tells of each engine its rate, delay, forecast error, what runs and waits, and reported pauses. losses has the kind 'late pause' beside 'late', which goes by the first event now; explain ends with what the caller lost. The option tallies_requests turns the counting off.

--- a/packages/core/src/myrtlehook_core/process/engine_loads.py
+++ b/packages/core/src/myrtlehook_core/process/engine_loads.py
@@ -10,6 +10,7 @@
 from myrtlehook_core.process.engine_models import (
     EngineModel,
     ReadSample,
+    learn_forecast_error,
     learn_reading_rate,
     learn_token_time,
 )
@@ -90,6 +91,8 @@
     begun_at_s: float = math.inf
     pause_target_s: float = 0.0
     """The longest pause between events with which its answer is still in time; 0 for none."""
+    forecast_begin_s: float | None = None
+    """When its answer was expected to begin, at its grant; None if another owner granted it."""
 
 
 @dataclass(slots=True)
@@ -135,6 +138,10 @@
     granted_requests: int
     cold_until_s: float = -math.inf
     """Until when it is considered cold."""
+    forecast_error_s: float = 0.0
+    """How far answers begin from when they were forecast, on average."""
+    recent_pauses: int = 0
+    """Pauses of streams there that were reported lately; see ``stream_pauses``."""
 
 
 def estimate_read_end_s(load: EngineLoad, now_s: float) -> float:
@@ -195,6 +202,7 @@
     )
     load.granted[waiting.request_id] = item
     load.reading[waiting.request_id] = item
+    item.forecast_begin_s = estimate_read_end_s(load, now_s) + load.model.delay_s
     record_parts_use(load.cache, waiting.parts)
     return item
 
@@ -209,6 +217,8 @@
         return
     item.begun = True
     item.begun_at_s = now_s
+    if item.forecast_begin_s is not None:
+        learn_forecast_error(load.model, now_s - item.forecast_begin_s)
     if request_id not in load.reading:
         # The answer to a request granted later began first, so both prompts were read by then.
         return
--- a/packages/core/src/myrtlehook_core/process/options.py
+++ b/packages/core/src/myrtlehook_core/process/options.py
@@ -149,3 +149,5 @@
     retry_ratio: float = 0.2
     retry_burst: float = 10.0
     attempts: int = 4
+    tallies_requests: bool = True
+    """Whether a router counts what callers got, by workspace and by kind of work."""
--- a/packages/core/src/myrtlehook_core/process/routers.py
+++ b/packages/core/src/myrtlehook_core/process/routers.py
@@ -72,6 +72,7 @@
 from myrtlehook_core.process.shares import Shares
 from myrtlehook_core.process.source_messages import ReaderRow
 from myrtlehook_core.process.source_readers import SourceReaders, collect_reader_rows
+from myrtlehook_core.process.stream_pauses import count_recent_pauses
 from myrtlehook_core.version.configurations import Configuration
 from myrtlehook_core.version.discovery import Discovery, apply_discovery
 from myrtlehook_core.version.exchange import (
@@ -164,6 +165,8 @@
                 waiting_requests=len(load.waiting),
                 granted_requests=len(load.granted),
                 cold_until_s=load.pace.cold_until_s,
+                forecast_error_s=load.model.forecast_error_s,
+                recent_pauses=count_recent_pauses(load.pauses, self._now_s),
             )
             for name, load in sorted(self.engine_queues.loads.items())
         ]
--- a/packages/core/src/myrtlehook_core/process/statuses.py
+++ b/packages/core/src/myrtlehook_core/process/statuses.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from myrtlehook_core.process.engine_loads import EngineFigures
 from myrtlehook_core.process.ingress import compute_virtual_service_units
 from myrtlehook_core.process.routers import RouterCore
 from myrtlehook_core.process.slots import count_foreign_requests
@@ -43,6 +44,26 @@
     incarnation: int
 
 
+@dataclass(frozen=True, slots=True)
+class EngineStatus:
+    """What this router has learned of a model engine that it owns.
+
+    The operator's tool shows each field as a column.
+    """
+
+    backend_server: str
+    rate_tokens_per_s: int
+    delay_ms: float
+    forecast_error_ms: float
+    """How far answers begin from when they were forecast, on average."""
+    running_requests: int
+    """Granted and not ended."""
+    waiting_requests: int
+    unread_tokens: int
+    recent_pauses: int
+    """Pauses of streams there that were reported lately; see ``stream_pauses``."""
+
+
 @dataclass(frozen=True, slots=True)
 class RouterStatus:
     """The complete status report."""
@@ -60,6 +81,7 @@
     servers: tuple[ServerStatus, ...]
     queues: tuple[QueueStatus, ...]
     peers: tuple[PeerStatus, ...]
+    engines: tuple[EngineStatus, ...]
 
 
 def describe_router(core: RouterCore) -> RouterStatus:
@@ -78,6 +100,21 @@
         servers=tuple(_describe_servers(core)),
         queues=tuple(_describe_queues(core)),
         peers=tuple(_describe_peers(core)),
+        engines=tuple(describe_engine(figures) for figures in core.describe_engines()),
+    )
+
+
+def describe_engine(figures: EngineFigures) -> EngineStatus:
+    """Return an owner's estimates of an engine in the units that operators read."""
+    return EngineStatus(
+        backend_server=figures.backend_server,
+        rate_tokens_per_s=round(figures.estimate.rate_tokens_per_s),
+        delay_ms=round(figures.estimate.delay_ms, 1),
+        forecast_error_ms=round(figures.forecast_error_s * 1000.0, 1),
+        running_requests=figures.granted_requests,
+        waiting_requests=figures.waiting_requests,
+        unread_tokens=round(figures.backlog_tokens),
+        recent_pauses=figures.recent_pauses,
     )
 
 
--- a/packages/core/src/myrtlehook_core/process/stream_pauses.py
+++ b/packages/core/src/myrtlehook_core/process/stream_pauses.py
@@ -12,6 +12,9 @@
 
 MAX_PAUSES = 32
 
+RECENT_S = 10.0
+"""Pauses reported within this time are shown to operators."""
+
 
 @dataclass(frozen=True, slots=True)
 class ObservedPause:
@@ -33,3 +36,8 @@
 def record_pause_report(pauses: EnginePauses, report: StreamPauseReport, now_s: float) -> None:
     """Keep a reported pause."""
     pauses.recent.append(ObservedPause(now_s, report.pause_ms / 1000.0, report.target_ms / 1000.0))
+
+
+def count_recent_pauses(pauses: EnginePauses, now_s: float) -> int:
+    """Return how many pauses were reported lately, at most ``MAX_PAUSES``."""
+    return sum(pause.ended_at_s > now_s - RECENT_S for pause in pauses.recent)
--- a/packages/operator/src/myrtlehook_operator/process/reports.py
+++ b/packages/operator/src/myrtlehook_operator/process/reports.py
@@ -8,6 +8,7 @@
 from rich.table import Table
 
 from myrtlehook_core import Finding
+from myrtlehook_operator.process.statuses import list_engine_rows, list_request_rows
 from myrtlehook_operator.request.losses import LossReport
 from myrtlehook_operator.request.request_events import RequestEvent
 from myrtlehook_operator.request.share_accounts import SPAN_S, ShareAccount
@@ -46,10 +47,13 @@
 
 
 def print_statuses(statuses: Sequence[dict[str, Any]], silent: Sequence[str]) -> None:
-    """Print routers, backend servers and queues of a fleet."""
+    """Print routers, backend servers, queues, engines and what callers got of a fleet."""
     OUT.print(_make_router_table(statuses))
     OUT.print(_make_server_table(statuses))
     OUT.print(_make_queue_table(statuses))
+    for rows in (list_engine_rows(statuses), *list_request_rows(statuses)):
+        if rows:
+            OUT.print(_make_figures_table(rows))
     for address in silent:
         OUT.print(f"no answer from {address}", markup=False, highlight=False)
     versions = {
@@ -123,11 +127,23 @@
     return table
 
 
+def _make_figures_table(rows: Sequence[dict[str, Any]]) -> Table:
+    """Make a table with a column for each figure that any router reports."""
+    columns = list(dict.fromkeys(name for row in rows for name in row))
+    table = Table(*(name.replace("_", " ") for name in columns))
+    for row in rows:
+        table.add_row(*(str(row.get(name, "")) for name in columns))
+    return table
+
+
 def print_request_events(request_events: list[RequestEvent]) -> None:
     """Print each log event of a request on a line."""
     for event in request_events:
         facts = "  ".join(f"{name}={value}" for name, value in event.facts)
         OUT.print(f"{event.timestamp}  {event.vm}  {event.event}: {facts}", soft_wrap=True)
+    for cause in (event.cause for event in request_events if event.cause is not None):
+        facts = f" ({cause.facts})" if cause.facts else ""
+        OUT.print(f"{cause.kind}: {cause.reason}{facts}", soft_wrap=True)
 
 
 def print_losses(report: LossReport, max_rows: int) -> None:
--- a/packages/operator/src/myrtlehook_operator/request/losses.py
+++ b/packages/operator/src/myrtlehook_operator/request/losses.py
@@ -8,29 +8,12 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from datetime import datetime
-from enum import StrEnum
 from typing import Any
 
+from myrtlehook_operator.request.loss_causes import END_EVENTS, LossKind, find_cause
 from myrtlehook_operator.request.request_events import parse_line
 
-REFUSED_DETAIL_PREFIX = "refused: "
-REFUSED_EVENT = "request refused"
-REFUSED_SUM_EVENT = "requests refused"
 LINES_DROPPED_EVENT = "log lines dropped"
-END_EVENTS = frozenset({"request ended", REFUSED_EVENT, REFUSED_SUM_EVENT})
-
-
-class LossKind(StrEnum):
-    """The way in which a request was lost."""
-
-    LATE = "late"
-    """The answer was complete, but began later than the route's first-token target."""
-    REFUSED = "refused"
-    """The request was not run; the client was told when to retry."""
-    BROKEN_OFF = "broken off"
-    """The request was sent, but no complete answer came."""
-    LEFT = "left"
-    """The client closed its connection before the end."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -120,7 +103,7 @@
     content = parse_line(line)
     if content is None or content.get("event") not in END_EVENTS:
         return None
-    kind, reason = _classify_end(content)
+    cause = find_cause(content)
     ids = content.get("request_ids") or [""]
     at_s = _parse_time(str(content.get("timestamp", "")))
     arrived_at_s = at_s - float(content.get("elapsed_ms") or 0.0) / 1000.0
@@ -132,8 +115,8 @@
         route=str(content.get("route") or ""),
         workspace=str(content.get("workspace") or ""),
         tokens=int(content.get("prompt_tokens") or 0),
-        kind=kind,
-        reason=reason,
+        kind=None if cause is None else cause.kind,
+        reason="" if cause is None else cause.reason,
         requests=int(content.get("requests") or 1),
         share_tokens=int(content.get("share_tokens") or 0),
         arrived_at_s=arrived_at_s,
@@ -153,25 +136,6 @@
         report.dropped_lines[vm] = report.dropped_lines.get(vm, 0) + lines
 
 
-def _classify_end(content: dict[str, Any]) -> tuple[LossKind | None, str]:
-    if content["event"] in (REFUSED_EVENT, REFUSED_SUM_EVENT):
-        return LossKind.REFUSED, str(content.get("reason", ""))
-    detail = str(content.get("detail", ""))
-    if content.get("outcome") == "not-run":
-        return LossKind.REFUSED, detail.removeprefix(REFUSED_DETAIL_PREFIX)
-    if content.get("outcome") == "unknown":
-        left = detail == "the caller left"
-        return (LossKind.LEFT if left else LossKind.BROKEN_OFF), detail
-    first_byte_ms = content.get("first_byte_ms")
-    aim_ms = content.get("aim_ms")
-    if first_byte_ms is None or aim_ms is None or first_byte_ms <= aim_ms:
-        return None, ""
-    waited_ms = content.get("waited_ms") or 0.0
-    # The longer part of the time tells whether the router or the engine caused the delay.
-    waited = waited_ms > first_byte_ms - waited_ms
-    return LossKind.LATE, "waited for an engine" if waited else "the engine took long"
-
-
 def _sum_by(ends: list[RequestEnd], get_place: Any) -> list[Loss]:
     sums: dict[tuple[str, str, str], Loss] = {}
     for end in ends:
--- a/packages/operator/src/myrtlehook_operator/request/request_events.py
+++ b/packages/operator/src/myrtlehook_operator/request/request_events.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from typing import Any
 
+from myrtlehook_operator.request.loss_causes import END_EVENTS, LossCause, find_cause
+
 HIDDEN_FIELDS = frozenset({"request_id", "event", "vm", "timestamp", "level", "part"})
 """Fields that have a column of their own, or are the same in every line."""
 
@@ -18,6 +20,8 @@
     vm: str
     event: str
     facts: tuple[tuple[str, str], ...]
+    cause: LossCause | None = None
+    """What the caller lost, if this is the request's last line."""
 
 
 def collect_events(request_id: str, logs: Iterable[Iterable[str]]) -> list[RequestEvent]:
@@ -71,4 +75,5 @@
         vm=str(content.get("vm", "")),
         event=str(content.get("event", "")),
         facts=facts,
+        cause=find_cause(content) if content.get("event") in END_EVENTS else None,
     )
--- a/packages/router/src/myrtlehook_router/process/counters.py
+++ b/packages/router/src/myrtlehook_router/process/counters.py
@@ -1,12 +1,15 @@
 """Event counters and durations, kept in the process for operators and sent to statsd."""
 
 from collections import Counter
+from typing import TYPE_CHECKING
 
-import statsd
 from prometheus_client import Histogram
 
 from myrtlehook_core import Listener
 
+if TYPE_CHECKING:
+    import statsd
+
 STATSD_PREFIX = "myrtlehook"
 
 
@@ -17,9 +20,7 @@
         self.values: Counter[str] = Counter()
         self.histogram: Histogram | None = None
         """Durations by name; None unless the process serves Prometheus metrics."""
-        self._client: statsd.StatsClient | None = None
-        if address is not None:
-            self._client = statsd.StatsClient(address.address, address.port, prefix=STATSD_PREFIX)
+        self._client = None if address is None else _make_client(address)
 
     def add(self, name: str, count: int = 1) -> None:
         """Increase a counter."""
@@ -33,3 +34,10 @@
             self.histogram.labels(name).observe(elapsed_s)
         if self._client is not None:
             self._client.timing(name, elapsed_s * 1000.0)
+
+
+def _make_client(address: Listener) -> "statsd.StatsClient":
+    # Imported only where it is used: a start waits for its imports.
+    from statsd import StatsClient
+
+    return StatsClient(address.address, address.port, prefix=STATSD_PREFIX)
--- a/packages/router/src/myrtlehook_router/process/daemons.py
+++ b/packages/router/src/myrtlehook_router/process/daemons.py
@@ -26,6 +26,7 @@
 from myrtlehook_router.process.peers import PeerSockets
 from myrtlehook_router.process.tasks import run_or_exit
 from myrtlehook_router.request.applications import make_application
+from myrtlehook_router.request.request_tallies import RequestTallies
 from myrtlehook_router.request.services import RequestServices
 from myrtlehook_router.request.tickets import TicketRegistry
 
@@ -51,6 +52,7 @@
         self._counters = Counters(settings.statsd)
         self._mailbox = Mailbox()
         self._tickets = TicketRegistry()
+        self._tallies = RequestTallies(make_core_options(settings).tallies_requests)
         self._peers = PeerSockets(
             settings.vm, settings.peers, settings.fleet_key, incarnation, self._counters
         )
@@ -116,6 +118,7 @@
             configuration=lambda: self._core_task.configuration,
             is_draining=lambda: self._draining,
             body_limit_bytes=self._settings.limits.body_bytes,
+            tallies=self._tallies,
         )
 
     def _make_operator_services(self) -> OperatorServices:
@@ -125,6 +128,7 @@
             peers=self._peers,
             platform=self._platform,
             is_ready=self.is_ready,
+            tallies=self._tallies,
             cut_allowed=self._settings.test_hooks.cut,
         )
 
--- a/packages/router/src/myrtlehook_router/process/engine_gauges.py
+++ b/packages/router/src/myrtlehook_router/process/engine_gauges.py
@@ -13,6 +13,9 @@
     "engine_window_tokens": lambda item: item.window_tokens,
     "engine_backlog_tokens": lambda item: item.backlog_tokens,
     "engine_waiting_requests": lambda item: item.waiting_requests,
+    "engine_running_requests": lambda item: item.granted_requests,
+    "engine_forecast_error_s": lambda item: item.forecast_error_s,
+    "engine_recent_pauses": lambda item: item.recent_pauses,
     "engine_cold_left_s": lambda item: max(item.cold_until_s - clocks.now_s(), 0.0),
 }
 """Reads the value of each gauge that docs/operators/metrics.md lists."""
--- a/packages/router/src/myrtlehook_router/process/gateway_daemons.py
+++ b/packages/router/src/myrtlehook_router/process/gateway_daemons.py
@@ -45,6 +45,7 @@
 from myrtlehook_router.process.tasks import run_or_exit
 from myrtlehook_router.request.gateways import GatewayServices, make_gateway
 from myrtlehook_router.request.refusal_sums import RefusalSums, log_refusal_sums
+from myrtlehook_router.request.request_tallies import RequestTallies
 from myrtlehook_router.request.services import RequestServices
 from myrtlehook_router.request.tickets import TicketRegistry
 
@@ -97,10 +98,12 @@
         self._refusing = False
         """True once the drain notice has passed, so that the load balancer should have noticed."""
         self._counters = Counters(None)
+        self._tallies = RequestTallies(settings.options.tallies_requests)
         self._metrics = Metrics(
             self._counters,
             self._read_gauges,
             lambda: list_engine_gauges(self._core_task.core.describe_engines()),
+            self._tallies,
         )
         self._mailbox = Mailbox()
         self._tickets = TicketRegistry()
@@ -209,6 +212,7 @@
             shedding=self._shedding,
             shares=self._core_task.core.shares,
             refusal_sums=self._refusal_sums,
+            tallies=self._tallies,
         )
         services = CallerServices(
             application=make_gateway(
--- a/packages/router/src/myrtlehook_router/process/metrics.py
+++ b/packages/router/src/myrtlehook_router/process/metrics.py
@@ -8,6 +8,7 @@
 from prometheus_client.registry import Collector
 
 from myrtlehook_router.process.counters import Counters
+from myrtlehook_router.request.request_tallies import Figure, RequestTallies
 
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0, 16.0)
@@ -31,9 +32,11 @@
         counters: Counters,
         gauges: Gauges,
         server_gauges: LabelledGauges = no_labelled_gauges,
+        tallies: RequestTallies | None = None,
     ) -> None:
         self.registry = CollectorRegistry()
         self.registry.register(_CounterCollector(counters, gauges, server_gauges))
+        self.registry.register(_TallyCollector(tallies or RequestTallies()))
         counters.histogram = Histogram(
             "myrtlehook_seconds", "Durations", ["what"], buckets=BUCKETS_S, registry=self.registry
         )
@@ -66,3 +69,23 @@
             for server, value in values.items():
                 gauge.add_metric([server], value)
             yield gauge
+
+
+class _TallyCollector(Collector):
+    """Collects what callers got, by workspace and by route."""
+
+    def __init__(self, tallies: RequestTallies) -> None:
+        self._tallies = tallies
+
+    def collect(self) -> Iterator[Metric]:
+        for dimension, names in self._tallies.totals.names.items():
+            family = CounterMetricFamily(
+                f"myrtlehook_requests_by_{dimension}",
+                f"Requests by {dimension} and what became of them",
+                labels=[str(dimension), "outcome"],
+            )
+            for name, counts in sorted(names.items()):
+                for figure in Figure:
+                    if counts[figure]:
+                        family.add_metric([name, str(figure)], counts[figure])
+            yield family
--- a/packages/router/src/myrtlehook_router/process/operators.py
+++ b/packages/router/src/myrtlehook_router/process/operators.py
@@ -14,6 +14,7 @@
 from myrtlehook_router.process.counters import Counters
 from myrtlehook_router.process.peers import PeerSockets
 from myrtlehook_router.request.answers import JSON_TYPE, format_status_line
+from myrtlehook_router.request.request_tallies import RequestTallies, describe_tallies
 
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 
@@ -42,6 +43,7 @@
     peers: PeerSockets
     platform: PlatformClient
     is_ready: Callable[[], bool]
+    tallies: RequestTallies
     cut_allowed: bool
 
 
@@ -66,7 +68,7 @@
         ready = services.is_ready()
         return OperatorAnswer(200 if ready else 503, {"ready": ready})
     if path == "/status":
-        return OperatorAnswer(200, asdict(describe_router(services.core_task.core)))
+        return OperatorAnswer(200, _describe_status(services))
     if path == "/metrics":
         return OperatorAnswer(200, _describe_metrics(services))
     if path == "/test/cut" and environ["REQUEST_METHOD"] == "POST" and services.cut_allowed:
@@ -74,6 +76,11 @@
     return OperatorAnswer(404, {"error": f"nothing at {path}"})
 
 
+def _describe_status(services: OperatorServices) -> dict[str, object]:
+    status = asdict(describe_router(services.core_task.core))
+    return status | {"requests": describe_tallies(services.tallies, clocks.now_s())}
+
+
 def _describe_metrics(services: OperatorServices) -> dict[str, object]:
     return {
         "counters": dict(services.counters.values),
--- a/packages/router/src/myrtlehook_router/request/gateways.py
+++ b/packages/router/src/myrtlehook_router/request/gateways.py
@@ -33,6 +33,13 @@
 from myrtlehook_router.request.refusal_sums import RefusedKind, count_refusal
 from myrtlehook_router.request.refusals import make_routed_refusal
 from myrtlehook_router.request.relays import Relay, handle_caller_disconnect
+from myrtlehook_router.request.request_tallies import (
+    Figure,
+    TallyKey,
+    tally,
+    tally_arrival,
+    tally_refusal,
+)
 from myrtlehook_router.request.routed import RoutedRequest, read_request
 from myrtlehook_router.request.services import RequestServices
 
@@ -235,6 +242,7 @@
     """
     request_id = find_header(environ["headers_raw"], services.names.request_id) or ""
     services.requests.counters.add(f"refusal.{refusal.reason}")
+    _tally_refusal(services, request, specification)
     route = request.route.name if request else ""
     workspace = request.workspace.name if request else ""
     kind = RefusedKind(refusal.reason, route, workspace)
@@ -253,3 +261,20 @@
             configuration=services.requests.configuration().version.number,
         )
     return make_routed_refusal(services.names, request_id, refusal)
+
+
+def _tally_refusal(
+    services: GatewayServices,
+    request: RoutedRequest | None,
+    specification: RequestSpecification | None,
+) -> None:
+    """Count a request that was not submitted to the core."""
+    tallies = services.requests.tallies
+    now_s = clocks.now_s()
+    if specification is not None:
+        tally_arrival(tallies, specification, now_s)
+        tally_refusal(tallies, specification, now_s)
+    elif request is not None:
+        key = TallyKey(request.workspace.name, request.route.name)
+        tally(tallies, key, Figure.ASKED, now_s)
+        tally(tallies, key, Figure.REFUSED, now_s)
--- a/packages/router/src/myrtlehook_router/request/placements.py
+++ b/packages/router/src/myrtlehook_router/request/placements.py
@@ -20,6 +20,13 @@
 from myrtlehook_router.process import clocks
 from myrtlehook_router.request.answers import Refusal
 from myrtlehook_router.request.callers import CallerRequest, has_caller_disconnected
+from myrtlehook_router.request.request_tallies import (
+    Figure,
+    make_tally_key,
+    tally,
+    tally_arrival,
+    tally_refusal,
+)
 from myrtlehook_router.request.services import RequestServices
 from myrtlehook_router.request.tickets import CallerDisconnected, Ticket
 
@@ -48,6 +55,13 @@
 }
 
 
+OUTCOME_FIGURES = {
+    Outcome.COMPLETED: Figure.IN_TIME,
+    Outcome.NOT_RUN: Figure.REFUSED,
+    Outcome.UNKNOWN: Figure.UNFINISHED,
+}
+
+
 @dataclass(slots=True)
 class Placement:
     """A request that was submitted to the core, from its arrival until its ticket is closed."""
@@ -57,6 +71,8 @@
     services: RequestServices
     environ: dict[str, Any]
     closed: bool = False
+    figure: Figure | None = None
+    """What it is counted as, where its outcome does not tell: a whole answer may be late."""
 
 
 def queue_caller_request(
@@ -113,6 +129,7 @@
     if ticket is None:
         reason = RefusalReason.DUPLICATE_REQUEST_ID
         return Err(Refusal(reason, "a request of this id is still open"))
+    tally_arrival(services.tallies, specification, clocks.now_s())
     services.mailbox.post(events.RequestArrived(specification, standing))
     return Ok(Placement(specification, ticket, services, environ))
 
@@ -185,10 +202,20 @@
     placement.closed = True
     placement.services.tickets.close(placement.specification.request_id)
     placement.services.counters.add(f"outcome.{outcome}")
+    _tally_end(placement, outcome)
     elapsed_s = clocks.now_s() - placement.specification.arrived_at_s
     placement.services.counters.time("request", elapsed_s)
 
 
+def _tally_end(placement: Placement, outcome: Outcome) -> None:
+    tallies = placement.services.tallies
+    figure = placement.figure or OUTCOME_FIGURES[outcome]
+    if figure is Figure.REFUSED:
+        tally_refusal(tallies, placement.specification, clocks.now_s())
+    else:
+        tally(tallies, make_tally_key(placement.specification), figure, clocks.now_s())
+
+
 def find_server_address(placement: Placement, backend_server: str) -> str | None:
     """Return a backend server's address, or None if the configuration no longer has it."""
     server = placement.services.configuration().backend_servers.get(backend_server)
--- a/packages/router/src/myrtlehook_router/request/relays.py
+++ b/packages/router/src/myrtlehook_router/request/relays.py
@@ -20,6 +20,7 @@
     report_stream_pause,
 )
 from myrtlehook_router.request.refusal_sums import RefusedKind, count_refusal
+from myrtlehook_router.request.request_tallies import Figure
 from myrtlehook_router.request.routed import RoutedRequest
 from myrtlehook_router.request.server_notices import NO_NOTICE, ServerNotice, report_notice
 from myrtlehook_router.request.stream_pauses import (
@@ -157,6 +158,8 @@
     kind = RefusedKind(reason, request.route.name, request.workspace.name)
     sums = relay.placement.services.refusal_sums
     tokens = find_share_tokens(relay.placement.specification)
+    if reason is RefusalReason.CALLER_GONE:
+        relay.placement.figure = Figure.UNFINISHED
     is_logged = count_refusal(sums, kind, request.request_id, relay.prompt_tokens, tokens)
     end_relay(relay, Outcome.NOT_RUN, f"refused: {reason}", is_logged=is_logged)
 
@@ -171,6 +174,8 @@
     placement = relay.placement
     if placement.closed:
         return
+    if outcome is Outcome.COMPLETED:
+        placement.figure = _find_figure(relay)
     if relay.attempts:
         longest_pause_s = relay.pauses.longest_in_attempt_s
         end_placement(placement, compute_cost_units(relay), outcome, failed, longest_pause_s)
@@ -210,6 +215,17 @@
     end_relay(relay, Outcome.UNKNOWN, detail)
 
 
+def _find_figure(relay: Relay) -> Figure:
+    """Return whether a whole answer was in time for its route's targets."""
+    pauses = relay.pauses
+    begun_at_s = pauses.first_event_at_s or relay.first_byte_at_s
+    if begun_at_s - relay.request.arrived_at_s > relay.request.route.aim_s:
+        return Figure.LATE_FIRST_EVENT
+    if 0.0 < pauses.target_s < pauses.longest_s:
+        return Figure.LATE_PAUSE
+    return Figure.IN_TIME
+
+
 def _observe_stream(relay: Relay) -> None:
     """Add a stream's first event and longest pause to the histograms of its route."""
     if not relay.pauses.first_event_at_s:
--- a/packages/router/src/myrtlehook_router/request/services.py
+++ b/packages/router/src/myrtlehook_router/request/services.py
@@ -8,6 +8,7 @@
 from myrtlehook_router.process.counters import Counters
 from myrtlehook_router.process.mailboxes import Mailbox
 from myrtlehook_router.request.refusal_sums import RefusalSums
+from myrtlehook_router.request.request_tallies import RequestTallies
 from myrtlehook_router.request.tickets import TicketRegistry
 
 
@@ -27,6 +28,7 @@
     shares: Shares = field(default_factory=Shares)
     """The core's own object: requests refused before they reach the core are counted in it too."""
     refusal_sums: RefusalSums = field(default_factory=RefusalSums)
+    tallies: RequestTallies = field(default_factory=RequestTallies)
     server_checks: ServerChecks = field(default_factory=ServerChecks)
     logged_unreadable_servers: set[str] = field(default_factory=set)
     """Backend servers whose unreadable headers have been logged."""
