--- a/packages/core/src/myrtlehook_core/process/options.py
+++ b/packages/core/src/myrtlehook_core/process/options.py
@@ -158,3 +158,5 @@
     most_spread_owners: int = 8
     """The number of a pool's other owners that are told at once when one has no slot for a waiting
     request, or has granted one that was offered to them too; 0 leaves both to the next refresh."""
+    tallies_requests: bool = True
+    """Whether a router counts what callers got, by workspace and by kind of work."""
