--- a/packages/core/src/myrtlehook_core/process/engine_forecasts.py
+++ b/packages/core/src/myrtlehook_core/process/engine_forecasts.py
@@ -10,6 +10,8 @@
     estimate_read_end_s,
     estimate_unread_tokens,
 )
+from myrtlehook_core.process.reading_gaps import ReadingSpan
+from myrtlehook_core.process.reading_plans import find_plan_start_s, plan_reading
 
 LATE_YIELD_FRACTION = 0.25
 """Unavoidably late requests come after others for this fraction of the time to their deadline."""
@@ -33,13 +35,17 @@
     next_grant_s = find_paced_grant_s(load.pace, now_s)
     ends_s = _forecast_ends(load, read_end_s, now_s)
     found = []
+    plan = plan_reading(load, now_s)
     for waiting in order_waiting(load, now_s):
         start_s = max(read_end_s, next_grant_s)
         if len(ends_s) >= slots > 0:
             start_s = max(start_s, heapq.heappop(ends_s))
         if start_s < load.pace.cold_until_s:
             next_grant_s = start_s + load.pace.grant_interval_s
-        read_end_s = start_s + estimate_unread_tokens(load, waiting) / model.rate_tokens_per_s
+        reading_s = estimate_unread_tokens(load, waiting) / model.rate_tokens_per_s
+        start_s = find_plan_start_s(plan, reading_s, start_s)
+        read_end_s = start_s + reading_s
+        plan.spans.append(ReadingSpan(start_s, read_end_s))
         begin_s = read_end_s + model.delay_s
         heapq.heappush(ends_s, begin_s + waiting.output_tokens * model.token_s)
         found.append(Forecast(waiting, begin_s))
--- a/packages/core/src/myrtlehook_core/process/engine_grants.py
+++ b/packages/core/src/myrtlehook_core/process/engine_grants.py
@@ -18,6 +18,8 @@
 )
 from myrtlehook_core.process.options import CoreOptions
 from myrtlehook_core.process.queue_contexts import EngineQueues, QueueContext, describe_decision
+from myrtlehook_core.process.reading_plans import find_grant_start_s
+from myrtlehook_core.process.stream_paces import is_reading_bounded
 from myrtlehook_core.version.configurations import BackendServer
 
 
@@ -49,11 +51,16 @@
     """
     next_s = math.inf
     for load in queues.loads.values():
-        if load.waiting and (load.reading or is_cold(load.pace, now_s)):
+        if not load.waiting:
+            continue
+        is_bounded = is_reading_bounded(load.stream_pace, now_s)
+        if load.reading or is_bounded or is_cold(load.pace, now_s):
             ahead_s = compute_window_tokens(load, options) / load.model.rate_tokens_per_s
-            due_s = max(
-                estimate_read_end_s(load, now_s) - ahead_s, find_paced_grant_s(load.pace, now_s)
-            )
+            read_end_s = estimate_read_end_s(load, now_s)
+            due_s = max(read_end_s - ahead_s, find_paced_grant_s(load.pace, now_s))
+            if is_bounded:
+                first = order_waiting(load, now_s)[0]
+                due_s = max(due_s, find_grant_start_s(load, first, read_end_s, now_s))
             if due_s > now_s:
                 next_s = min(next_s, due_s)
     return next_s
@@ -86,6 +93,9 @@
         and sum_held_tokens(load) + total > MAX_MEMORY_FRACTION * load.cache.capacity_tokens
     ):
         return False
+    read_end_s = estimate_read_end_s(load, now_s)
+    if now_s < find_grant_start_s(load, waiting, read_end_s, now_s):
+        return False
     # The request's own prompt is not counted: with it the engine has enough to read.
     return not load.reading or estimate_backlog_tokens(load, now_s) < compute_window_tokens(
         load, context.options
--- a/packages/core/src/myrtlehook_core/process/engine_loads.py
+++ b/packages/core/src/myrtlehook_core/process/engine_loads.py
@@ -3,7 +3,11 @@
 import math
 from dataclasses import dataclass, field, replace
 
-from myrtlehook_core.process.admission_messages import EngineEstimate, PartRow
+from myrtlehook_core.process.admission_messages import (
+    EngineEstimate,
+    PartRow,
+    StreamPauseReport,
+)
 from myrtlehook_core.process.aim_demands import AimDemands
 from myrtlehook_core.process.cold_engines import OVERDUE_ANSWER_S, ColdPace
 from myrtlehook_core.process.ejections import ServerHealth
@@ -12,10 +16,17 @@
     ReadSample,
     learn_reading_rate,
     learn_token_time,
+    make_estimate,
 )
 from myrtlehook_core.process.options import CoreOptions
 from myrtlehook_core.process.prompt_caches import PromptCache, count_unread_tokens, record_parts_use
-from myrtlehook_core.process.stream_pauses import EnginePauses
+from myrtlehook_core.process.stream_paces import (
+    StreamPace,
+    describe_stream_pace,
+    learn_reported_pause,
+    record_reading,
+)
+from myrtlehook_core.process.stream_pauses import EnginePauses, record_pause_report
 
 MAX_MEMORY_FRACTION = 0.9
 """Requests are granted up to this fraction of an engine's memory, since outputs grow."""
@@ -90,6 +101,9 @@
     begun_at_s: float = math.inf
     pause_target_s: float = 0.0
     """The longest pause between events with which its answer is still in time; 0 for none."""
+    aim_deadline_s: float = math.inf
+    is_late: bool = False
+    """Whether its first event or a pause missed its target, so that more pauses cost nothing."""
 
 
 @dataclass(slots=True)
@@ -109,6 +123,7 @@
     pace: ColdPace = field(default_factory=ColdPace)
     aim_demands: AimDemands = field(default_factory=AimDemands)
     pauses: EnginePauses = field(default_factory=EnginePauses)
+    stream_pace: StreamPace = field(default_factory=StreamPace)
     last_answer_at_s: float = -math.inf
     """When an answer last began."""
     suspected_down: bool = False
@@ -192,6 +207,7 @@
         granted_at_s=now_s,
         deadline_s=waiting.deadline_s + GRANT_DEADLINE_MARGIN_S,
         pause_target_s=waiting.pause_target_s,
+        aim_deadline_s=waiting.aim_deadline_s,
     )
     load.granted[waiting.request_id] = item
     load.reading[waiting.request_id] = item
@@ -209,13 +225,16 @@
         return
     item.begun = True
     item.begun_at_s = now_s
+    item.is_late = item.is_late or now_s > item.aim_deadline_s
     if request_id not in load.reading:
         # The answer to a request granted later began first, so both prompts were read by then.
         return
     granted_at_s = next(iter(load.reading.values())).granted_at_s
     tokens = _remove_read_prompts(load, request_id)
     _add_to_batch(load, granted_at_s, tokens, learns, now_s)
+    previous_s = load.read_until_s
     load.read_until_s = now_s - load.model.delay_s
+    record_reading(load.stream_pace, max(previous_s, granted_at_s), load.read_until_s)
 
 
 def end_granted(load: EngineLoad, request_id: str, ran: bool, now_s: float) -> bool:
@@ -232,6 +251,22 @@
     return True
 
 
+def record_stream_pause(load: EngineLoad, report: StreamPauseReport, now_s: float) -> None:
+    """Record a reported pause, and learn from it how reading delays the engine's streams."""
+    pause = record_pause_report(load.pauses, report, now_s)
+    if pause is None:
+        return
+    learn_reported_pause(load.stream_pace, pause, now_s - load.model.delay_s)
+    item = load.granted.get(report.request_id)
+    if item is not None and pause.pause_s > pause.target_s:
+        item.is_late = True
+
+
+def make_load_estimate(load: EngineLoad, now_s: float) -> EngineEstimate:
+    """Return what this owner believes of an engine, as other routers receive it."""
+    return describe_stream_pace(load.stream_pace, make_estimate(load.model, now_s), now_s)
+
+
 def is_answer_overdue(load: EngineLoad, request_id: str, now_s: float) -> bool:
     """Return whether a request's answer is long overdue and no other one has begun meanwhile."""
     item = load.granted.get(request_id)
--- a/packages/core/src/myrtlehook_core/process/engine_queues.py
+++ b/packages/core/src/myrtlehook_core/process/engine_queues.py
@@ -32,7 +32,9 @@
     estimate_unread_tokens,
     expire_granted,
     is_answer_overdue,
+    make_load_estimate,
     record_answer_begun,
+    record_stream_pause,
 )
 from myrtlehook_core.process.engine_models import adopt_estimate, make_estimate, make_model
 from myrtlehook_core.process.engine_refusals import (
@@ -43,7 +45,11 @@
 from myrtlehook_core.process.options import CoreOptions
 from myrtlehook_core.process.prompt_caches import PromptCache, record_parts_use
 from myrtlehook_core.process.queue_contexts import EngineQueues, QueueContext
-from myrtlehook_core.process.stream_pauses import record_pause_report
+from myrtlehook_core.process.stream_paces import (
+    StreamPace,
+    adopt_stream_pace,
+    learn_longest_pause,
+)
 from myrtlehook_core.version.configurations import Configuration
 
 
@@ -71,6 +77,7 @@
                 cache=PromptCache(pool.engine_capacity.memory_tokens),
                 model=make_model(similar),
                 pace=make_pace(options or CoreOptions(), pool.cold_start),
+                stream_pace=StreamPace((options or CoreOptions()).paces_streams),
             )
             cold_until_s = (cold_deadlines_s or {}).get(name, -math.inf)
             mark_cold(queues.loads[name].pace, cold_until_s, now_s)
@@ -91,7 +98,7 @@
         return
     held = load.granted.get(message.request_id)
     if held is not None:
-        estimate = make_estimate(load.model, now_s)
+        estimate = make_load_estimate(load, now_s)
         grant = AdmissionGrant(
             message.request_id, message.backend_server, held.unread_tokens, estimate
         )
@@ -135,6 +142,7 @@
     load.waiting.pop(message.request_id, None)
     ran = message.ran and not message.failed
     load.suspected_down = load.suspected_down or is_answer_overdue(load, message.request_id, now_s)
+    learn_longest_pause(load.stream_pace, message.longest_pause_ms / 1000.0)
     known = end_granted(load, message.request_id, ran and context.options.learns_engines, now_s)
     ended = known and (message.ran or message.failed)
     failed = message.failed and context.options.ejects_servers
@@ -147,7 +155,7 @@
     """Record a pause of a stream at an owned engine."""
     load = queues.loads.get(message.backend_server)
     if load is not None:
-        record_pause_report(load.pauses, message, now_s)
+        record_stream_pause(load, message, now_s)
 
 
 def handle_held_admissions(
@@ -169,6 +177,7 @@
             drop_granted(load, request_id)
     if message.estimate is not None and context.options.learns_engines:
         load.model = adopt_estimate(load.model, message.estimate, now_s)
+        adopt_stream_pace(load.stream_pace, message.estimate, now_s)
     record_parts_use(load.cache, message.recent_parts)
     for row in message.rows:
         record_parts_use(load.cache, row.parts)
--- a/packages/core/src/myrtlehook_core/process/options.py
+++ b/packages/core/src/myrtlehook_core/process/options.py
@@ -149,3 +149,6 @@
     retry_ratio: float = 0.2
     retry_burst: float = 10.0
     attempts: int = 4
+    paces_streams: bool = True
+    """Whether an engine reads with gaps where reading without a break delays the events of its
+    streams beyond the longest pause that their routes allow."""
--- /dev/null
+++ b/packages/core/src/myrtlehook_core/process/reading_plans.py
@@ -0,0 +1,99 @@
+"""When an engine's owner may have the next prompt read, beside the streams that run there."""
+
+from dataclasses import dataclass
+
+from myrtlehook_core.process.engine_loads import (
+    EngineLoad,
+    GrantedAdmission,
+    WaitingAdmission,
+    estimate_unread_tokens,
+)
+from myrtlehook_core.process.reading_gaps import (
+    ReadingBound,
+    ReadingSpan,
+    find_reading_start_s,
+)
+from myrtlehook_core.process.stream_paces import (
+    WINDOW_FRACTION,
+    compute_free_fraction,
+    is_reading_bounded,
+)
+
+MIN_HOLD_S = 1e-6
+"""A start that differs from the end of earlier reading by less than this leaves no gap."""
+
+
+@dataclass(frozen=True, slots=True)
+class ReadingPlan:
+    """An engine's reading, past and expected, and the bounds that its streams set on it."""
+
+    spans: list[ReadingSpan]
+    bounds: tuple[ReadingBound, ...]
+
+
+def plan_reading(load: EngineLoad, now_s: float) -> ReadingPlan:
+    """Return the reading of all granted prompts and the bounds on more of it.
+
+    There are no bounds where the engine's reports do not call for any.
+    """
+    if not is_reading_bounded(load.stream_pace, now_s):
+        return ReadingPlan([], ())
+    spans = list(load.stream_pace.spans)
+    begins_s = _append_expected_reading(load, spans, now_s)
+    return ReadingPlan(spans, _list_bounds(load, begins_s))
+
+
+def find_plan_start_s(plan: ReadingPlan, reading_s: float, earliest_s: float) -> float:
+    """Return the earliest time at which a prompt's reading may start."""
+    if not plan.bounds:
+        return earliest_s
+    return find_reading_start_s(plan.spans, reading_s, plan.bounds, earliest_s)
+
+
+def find_grant_start_s(
+    load: EngineLoad, waiting: WaitingAdmission, read_end_s: float, now_s: float
+) -> float:
+    """Return when a prompt may be granted so that its reading keeps the streams' pace.
+
+    Times of reading are on the scale of ``estimate_read_end_s``, on which an idle engine reads a
+    prompt from its grant on. A prompt that may follow earlier reading at once is granted ahead.
+    """
+    plan = plan_reading(load, now_s)
+    reading_s = estimate_unread_tokens(load, waiting) / load.model.rate_tokens_per_s
+    start_s = find_plan_start_s(plan, reading_s, read_end_s)
+    return start_s if start_s > read_end_s + MIN_HOLD_S else now_s
+
+
+def _append_expected_reading(
+    load: EngineLoad, spans: list[ReadingSpan], now_s: float
+) -> dict[str, float]:
+    """Append the reading of the granted prompts; returns when each of them will be read."""
+    begins_s = {}
+    model = load.model
+    end_s = load.read_until_s
+    for request_id, item in load.reading.items():
+        start_s = max(end_s, item.granted_at_s)
+        end_s = max(start_s + item.unread_tokens / model.rate_tokens_per_s, now_s - model.delay_s)
+        spans.append(ReadingSpan(start_s, end_s))
+        begins_s[request_id] = end_s
+    return begins_s
+
+
+def _list_bounds(load: EngineLoad, begins_s: dict[str, float]) -> tuple[ReadingBound, ...]:
+    """Return the bounds of all targets that running streams can still keep."""
+    since_s: dict[float, float] = {}
+    for request_id, item in load.granted.items():
+        if item.pause_target_s > 0.0 and not item.is_late:
+            begin_s = begins_s.get(request_id, _get_begin_s(load, item))
+            since_s[item.pause_target_s] = min(since_s.get(item.pause_target_s, begin_s), begin_s)
+    bounds = []
+    for target_s, first_s in since_s.items():
+        window_s = WINDOW_FRACTION * target_s
+        free = compute_free_fraction(load.stream_pace, window_s)
+        if free > 0.0:
+            bounds.append(ReadingBound(window_s, (1.0 - free) * window_s, first_s))
+    return tuple(bounds)
+
+
+def _get_begin_s(load: EngineLoad, item: GrantedAdmission) -> float:
+    return item.begun_at_s - load.model.delay_s if item.begun else load.read_until_s
--- a/packages/core/src/myrtlehook_core/process/routers.py
+++ b/packages/core/src/myrtlehook_core/process/routers.py
@@ -27,8 +27,8 @@
     EngineFigures,
     compute_window_tokens,
     estimate_backlog_tokens,
+    make_load_estimate,
 )
-from myrtlehook_core.process.engine_models import make_estimate
 from myrtlehook_core.process.engine_queues import clear_queues, set_owned_engines
 from myrtlehook_core.process.event_handlers import EVENT_HANDLERS
 from myrtlehook_core.process.ingress import (
@@ -158,7 +158,7 @@
         return [
             EngineFigures(
                 backend_server=name,
-                estimate=make_estimate(load.model, self._now_s),
+                estimate=make_load_estimate(load, self._now_s),
                 window_tokens=compute_window_tokens(load, self.options),
                 backlog_tokens=estimate_backlog_tokens(load, self._now_s),
                 waiting_requests=len(load.waiting),
--- /dev/null
+++ b/packages/core/src/myrtlehook_core/process/stream_paces.py
@@ -0,0 +1,154 @@
+"""What an engine's owner believes of the time between events of the streams at it.
+
+It is one function of the share of time in which the engine reads: the rate of events falls in
+proportion from that of an engine that reads nothing to that of one that reads without a break.
+Reports of pauses show the latter, the runs with the shortest pauses the former. Where uninterrupted
+reading would break a target, the function says which share of the time has to stay free of it.
+
+Reports may be lost, late or doubled: each one moves the belief a little, and none are needed for
+long before the bound on reading is lifted again.
+"""
+
+import math
+from collections import deque
+from dataclasses import dataclass, field
+
+import msgspec
+
+from myrtlehook_core.process.admission_messages import EngineEstimate
+from myrtlehook_core.process.reading_gaps import ReadingSpan, sum_reading_s
+from myrtlehook_core.process.stream_pauses import ObservedPause
+
+WINDOW_FRACTION = 0.85
+"""Pauses are planned for this fraction of their target; the rest allows for errors of the forecast
+and for the delivery of events to callers."""
+
+MIN_REPORTS = 3
+"""Reading is bounded only after this many reports: one late event may have other causes."""
+
+REPORT_MEMORY_S = 10.0
+"""Reading is no longer bounded if no pause has come near its target for this long."""
+
+REPORT_WEIGHT = 0.1
+"""Weight of one reported pause in the moving average."""
+
+MIN_READING_FRACTION = 0.5
+"""A pause shows the time between events under reading if the engine read for this part of it."""
+
+MAX_FREE_EVENTS = 0.5
+"""The free part of a reported pause counts for at most this part of an event, since the time of
+an event without reading is known only roughly."""
+
+MAX_SAMPLE_FACTOR = 1.5
+"""A reported pause counts for at most this multiple of its target or of the present belief: it may
+have been lengthened on its way."""
+
+IDLE_EVENT_FRACTION = 0.25
+"""An event without reading takes at most this fraction of one under reading; a step without a
+piece of a prompt is short."""
+
+IDLE_EVENT_RISE = 1.01
+"""With each run that ends, the shortest pause known is forgotten by this factor."""
+
+MAX_FREE_FRACTION = 0.3
+"""At most this fraction of the time stays free of reading: beyond that, too many first events would
+be late instead."""
+
+MAX_SPANS = 256
+
+
+@dataclass(slots=True)
+class StreamPace:
+    """The time between events of the streams at one engine."""
+
+    is_on: bool = True
+    """Whether reading is bounded at all."""
+    reading_event_s: float = 0.0
+    """While the engine reads without a break; 0 before the first report."""
+    idle_event_s: float = math.inf
+    """While it reads nothing; infinity before the first run has ended."""
+    reports: int = 0
+    reported_at_s: float = -math.inf
+    spans: deque[ReadingSpan] = field(default_factory=lambda: deque(maxlen=MAX_SPANS))
+    """When the engine has read, on the time scale of ``estimate_read_end_s``."""
+
+
+def is_reading_bounded(pace: StreamPace, now_s: float) -> bool:
+    """Return whether reports show lately that reading has to be bounded."""
+    is_known = pace.is_on and pace.reports >= MIN_REPORTS
+    return is_known and now_s < pace.reported_at_s + REPORT_MEMORY_S
+
+
+def record_reading(pace: StreamPace, start_s: float, end_s: float) -> None:
+    """Record that the engine has read between two times."""
+    if pace.spans:
+        start_s = max(start_s, pace.spans[-1].end_s)
+    if end_s > start_s:
+        pace.spans.append(ReadingSpan(start_s, end_s))
+
+
+def learn_reported_pause(pace: StreamPace, pause: ObservedPause, seen_at_s: float) -> None:
+    """Update the time between events under reading from a reported pause.
+
+    :param seen_at_s: when the pause ended, on the time scale of the reading.
+    """
+    reading_s = sum_reading_s(pace.spans, seen_at_s - pause.pause_s, seen_at_s)
+    if reading_s < MIN_READING_FRACTION * pause.pause_s:
+        return
+    free_events = 0.0
+    if pace.reading_event_s:
+        free_s = pause.pause_s - reading_s
+        free_events = min(free_s / get_idle_event_s(pace), MAX_FREE_EVENTS)
+    longest_s = MAX_SAMPLE_FACTOR * max(pause.target_s, pace.reading_event_s)
+    event_s = min(reading_s / (1.0 - free_events), longest_s)
+    weight = REPORT_WEIGHT if pace.reading_event_s else 1.0
+    pace.reading_event_s += weight * (event_s - pace.reading_event_s)
+    pace.reports += 1
+    pace.reported_at_s = pause.ended_at_s
+
+
+def learn_longest_pause(pace: StreamPace, pause_s: float) -> None:
+    """Update the time between events without reading from the longest pause of an ended run."""
+    if pause_s > 0.0:
+        pace.idle_event_s = min(pace.idle_event_s * IDLE_EVENT_RISE, pause_s)
+
+
+def get_idle_event_s(pace: StreamPace) -> float:
+    """Return the believed time between events without reading."""
+    return min(pace.idle_event_s, IDLE_EVENT_FRACTION * pace.reading_event_s)
+
+
+def compute_free_fraction(pace: StreamPace, window_s: float) -> float:
+    """Return which fraction of a window has to stay free of reading for one event to fit in it."""
+    if pace.reading_event_s <= window_s:
+        return 0.0
+    idle_event_s = get_idle_event_s(pace)
+    if idle_event_s >= window_s:
+        # Events come too late without any reading as well.
+        return 0.0
+    missing = 1.0 / window_s - 1.0 / pace.reading_event_s
+    gained = 1.0 / idle_event_s - 1.0 / pace.reading_event_s
+    return min(missing / gained, MAX_FREE_FRACTION)
+
+
+def adopt_stream_pace(pace: StreamPace, estimate: EngineEstimate, now_s: float) -> None:
+    """Adopt an earlier owner's belief, unless there are own reports already."""
+    if pace.reports or estimate.reading_event_ms <= 0.0:
+        return
+    pace.reading_event_s = estimate.reading_event_ms / 1000.0
+    pace.idle_event_s = estimate.idle_event_ms / 1000.0 or math.inf
+    pace.reports = MIN_REPORTS
+    pace.reported_at_s = now_s
+
+
+def describe_stream_pace(
+    pace: StreamPace, estimate: EngineEstimate, now_s: float
+) -> EngineEstimate:
+    """Add the belief to an estimate that other routers receive, while reading is bounded."""
+    if not is_reading_bounded(pace, now_s):
+        return estimate
+    return msgspec.structs.replace(
+        estimate,
+        reading_event_ms=round(pace.reading_event_s * 1000.0, 1),
+        idle_event_ms=round(get_idle_event_s(pace) * 1000.0, 1),
+    )
--- a/packages/core/src/myrtlehook_core/process/stream_pauses.py
+++ b/packages/core/src/myrtlehook_core/process/stream_pauses.py
@@ -21,6 +21,7 @@
     """When the report of it arrived."""
     pause_s: float
     target_s: float
+    request_id: str = ""
 
 
 @dataclass(slots=True)
@@ -30,6 +31,17 @@
     recent: deque[ObservedPause] = field(default_factory=lambda: deque(maxlen=MAX_PAUSES))
 
 
-def record_pause_report(pauses: EnginePauses, report: StreamPauseReport, now_s: float) -> None:
-    """Keep a reported pause."""
-    pauses.recent.append(ObservedPause(now_s, report.pause_ms / 1000.0, report.target_ms / 1000.0))
+def record_pause_report(
+    pauses: EnginePauses, report: StreamPauseReport, now_s: float
+) -> ObservedPause | None:
+    """Keep a reported pause; None if the report is a double of one that is kept."""
+    pause = ObservedPause(
+        now_s, report.pause_ms / 1000.0, report.target_ms / 1000.0, report.request_id
+    )
+    if any(
+        known.request_id == pause.request_id and known.pause_s == pause.pause_s
+        for known in pauses.recent
+    ):
+        return None
+    pauses.recent.append(pause)
+    return pause
