--- a/packages/router/src/myrtlehook_router/process/core_tasks.py
+++ b/packages/router/src/myrtlehook_router/process/core_tasks.py
@@ -274,6 +274,8 @@
             delay_ms=estimate.delay_ms,
             samples=estimate.samples,
             estimate_age_ms=estimate.age_ms,
+            reading_event_ms=estimate.reading_event_ms,
+            idle_event_ms=estimate.idle_event_ms,
         )
 
     def _record_share_level(self, action: actions.ShareLevelReported) -> None:
