--- a/tests/standins/engine_models.py
+++ b/tests/standins/engine_models.py
@@ -30,6 +30,7 @@
     AdmissionRelease,
     AdmissionRequest,
     PartRow,
+    StreamPauseReport,
 )
 from myrtlehook_core.process.engine_grants import find_next_grant_s, grant_due
 from myrtlehook_core.process.engine_loads import (
@@ -41,11 +42,13 @@
     handle_admission_progress,
     handle_admission_release,
     handle_admission_request,
+    handle_pause_report,
     set_owned_engines,
     tick_queues,
 )
 from myrtlehook_core.process.outboxes import MessageOutbox
 from myrtlehook_core.process.queue_contexts import EngineQueues, QueueContext
+from myrtlehook_router.request.stream_pauses import REPORTED_PAUSE_FRACTION
 
 ENGINE = "e0"
 POOL = "model"
@@ -70,6 +73,10 @@
     transit_s: float = 0.002
     """One-way delay between the owner and the engine."""
     slots: int = 1000
+    event_tokens: int = 1
+    """Tokens that an event of a stream holds."""
+    pause_target_s: float = 0.0
+    """The longest pause between events that the streams' route allows; 0 for none."""
 
 
 @dataclass(slots=True)
@@ -77,6 +84,17 @@
     request_id: str
     unread_tokens: int
     output_tokens_left: int
+    tokens_to_event: int = 0
+    event_at_s: float = 0.0
+    """When its last event was made; 0 before the first."""
+
+
+@dataclass(frozen=True, slots=True)
+class EndedStream:
+    """A stream that ran to its end."""
+
+    began_s: float
+    longest_pause_s: float
 
 
 @dataclass(slots=True)
@@ -92,9 +110,9 @@
 class OwnedEngine:
     """One engine, its owner, and the messages between them, in simulated time."""
 
-    def __init__(self, traits: Traits, seed: int = 1) -> None:
+    def __init__(self, traits: Traits, seed: int = 1, options: CoreOptions | None = None) -> None:
         self.traits = traits
-        self.options = CoreOptions()
+        self.options = options or CoreOptions()
         self.random = random.Random(seed)
         self.now_s = 0.0
         self.reading: deque[_Run] = deque()
@@ -106,11 +124,21 @@
         self.most_unread_tokens = 0
         self.forecasts: list[CheckedForecast] = []
         """The forecasts of all answers that have begun."""
+        self.ended: list[EndedStream] = []
+        self.read_tokens = 0
+        """Prompt tokens read so far."""
+        self.grants: list[tuple[str, float]] = []
+        """Which request was granted when."""
+        self.deliver_report: Callable[[Callable[[], None]], None] = lambda deliver: deliver()
+        """Delivers a report of a pause to the owner, or loses, delays or doubles it."""
         self.step_factor = 1.0
         """How many times longer than usual a step takes."""
         self._expected: dict[str, CheckedForecast] = {}
         self._numbers = itertools.count()
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._pauses_s: dict[str, float] = {}
+        """The longest pause of each stream that has begun."""
+        self._begun_s: dict[str, float] = {}
         self._ungranted: dict[str, AdmissionRequest] = {}
         server = BackendServer(ENGINE, POOL, "10.0.1.1:80", "z", traits.slots, False, False)
         pool = Pool(POOL, PoolKind.MODEL, (), 1.0, 2.0, False, 10.0, EngineCapacity(MEMORY_TOKENS))
@@ -120,7 +148,7 @@
             backend_servers={ENGINE: server},
         )
         self.queues = EngineQueues()
-        set_owned_engines(self.queues, {ENGINE}, self.configuration, -1.0)
+        set_owned_engines(self.queues, {ENGINE}, self.configuration, -1.0, self.options)
         self._step()
         self._run_grant_turn()
         self._tick()
@@ -162,6 +190,7 @@
             priority=1,
             tier=0,
             hop=0,
+            pause_target_ms=round(self.traits.pause_target_s * 1000.0),
         )
         self._ungranted[request_id] = message
         self._decide(
@@ -170,6 +199,12 @@
             )
         )
 
+    def part_over_target(self, from_s: float, to_s: float) -> float:
+        """Return the fraction of the streams begun in a time that had a pause over their target."""
+        streams = [stream for stream in self.ended if from_s <= stream.began_s < to_s]
+        over = [stream for stream in streams if stream.longest_pause_s > self.traits.pause_target_s]
+        return len(over) / len(streams) if streams else 0.0
+
     def median_forecast_error_s(self, learned: int) -> float:
         """Return the median error of the forecasts made from at least ``learned`` answers."""
         errors_s = [
@@ -195,6 +230,7 @@
         work(context)
         for _, message in outbox.messages:
             assert isinstance(message, AdmissionGrant), message
+            self.grants.append((message.request_id, self.now_s))
             self._send_to_engine(message.request_id)
 
     def _send_to_engine(self, request_id: str) -> None:
@@ -229,6 +265,7 @@
         unread = sum(run.unread_tokens for run in self.reading)
         self.most_unread_tokens = max(self.most_unread_tokens, unread)
         read = traits.chunk_tokens - left
+        self.read_tokens += read
         busy = bool(read or self.running)
         length_s = traits.step_s + read / traits.read_tokens_per_s if busy else 0.001
         length_s *= self.step_factor
@@ -242,11 +279,16 @@
     def _end_step(self, done: list[_Run]) -> None:
         for run in list(self.running):
             run.output_tokens_left -= 1
+            self._make_token(run)
             if run.output_tokens_left <= 0:
                 self.running.remove(run)
                 self._report_end(run)
         for run in done:
             self.running.append(run)
+            run.event_at_s = self.now_s
+            run.tokens_to_event = self.traits.event_tokens
+            self._pauses_s[run.request_id] = 0.0
+            self._begun_s[run.request_id] = self.now_s
             reported_at_s = self.now_s + self.traits.first_delay_s + self.traits.transit_s
             self.at(reported_at_s, partial(self._report_begun, run))
         self._step()
@@ -260,8 +302,34 @@
             lambda context: handle_admission_progress(self.queues, context, message, self.now_s)
         )
 
+    def _make_token(self, run: _Run) -> None:
+        """Count one token of a stream, and report the pause before an event that it completes."""
+        run.tokens_to_event -= 1
+        if run.tokens_to_event > 0 and run.output_tokens_left > 0:
+            return
+        pause_s = self.now_s - run.event_at_s
+        run.event_at_s = self.now_s
+        run.tokens_to_event = self.traits.event_tokens
+        self._pauses_s[run.request_id] = max(self._pauses_s[run.request_id], pause_s)
+        target_s = self.traits.pause_target_s
+        if target_s > 0.0 and pause_s >= REPORTED_PAUSE_FRACTION * target_s:
+            self._report_pause(run, pause_s)
+
+    def _report_pause(self, run: _Run, pause_s: float) -> None:
+        target_ms = round(self.traits.pause_target_s * 1000.0)
+        message = StreamPauseReport(run.request_id, ENGINE, round(pause_s * 1000.0), target_ms)
+
+        def deliver() -> None:
+            handle_pause_report(self.queues, message, self.now_s)
+
+        reported_at_s = self.now_s + self.traits.first_delay_s + self.traits.transit_s
+        self.at(reported_at_s, lambda: self.deliver_report(deliver))
+
     def _report_end(self, run: _Run) -> None:
-        message = AdmissionRelease(run.request_id, ENGINE, ran=True)
+        pause_s = self._pauses_s.pop(run.request_id)
+        self.ended.append(EndedStream(self._begun_s.pop(run.request_id), pause_s))
+        pause_ms = round(pause_s * 1000.0)
+        message = AdmissionRelease(run.request_id, ENGINE, ran=True, longest_pause_ms=pause_ms)
         reported_at_s = self.now_s + self.traits.first_delay_s + self.traits.transit_s + 0.001
         self.at(
             reported_at_s,
