--- a/packages/core/src/myrtlehook_core/process/actions.py
+++ b/packages/core/src/myrtlehook_core/process/actions.py
@@ -113,6 +113,21 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class ReadingBoundChanged:
+    """An engine's reading is bounded from now on, so that its streams keep their pace, or is not
+    bounded any more."""
+
+    backend_server: str
+    is_bounded: bool
+    reading_event_s: float
+    """The believed time between events while the engine reads without a break."""
+    idle_event_s: float
+    """The same while it reads nothing."""
+    reports: int
+    """The number of reported pauses that the belief is based on."""
+
+
 @dataclass(frozen=True, slots=True)
 class ServerLeavingReported:
     """A backend server is leaving, according to one of its own answers or another router."""
@@ -175,6 +190,8 @@
     estimate: EngineEstimate
     retry_after_ms: int | None
     """For a refusal, the time until the request would have fitted; None for a grant."""
+    held_s: float = 0.0
+    """How long its prompt was held back so that running streams keep their pace."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -296,6 +313,7 @@
     | ConfigurationRejected
     | BackendServersChanged
     | ColdEngineDetected
+    | ReadingBoundChanged
     | ServerLeavingReported
     | ServerBackoffReported
     | ReadSource
--- a/packages/core/src/myrtlehook_core/process/engine_grants.py
+++ b/packages/core/src/myrtlehook_core/process/engine_grants.py
@@ -94,6 +94,7 @@
     ):
         return False
     if now_s < find_grant_start_s(load, waiting, now_s):
+        waiting.held_since_s = min(waiting.held_since_s, now_s)
         return False
     # The request's own prompt is not counted: with it the engine has enough to read.
     return not load.reading or estimate_backlog_tokens(load, now_s) < compute_window_tokens(
--- a/packages/core/src/myrtlehook_core/process/engine_loads.py
+++ b/packages/core/src/myrtlehook_core/process/engine_loads.py
@@ -77,6 +77,8 @@
     were idle."""
     unavoidably_late: bool = False
     """Whether its answer would miss its first-token target even if the engine were idle."""
+    held_since_s: float = math.inf
+    """Since when its prompt is held back so that running streams keep their pace."""
     latest_start_s: float = 0.0
     """When the engine must begin to read it for its answer to begin in time."""
 
@@ -150,6 +152,10 @@
     granted_requests: int
     cold_until_s: float = -math.inf
     """Until when it is considered cold."""
+    reading_fraction: float = 0.0
+    """The fraction of the last second in which it read prompts, according to its model."""
+    late_streams: int = 0
+    """Running requests that have missed a target already."""
 
 
 def estimate_read_end_s(load: EngineLoad, now_s: float) -> float:
@@ -262,6 +268,11 @@
         item.is_late = True
 
 
+def count_late_streams(load: EngineLoad) -> int:
+    """Return how many granted requests have missed a target already."""
+    return sum(item.is_late for item in load.granted.values())
+
+
 def make_load_estimate(load: EngineLoad, now_s: float) -> EngineEstimate:
     """Return what this owner believes of an engine, as other routers receive it."""
     return describe_stream_pace(load.stream_pace, make_estimate(load.model, now_s), now_s)
--- a/packages/core/src/myrtlehook_core/process/engine_queues.py
+++ b/packages/core/src/myrtlehook_core/process/engine_queues.py
@@ -7,7 +7,11 @@
 import math
 from collections.abc import Mapping
 
-from myrtlehook_core.process.actions import ColdEngineDetected, ServerEjected
+from myrtlehook_core.process.actions import (
+    ColdEngineDetected,
+    ReadingBoundChanged,
+    ServerEjected,
+)
 from myrtlehook_core.process.admission_messages import (
     AdmissionGrant,
     AdmissionProgress,
@@ -48,6 +52,8 @@
 from myrtlehook_core.process.stream_paces import (
     StreamPace,
     adopt_stream_pace,
+    get_idle_event_s,
+    is_reading_bounded,
     learn_longest_pause,
 )
 from myrtlehook_core.version.configurations import Configuration
@@ -190,6 +196,7 @@
     for name, load in queues.loads.items():
         expired += expire_granted(load, now_s)
         _drop_unreachable(load, context)
+        _tell_reading_bound(context, name, load, now_s)
         refuse_unservable_admissions(queues, context, name, load, now_s)
         grant_waiting(context, name, load, now_s)
     expired_keys = [key for key, end_s in queues.refused_until_s.items() if now_s >= end_s]
@@ -219,6 +226,20 @@
         context.actions.add(ColdEngineDetected(name, until_s, reason))
 
 
+def _tell_reading_bound(context: QueueContext, name: str, load: EngineLoad, now_s: float) -> None:
+    """Tell the operator when an engine's reading becomes bounded or unbounded."""
+    pace = load.stream_pace
+    is_bounded = is_reading_bounded(pace, now_s)
+    if is_bounded == pace.was_bounded:
+        return
+    pace.was_bounded = is_bounded
+    context.actions.add(
+        ReadingBoundChanged(
+            name, is_bounded, pace.reading_event_s, get_idle_event_s(pace), pace.reports
+        )
+    )
+
+
 def _find_similar_estimate(
     queues: EngineQueues, configuration: Configuration, pool: str, now_s: float
 ) -> EngineEstimate | None:
--- a/packages/core/src/myrtlehook_core/process/queue_contexts.py
+++ b/packages/core/src/myrtlehook_core/process/queue_contexts.py
@@ -73,4 +73,5 @@
         asked_tokens=count_share_tokens(waiting.prompt_tokens, waiting.output_tokens),
         estimate=make_load_estimate(load, now_s),
         retry_after_ms=retry_after_ms,
+        held_s=max(now_s - waiting.held_since_s, 0.0),
     )
--- a/packages/core/src/myrtlehook_core/process/routers.py
+++ b/packages/core/src/myrtlehook_core/process/routers.py
@@ -26,6 +26,7 @@
 from myrtlehook_core.process.engine_loads import (
     EngineFigures,
     compute_window_tokens,
+    count_late_streams,
     estimate_backlog_tokens,
     make_load_estimate,
 )
@@ -68,6 +69,7 @@
 )
 from myrtlehook_core.process.quarantine_messages import QuarantineRow
 from myrtlehook_core.process.queue_contexts import EngineQueues, QueueContext
+from myrtlehook_core.process.reading_gaps import sum_reading_s
 from myrtlehook_core.process.refusals import refuse_unservable
 from myrtlehook_core.process.shares import Shares
 from myrtlehook_core.process.source_messages import ReaderRow
@@ -164,6 +166,10 @@
                 waiting_requests=len(load.waiting),
                 granted_requests=len(load.granted),
                 cold_until_s=load.pace.cold_until_s,
+                reading_fraction=sum_reading_s(
+                    load.stream_pace.spans, self._now_s - 1.0, self._now_s
+                ),
+                late_streams=count_late_streams(load),
             )
             for name, load in sorted(self.engine_queues.loads.items())
         ]
--- a/packages/core/src/myrtlehook_core/process/stream_paces.py
+++ b/packages/core/src/myrtlehook_core/process/stream_paces.py
@@ -31,8 +31,8 @@
 
 RISE_WEIGHT = 0.1
 FALL_WEIGHT = 0.01
-"""Weights of one reported pause above and below the present belief in the moving average. It follows
-the longer ones: pieces of many short prompts take less time than those that break streams."""
+"""Weights of one reported pause above and below the present belief in the moving average. It
+follows the longer ones: pieces of short prompts take less time than those that break streams."""
 
 MIN_READING_FRACTION = 0.5
 """A pause shows the time between events under reading if the engine read for this part of it."""
@@ -71,6 +71,8 @@
     """While it reads nothing; infinity before the first run has ended."""
     reports: int = 0
     reported_at_s: float = -math.inf
+    was_bounded: bool = False
+    """Whether reading was bounded when this was last told to the operator."""
     spans: deque[ReadingSpan] = field(default_factory=lambda: deque(maxlen=MAX_SPANS))
     """When the engine has read, on the time scale of ``estimate_read_end_s``."""
 
--- a/packages/router/src/myrtlehook_router/process/core_tasks.py
+++ b/packages/router/src/myrtlehook_router/process/core_tasks.py
@@ -218,6 +218,17 @@
             reason=action.reason,
         )
 
+    def _record_reading_bound(self, action: actions.ReadingBoundChanged) -> None:
+        outcome = "bounded" if action.is_bounded else "unbounded"
+        self._counters.add(f"engines.reading_{outcome}")
+        _log.info(
+            f"engine reading {outcome}",
+            backend_server=action.backend_server,
+            reading_event_ms=round(action.reading_event_s * 1000.0, 1),
+            idle_event_ms=round(action.idle_event_s * 1000.0, 1),
+            reports=action.reports,
+        )
+
     def _record_leaving_server(self, action: actions.ServerLeavingReported) -> None:
         self._counters.add("backend.leaving")
         _log.info(
@@ -254,6 +265,8 @@
         granted = action.retry_after_ms is None
         outcome = "granted" if granted else "refused"
         self._counters.add(f"admission.{outcome}")
+        if action.held_s > 0.0:
+            self._counters.add("admission.held")
         band = _find_share_band(action)
         self._counters.add(f"shares.{outcome}_tokens.{band}", action.asked_tokens)
         estimate = action.estimate
@@ -276,6 +289,7 @@
             estimate_age_ms=estimate.age_ms,
             reading_event_ms=estimate.reading_event_ms,
             idle_event_ms=estimate.idle_event_ms,
+            held_ms=round(action.held_s * 1000.0, 1),
         )
 
     def _record_share_level(self, action: actions.ShareLevelReported) -> None:
@@ -373,6 +387,7 @@
     actions.ConfigurationChanged: CoreTask._record_configuration,
     actions.BackendServersChanged: CoreTask._record_servers,
     actions.ColdEngineDetected: CoreTask._record_cold_engine,
+    actions.ReadingBoundChanged: CoreTask._record_reading_bound,
     actions.ServerLeavingReported: CoreTask._record_leaving_server,
     actions.ServerBackoffReported: CoreTask._record_backoff,
     actions.ReadSource: CoreTask._switch_source_reading,
--- a/packages/router/src/myrtlehook_router/process/engine_gauges.py
+++ b/packages/router/src/myrtlehook_router/process/engine_gauges.py
@@ -13,6 +13,10 @@
     "engine_window_tokens": lambda item: item.window_tokens,
     "engine_backlog_tokens": lambda item: item.backlog_tokens,
     "engine_waiting_requests": lambda item: item.waiting_requests,
+    "engine_reading_event_s": lambda item: item.estimate.reading_event_ms / 1000.0,
+    "engine_idle_event_s": lambda item: item.estimate.idle_event_ms / 1000.0,
+    "engine_reading_fraction": lambda item: item.reading_fraction,
+    "engine_late_streams": lambda item: item.late_streams,
     "engine_cold_left_s": lambda item: max(item.cold_until_s - clocks.now_s(), 0.0),
 }
 """Reads the value of each gauge that docs/operators/metrics.md lists."""
--- a/tests/steps/stream_pace_steps.py
+++ b/tests/steps/stream_pace_steps.py
@@ -3,7 +3,6 @@
 import itertools
 import math
 from collections.abc import Callable, Sequence
-from dataclasses import replace
 from functools import partial
 from typing import Any
 
@@ -22,7 +21,6 @@
     sum_reading_s,
 )
 from myrtlehook_core.process.stream_paces import (
-    MAX_FREE_FRACTION,
     WINDOW_FRACTION,
     StreamPace,
     adopt_stream_pace,
