--- a/packages/core/src/myrtlehook_core/process/reading_plans.py
+++ b/packages/core/src/myrtlehook_core/process/reading_plans.py
@@ -16,7 +16,8 @@
 from myrtlehook_core.process.stream_paces import (
     WINDOW_FRACTION,
     compute_free_fraction,
-    is_reading_bounded,
+    has_recent_reports,
+    update_bounded_targets,
 )
 
 CONFIRM_FRACTION = 0.1
@@ -44,7 +45,7 @@
 
     There are no bounds where the engine's reports do not call for any.
     """
-    if not is_reading_bounded(load.stream_pace, now_s):
+    if not has_recent_reports(load.stream_pace, now_s):
         return ReadingPlan([], ())
     spans = list(load.stream_pace.spans)
     begins_s = _append_expected_reading(load, spans, now_s)
@@ -101,6 +102,9 @@
             since_s[item.pause_target_s] = min(since_s.get(item.pause_target_s, begin_s), begin_s)
     bounds = []
     for target_s, first_s in since_s.items():
+        update_bounded_targets(load.stream_pace, target_s)
+        if target_s not in load.stream_pace.bounded_targets_s:
+            continue
         window_s = WINDOW_FRACTION * target_s
         free = compute_free_fraction(load.stream_pace, window_s)
         if free > 0.0:
--- a/packages/core/src/myrtlehook_core/process/stream_paces.py
+++ b/packages/core/src/myrtlehook_core/process/stream_paces.py
@@ -23,6 +23,11 @@
 """Pauses are planned for this fraction of their target; the rest allows for errors of the forecast
 and for the delivery of events to callers."""
 
+ENTER_FRACTION = 0.95
+LEAVE_FRACTION = 0.88
+"""Reading is bounded for a target once an event under uninterrupted reading takes the first
+fraction of it, and until it takes less than the second."""
+
 MIN_REPORTS = 3
 """Reading is bounded only after this many reports: one late event may have other causes."""
 
@@ -71,18 +76,25 @@
     """While it reads nothing; infinity before the first run has ended."""
     reports: int = 0
     reported_at_s: float = -math.inf
+    bounded_targets_s: set[float] = field(default_factory=set)
+    """The targets that uninterrupted reading would break."""
     was_bounded: bool = False
     """Whether reading was bounded when this was last told to the operator."""
     spans: deque[ReadingSpan] = field(default_factory=lambda: deque(maxlen=MAX_SPANS))
     """When the engine has read, on the time scale of ``estimate_read_end_s``."""
 
 
-def is_reading_bounded(pace: StreamPace, now_s: float) -> bool:
-    """Return whether reports show lately that reading has to be bounded."""
+def has_recent_reports(pace: StreamPace, now_s: float) -> bool:
+    """Return whether enough pauses came near their targets, and the last one lately."""
     is_known = pace.is_on and pace.reports >= MIN_REPORTS
     return is_known and now_s < pace.reported_at_s + REPORT_MEMORY_S
 
 
+def is_reading_bounded(pace: StreamPace, now_s: float) -> bool:
+    """Return whether reading is bounded for any target."""
+    return bool(pace.bounded_targets_s) and has_recent_reports(pace, now_s)
+
+
 def record_reading(pace: StreamPace, start_s: float, end_s: float) -> None:
     """Record that the engine has read between two times."""
     if pace.spans:
@@ -111,6 +123,7 @@
     pace.reading_event_s += weight * (event_s - pace.reading_event_s)
     pace.reports += 1
     pace.reported_at_s = pause.ended_at_s
+    update_bounded_targets(pace, pause.target_s)
 
 
 def learn_longest_pause(pace: StreamPace, pause_s: float) -> None:
@@ -124,6 +137,14 @@
     return min(pace.idle_event_s, IDLE_EVENT_FRACTION * pace.reading_event_s)
 
 
+def update_bounded_targets(pace: StreamPace, target_s: float) -> None:
+    """Decide whether reading is bounded for a target, with hysteresis."""
+    if pace.reading_event_s >= ENTER_FRACTION * target_s:
+        pace.bounded_targets_s.add(target_s)
+    elif pace.reading_event_s < LEAVE_FRACTION * target_s:
+        pace.bounded_targets_s.discard(target_s)
+
+
 def compute_free_fraction(pace: StreamPace, window_s: float) -> float:
     """Return which fraction of a window has to stay free of reading for one event to fit in it."""
     if pace.reading_event_s <= window_s:
