--- a/packages/core/src/myrtlehook_core/process/reading_gaps.py
+++ b/packages/core/src/myrtlehook_core/process/reading_gaps.py
@@ -37,7 +37,8 @@
 ) -> float:
     """Return the earliest time at which a prompt's reading may start within all bounds.
 
-    A prompt that is longer than a bound allows breaks it at any time, and is not held back by it.
+    A prompt that is longer than a bound allows breaks it at any time; it starts after a gap, like the
+    longest prompt within the bound, which leaves the streams the most time around it.
 
     :param spans: earlier reading, in the order of time, all of which ends by ``earliest_s``.
     :param reading_s: how long the engine reads the prompt.
@@ -61,9 +62,8 @@
     The window that ends with the prompt's reading holds most: the start of that window has to lie
     so late that earlier reading within it leaves room for the prompt.
     """
+    reading_s = min(reading_s, bound.reading_s)
     left_s = bound.reading_s - reading_s
-    if left_s < 0.0:
-        return earliest_s
     for span in reversed(spans):
         length_s = span.end_s - max(span.start_s, bound.since_s)
         if length_s <= 0.0:
