--- a/packages/core/src/myrtlehook_core/process/reading_gaps.py
+++ b/packages/core/src/myrtlehook_core/process/reading_gaps.py
@@ -37,8 +37,8 @@
 ) -> float:
     """Return the earliest time at which a prompt's reading may start within all bounds.
 
-    A prompt that is longer than a bound allows breaks it at any time; it starts after a gap, like the
-    longest prompt within the bound, which leaves the streams the most time around it.
+    A prompt that is longer than a bound allows breaks it at any time. It starts after a gap, like
+    the longest prompt within the bound, which leaves the streams the most time around it.
 
     :param spans: earlier reading, in the order of time, all of which ends by ``earliest_s``.
     :param reading_s: how long the engine reads the prompt.
--- a/tests/features/stream_paces.feature
+++ b/tests/features/stream_paces.feature
@@ -38,6 +38,19 @@
     Then without gaps, more than 0.5 of the streams begun in that time pause for too long
     And with gaps, at most 0.1 of them do
     And 12 s after that its reading is not bounded any more
+    And its owner has told once that it bounds the reading, and once that it does not
+
+  # Guards against: flapping at the limit.
+  Scenario Outline: An engine at the limit is bounded and unbounded at most once
+    Given an engine whose events take <event> s under reading, with a target of 0.4 s
+    When more prompts of about 6000 tokens wait than it can read
+    Then its owner has told at most twice whether it bounds the reading
+
+    Examples:
+      | event |
+      | 0.36  |
+      | 0.38  |
+      | 0.4   |
 
   Scenario: An engine whose events stay below the target is granted exactly as before
     Given an engine whose events take 0.23 s under reading, with a target of 0.4 s
--- a/tests/standins/engine_models.py
+++ b/tests/standins/engine_models.py
@@ -23,7 +23,7 @@
     Pool,
     PoolKind,
 )
-from myrtlehook_core.process.actions import ActionList
+from myrtlehook_core.process.actions import ActionList, ReadingBoundChanged
 from myrtlehook_core.process.admission_messages import (
     AdmissionGrant,
     AdmissionProgress,
@@ -133,6 +133,8 @@
         """Prompt tokens read so far."""
         self.grants: list[tuple[str, float]] = []
         """Which request was granted when."""
+        self.bound_changes: list[bool] = []
+        """What the owner has told of the bound on the engine's reading."""
         self.deliver_report: Callable[[Callable[[], None]], None] = lambda deliver: deliver()
         """Delivers a report of a pause to the owner, or loses, delays or doubles it."""
         self.step_factor = 1.0
@@ -257,14 +259,20 @@
 
     def _decide(self, work: Callable[[QueueContext], object]) -> None:
         outbox = MessageOutbox()
+        actions = ActionList()
         context = QueueContext(
             options=self.options,
             configuration=self.configuration,
             is_reachable=lambda name: True,
-            actions=ActionList(),
+            actions=actions,
             outbox=outbox,
         )
         work(context)
+        self.bound_changes += [
+            action.is_bounded
+            for action in actions.actions
+            if isinstance(action, ReadingBoundChanged)
+        ]
         for _, message in outbox.messages:
             assert isinstance(message, AdmissionGrant), message
             self.grants.append((message.request_id, self.now_s))
--- a/tests/steps/stream_pace_steps.py
+++ b/tests/steps/stream_pace_steps.py
@@ -289,6 +289,17 @@
     assert not is_reading_bounded(engine.load.stream_pace, engine.now_s), engine.load.stream_pace
 
 
+@then("its owner has told once that it bounds the reading, and once that it does not")
+def check_told_changes(context: Any) -> None:
+    assert _play(context, True).bound_changes == [True, False]
+
+
+@then("its owner has told at most twice whether it bounds the reading")
+def check_no_flapping(context: Any) -> None:
+    changes = _play(context, True).bound_changes
+    assert len(changes) <= 2, changes
+
+
 @then("with gaps, the same prompts are granted at the same times as without")
 def check_same_grants(context: Any) -> None:
     assert _play(context, True).grants == _play(context, False).grants
