--- a/packages/core/src/myrtlehook_core/process/admission_messages.py
+++ b/packages/core/src/myrtlehook_core/process/admission_messages.py
@@ -54,10 +54,10 @@
     """The number of answers that the estimate is based on."""
     age_ms: int
     """Time since the last of them."""
-    reading_event_ms: float = 0.0
+    reading_event_ms: int = 0
     """Between two events of a stream while it reads without a break; 0 if its streams keep their
     pace anyway."""
-    idle_event_ms: float = 0.0
+    idle_event_ms: int = 0
     """The same while it reads nothing; 0 if that is not known."""
 
 
--- a/packages/core/src/myrtlehook_core/process/stream_paces.py
+++ b/packages/core/src/myrtlehook_core/process/stream_paces.py
@@ -160,7 +160,7 @@
 
 def adopt_stream_pace(pace: StreamPace, estimate: EngineEstimate, now_s: float) -> None:
     """Adopt an earlier owner's belief, unless there are own reports already."""
-    if pace.reports or estimate.reading_event_ms <= 0.0:
+    if pace.reports or estimate.reading_event_ms <= 0:
         return
     pace.reading_event_s = estimate.reading_event_ms / 1000.0
     pace.idle_event_s = estimate.idle_event_ms / 1000.0 or math.inf
@@ -176,6 +176,6 @@
         return estimate
     return msgspec.structs.replace(
         estimate,
-        reading_event_ms=round(pace.reading_event_s * 1000.0, 1),
-        idle_event_ms=round(get_idle_event_s(pace) * 1000.0, 1),
+        reading_event_ms=round(pace.reading_event_s * 1000.0),
+        idle_event_ms=round(get_idle_event_s(pace) * 1000.0),
     )
