--- a/packages/core/src/myrtlehook_core/process/stream_paces.py
+++ b/packages/core/src/myrtlehook_core/process/stream_paces.py
@@ -108,6 +108,8 @@
 
     :param seen_at_s: when the pause ended, on the time scale of the reading.
     """
+    if pause.pause_s <= 0.0 or pause.target_s <= 0.0:
+        return
     reading_s = sum_reading_s(pace.spans, seen_at_s - pause.pause_s, seen_at_s)
     if reading_s < MIN_READING_FRACTION * pause.pause_s:
         return
--- a/tests/features/stream_paces.feature
+++ b/tests/features/stream_paces.feature
@@ -102,5 +102,8 @@
     Then a stream pace survives the estimate that goes with each grant
     And an estimate of an owner that bounds no reading changes nothing
 
+  Scenario: Reports that make no sense change nothing
+    Then reports of no pause, of no target and of requests that are not known bound no reading
+
   Scenario: Drawn engines
     Then whatever engine is drawn, fitting prompts break few streams and cost little reading
--- a/tests/steps/stream_pace_steps.py
+++ b/tests/steps/stream_pace_steps.py
@@ -12,8 +12,10 @@
 from hypothesis import strategies as st
 
 from myrtlehook_core import CoreOptions
+from myrtlehook_core.process.admission_messages import StreamPauseReport
 from myrtlehook_core.process.engine_loads import make_load_estimate
 from myrtlehook_core.process.engine_models import make_estimate
+from myrtlehook_core.process.engine_queues import handle_pause_report
 from myrtlehook_core.process.reading_gaps import (
     ReadingBound,
     ReadingSpan,
@@ -26,7 +28,7 @@
     has_recent_reports,
     is_reading_bounded,
 )
-from standins.engine_models import OwnedEngine, Traits, draw_tokens
+from standins.engine_models import ENGINE, OwnedEngine, Traits, draw_tokens
 
 EXAMPLES = 200
 ENGINE_EXAMPLES = 12
@@ -338,6 +340,15 @@
     assert adopted == StreamPace()
 
 
+@then("reports of no pause, of no target and of requests that are not known bound no reading")
+def check_odd_reports(context: Any) -> None:
+    engine = OwnedEngine(Traits())
+    for number, (pause_ms, target_ms) in enumerate([(0, 400), (-5, 400), (900, 0), (900, 400)] * 9):
+        report = StreamPauseReport(f"x{number}", ENGINE, pause_ms, target_ms)
+        handle_pause_report(engine.queues, report, 1.0)
+    assert not has_recent_reports(engine.load.stream_pace, 1.0)
+
+
 # -- drawn engines -------------------------------------------------------------------
 
 
