Bound reading no longer once pauses stay clear of the target

Cause: a belief from one slow spell fell by 1% a report, kept up by errors in the recorded reading, and a single report brought it back after 10 s. Change: reading stays bounded for a target only while pauses of 0.8 of it were reported within 10 s.

--- a/packages/core/src/myrtlehook_core/process/stream_paces.py
+++ b/packages/core/src/myrtlehook_core/process/stream_paces.py
@@ -32,6 +32,10 @@
 """Reading is bounded for a target only after this many recent pauses of ``ENTER_FRACTION`` of it:
 one late event may have other causes, and a belief alone may be wrong."""
 
+STAY_FRACTION = 0.8
+"""Reading stays bounded for a target while pauses still come to this fraction of it, which gaps
+lead to where they are needed: a belief alone may stay too high after a slow spell."""
+
 REPORT_MEMORY_S = 10.0
 """Reading is no longer bounded if no pause has come near its target for this long."""
 
@@ -86,6 +90,8 @@
     """When the last of them arrived."""
     long_pauses_at_s: dict[float, deque[float]] = field(default_factory=dict)
     """When the last pauses near each target were reported."""
+    near_pause_at_s: dict[float, float] = field(default_factory=dict)
+    """When a pause of ``STAY_FRACTION`` of each target was last reported."""
     adopted_until_s: float = -math.inf
     """Until when an earlier owner's belief stands for reported pauses."""
     bounded_targets_s: set[float] = field(default_factory=set)
@@ -144,6 +150,8 @@
     pace.reading_event_s += weight * (event_s - pace.reading_event_s)
     pace.reports += 1
     pace.reported_at_s = pause.ended_at_s
+    if pause.pause_s >= STAY_FRACTION * pause.target_s:
+        pace.near_pause_at_s[pause.target_s] = pause.ended_at_s
     if pause.pause_s >= ENTER_FRACTION * pause.target_s:
         empty: deque[float] = deque(maxlen=MIN_LONG_PAUSES)
         pace.long_pauses_at_s.setdefault(pause.target_s, empty).append(pause.ended_at_s)
@@ -163,7 +171,9 @@
 
 def update_bounded_targets(pace: StreamPace, target_s: float, now_s: float) -> None:
     """Decide whether reading is bounded for a target, with hysteresis."""
-    if pace.reading_event_s < LEAVE_FRACTION * target_s:
+    near_at_s = pace.near_pause_at_s.get(target_s, -math.inf)
+    is_near = now_s < max(near_at_s + REPORT_MEMORY_S, pace.adopted_until_s)
+    if not is_near or pace.reading_event_s < LEAVE_FRACTION * target_s:
         pace.bounded_targets_s.discard(target_s)
     elif pace.reading_event_s >= ENTER_FRACTION * target_s and _is_shown(pace, target_s, now_s):
         pace.bounded_targets_s.add(target_s)
@@ -227,4 +237,5 @@
     pace.reading_event_s = 0.0
     pace.reports = 0
     pace.long_pauses_at_s.clear()
+    pace.near_pause_at_s.clear()
     pace.bounded_targets_s.clear()
--- a/tests/features/stream_paces.feature
+++ b/tests/features/stream_paces.feature
@@ -63,6 +63,20 @@
     And 12 s after that its reading is not bounded any more
     And its owner has told once that it bounds the reading, and once that it does not
 
+  # Guards against: a belief from a slow spell that stays, or that one report brings back.
+  Scenario Outline: After one slow spell an engine with time to spare is soon granted freely again
+    Given an engine whose events take <event> s under reading, with a target of 0.4 s
+    When more prompts of about 6000 tokens wait than it can read
+    And its steps take twice as long from 6 s to 8 s
+    Then 12 s after that its reading is not bounded any more
+    And its owner has told once that it bounds the reading, and once that it does not
+
+    Examples:
+      | event |
+      | 0.26  |
+      | 0.29  |
+      | 0.3   |
+
   # Guards against: flapping at the limit.
   Scenario Outline: An engine at the limit is bounded and unbounded at most once
     Given an engine whose events take <event> s under reading, with a target of 0.4 s
