Plan reading from the last pause's length of it, and only where it is bounded

Cause: each plan copied all recorded reading and walked through it, also where pauses were merely reported, and asked for each running stream's begin twice. Change: a plan holds the reading within the longest window, is made only where a target is bounded, and the search stops at the window's start.

--- a/packages/core/src/myrtlehook_core/process/reading_gaps.py
+++ b/packages/core/src/myrtlehook_core/process/reading_gaps.py
@@ -74,7 +74,9 @@
     left_s = bound.reading_s - reading_s
     for span in reversed(spans):
         length_s = span.end_s - max(span.start_s, bound.since_s)
-        if length_s <= 0.0:
+        is_early = span.end_s - left_s + bound.window_s - reading_s <= earliest_s
+        if length_s <= 0.0 or is_early:
+            # No earlier reading lies within the window or delays a stream.
             break
         if length_s > left_s:
             window_start_s = span.end_s - left_s
--- a/packages/core/src/myrtlehook_core/process/reading_plans.py
+++ b/packages/core/src/myrtlehook_core/process/reading_plans.py
@@ -1,10 +1,10 @@
 """When an engine's owner may have the next prompt read, beside the streams that run there."""
 
+import math
 from dataclasses import dataclass
 
 from myrtlehook_core.process.engine_loads import (
     EngineLoad,
-    GrantedAdmission,
     WaitingAdmission,
     estimate_unread_tokens,
 )
@@ -50,9 +50,12 @@
     """
     if not may_bound_reading(load.stream_pace, now_s):
         return ReadingPlan([], ())
-    spans = list(load.stream_pace.spans)
-    begins_s = _append_expected_reading(load, spans, now_s)
-    return ReadingPlan(spans, _list_bounds(load, begins_s, now_s))
+    expected: list[ReadingSpan] = []
+    begins_s = _append_expected_reading(load, expected, now_s)
+    bounds = _list_bounds(load, begins_s, now_s)
+    if not bounds:
+        return ReadingPlan([], ())
+    return ReadingPlan(_list_recent_spans(load, bounds) + expected, bounds)
 
 
 def find_plan_start_s(plan: ReadingPlan, reading_s: float, earliest_s: float) -> float:
@@ -67,6 +70,7 @@
 
     Times of reading are on the scale of ``estimate_read_end_s``, on which an idle engine reads a
     prompt from its grant on. A prompt that may follow earlier reading at once is granted ahead.
+    Others allow for an error: of the expected reading while there is any, or else of the delay.
     """
     plan = plan_reading(load, now_s)
     if not plan.bounds:
@@ -83,6 +87,19 @@
     return start_s + DELAY_ERROR_FRACTION * load.model.delay_s
 
 
+def _list_recent_spans(load: EngineLoad, bounds: tuple[ReadingBound, ...]) -> list[ReadingSpan]:
+    """Return the earlier reading that may lie within a bound's window."""
+    spans = load.stream_pace.spans
+    since_s = spans[-1].end_s - max(bound.window_s for bound in bounds) if spans else 0.0
+    recent = []
+    for span in reversed(spans):
+        if span.end_s < since_s:
+            break
+        recent.append(span)
+    recent.reverse()
+    return recent
+
+
 def _append_expected_reading(
     load: EngineLoad, spans: list[ReadingSpan], now_s: float
 ) -> dict[str, float]:
@@ -102,11 +119,18 @@
     load: EngineLoad, begins_s: dict[str, float], now_s: float
 ) -> tuple[ReadingBound, ...]:
     """Return the bounds of all targets that running streams can still keep."""
+    delay_s = load.model.delay_s
     since_s: dict[float, float] = {}
     for request_id, item in load.granted.items():
-        if item.pause_target_s > 0.0 and not item.is_late:
-            begin_s = begins_s.get(request_id, _get_begin_s(load, item))
-            since_s[item.pause_target_s] = min(since_s.get(item.pause_target_s, begin_s), begin_s)
+        target_s = item.pause_target_s
+        if target_s <= 0.0 or item.is_late:
+            continue
+        if item.begun:
+            begin_s = item.begun_at_s - delay_s
+        else:
+            begin_s = begins_s.get(request_id, load.read_until_s)
+        if begin_s < since_s.get(target_s, math.inf):
+            since_s[target_s] = begin_s
     bounds = []
     for target_s, first_s in since_s.items():
         update_bounded_targets(load.stream_pace, target_s, now_s)
@@ -117,7 +141,3 @@
         if free > 0.0:
             bounds.append(ReadingBound(window_s, (1.0 - free) * window_s, first_s))
     return tuple(bounds)
-
-
-def _get_begin_s(load: EngineLoad, item: GrantedAdmission) -> float:
-    return item.begun_at_s - load.model.delay_s if item.begun else load.read_until_s
--- a/tests/features/stream_paces.feature
+++ b/tests/features/stream_paces.feature
@@ -117,6 +117,12 @@
     Given an engine that has read 0.1 s in each of the last 200 times of 0.2 s
     Then the sum of the reading in the last 0.5 s is 0.3 s, found from at most 4 times of reading
 
+  Scenario: Only reading within the longest pause is looked at to plan more of it
+    Given an engine that has read 0.01 s in each of the last 200 times of 0.2 s
+    When at most 0.4 s of any 0.5 s may be reading
+    Then a prompt of 0.1 s starts at once, found from at most 4 times of reading
+    And a plan for a target of 0.4 s holds at most 4 times of reading
+
   Scenario: Streams without a target are granted exactly as before
     Given an engine whose events take 0.45 s under reading, with a target of 0 s
     When more prompts of about 6000 tokens wait than it can read
--- a/tests/steps/stream_pace_steps.py
+++ b/tests/steps/stream_pace_steps.py
@@ -30,6 +30,7 @@
     find_reading_start_s,
     sum_reading_s,
 )
+from myrtlehook_core.process.reading_plans import plan_reading
 from myrtlehook_core.process.stream_paces import (
     StreamPace,
     adopt_stream_pace,
@@ -408,6 +409,29 @@
     assert context.spans.looked_at <= most, context.spans.looked_at
 
 
+@then("a prompt of {length_s:g} s starts at once, found from at most {most:d} times of reading")
+def check_start_found_soon(context: Any, length_s: float, most: int) -> None:
+    check_start(context, length_s, 0.0)
+    assert context.spans.looked_at <= most, context.spans.looked_at
+
+
+@then("a plan for a target of {target_s:g} s holds at most {most:d} times of reading")
+def check_plan_size(context: Any, target_s: float, most: int) -> None:
+    engine = OwnedEngine(Traits(pause_target_s=target_s))
+    engine.ask(1000, 1000)
+    engine.run_until(LEARNING_S)
+    end_s = context.spans[-1].end_s
+    load = engine.load
+    load.stream_pace = StreamPace(
+        reading_event_s=0.45, reported_at_s=end_s, adopted_until_s=end_s + 1.0
+    )
+    load.stream_pace.spans.extend(context.spans)
+    load.read_until_s = end_s
+    plan = plan_reading(load, end_s)
+    assert plan.bounds
+    assert 0 < len(plan.spans) <= most, len(plan.spans)
+
+
 # -- owners --------------------------------------------------------------------------
 
 
