--- a/packages/core/src/myrtlehook_core/process/engine_loads.py
+++ b/packages/core/src/myrtlehook_core/process/engine_loads.py
@@ -3,7 +3,11 @@
 import math
 from dataclasses import dataclass, field, replace
 
-from myrtlehook_core.process.admission_messages import EngineEstimate, PartRow
+from myrtlehook_core.process.admission_messages import (
+    EngineEstimate,
+    PartRow,
+    StreamPauseReport,
+)
 from myrtlehook_core.process.aim_demands import AimDemands
 from myrtlehook_core.process.cold_engines import OVERDUE_ANSWER_S, ColdPace
 from myrtlehook_core.process.ejections import ServerHealth
@@ -13,10 +17,18 @@
     learn_forecast_error,
     learn_reading_rate,
     learn_token_time,
+    make_estimate,
 )
 from myrtlehook_core.process.options import CoreOptions
 from myrtlehook_core.process.prompt_caches import PromptCache, count_unread_tokens, record_parts_use
-from myrtlehook_core.process.stream_pauses import EnginePauses
+from myrtlehook_core.process.stream_paces import (
+    StreamPace,
+    describe_stream_pace,
+    learn_longest_pause,
+    learn_reported_pause,
+    record_reading,
+)
+from myrtlehook_core.process.stream_pauses import EnginePauses, record_pause_report
 
 MAX_MEMORY_FRACTION = 0.9
 """Requests are granted up to this fraction of an engine's memory, since outputs grow."""
@@ -28,6 +40,10 @@
 MAX_BATCH_S = 0.02
 """A batch is closed after this long, however closely answers follow one another."""
 
+MIN_RUN_PAUSES = 3.0
+"""A run's longest pause shows the time between events if the run lasted this many times as long:
+the last event of a run may hold fewer tokens than the others."""
+
 GRANT_DEADLINE_MARGIN_S = 1.0
 """A granted request whose end is never reported is dropped this long after its deadline."""
 
@@ -67,6 +83,8 @@
     were idle."""
     unavoidably_late: bool = False
     """Whether its answer would miss its first-token target even if the engine were idle."""
+    held_since_s: float = math.inf
+    """Since when its prompt is held back so that running streams keep their pace."""
     latest_start_s: float = 0.0
     """When the engine must begin to read it for its answer to begin in time."""
 
@@ -93,6 +111,10 @@
     """The longest pause between events with which its answer is still in time; 0 for none."""
     forecast_begin_s: float | None = None
     """When its answer was expected to begin, at its grant; None if another owner granted it."""
+    aim_deadline_s: float = math.inf
+    """Until when its answer has to begin to be in time."""
+    is_late: bool = False
+    """Whether its first event or a pause missed its target, so that more pauses cost nothing."""
 
 
 @dataclass(slots=True)
@@ -112,6 +134,7 @@
     pace: ColdPace = field(default_factory=ColdPace)
     aim_demands: AimDemands = field(default_factory=AimDemands)
     pauses: EnginePauses = field(default_factory=EnginePauses)
+    stream_pace: StreamPace = field(default_factory=StreamPace)
     last_answer_at_s: float = -math.inf
     """When an answer last began."""
     suspected_down: bool = False
@@ -142,6 +165,10 @@
     """How far answers begin from when they were forecast, on average."""
     recent_pauses: int = 0
     """Pauses of streams there that were reported lately; see ``stream_pauses``."""
+    reading_fraction: float = 0.0
+    """The fraction of the last second in which it read prompts, according to its model."""
+    late_streams: int = 0
+    """Running requests that have missed a target already."""
 
 
 def estimate_read_end_s(load: EngineLoad, now_s: float) -> float:
@@ -199,6 +226,7 @@
         granted_at_s=now_s,
         deadline_s=waiting.deadline_s + GRANT_DEADLINE_MARGIN_S,
         pause_target_s=waiting.pause_target_s,
+        aim_deadline_s=waiting.aim_deadline_s,
     )
     load.granted[waiting.request_id] = item
     load.reading[waiting.request_id] = item
@@ -219,13 +247,16 @@
     item.begun_at_s = now_s
     if item.forecast_begin_s is not None:
         learn_forecast_error(load.model, now_s - item.forecast_begin_s)
+    item.is_late = item.is_late or now_s > item.aim_deadline_s
     if request_id not in load.reading:
         # The answer to a request granted later began first, so both prompts were read by then.
         return
     granted_at_s = next(iter(load.reading.values())).granted_at_s
     tokens = _remove_read_prompts(load, request_id)
     _add_to_batch(load, granted_at_s, tokens, learns, now_s)
+    previous_s = load.read_until_s
     load.read_until_s = now_s - load.model.delay_s
+    record_reading(load.stream_pace, max(previous_s, granted_at_s), load.read_until_s)
 
 
 def end_granted(load: EngineLoad, request_id: str, ran: bool, now_s: float) -> bool:
@@ -242,6 +273,43 @@
     return True
 
 
+def record_longest_pause(load: EngineLoad, request_id: str, pause_s: float, now_s: float) -> None:
+    """Learn the time between events from a request that has just run to its end.
+
+    Requests that are not known any more, and those with too few events, show nothing.
+    """
+    item = load.granted.get(request_id)
+    if item is None or not item.begun:
+        return
+    if now_s - item.begun_at_s >= MIN_RUN_PAUSES * pause_s:
+        learn_longest_pause(load.stream_pace, pause_s)
+
+
+def record_stream_pause(load: EngineLoad, report: StreamPauseReport, now_s: float) -> None:
+    """Record a reported pause, and learn from it how reading delays the engine's streams."""
+    pause = record_pause_report(load.pauses, report, now_s)
+    if pause is None:
+        return
+    item = load.granted.get(report.request_id)
+    if item is None or item.pause_target_s <= 0.0:
+        # Reports of requests that are not known here, or that state no target, show nothing.
+        return
+    pause = replace(pause, target_s=item.pause_target_s)
+    learn_reported_pause(load.stream_pace, pause, now_s - load.model.delay_s)
+    if pause.pause_s > item.pause_target_s:
+        item.is_late = True
+
+
+def count_late_streams(load: EngineLoad) -> int:
+    """Return how many granted requests have missed a target already."""
+    return sum(item.is_late for item in load.granted.values())
+
+
+def make_load_estimate(load: EngineLoad, now_s: float) -> EngineEstimate:
+    """Return what this owner believes of an engine, as other routers receive it."""
+    return describe_stream_pace(load.stream_pace, make_estimate(load.model, now_s), now_s)
+
+
 def is_answer_overdue(load: EngineLoad, request_id: str, now_s: float) -> bool:
     """Return whether a request's answer is long overdue and no other one has begun meanwhile."""
     item = load.granted.get(request_id)
--- a/packages/core/src/myrtlehook_core/process/engine_queues.py
+++ b/packages/core/src/myrtlehook_core/process/engine_queues.py
@@ -7,7 +7,11 @@
 import math
 from collections.abc import Mapping
 
-from myrtlehook_core.process.actions import ColdEngineDetected, ServerEjected
+from myrtlehook_core.process.actions import (
+    ColdEngineDetected,
+    ReadingBoundChanged,
+    ServerEjected,
+)
 from myrtlehook_core.process.admission_messages import (
     AdmissionGrant,
     AdmissionProgress,
@@ -32,7 +36,10 @@
     estimate_unread_tokens,
     expire_granted,
     is_answer_overdue,
+    make_load_estimate,
     record_answer_begun,
+    record_longest_pause,
+    record_stream_pause,
 )
 from myrtlehook_core.process.engine_models import adopt_estimate, make_estimate, make_model
 from myrtlehook_core.process.engine_refusals import (
@@ -43,7 +50,12 @@
 from myrtlehook_core.process.options import CoreOptions
 from myrtlehook_core.process.prompt_caches import PromptCache, record_parts_use
 from myrtlehook_core.process.queue_contexts import EngineQueues, QueueContext
-from myrtlehook_core.process.stream_pauses import record_pause_report
+from myrtlehook_core.process.stream_paces import (
+    StreamPace,
+    adopt_stream_pace,
+    get_idle_event_s,
+    is_reading_bounded,
+)
 from myrtlehook_core.version.configurations import Configuration
 
 
@@ -59,6 +71,7 @@
 
     :param cold_deadlines_s: until when each engine is considered cold.
     """
+    options = options or CoreOptions()
     for name in list(queues.loads):
         if name not in names:
             del queues.loads[name]
@@ -70,7 +83,8 @@
                 owned_since_s=now_s,
                 cache=PromptCache(pool.engine_capacity.memory_tokens),
                 model=make_model(similar),
-                pace=make_pace(options or CoreOptions(), pool.cold_start),
+                pace=make_pace(options, pool.cold_start),
+                stream_pace=StreamPace(options.paces_streams),
             )
             cold_until_s = (cold_deadlines_s or {}).get(name, -math.inf)
             mark_cold(queues.loads[name].pace, cold_until_s, now_s)
@@ -91,7 +105,7 @@
         return
     held = load.granted.get(message.request_id)
     if held is not None:
-        estimate = make_estimate(load.model, now_s)
+        estimate = make_load_estimate(load, now_s)
         grant = AdmissionGrant(
             message.request_id, message.backend_server, held.unread_tokens, estimate
         )
@@ -135,6 +149,8 @@
     load.waiting.pop(message.request_id, None)
     ran = message.ran and not message.failed
     load.suspected_down = load.suspected_down or is_answer_overdue(load, message.request_id, now_s)
+    if ran:
+        record_longest_pause(load, message.request_id, message.longest_pause_ms / 1000.0, now_s)
     known = end_granted(load, message.request_id, ran and context.options.learns_engines, now_s)
     ended = known and (message.ran or message.failed)
     failed = message.failed and context.options.ejects_servers
@@ -147,7 +163,7 @@
     """Record a pause of a stream at an owned engine."""
     load = queues.loads.get(message.backend_server)
     if load is not None:
-        record_pause_report(load.pauses, message, now_s)
+        record_stream_pause(load, message, now_s)
 
 
 def handle_held_admissions(
@@ -169,6 +185,8 @@
             drop_granted(load, request_id)
     if message.estimate is not None and context.options.learns_engines:
         load.model = adopt_estimate(load.model, message.estimate, now_s)
+        longest_target_s = max((row.pause_target_ms for row in message.rows), default=0) / 1000.0
+        adopt_stream_pace(load.stream_pace, message.estimate, longest_target_s, now_s)
     record_parts_use(load.cache, message.recent_parts)
     for row in message.rows:
         record_parts_use(load.cache, row.parts)
@@ -181,6 +199,7 @@
     for name, load in queues.loads.items():
         expired += expire_granted(load, now_s)
         _drop_unreachable(load, context)
+        _tell_reading_bound(context, name, load, now_s)
         refuse_unservable_admissions(queues, context, name, load, now_s)
         grant_waiting(context, name, load, now_s)
     expired_keys = [key for key, end_s in queues.refused_until_s.items() if now_s >= end_s]
@@ -210,6 +229,20 @@
         context.actions.add(ColdEngineDetected(name, until_s, reason))
 
 
+def _tell_reading_bound(context: QueueContext, name: str, load: EngineLoad, now_s: float) -> None:
+    """Tell the operator when an engine's reading becomes bounded or unbounded."""
+    pace = load.stream_pace
+    is_bounded = is_reading_bounded(pace, now_s)
+    if is_bounded == pace.was_bounded:
+        return
+    pace.was_bounded = is_bounded
+    context.actions.add(
+        ReadingBoundChanged(
+            name, is_bounded, pace.reading_event_s, get_idle_event_s(pace), pace.reports
+        )
+    )
+
+
 def _find_similar_estimate(
     queues: EngineQueues, configuration: Configuration, pool: str, now_s: float
 ) -> EngineEstimate | None:
--- a/packages/core/src/myrtlehook_core/process/options.py
+++ b/packages/core/src/myrtlehook_core/process/options.py
@@ -160,3 +160,6 @@
     request, or has granted one that was offered to them too; 0 leaves both to the next refresh."""
     tallies_requests: bool = True
     """Whether a router counts what callers got, by workspace and by kind of work."""
+    paces_streams: bool = True
+    """Whether an engine reads with gaps where reading without a break delays the events of its
+    streams beyond the longest pause that their routes allow."""
--- a/packages/core/src/myrtlehook_core/process/routers.py
+++ b/packages/core/src/myrtlehook_core/process/routers.py
@@ -26,9 +26,10 @@
 from myrtlehook_core.process.engine_loads import (
     EngineFigures,
     compute_window_tokens,
+    count_late_streams,
     estimate_backlog_tokens,
+    make_load_estimate,
 )
-from myrtlehook_core.process.engine_models import make_estimate
 from myrtlehook_core.process.engine_queues import clear_queues, set_owned_engines
 from myrtlehook_core.process.event_handlers import EVENT_HANDLERS
 from myrtlehook_core.process.ingress import (
@@ -68,6 +69,7 @@
 )
 from myrtlehook_core.process.quarantine_messages import QuarantineRow
 from myrtlehook_core.process.queue_contexts import EngineQueues, QueueContext
+from myrtlehook_core.process.reading_gaps import sum_reading_s
 from myrtlehook_core.process.refusals import refuse_unservable
 from myrtlehook_core.process.regions import NO_REGIONS, Regions
 from myrtlehook_core.process.shares import Shares
@@ -162,7 +164,7 @@
         return [
             EngineFigures(
                 backend_server=name,
-                estimate=make_estimate(load.model, self._now_s),
+                estimate=make_load_estimate(load, self._now_s),
                 window_tokens=compute_window_tokens(load, self.options),
                 backlog_tokens=estimate_backlog_tokens(load, self._now_s),
                 waiting_requests=len(load.waiting),
@@ -170,6 +172,10 @@
                 cold_until_s=load.pace.cold_until_s,
                 forecast_error_s=load.model.forecast_error_s,
                 recent_pauses=count_recent_pauses(load.pauses, self._now_s),
+                reading_fraction=sum_reading_s(
+                    load.stream_pace.spans, self._now_s - 1.0, self._now_s
+                ),
+                late_streams=count_late_streams(load),
             )
             for name, load in sorted(self.engine_queues.loads.items())
         ]
--- a/packages/router/src/myrtlehook_router/process/engine_gauges.py
+++ b/packages/router/src/myrtlehook_router/process/engine_gauges.py
@@ -16,6 +16,10 @@
     "engine_running_requests": lambda item: item.granted_requests,
     "engine_forecast_error_s": lambda item: item.forecast_error_s,
     "engine_recent_pauses": lambda item: item.recent_pauses,
+    "engine_reading_event_s": lambda item: item.estimate.reading_event_ms / 1000.0,
+    "engine_idle_event_s": lambda item: item.estimate.idle_event_ms / 1000.0,
+    "engine_reading_fraction": lambda item: item.reading_fraction,
+    "engine_late_streams": lambda item: item.late_streams,
     "engine_cold_left_s": lambda item: max(item.cold_until_s - clocks.now_s(), 0.0),
 }
 """Reads the value of each gauge that docs/operators/metrics.md lists."""
