--- a/packages/core/src/myrtlehook_core/process/admission_requests.py
+++ b/packages/core/src/myrtlehook_core/process/admission_requests.py
@@ -60,6 +60,12 @@
     retry_after_s: float = 0.0
     eager: bool = False
     """Whether the current engine is wanted only if it can begin the answer soon."""
+    near_first: bool = False
+    """Whether the first engine asked is the prompt's home in this router's zone only."""
+    early_engines: tuple[str, ...] = ()
+    """The engines that are yet to be asked for an early beginning of the answer."""
+    early_waits_s: dict[str, float] = field(default_factory=dict)
+    """For each engine that refused an early beginning, the wait that it named."""
     granted: bool = False
     begun: bool = False
     unread_tokens: int = 0
--- a/packages/core/src/myrtlehook_core/process/admissions.py
+++ b/packages/core/src/myrtlehook_core/process/admissions.py
@@ -26,6 +26,7 @@
     send_admission_request,
 )
 from myrtlehook_core.process.backoffs import find_pool_backoff_s
+from myrtlehook_core.process.early_beginnings import order_last_engines
 from myrtlehook_core.process.engine_rankings import rank_engines
 from myrtlehook_core.process.full_tiers import (
     record_tier_admitted,
@@ -99,9 +100,10 @@
     if options.keeps_shares:
         admission.tier = tier
         admission.above_share = standing.above_share and options.small_workspaces_first
-    ranking = rank_engines(context, request)
+    ranking = rank_engines(context, request, admission.tier)
     admission.ranked_engines = ranking.names
-    admission.eager = ranking.near_first
+    admission.early_engines = ranking.early_engines
+    admission.near_first = ranking.near_first
     admissions.open[request.request_id] = admission
     ask_next_engine(admissions, context, admission, now_s)
 
@@ -111,6 +113,8 @@
 ) -> None:
     """Send a request to the next engine in its ranking, or refuse it when none is left."""
     options = context.ingress_context.options
+    if _ask_next_early(admissions, context, admission, now_s):
+        return
     candidates = [name for name in admission.ranked_engines if is_usable_engine(context, name)]
     untried = [name for name in candidates if name not in admission.tried]
     if not untried:
@@ -130,11 +134,7 @@
         record_tier_refused(full, admission.tier, admission.retry_after_s, now_s)
         refuse_admission(admissions, context, admission, RefusalReason.DEADLINE_UNREACHABLE, now_s)
         return
-    admission.backend_server = untried[0]
-    admission.tried.add(untried[0])
-    admission.asked_at_s = now_s
-    admission.resend_interval_s = FIRST_RESEND_S
-    send_admission_request(admissions, context, admission, now_s)
+    _ask_engine(admissions, context, admission, untried[0], now_s)
 
 
 def handle_admission_grant(
@@ -180,9 +180,10 @@
     if refusal.cached_tokens > admission.memory_source.tokens:
         admission.memory_source = MemorySource(refusal.backend_server, refusal.cached_tokens)
     if admission.eager:
-        # The prompt's home among all zones follows and counts as the first engine asked.
-        admission.eager = False
-    else:
+        admission.early_waits_s[refusal.backend_server] = wait_s
+    is_near_home = admission.near_first and refusal.backend_server == admission.ranked_engines[0]
+    if not (admission.eager and is_near_home):
+        # The home of the own zone does not count: the home among all zones follows.
         admission.hop += 1
     ask_next_engine(admissions, context, admission, now_s)
 
@@ -248,6 +249,7 @@
     admission.granted = False
     admission.begun = False
     admission.eager = False
+    admission.early_engines = ()
     admission.hop = 0
     update_queue_counts(ingress, admission.request, 1)
     if claim_retry(ingress, context.ingress_context, admission.request, reason, now_s):
@@ -275,6 +277,33 @@
             send_admission_request(admissions, context, admission, now_s)
 
 
+def _ask_next_early(
+    admissions: Admissions, context: AdmissionContext, admission: Admission, now_s: float
+) -> bool:
+    """Ask the next engine for an early beginning; False when none is left to be asked so."""
+    usable = [name for name in admission.early_engines if is_usable_engine(context, name)]
+    if usable and admission.request.deadline_s > now_s:
+        admission.eager = True
+        admission.early_engines = tuple(usable[1:])
+        _ask_engine(admissions, context, admission, usable[0], now_s)
+        return True
+    if admission.eager:
+        admission.eager = False
+        if context.ingress_context.options.early_engines_asked and not admission.tier:
+            order_last_engines(admission)
+    return False
+
+
+def _ask_engine(
+    admissions: Admissions, context: AdmissionContext, admission: Admission, name: str, now_s: float
+) -> None:
+    admission.backend_server = name
+    admission.tried.add(name)
+    admission.asked_at_s = now_s
+    admission.resend_interval_s = FIRST_RESEND_S
+    send_admission_request(admissions, context, admission, now_s)
+
+
 def _withdraw_and_ask_next(
     admissions: Admissions, context: AdmissionContext, admission: Admission, now_s: float
 ) -> None:
--- /dev/null
+++ b/packages/core/src/myrtlehook_core/process/early_beginnings.py
@@ -0,0 +1,39 @@
+"""Early beginnings: which engines are asked to begin an answer soon, and which one is asked last.
+
+At its home a request may find the slots used up, or a long queue, while most engines have room.
+So a few engines are asked in turn whether they can begin its answer early. If none can, the one
+whose refusal named the earliest time is asked to take the request as late as its target allows.
+"""
+
+from collections.abc import Callable
+
+from myrtlehook_core.process.admission_requests import Admission
+
+DRAWN_ENGINES = 2
+"""Of the engines asked early, the last ones are drawn: routers that each asked the same engine
+would fill it at once. Of two drawn engines, the less busy one is seldom full."""
+
+
+def choose_early_engines(
+    ranked: tuple[str, ...], count: int, draw: Callable[[], float]
+) -> tuple[str, ...]:
+    """Return the engines that are asked for an early beginning: the first ranked, then drawn ones.
+
+    :param draw: returns a random number between 0 and 1.
+    """
+    kept = max(count - DRAWN_ENGINES, 1)
+    chosen = list(ranked[:kept])
+    strangers = list(ranked[kept:])
+    while strangers and len(chosen) < count:
+        chosen.append(strangers.pop(int(draw() * len(strangers))))
+    return tuple(chosen)
+
+
+def order_last_engines(admission: Admission) -> None:
+    """Rank engines that refused an early beginning first, by the time named in the refusal."""
+    waits_s = admission.early_waits_s
+    refused = sorted(waits_s, key=lambda name: waits_s[name])
+    others = [name for name in admission.ranked_engines if name not in waits_s]
+    admission.ranked_engines = (*refused, *others)
+    admission.tried.clear()
+    admission.hop = 0
--- a/packages/core/src/myrtlehook_core/process/engine_rankings.py
+++ b/packages/core/src/myrtlehook_core/process/engine_rankings.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from myrtlehook_core.process.admission_requests import AdmissionContext, is_usable_engine
+from myrtlehook_core.process.early_beginnings import choose_early_engines
 from myrtlehook_core.process.hashing import rank_routers
 from myrtlehook_core.request.requests import RequestSpecification
 
@@ -17,17 +18,23 @@
     """The engines that a request may be sent to, in order of preference."""
 
     names: tuple[str, ...]
+    early_engines: tuple[str, ...]
+    """The engines that are first asked for an early beginning of the answer, in this order."""
     near_first: bool
     """Whether the first engine is the home in this router's zone, put before the home among all."""
 
 
-def rank_engines(context: AdmissionContext, request: RequestSpecification) -> EngineRanking:
+def rank_engines(
+    context: AdmissionContext, request: RequestSpecification, tier: int = 0
+) -> EngineRanking:
     """Rank the pool's usable engines, beginning with the likely cache of the prompt's parts.
 
     Rendezvous hashing of the shared part gives each prompt a home engine among all zones.
     A prompt with short shared parts also has a home in each zone with enough engines, which
     is asked first: its parts are then read once in each zone, but its answer, which has many
     times more bytes than the parts have tokens, does not cross zones.
+
+    :param tier: how many times over the request's workspace has requested its share.
     """
     servers = [
         server
@@ -39,13 +46,19 @@
     near = {
         server.name for server in servers if server.availability_zone == context.availability_zone
     }
+    options = context.ingress_context.options
     shared_tokens = sum(part.tokens for part in request.prompt_parts[:-1])
-    fewest = context.ingress_context.options.fewest_near_engines
-    if shared_tokens > MAX_ZONE_LOCAL_SHARED_TOKENS or len(near) < fewest:
-        return EngineRanking(ranked, near_first=False)
-    home = next(name for name in ranked if name in near)
-    others = tuple(name for name in ranked if name != home)
-    return EngineRanking((home, *others), near_first=True)
+    near_first = (
+        shared_tokens <= MAX_ZONE_LOCAL_SHARED_TOKENS and len(near) >= options.fewest_near_engines
+    )
+    if near_first:
+        home = next(name for name in ranked if name in near)
+        ranked = (home, *(name for name in ranked if name != home))
+    early_engines = ranked[:1] if near_first else ()
+    if options.early_engines_asked and not tier:
+        count = options.early_engines_asked + near_first
+        early_engines = choose_early_engines(ranked, count, context.ingress_context.draw)
+    return EngineRanking(ranked, early_engines, near_first)
 
 
 def find_affinity_key(request: RequestSpecification) -> str:
--- a/packages/core/src/myrtlehook_core/process/engine_refusals.py
+++ b/packages/core/src/myrtlehook_core/process/engine_refusals.py
@@ -53,6 +53,7 @@
         (waiting.is_client_retry or waiting.unavoidably_late)
         and waiting.hop == 0
         and waiting.tier == 0
+        and not waiting.eager
     ):
         return True
     own_read_s = estimate_unread_tokens(load, waiting) / load.model.rate_tokens_per_s
