--- a/packages/core/src/myrtlehook_core/process/admissions.py
+++ b/packages/core/src/myrtlehook_core/process/admissions.py
@@ -289,7 +289,7 @@
         return True
     if admission.eager:
         admission.eager = False
-        if context.ingress_context.options.early_engines_asked and not admission.tier:
+        if context.ingress_context.options.early_engines_drawn and not admission.tier:
             order_last_engines(admission)
     return False
 
--- a/packages/core/src/myrtlehook_core/process/early_beginnings.py
+++ b/packages/core/src/myrtlehook_core/process/early_beginnings.py
@@ -9,22 +9,19 @@
 
 from myrtlehook_core.process.admission_requests import Admission
 
-DRAWN_ENGINES = 2
-"""Of the engines asked early, the last ones are drawn: routers that each asked the same engine
-would fill it at once. Of two drawn engines, the less busy one is seldom full."""
-
 
 def choose_early_engines(
-    ranked: tuple[str, ...], count: int, draw: Callable[[], float]
+    homes: tuple[str, ...], ranked: tuple[str, ...], drawn: int, draw: Callable[[], float]
 ) -> tuple[str, ...]:
-    """Return the engines that are asked for an early beginning: the first ranked, then drawn ones.
+    """Return the engines asked for an early beginning: the homes of the prompt, then drawn ones.
+
+    The others are drawn, since routers that all asked the same engine next would fill it at once.
 
     :param draw: returns a random number between 0 and 1.
     """
-    kept = max(count - DRAWN_ENGINES, 1)
-    chosen = list(ranked[:kept])
-    strangers = list(ranked[kept:])
-    while strangers and len(chosen) < count:
+    strangers = [name for name in ranked if name not in homes]
+    chosen = list(homes)
+    for _ in range(min(drawn, len(strangers))):
         chosen.append(strangers.pop(int(draw() * len(strangers))))
     return tuple(chosen)
 
--- a/packages/core/src/myrtlehook_core/process/engine_rankings.py
+++ b/packages/core/src/myrtlehook_core/process/engine_rankings.py
@@ -55,9 +55,11 @@
         home = next(name for name in ranked if name in near)
         ranked = (home, *(name for name in ranked if name != home))
     early_engines = ranked[:1] if near_first else ()
-    if options.early_engines_asked and not tier:
-        count = options.early_engines_asked + near_first
-        early_engines = choose_early_engines(ranked, count, context.ingress_context.draw)
+    if options.early_engines_drawn and not tier:
+        homes = ranked[: 1 + near_first]
+        early_engines = choose_early_engines(
+            homes, ranked, options.early_engines_drawn, context.ingress_context.draw
+        )
     return EngineRanking(ranked, early_engines, near_first)
 
 
--- a/packages/core/src/myrtlehook_core/process/engine_refusals.py
+++ b/packages/core/src/myrtlehook_core/process/engine_refusals.py
@@ -92,7 +92,8 @@
     """Refuse waiting requests that cannot or should not be served at their engine.
 
     These are all requests of an engine that is unusable or ejected, those past their
-    deadline, and those beyond a share whose answers are forecast to begin too late.
+    deadline, and those whose answers are forecast to begin too late and that are beyond a share
+    or wanted early: later requests of a lower rank go before them, and others may begin them.
     """
     usable = is_grantable(context, name) and now_s >= load.health.ejected_until_s
     for waiting in list(load.waiting.values()):
@@ -100,7 +101,8 @@
             _refuse(queues, context, name, load, waiting, now_s, now_s)
     for forecast in forecast_waiting(load, find_slots(context, name), now_s):
         limit_s = _compute_begin_limit_s(context, forecast.waiting)
-        if forecast.waiting.tier > 0 and forecast.begin_s > limit_s:
+        may_leave = forecast.waiting.tier > 0 or forecast.waiting.eager
+        if may_leave and forecast.begin_s > limit_s:
             _refuse(queues, context, name, load, forecast.waiting, now_s, forecast.begin_s)
 
 
--- a/packages/core/src/myrtlehook_core/process/options.py
+++ b/packages/core/src/myrtlehook_core/process/options.py
@@ -149,6 +149,7 @@
     retry_ratio: float = 0.2
     retry_burst: float = 10.0
     attempts: int = 4
-    early_engines_asked: int = 4
-    """The number of engines that are asked to begin an answer early, before the one that can begin
-    it first is asked to take the request at all; 0 asks the home of the own zone only."""
+    early_engines_drawn: int = 2
+    """The number of engines that are drawn and asked, after a prompt's homes, to begin an answer
+    early, before the one that can begin it first is asked to take the request at all; 0 asks none
+    of them, and only the home of the own zone for an early beginning."""
--- a/tests/standins/histories.py
+++ b/tests/standins/histories.py
@@ -51,6 +51,10 @@
 """From the end of an engine to its restart."""
 
 RATE_TOKENS_PER_S = 30_000.0
+SLOTS = 16
+"""The number of requests that an engine runs at once; more of them wait inside it."""
+
+ANSWER_S = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -135,6 +139,8 @@
     """For each dispatch, the engine that transfers the prompt's beginning."""
     unread_tokens: list[int] = field(default_factory=list)
     refused_at_s: list[float] = field(default_factory=list)
+    begun_at_s: float | None = None
+    """When its answer began, unless its router had ended by then."""
     ended_at_s: float | None = None
     running: bool = False
 
@@ -169,6 +175,14 @@
         """By engine: prompt tokens of the requests sent to it whose answers have not begun."""
         self.most_unread_tokens: Counter[str] = Counter()
         self.engine_free_s: dict[str, float] = {}
+        self.find_rate_tokens_per_s: Callable[[str, float], float] = lambda engine, time_s: (
+            RATE_TOKENS_PER_S
+        )
+        """By engine and time: how fast it reads prompts."""
+        self.find_answer_s: Callable[[RequestSpecification], float] = lambda request: ANSWER_S
+        """By request: from the begin of its answer to the end."""
+        self.slot_ends_s: dict[str, list[float]] = {}
+        """By engine: a heap of the times at which its requests end."""
         self.broken_engines: set[str] = set()
         self.engine_runs: dict[str, dict[str, EngineRun]] = {}
         """By engine and request."""
@@ -217,7 +231,7 @@
                 POOL,
                 f"10.0.1.{number}:80",
                 name_zone(number % zones),
-                16,
+                SLOTS,
                 False,
                 False,
             )
@@ -391,15 +405,26 @@
         self.unread_tokens[engine] += unread
         most = max(self.most_unread_tokens[engine], self.unread_tokens[engine])
         self.most_unread_tokens[engine] = most
-        begin_s = max(self.engine_free_s.get(engine, 0.0), self.now_s)
-        begin_s += unread / RATE_TOKENS_PER_S
+        begin_s = self._find_begin_s(engine, unread)
         self.engine_free_s[engine] = begin_s
+        end_s = begin_s + self.find_answer_s(core.admissions.open[request_id].request)
+        heapq.heappush(self.slot_ends_s.setdefault(engine, []), end_s)
         run = EngineRun(name, core, core.admissions.open[request_id].request, self.now_s)
         self.engine_runs.setdefault(engine, {})[request_id] = run
         self.at(begin_s, lambda: self._begin_answer(run, engine, unread))
         if self.ends_engine(run.request):
             self.at(begin_s + END_DELAY_S, lambda: self._end_engine_by(run, engine))
-        self.at(begin_s + 0.1, lambda: self._complete_run(run, engine))
+        self.at(end_s, lambda: self._complete_run(run, engine))
+
+    def _find_begin_s(self, engine: str, unread: int) -> float:
+        """Return when an engine begins the answer to a request that reaches it now."""
+        start_s = max(self.engine_free_s.get(engine, 0.0), self.now_s)
+        ends_s = self.slot_ends_s.get(engine, [])
+        while ends_s and ends_s[0] <= self.now_s:
+            heapq.heappop(ends_s)
+        if len(ends_s) >= SLOTS:
+            start_s = max(start_s, heapq.heappop(ends_s))
+        return start_s + unread / self.find_rate_tokens_per_s(engine, start_s)
 
     def _refuse_with_backoff(
         self, name: str, core: RouterCore, action: actions.Dispatch, backoff_s: float
@@ -447,6 +472,7 @@
                 self.leaving_reported_at_s.setdefault((run.ingress, engine), self.now_s)
                 notice = events.ServerNoticed(engine, run.request.request_id, leaving=True)
                 self.feed(run.ingress, notice)
+            self.outcomes[run.request.request_id].begun_at_s = self.now_s
             self.feed(run.ingress, events.ServiceObserved(run.request.request_id, 1.0))
 
     def _complete_run(self, run: EngineRun, engine: str) -> None:
