Weigh prompts' homes by engines' average rates, and log early beginnings that were refused

Cause: homes are spread as though all engines were alike, while a third reads 0.4 times as fast. Change: an owner sends its engine's rate, averaged over some 3 s, with each grant; routers give engines that read about twice or half as fast as their pool's median twice or half as many prompts. Equal engines keep the order of before.

--- a/packages/core/src/myrtlehook_core/process/actions.py
+++ b/packages/core/src/myrtlehook_core/process/actions.py
@@ -175,6 +175,28 @@
     estimate: EngineEstimate
     retry_after_ms: int | None
     """For a refusal, the time until the request would have fitted; None for a grant."""
+    eager: bool = False
+    """Whether the engine was only asked for an early beginning of the answer."""
+
+
+@dataclass(frozen=True, slots=True)
+class EarlyBeginningRefused:
+    """No engine that was asked could begin an answer early; the request now takes what there is."""
+
+    request_id: str
+    waits_s: dict[str, float]
+    """For each engine asked, by how much its answer would have begun too late."""
+
+
+@dataclass(frozen=True, slots=True)
+class EngineWeightsChanged:
+    """The weight of an engine as a home of prompts has changed at this router."""
+
+    pool: str
+    reference_tokens_per_s: float
+    """The pool's median rate."""
+    steps: dict[str, int]
+    """By engine: its weight as a power of two, if that is not 0."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -300,6 +322,8 @@
     | ServerBackoffReported
     | ReadSource
     | AdmissionDecided
+    | EarlyBeginningRefused
+    | EngineWeightsChanged
     | ShareLevelReported
     | MemberStateChanged
     | RequestRequeued
--- a/packages/core/src/myrtlehook_core/process/admission_handover.py
+++ b/packages/core/src/myrtlehook_core/process/admission_handover.py
@@ -17,6 +17,7 @@
     ReceivedEstimate,
     send_admission_request,
 )
+from myrtlehook_core.process.engine_speeds import drop_removed_speeds
 
 MAX_RECENT_PARTS = 400
 """Prompt parts kept for each engine, to report to a new owner what the cache likely holds."""
@@ -54,6 +55,8 @@
         del admissions.recent_parts[name]
     for name in admissions.estimates.keys() - known:
         del admissions.estimates[name]
+    for speeds in admissions.speeds.values():
+        drop_removed_speeds(speeds, known)
 
 
 def record_estimate(
--- a/packages/core/src/myrtlehook_core/process/admission_messages.py
+++ b/packages/core/src/myrtlehook_core/process/admission_messages.py
@@ -54,6 +54,8 @@
     """The number of answers that the estimate is based on."""
     age_ms: int
     """Time since the last of them."""
+    steady_tokens_per_s: float = 0.0
+    """How fast it has read over the last seconds; 0 if that is unknown."""
 
 
 class AdmissionGrant(msgspec.Struct, frozen=True, array_like=True, tag=18):
--- a/packages/core/src/myrtlehook_core/process/admission_requests.py
+++ b/packages/core/src/myrtlehook_core/process/admission_requests.py
@@ -13,6 +13,7 @@
     StreamPauseReport,
 )
 from myrtlehook_core.process.backoffs import is_backing_off
+from myrtlehook_core.process.engine_speeds import PoolSpeeds
 from myrtlehook_core.process.full_tiers import FullTiers
 from myrtlehook_core.process.ingress import IngressContext, IngressState
 from myrtlehook_core.process.shares import Shares
@@ -94,6 +95,8 @@
     """For each engine, the prompt parts that this router sent there lately, and their tokens."""
     estimates: dict[str, ReceivedEstimate] = field(default_factory=dict)
     """For each engine that granted a request of this router, its owner's last estimate."""
+    speeds: defaultdict[str, PoolSpeeds] = field(default_factory=lambda: defaultdict(PoolSpeeds))
+    """By pool."""
     full_tiers: defaultdict[str, FullTiers] = field(default_factory=lambda: defaultdict(FullTiers))
     """By pool."""
 
--- a/packages/core/src/myrtlehook_core/process/admissions.py
+++ b/packages/core/src/myrtlehook_core/process/admissions.py
@@ -5,7 +5,13 @@
 router becomes the engine's owner, it is sent there.
 """
 
-from myrtlehook_core.process.actions import Dispatch, MessageDropped, RequestRequeued
+from myrtlehook_core.process.actions import (
+    Dispatch,
+    EarlyBeginningRefused,
+    EngineWeightsChanged,
+    MessageDropped,
+    RequestRequeued,
+)
 from myrtlehook_core.process.admission_ends import refuse_admission
 from myrtlehook_core.process.admission_handover import record_estimate, record_sent_parts
 from myrtlehook_core.process.admission_messages import (
@@ -13,6 +19,7 @@
     AdmissionProgress,
     AdmissionRefusal,
     AdmissionRelease,
+    EngineEstimate,
     StreamPauseReport,
 )
 from myrtlehook_core.process.admission_requests import (
@@ -28,6 +35,7 @@
 from myrtlehook_core.process.backoffs import find_pool_backoff_s
 from myrtlehook_core.process.early_beginnings import order_last_engines
 from myrtlehook_core.process.engine_rankings import rank_engines
+from myrtlehook_core.process.engine_speeds import record_speed
 from myrtlehook_core.process.full_tiers import (
     record_tier_admitted,
     record_tier_refused,
@@ -100,7 +108,7 @@
     if options.keeps_shares:
         admission.tier = tier
         admission.above_share = standing.above_share and options.small_workspaces_first
-    ranking = rank_engines(context, request, admission.tier)
+    ranking = rank_engines(context, request, admission.tier, admissions.speeds[request.pool].steps)
     admission.ranked_engines = ranking.names
     admission.early_engines = ranking.early_engines
     admission.near_first = ranking.near_first
@@ -119,7 +127,8 @@
     untried = [name for name in candidates if name not in admission.tried]
     if not untried:
         # Rank again to find engines that have joined since the request was opened.
-        admission.ranked_engines = rank_engines(context, admission.request).names
+        steps = admissions.speeds[admission.request.pool].steps
+        admission.ranked_engines = rank_engines(context, admission.request, steps=steps).names
         candidates = list(admission.ranked_engines)
         untried = [name for name in candidates if name not in admission.tried]
     if admission.request.deadline_s <= now_s:
@@ -147,6 +156,7 @@
     """Dispatch a granted request, or release a grant that the request no longer needs."""
     if grant.estimate is not None:
         record_estimate(admissions, grant.backend_server, grant.estimate, now_s)
+        _record_speed(admissions, context, grant.backend_server, grant.estimate)
     admission = admissions.open.get(grant.request_id)
     if admission is None or admission.backend_server != grant.backend_server:
         release = AdmissionRelease(grant.request_id, grant.backend_server, ran=False)
@@ -277,6 +287,21 @@
             send_admission_request(admissions, context, admission, now_s)
 
 
+def _record_speed(
+    admissions: Admissions, context: AdmissionContext, name: str, estimate: EngineEstimate
+) -> None:
+    """Record an engine's speed for the choice of prompts' homes."""
+    ingress_context = context.ingress_context
+    server = ingress_context.configuration.backend_servers.get(name)
+    if server is None or not ingress_context.options.weighs_engines:
+        return
+    speeds = admissions.speeds[server.pool]
+    if record_speed(speeds, name, estimate.steady_tokens_per_s):
+        ingress_context.actions.add(
+            EngineWeightsChanged(server.pool, speeds.reference_tokens_per_s, dict(speeds.steps))
+        )
+
+
 def _ask_next_early(
     admissions: Admissions, context: AdmissionContext, admission: Admission, now_s: float
 ) -> bool:
@@ -291,6 +316,9 @@
         admission.eager = False
         if context.ingress_context.options.early_engines_drawn and not admission.tier:
             order_last_engines(admission)
+            waits_s = dict(admission.early_waits_s)
+            refused = EarlyBeginningRefused(admission.request.request_id, waits_s)
+            context.ingress_context.actions.add(refused)
     return False
 
 
--- a/packages/core/src/myrtlehook_core/process/engine_loads.py
+++ b/packages/core/src/myrtlehook_core/process/engine_loads.py
@@ -13,6 +13,7 @@
     learn_reading_rate,
     learn_token_time,
 )
+from myrtlehook_core.process.engine_speeds import SteadyRate
 from myrtlehook_core.process.options import CoreOptions
 from myrtlehook_core.process.prompt_caches import PromptCache, count_unread_tokens, record_parts_use
 from myrtlehook_core.process.stream_pauses import EnginePauses
@@ -109,6 +110,7 @@
     pace: ColdPace = field(default_factory=ColdPace)
     aim_demands: AimDemands = field(default_factory=AimDemands)
     pauses: EnginePauses = field(default_factory=EnginePauses)
+    steady_rate: SteadyRate = field(default_factory=SteadyRate)
     last_answer_at_s: float = -math.inf
     """When an answer last began."""
     suspected_down: bool = False
--- a/packages/core/src/myrtlehook_core/process/engine_queues.py
+++ b/packages/core/src/myrtlehook_core/process/engine_queues.py
@@ -40,6 +40,11 @@
     make_client_retry_key,
     refuse_unservable_admissions,
 )
+from myrtlehook_core.process.engine_speeds import (
+    adopt_steady_rate,
+    make_steady_estimate,
+    update_steady_rate,
+)
 from myrtlehook_core.process.options import CoreOptions
 from myrtlehook_core.process.prompt_caches import PromptCache, record_parts_use
 from myrtlehook_core.process.queue_contexts import EngineQueues, QueueContext
@@ -91,7 +96,7 @@
         return
     held = load.granted.get(message.request_id)
     if held is not None:
-        estimate = make_estimate(load.model, now_s)
+        estimate = make_steady_estimate(load.model, load.steady_rate, now_s)
         grant = AdmissionGrant(
             message.request_id, message.backend_server, held.unread_tokens, estimate
         )
@@ -169,6 +174,7 @@
             drop_granted(load, request_id)
     if message.estimate is not None and context.options.learns_engines:
         load.model = adopt_estimate(load.model, message.estimate, now_s)
+        adopt_steady_rate(load.steady_rate, message.estimate, now_s)
     record_parts_use(load.cache, message.recent_parts)
     for row in message.rows:
         record_parts_use(load.cache, row.parts)
@@ -180,6 +186,7 @@
     expired = 0
     for name, load in queues.loads.items():
         expired += expire_granted(load, now_s)
+        update_steady_rate(load.steady_rate, load.model, now_s)
         _drop_unreachable(load, context)
         refuse_unservable_admissions(queues, context, name, load, now_s)
         grant_waiting(context, name, load, now_s)
--- a/packages/core/src/myrtlehook_core/process/engine_rankings.py
+++ b/packages/core/src/myrtlehook_core/process/engine_rankings.py
@@ -1,12 +1,17 @@
 """The order in which a router asks engines to serve a request."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass
+from types import MappingProxyType
 
 from myrtlehook_core.process.admission_requests import AdmissionContext, is_usable_engine
 from myrtlehook_core.process.early_beginnings import choose_early_engines
+from myrtlehook_core.process.engine_speeds import rank_weighted
 from myrtlehook_core.process.hashing import rank_routers
 from myrtlehook_core.request.requests import RequestSpecification
 
+NO_STEPS: Mapping[str, int] = MappingProxyType({})
+
 MAX_ZONE_LOCAL_SHARED_TOKENS = 1000
 """Longer shared parts have one home engine among all zones, shorter ones may have one in each. In
 the large deployment, reading a token again costs as much as sending 30 bytes between zones, and an
@@ -25,7 +30,10 @@
 
 
 def rank_engines(
-    context: AdmissionContext, request: RequestSpecification, tier: int = 0
+    context: AdmissionContext,
+    request: RequestSpecification,
+    tier: int = 0,
+    steps: Mapping[str, int] = NO_STEPS,
 ) -> EngineRanking:
     """Rank the pool's usable engines, beginning with the likely cache of the prompt's parts.
 
@@ -35,6 +43,7 @@
     times more bytes than the parts have tokens, does not cross zones.
 
     :param tier: how many times over the request's workspace has requested its share.
+    :param steps: by engine, its weight as a power of two where that is not 0.
     """
     servers = [
         server
@@ -42,7 +51,8 @@
         if server.pool == request.pool and is_usable_engine(context, server.name)
     ]
     key = f"engine/{find_affinity_key(request)}"
-    ranked = rank_routers(key, [server.name for server in servers], len(servers))
+    names = [server.name for server in servers]
+    ranked = rank_weighted(key, names, steps) if steps else rank_routers(key, names, len(names))
     near = {
         server.name for server in servers if server.availability_zone == context.availability_zone
     }
--- a/packages/core/src/myrtlehook_core/process/queue_contexts.py
+++ b/packages/core/src/myrtlehook_core/process/queue_contexts.py
@@ -11,7 +11,7 @@
     estimate_backlog_tokens,
     estimate_unread_tokens,
 )
-from myrtlehook_core.process.engine_models import make_estimate
+from myrtlehook_core.process.engine_speeds import make_steady_estimate
 from myrtlehook_core.process.options import CoreOptions
 from myrtlehook_core.process.outboxes import MessageOutbox
 from myrtlehook_core.request.requests import count_share_tokens
@@ -71,6 +71,7 @@
         tier=waiting.tier,
         above_share=waiting.above_share,
         asked_tokens=count_share_tokens(waiting.prompt_tokens, waiting.output_tokens),
-        estimate=make_estimate(load.model, now_s),
+        estimate=make_steady_estimate(load.model, load.steady_rate, now_s),
         retry_after_ms=retry_after_ms,
+        eager=waiting.eager,
     )
--- a/packages/router/src/myrtlehook_router/process/core_tasks.py
+++ b/packages/router/src/myrtlehook_router/process/core_tasks.py
@@ -269,6 +269,7 @@
             granted=action.granted_requests,
             tier=action.tier,
             above_share=action.above_share,
+            eager=action.eager,
             retry_after_ms=action.retry_after_ms,
             rate_tokens_per_s=round(estimate.rate_tokens_per_s),
             delay_ms=estimate.delay_ms,
@@ -276,6 +277,20 @@
             estimate_age_ms=estimate.age_ms,
         )
 
+    def _record_early_refusal(self, action: actions.EarlyBeginningRefused) -> None:
+        self._counters.add("admission.not_early")
+        waits_ms = {name: round(wait_s * 1000.0) for name, wait_s in action.waits_s.items()}
+        _log.info("no early beginning", request_id=action.request_id, waits_ms=waits_ms)
+
+    def _record_engine_weights(self, action: actions.EngineWeightsChanged) -> None:
+        self._counters.add("engines.weights_changed")
+        _log.info(
+            "engine weights changed",
+            pool=action.pool,
+            reference_tokens_per_s=round(action.reference_tokens_per_s),
+            steps=action.steps,
+        )
+
     def _record_share_level(self, action: actions.ShareLevelReported) -> None:
         _log.info(
             "share level",
@@ -376,6 +391,8 @@
     actions.ReadSource: CoreTask._switch_source_reading,
     actions.ConfigurationRejected: CoreTask._record_rejected_configuration,
     actions.AdmissionDecided: CoreTask._record_admission,
+    actions.EarlyBeginningRefused: CoreTask._record_early_refusal,
+    actions.EngineWeightsChanged: CoreTask._record_engine_weights,
     actions.ShareLevelReported: CoreTask._record_share_level,
     actions.MemberStateChanged: CoreTask._record_member_change,
     actions.RequestRequeued: CoreTask._record_retry,
