Ask the engine that named the earliest time as a stranger, and the home last

Now a stranger keeps its tighter limit, and the home follows, which takes what cannot be in time anywhere.

--- a/packages/core/src/myrtlehook_core/process/admission_requests.py
+++ b/packages/core/src/myrtlehook_core/process/admission_requests.py
@@ -63,6 +63,8 @@
     """Whether the current engine is wanted only if it can begin the answer soon."""
     near_first: bool = False
     """Whether the first engine asked is the prompt's home in this router's zone only."""
+    home: str = ""
+    """The prompt's home among all zones, if several engines are asked for an early beginning."""
     early_engines: tuple[str, ...] = ()
     """The engines that are yet to be asked for an early beginning of the answer."""
     early_waits_s: dict[str, float] = field(default_factory=dict)
@@ -181,7 +183,7 @@
         deadline_left_ms=round((request.deadline_s - now_s) * 1000.0),
         priority=request.priority,
         tier=admission.tier,
-        hop=admission.hop,
+        hop=0 if admission.backend_server == admission.home else admission.hop,
         fetch_tokens=admission.offered_memory_source.tokens,
         above_share=admission.above_share,
         eager=admission.eager,
--- a/packages/core/src/myrtlehook_core/process/admissions.py
+++ b/packages/core/src/myrtlehook_core/process/admissions.py
@@ -112,6 +112,7 @@
     admission.ranked_engines = ranking.names
     admission.early_engines = ranking.early_engines
     admission.near_first = ranking.near_first
+    admission.home = ranking.home
     admissions.open[request.request_id] = admission
     ask_next_engine(admissions, context, admission, now_s)
 
@@ -314,7 +315,7 @@
         return True
     if admission.eager:
         admission.eager = False
-        if context.ingress_context.options.early_engines_drawn and not admission.tier:
+        if admission.home:
             order_last_engines(admission)
             waits_s = dict(admission.early_waits_s)
             refused = EarlyBeginningRefused(admission.request.request_id, waits_s)
--- a/packages/core/src/myrtlehook_core/process/early_beginnings.py
+++ b/packages/core/src/myrtlehook_core/process/early_beginnings.py
@@ -27,10 +27,17 @@
 
 
 def order_last_engines(admission: Admission) -> None:
-    """Rank engines that refused an early beginning first, by the time named in the refusal."""
+    """Rank the engines anew after none could begin the answer early.
+
+    The one that named the earliest time is asked first. If it is not the prompt's home, it counts
+    as a later one of the engines asked, so that it leaves room for prompts of its own, and the home
+    follows, which also takes requests that cannot be in time anywhere.
+    """
     waits_s = admission.early_waits_s
     refused = sorted(waits_s, key=lambda name: waits_s[name])
+    best = refused[0] if refused else admission.home
     others = [name for name in admission.ranked_engines if name not in waits_s]
-    admission.ranked_engines = (*refused, *others)
+    ordered = dict.fromkeys((best, admission.home, *refused, *others))
+    admission.ranked_engines = tuple(ordered)
     admission.tried.clear()
-    admission.hop = 0
+    admission.hop = 0 if best == admission.home else 1
--- a/packages/core/src/myrtlehook_core/process/engine_rankings.py
+++ b/packages/core/src/myrtlehook_core/process/engine_rankings.py
@@ -25,6 +25,8 @@
     names: tuple[str, ...]
     early_engines: tuple[str, ...]
     """The engines that are first asked for an early beginning of the answer, in this order."""
+    home: str
+    """The home among all zones, if several engines are asked for an early beginning; else ""."""
     near_first: bool
     """Whether the first engine is the home in this router's zone, put before the home among all."""
 
@@ -53,6 +55,7 @@
     key = f"engine/{find_affinity_key(request)}"
     names = [server.name for server in servers]
     ranked = rank_weighted(key, names, steps) if steps else rank_routers(key, names, len(names))
+    home = ranked[0] if ranked else ""
     near = {
         server.name for server in servers if server.availability_zone == context.availability_zone
     }
@@ -62,15 +65,15 @@
         shared_tokens <= MAX_ZONE_LOCAL_SHARED_TOKENS and len(near) >= options.fewest_near_engines
     )
     if near_first:
-        home = next(name for name in ranked if name in near)
-        ranked = (home, *(name for name in ranked if name != home))
-    early_engines = ranked[:1] if near_first else ()
-    if options.early_engines_drawn and not tier:
-        homes = ranked[: 1 + near_first]
-        early_engines = choose_early_engines(
-            homes, ranked, options.early_engines_drawn, context.ingress_context.draw
-        )
-    return EngineRanking(ranked, early_engines, near_first)
+        near_home = next(name for name in ranked if name in near)
+        ranked = (near_home, *(name for name in ranked if name != near_home))
+    if not options.early_engines_drawn or tier or not ranked:
+        return EngineRanking(ranked, ranked[:1] if near_first else (), "", near_first)
+    homes = tuple(dict.fromkeys((ranked[0], home)))
+    early_engines = choose_early_engines(
+        homes, ranked, options.early_engines_drawn, context.ingress_context.draw
+    )
+    return EngineRanking(ranked, early_engines, home, near_first)
 
 
 def find_affinity_key(request: RequestSpecification) -> str:
