--- a/packages/core/src/myrtlehook_core/process/actions.py
+++ b/packages/core/src/myrtlehook_core/process/actions.py
@@ -188,15 +188,6 @@
     """For each engine asked, by how much its answer would have begun too late."""
 
 
-@dataclass(frozen=True, slots=True)
-class SlowSpellDetected:
-    """Answers of an engine of this router begin much later than forecast."""
-
-    backend_server: str
-    until_s: float
-    """When the engine gets new work again, unless more answers are late."""
-
-
 @dataclass(frozen=True, slots=True)
 class EngineWeightsChanged:
     """The weight of an engine as a home of prompts has changed at this router."""
@@ -333,7 +324,6 @@
     | AdmissionDecided
     | EarlyBeginningRefused
     | EngineWeightsChanged
-    | SlowSpellDetected
     | ShareLevelReported
     | MemberStateChanged
     | RequestRequeued
--- a/packages/core/src/myrtlehook_core/process/engine_loads.py
+++ b/packages/core/src/myrtlehook_core/process/engine_loads.py
@@ -16,12 +16,6 @@
 from myrtlehook_core.process.engine_speeds import SteadyRate
 from myrtlehook_core.process.options import CoreOptions
 from myrtlehook_core.process.prompt_caches import PromptCache, count_unread_tokens, record_parts_use
-from myrtlehook_core.process.slow_spells import (
-    SlowSpell,
-    find_due_s,
-    record_late_answer,
-    record_punctual_answer,
-)
 from myrtlehook_core.process.stream_pauses import EnginePauses
 
 MAX_MEMORY_FRACTION = 0.9
@@ -95,11 +89,6 @@
     deadline_s: float
     begun: bool = False
     begun_at_s: float = math.inf
-    expected_begin_s: float = math.inf
-    """When its answer was forecast to begin, as of its grant; infinity if it was granted by an
-    earlier owner."""
-    is_overdue: bool = False
-    """Whether it counts as late already, though its answer has not begun."""
     pause_target_s: float = 0.0
     """The longest pause between events with which its answer is still in time; 0 for none."""
 
@@ -122,7 +111,6 @@
     aim_demands: AimDemands = field(default_factory=AimDemands)
     pauses: EnginePauses = field(default_factory=EnginePauses)
     steady_rate: SteadyRate = field(default_factory=SteadyRate)
-    slow_spell: SlowSpell = field(default_factory=SlowSpell)
     last_answer_at_s: float = -math.inf
     """When an answer last began."""
     suspected_down: bool = False
@@ -209,7 +197,6 @@
     )
     load.granted[waiting.request_id] = item
     load.reading[waiting.request_id] = item
-    item.expected_begin_s = estimate_read_end_s(load, now_s) + load.model.delay_s
     record_parts_use(load.cache, waiting.parts)
     return item
 
@@ -233,30 +220,6 @@
     load.read_until_s = now_s - load.model.delay_s
 
 
-def record_punctuality(load: EngineLoad, request_id: str, now_s: float) -> bool:
-    """Record whether an answer that begins is late; True when a slow spell is recognised."""
-    item = load.granted.get(request_id)
-    if item is None or item.begun or item.is_overdue:
-        return False
-    if now_s > find_due_s(item.granted_at_s, item.expected_begin_s):
-        return record_late_answer(load.slow_spell, now_s)
-    if math.isfinite(item.expected_begin_s):
-        record_punctual_answer(load.slow_spell, now_s)
-    return False
-
-
-def record_overdue(load: EngineLoad, now_s: float) -> bool:
-    """Record answers that are overdue; True when a slow spell is recognised by them."""
-    recognised = False
-    for item in load.reading.values():
-        if now_s <= find_due_s(item.granted_at_s, item.expected_begin_s):
-            break
-        if not item.is_overdue:
-            item.is_overdue = True
-            recognised = record_late_answer(load.slow_spell, now_s) or recognised
-    return recognised
-
-
 def end_granted(load: EngineLoad, request_id: str, ran: bool, now_s: float) -> bool:
     """Remove a granted request that has ended; False when it was not known.
 
--- a/packages/core/src/myrtlehook_core/process/engine_queues.py
+++ b/packages/core/src/myrtlehook_core/process/engine_queues.py
@@ -7,7 +7,7 @@
 import math
 from collections.abc import Mapping
 
-from myrtlehook_core.process.actions import ColdEngineDetected, ServerEjected, SlowSpellDetected
+from myrtlehook_core.process.actions import ColdEngineDetected, ServerEjected
 from myrtlehook_core.process.admission_messages import (
     AdmissionGrant,
     AdmissionProgress,
@@ -33,8 +33,6 @@
     expire_granted,
     is_answer_overdue,
     record_answer_begun,
-    record_overdue,
-    record_punctuality,
 )
 from myrtlehook_core.process.engine_models import adopt_estimate, make_estimate, make_model
 from myrtlehook_core.process.engine_refusals import (
@@ -126,10 +124,6 @@
     load = queues.loads.get(message.backend_server)
     if load is not None:
         _record_engine_alive(context, message.backend_server, load, now_s)
-        if context.options.avoids_slow_spells and record_punctuality(
-            load, message.request_id, now_s
-        ):
-            context.actions.add(SlowSpellDetected(message.backend_server, load.slow_spell.until_s))
         record_answer_begun(load, message.request_id, context.options.learns_engines, now_s)
         # A suspect engine that begins an answer is healthy again.
         record_outcome(load.health, False, now_s)
@@ -193,8 +187,6 @@
     for name, load in queues.loads.items():
         expired += expire_granted(load, now_s)
         update_steady_rate(load.steady_rate, load.model, now_s)
-        if context.options.avoids_slow_spells and record_overdue(load, now_s):
-            context.actions.add(SlowSpellDetected(name, load.slow_spell.until_s))
         _drop_unreachable(load, context)
         refuse_unservable_admissions(queues, context, name, load, now_s)
         grant_waiting(context, name, load, now_s)
--- a/packages/core/src/myrtlehook_core/process/engine_refusals.py
+++ b/packages/core/src/myrtlehook_core/process/engine_refusals.py
@@ -19,7 +19,6 @@
     find_slots,
     is_grantable,
 )
-from myrtlehook_core.process.slow_spells import is_slow
 
 REFUSAL_MEMORY_S = 10.0
 """How long a refused request is recognised when its client sends it again."""
@@ -50,9 +49,6 @@
         return False
     if not context.options.refuses_at_arrival:
         return True
-    if waiting.eager and is_slow(load.slow_spell, now_s):
-        _refuse(queues, context, name, load, waiting, now_s, load.slow_spell.until_s)
-        return False
     if (
         (waiting.is_client_retry or waiting.unavoidably_late)
         and waiting.hop == 0
--- a/packages/core/src/myrtlehook_core/process/options.py
+++ b/packages/core/src/myrtlehook_core/process/options.py
@@ -156,5 +156,3 @@
     weighs_engines: bool = True
     """Whether engines that read about twice or half as fast as their pool's median are the homes of
     twice or half as many prompts."""
-    avoids_slow_spells: bool = True
-    """Whether an engine whose answers begin much later than forecast refuses early beginnings."""
--- a/packages/router/src/myrtlehook_router/process/core_tasks.py
+++ b/packages/router/src/myrtlehook_router/process/core_tasks.py
@@ -282,11 +282,6 @@
         waits_ms = {name: round(wait_s * 1000.0) for name, wait_s in action.waits_s.items()}
         _log.info("no early beginning", request_id=action.request_id, waits_ms=waits_ms)
 
-    def _record_slow_spell(self, action: actions.SlowSpellDetected) -> None:
-        self._counters.add("engines.slow_spells")
-        left_s = action.until_s - clocks.now_s()
-        _log.info("engine is slow", backend_server=action.backend_server, for_s=round(left_s, 3))
-
     def _record_engine_weights(self, action: actions.EngineWeightsChanged) -> None:
         self._counters.add("engines.weights_changed")
         _log.info(
@@ -397,7 +392,6 @@
     actions.ConfigurationRejected: CoreTask._record_rejected_configuration,
     actions.AdmissionDecided: CoreTask._record_admission,
     actions.EarlyBeginningRefused: CoreTask._record_early_refusal,
-    actions.SlowSpellDetected: CoreTask._record_slow_spell,
     actions.EngineWeightsChanged: CoreTask._record_engine_weights,
     actions.ShareLevelReported: CoreTask._record_share_level,
     actions.MemberStateChanged: CoreTask._record_member_change,
