--- a/tests/features/engine_choice.feature
+++ b/tests/features/engine_choice.feature
@@ -66,3 +66,18 @@
     Given 6 routers and 8 engines, whose answers take 0.1 s
     When a router asks for an early beginning and the engine's owner ends before it answers
     Then the request runs before its deadline
+
+  # Load pattern "slow spells": each engine reads 0.4 times as fast for some time, in turn. Each
+  # overdue answer lengthens the forecasts of its engine, so that requests begin elsewhere.
+
+  Scenario Outline: New work goes elsewhere while an engine is slow
+    Given 6 routers and 9 engines, each of which reads 0.4 times as fast for <slow> s of every <period> s
+    When <rate> requests a second share 60 parts evenly, with an aim of 0.3 s, for 6 s
+    Then at least 0.998 of them begin in time
+    And at most 0.001 of them are refused
+
+    Examples:
+      | slow | period | rate |
+      | 0.6  | 3      | 310  |
+      | 0.3  | 0.6    | 250  |
+      | 0.1  | 0.2    | 250  |
--- a/tests/steps/engine_choice_steps.py
+++ b/tests/steps/engine_choice_steps.py
@@ -1,6 +1,7 @@
 """Steps of the choice of an engine for each request."""
 
 import random
+from dataclasses import replace
 from typing import Any
 
 from behave import given as before
@@ -31,6 +32,7 @@
 """Requests of this period are not counted, since the engines are empty at first."""
 
 OWN_TOKENS = 300
+AIM_S = 0.6
 
 
 @before("{routers:d} routers and {engines:d} engines, whose answers take {answer_s:g} s")
@@ -58,13 +60,16 @@
     """Send requests at random moments to random routers, by the popularity of their parts."""
     history: History = context.history
     draw = random.Random(context.seed if hasattr(context, "seed") else 1)
+    own_tokens = getattr(context, "own_tokens", OWN_TOKENS)
+    aim_s = getattr(context, "aim_s", AIM_S)
     names = list(history.alive)
     time_s = START_S
     context.asked = {}
     while time_s < START_S + seconds:
         part = draw.choices(range(len(popularity)), popularity)[0]
         request_id = f"q{len(context.asked)}"
-        request = make_request(request_id, draw.choice("abcd"), part, OWN_TOKENS, time_s, True)
+        made = make_request(request_id, draw.choice("abcd"), part, own_tokens, time_s, True)
+        request = replace(made, aim_deadline_s=time_s + aim_s)
         context.asked[request_id] = request
         router = draw.choice(names)
         history.at(time_s, lambda router=router, request=request: history.ask(router, request))
@@ -350,3 +355,25 @@
     refused = [message for _, _, message in context.sent]
     mine = [item for item in refused if item.request_id == context.request_id]
     assert mine and mine[0].eager, refused
+
+
+@before("{routers:d} routers and {engines:d} engines, each of which reads {factor:g} times as fast "
+        "for {slow_s:g} s of every {period_s:g} s")  # fmt: skip
+def start_spells(
+    context: Any, routers: int, engines: int, factor: float, slow_s: float, period_s: float
+) -> None:
+    start(context, routers, engines, 0.1)
+
+    def find_rate_tokens_per_s(engine: str, time_s: float) -> float:
+        # The engines are slow at different times.
+        phase_s = (time_s + int(engine[1:]) * period_s / engines) % period_s
+        return RATE_TOKENS_PER_S * (factor if phase_s < slow_s else 1.0)
+
+    context.history.find_rate_tokens_per_s = find_rate_tokens_per_s
+
+
+@when("{rate:d} requests a second share {parts:d} parts evenly, with an aim of {aim_s:g} s, "
+      "for {seconds:g} s")  # fmt: skip
+def ask_urgently(context: Any, rate: int, parts: int, aim_s: float, seconds: float) -> None:
+    context.aim_s, context.own_tokens = aim_s, 600
+    ask(context, rate, [1.0] * parts, seconds)
