--- a/tests/steps/engine_choice_steps.py
+++ b/tests/steps/engine_choice_steps.py
@@ -36,16 +36,29 @@
 
 
 @before("{routers:d} routers and {engines:d} engines, whose answers take {answer_s:g} s")
-def start(context: Any, routers: int, engines: int, answer_s: float) -> None:
+def start(
+    context: Any, routers: int, engines: int, answer_s: float, network: Network | None = None
+) -> None:
     options = getattr(context, "options", CoreOptions())
     history = History(
-        1, routers, engines, Network(), options, tokens_per_s=10.0 * engines * RATE_TOKENS_PER_S
+        1,
+        routers,
+        engines,
+        network or Network(),
+        options,
+        tokens_per_s=10.0 * engines * RATE_TOKENS_PER_S,
     )
     history.find_answer_s = lambda request: answer_s
     history.run_until(START_S)
     context.history = history
 
 
+@before("{routers:d} routers and {engines:d} engines, whose answers take {answer_s:g} s, beside lost "
+        "and doubled messages")  # fmt: skip
+def start_faulty(context: Any, routers: int, engines: int, answer_s: float) -> None:
+    start(context, routers, engines, answer_s, Network(0.1, 0.3, 0.02))
+
+
 @when("{rate:d} requests a second share {parts:d} parts unevenly for {seconds:g} s")
 def ask_unevenly(context: Any, rate: int, parts: int, seconds: float) -> None:
     ask(context, rate, [1.0 / number for number in range(1, parts + 1)], seconds)
@@ -132,6 +145,14 @@
     assert refused <= part, refused
 
 
+@then("each request is sent to an engine at most once, and ends or is refused")
+def check_once(context: Any) -> None:
+    for request_id in context.asked:
+        outcome = context.history.outcomes[request_id]
+        assert len(outcome.dispatched) + len(outcome.refused_at_s) == 1, (request_id, outcome)
+        assert outcome.ended_at_s is not None or outcome.refused_at_s, (request_id, outcome)
+
+
 @then("at least {part:g} of them run at their home")
 def check_home(context: Any, part: float) -> None:
     home = compute_home_fraction(context)
