--- a/tests/steps/engine_choice_steps.py
+++ b/tests/steps/engine_choice_steps.py
@@ -53,8 +53,8 @@
     context.history = history
 
 
-@before("{routers:d} routers and {engines:d} engines, whose answers take {answer_s:g} s, beside lost "
-        "and doubled messages")  # fmt: skip
+@before("{routers:d} routers and {engines:d} engines, whose answers take {answer_s:g} s, beside "
+        "lost and doubled messages")  # fmt: skip
 def start_faulty(context: Any, routers: int, engines: int, answer_s: float) -> None:
     start(context, routers, engines, answer_s, Network(0.1, 0.3, 0.02))
 
