--- a/packages/core/src/myrtlehook_core/process/engine_refusals.py
+++ b/packages/core/src/myrtlehook_core/process/engine_refusals.py
@@ -11,6 +11,7 @@
     WaitingAdmission,
     estimate_unread_tokens,
 )
+from myrtlehook_core.process.engine_rankings import MAX_ZONE_LOCAL_SHARED_TOKENS
 from myrtlehook_core.process.prompt_caches import count_cached_tokens
 from myrtlehook_core.process.queue_contexts import (
     EngineQueues,
@@ -25,6 +26,9 @@
 
 MIN_RETRY_AFTER_MS = 50
 
+REREAD_COST = 2.0
+"""Reading a cached part again elsewhere delays both the request and the next one there."""
+
 WITHIN_SHARE_RANK = (0, False)
 """The rank of requests from workspaces that do not exceed their share."""
 
@@ -75,7 +79,7 @@
                 limit_s, _compute_reserve_limit_s(context, load, waiting, own_read_s, now_s)
             )
         if other is waiting and waiting.eager:
-            limit_s = min(limit_s, _compute_eager_limit_s(context, waiting))
+            limit_s = min(limit_s, _compute_eager_limit_s(context, load, waiting))
         if other is not waiting and forecast.begin_s - own_read_s > limit_s:
             # The other request would be late without the new one as well.
             continue
@@ -143,10 +147,20 @@
     return waiting.asked_at_s + limit_s
 
 
-def _compute_eager_limit_s(context: QueueContext, waiting: WaitingAdmission) -> float:
-    """Return the latest begin of an answer at which an eager request stays at this engine."""
+def _compute_eager_limit_s(
+    context: QueueContext, load: EngineLoad, waiting: WaitingAdmission
+) -> float:
+    """Return the latest begin of an answer at which an eager request stays at this engine.
+
+    A long part that is cached here would have to be read again at another engine, so this one may
+    begin the answer later by what that reading would cost.
+    """
     aim_s = waiting.aim_deadline_s - waiting.asked_at_s
-    return waiting.asked_at_s + context.options.eager_aim_part * aim_s
+    limit_s = waiting.asked_at_s + context.options.eager_aim_part * aim_s
+    cached_tokens = count_cached_tokens(load.cache, waiting.parts)
+    if cached_tokens > MAX_ZONE_LOCAL_SHARED_TOKENS and context.options.early_engines_drawn:
+        limit_s += REREAD_COST * cached_tokens / load.model.rate_tokens_per_s
+    return limit_s
 
 
 def _refuse(
