--- a/tests/features/engine_choice.feature
+++ b/tests/features/engine_choice.feature
@@ -29,6 +29,17 @@
     When requests within shares come that fill the engine for 2 s
     Then the request is refused within 0.1 s, so that its router asks another engine
 
+  Scenario Outline: A request waits longer where a long part of its prompt is cached
+    Given an engine's owner whose engine has 0.3 s to read, and has cached a part of <shared> tokens
+    When a request with <part> and an aim of 0.6 s asks for an early beginning
+    Then the request for an early beginning is <decision>
+
+    Examples:
+      | shared | part         | decision |
+      | 5000   | that part    | kept     |
+      | 5000   | another part | refused  |
+      | 500    | that part    | refused  |
+
   # Load pattern "unequal engines": a third of the engines read 0.4 times as fast as the others.
 
   Scenario: Slow engines are the homes of fewer prompts
--- a/tests/steps/engine_choice_steps.py
+++ b/tests/steps/engine_choice_steps.py
@@ -14,6 +14,7 @@
     AdmissionRequest,
     EngineEstimate,
     HeldAdmissions,
+    PartRow,
 )
 from myrtlehook_core.process.engine_models import EngineModel
 from myrtlehook_core.process.engine_speeds import (
@@ -336,8 +337,42 @@
     assert context.request_id in history.alive[owner].engine_queues.loads["e0"].waiting
 
 
+@before("an engine's owner whose engine has {seconds:g} s to read, and has cached a part of "
+        "{shared:d} tokens")  # fmt: skip
+def cache_part(context: Any, seconds: float, shared: int) -> None:
+    start(context, 2, 1, 0.1)
+    history: History = context.history
+    owner = next(name for name, core in history.alive.items() if core.engine_queues.loads)
+    context.owner, context.asker = owner, next(name for name in history.alive if name != owner)
+    context.number, context.shared, context.sent = 0, shared, []
+    record_sent(context, AdmissionRefusal)
+    held = HeldAdmissions("e0", (), (PartRow("s", shared),))
+    history.feed(owner, events.MessageReceived(context.asker, 1, held))
+    ask_owner(context, round(seconds * RATE_TOKENS_PER_S))
+
+
+@when("a request with {part} and an aim of {aim_s:g} s asks for an early beginning")
+def ask_early(context: Any, part: str, aim_s: float) -> None:
+    name = "s" if part == "that part" else "other"
+    parts = (PartRow(name, context.shared), PartRow("own", 100))
+    tokens = context.shared + 100
+    context.request_id = ask_owner(context, tokens, aim_s=aim_s, eager=True, parts=parts)
+
+
+@then("the request for an early beginning is {decision}")
+def check_decision(context: Any, decision: str) -> None:
+    context.history.run_until(context.history.now_s + 0.01)
+    refused = [message.request_id for _, _, message in context.sent]
+    assert (context.request_id in refused) == (decision == "refused"), refused
+
+
 def ask_owner(
-    context: Any, tokens: int, aim_s: float = 3.0, above_share: bool = False, eager: bool = False
+    context: Any,
+    tokens: int,
+    aim_s: float = 3.0,
+    above_share: bool = False,
+    eager: bool = False,
+    parts: tuple[PartRow, ...] = (),
 ) -> str:
     """Send a request for admission to the owner; returns its id."""
     history: History = context.history
@@ -347,7 +382,7 @@
         request_id=request_id,
         backend_server="e0",
         workspace="a",
-        parts=(),
+        parts=parts,
         prompt_tokens=tokens,
         output_tokens=30,
         aim_left_ms=round(aim_s * 1000.0),
