--- a/packages/core/src/myrtlehook_core/process/engine_refusals.py
+++ b/packages/core/src/myrtlehook_core/process/engine_refusals.py
@@ -49,7 +49,9 @@
     if not is_grantable(context, name) or not may_send_request(
         load.health, len(load.granted), now_s
     ):
-        _refuse(queues, context, name, load, waiting, now_s, now_s)
+        # An engine that is not usable must not look like the one that can begin the answer first.
+        usable_s = waiting.aim_deadline_s if waiting.eager else now_s
+        _refuse(queues, context, name, load, waiting, now_s, max(usable_s, now_s))
         return False
     if not context.options.refuses_at_arrival:
         return True
--- a/tests/features/engine_choice.feature
+++ b/tests/features/engine_choice.feature
@@ -40,6 +40,13 @@
       | 5000   | another part | refused  |
       | 500    | that part    | refused  |
 
+  Scenario: An ejected engine does not name the earliest time
+    Given an engine's owner whose engine has 0.3 s to read, and has cached a part of 500 tokens
+    And the engine is ejected for 0.1 s
+    When a request with that part and an aim of 0.6 s asks for an early beginning
+    Then the request for an early beginning is refused
+    And its refusal names at least 0.6 s
+
   # Load pattern "unequal engines": a third of the engines read 0.4 times as fast as the others.
 
   Scenario: Slow engines are the homes of fewer prompts
--- a/tests/steps/engine_choice_steps.py
+++ b/tests/steps/engine_choice_steps.py
@@ -16,6 +16,7 @@
     HeldAdmissions,
     PartRow,
 )
+from myrtlehook_core.process.ejections import FAILURES_TO_EJECT
 from myrtlehook_core.process.engine_models import EngineModel
 from myrtlehook_core.process.engine_speeds import (
     PoolSpeeds,
@@ -366,6 +367,19 @@
     assert (context.request_id in refused) == (decision == "refused"), refused
 
 
+@before("the engine is ejected for {seconds:g} s")
+def eject(context: Any, seconds: float) -> None:
+    health = context.history.alive[context.owner].engine_queues.loads["e0"].health
+    health.consecutive_failures = FAILURES_TO_EJECT
+    health.ejected_until_s = context.history.now_s + seconds
+
+
+@then("its refusal names at least {seconds:g} s")
+def check_named(context: Any, seconds: float) -> None:
+    refusal = context.sent[-1][2]
+    assert refusal.retry_after_ms >= seconds * 1000.0, refusal
+
+
 def ask_owner(
     context: Any,
     tokens: int,
