--- a/packages/core/src/myrtlehook_core/process/choosers.py
+++ b/packages/core/src/myrtlehook_core/process/choosers.py
@@ -1,8 +1,7 @@
 """Choosers: how an owner selects the workspace that gets the next free slot."""
 
 import math
-import statistics
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass
 
 Draw = Callable[[], float]
@@ -44,7 +43,7 @@
     def choose_weighted(candidates: Sequence[Candidate], draw: Draw) -> Candidate:
         if len(candidates) == 1:
             return candidates[0]
-        median = statistics.median(item.virtual_service_units for item in candidates)
+        median = _compute_median([item.virtual_service_units for item in candidates])
         spread = spread_units or _compute_default_spread(candidates)
         weights = [_compute_weight(item, median, spread) for item in candidates]
         return _pick_weighted(candidates, weights, draw)
@@ -54,7 +53,7 @@
 
 def _compute_default_spread(candidates: Sequence[Candidate]) -> float:
     costs = [item.mean_cost_units / item.share for item in candidates]
-    return max(2.0 * statistics.fmean(costs), 1e-9)
+    return max(2.0 * math.fsum(costs) / len(costs), 1e-9)
 
 
 def _compute_weight(item: Candidate, median_units: float, spread_units: float) -> float:
@@ -72,3 +71,10 @@
         if threshold < 0:
             return item
     return candidates[-1]
+
+
+def _compute_median(values: Collection[float]) -> float:
+    """Return the median; the standard library's module for it takes long to import at a start."""
+    ordered = sorted(values)
+    middle = len(ordered) // 2
+    return (ordered[middle] + ordered[-middle - 1]) / 2.0
--- a/packages/core/src/myrtlehook_core/process/engine_speeds.py
+++ b/packages/core/src/myrtlehook_core/process/engine_speeds.py
@@ -11,7 +11,6 @@
 import math
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
-from statistics import median
 
 import msgspec
 
@@ -104,7 +103,7 @@
     if len(rates) < MIN_KNOWN_ENGINES:
         return False
     before = dict(speeds.steps)
-    reference = median(rates.values())
+    reference = sorted(rates.values())[len(rates) // 2]
     drift = abs(reference - speeds.reference_tokens_per_s)
     if drift > REFERENCE_DRIFT * speeds.reference_tokens_per_s:
         speeds.reference_tokens_per_s = reference
