Let an engine that is ejected later name no early time either

An ejected or leaving engine refused the requests that waited there for an early beginning with a wait of 50 ms, so it was asked first afterwards. It names the whole aim now, as on arrival. The option gates it. The step that queues a request above its share now cuts messages to the asker, which released grants that it did not know, so the queue was emptied; the checks are as they were.

--- a/packages/core/src/myrtlehook_core/process/engine_refusals.py
+++ b/packages/core/src/myrtlehook_core/process/engine_refusals.py
@@ -49,9 +49,8 @@
     if not is_grantable(context, name) or not may_send_request(
         load.health, len(load.granted), now_s
     ):
-        # An engine that is not usable must not look like the one that can begin the answer first.
-        usable_s = waiting.aim_deadline_s if waiting.eager else now_s
-        _refuse(queues, context, name, load, waiting, now_s, max(usable_s, now_s))
+        usable_s = _find_usable_s(context, waiting, now_s)
+        _refuse(queues, context, name, load, waiting, now_s, usable_s)
         return False
     if not context.options.refuses_at_arrival:
         return True
@@ -104,7 +103,8 @@
     usable = is_grantable(context, name) and now_s >= load.health.ejected_until_s
     for waiting in list(load.waiting.values()):
         if not usable or now_s >= waiting.deadline_s:
-            _refuse(queues, context, name, load, waiting, now_s, now_s)
+            usable_s = _find_usable_s(context, waiting, now_s)
+            _refuse(queues, context, name, load, waiting, now_s, usable_s)
     for forecast in forecast_waiting(load, find_slots(context, name), now_s):
         limit_s = _compute_begin_limit_s(context, forecast.waiting)
         may_leave = forecast.waiting.tier > 0 or forecast.waiting.eager
@@ -118,6 +118,20 @@
     return f"{waiting.workspace}/{last}/{waiting.prompt_tokens}/{waiting.output_tokens}"
 
 
+def _seeks_early_beginning(context: QueueContext, waiting: WaitingAdmission) -> bool:
+    """Return whether a request is offered to several engines for an early beginning."""
+    return waiting.eager and context.options.early_engines_drawn > 0
+
+
+def _find_usable_s(context: QueueContext, waiting: WaitingAdmission, now_s: float) -> float:
+    """Return the time that an unusable engine names in its refusal.
+
+    It must not look like the engine that can begin the answer first.
+    """
+    seeks_early = _seeks_early_beginning(context, waiting)
+    return max(waiting.aim_deadline_s, now_s) if seeks_early else now_s
+
+
 def _compute_begin_limit_s(context: QueueContext, waiting: WaitingAdmission) -> float:
     """Return the latest time at which an answer may begin for its request to be admitted.
 
--- a/tests/features/engine_choice.feature
+++ b/tests/features/engine_choice.feature
@@ -47,6 +47,12 @@
     Then the request for an early beginning is refused
     And its refusal names at least 0.6 s
 
+  Scenario: An engine that is ejected later does not name the earliest time
+    Given an engine's owner that has queued a request above its share for an early beginning
+    And the engine is ejected for 0.5 s
+    Then the request is refused within 0.1 s, so that its router asks another engine
+    And its refusal names at least 0.85 s
+
   # Load pattern "unequal engines": a third of the engines read 0.4 times as fast as the others.
 
   Scenario: Slow engines are the homes of fewer prompts
--- a/tests/steps/engine_choice_steps.py
+++ b/tests/steps/engine_choice_steps.py
@@ -35,6 +35,7 @@
 
 OWN_TOKENS = 300
 AIM_S = 0.6
+LONG_AIM_S = 1.15
 
 
 @before("{routers:d} routers and {engines:d} engines, whose answers take {answer_s:g} s")
@@ -331,6 +332,8 @@
     context.number = 0
     context.sent = []
     record_sent(context, AdmissionRefusal)
+    # The asker does not know the requests and would release what it is granted.
+    history.is_cut = lambda sender, receiver: receiver == context.asker
     # It begins to read this one, so that the next ones wait.
     ask_owner(context, tokens=5_000)
     ask_owner(context, tokens=1_000)
@@ -387,11 +390,12 @@
     above_share: bool = False,
     eager: bool = False,
     parts: tuple[PartRow, ...] = (),
+    request_id: str = "",
 ) -> str:
     """Send a request for admission to the owner; returns its id."""
     history: History = context.history
     context.number += 1
-    request_id = f"a{context.number}"
+    request_id = request_id or f"a{context.number}"
     message = AdmissionRequest(
         request_id=request_id,
         backend_server="e0",
