Turn early beginnings off whole

Two decisions of owners asked only whether a request is eager, so that with early_engines_drawn at 0 requests at the home of their own zone were treated anew. Both ask the option now. Both new scenarios with the option off failed before.

--- a/packages/core/src/myrtlehook_core/process/engine_refusals.py
+++ b/packages/core/src/myrtlehook_core/process/engine_refusals.py
@@ -58,7 +58,7 @@
         (waiting.is_client_retry or waiting.unavoidably_late)
         and waiting.hop == 0
         and waiting.tier == 0
-        and not waiting.eager
+        and not _seeks_early_beginning(context, waiting)
     ):
         return True
     own_read_s = estimate_unread_tokens(load, waiting) / load.model.rate_tokens_per_s
@@ -107,7 +107,8 @@
             _refuse(queues, context, name, load, waiting, now_s, usable_s)
     for forecast in forecast_waiting(load, find_slots(context, name), now_s):
         limit_s = _compute_begin_limit_s(context, forecast.waiting)
-        may_leave = forecast.waiting.tier > 0 or forecast.waiting.eager
+        seeks_early = _seeks_early_beginning(context, forecast.waiting)
+        may_leave = forecast.waiting.tier > 0 or seeks_early
         if may_leave and forecast.begin_s > limit_s:
             _refuse(queues, context, name, load, forecast.waiting, now_s, forecast.begin_s)
 
--- a/tests/features/engine_choice.feature
+++ b/tests/features/engine_choice.feature
@@ -53,6 +53,23 @@
     Then the request is refused within 0.1 s, so that its router asks another engine
     And its refusal names at least 0.85 s
 
+  Scenario: Without early beginnings a late request waits as before
+    Given early beginnings are turned off
+    And an engine's owner that has queued a request above its share for an early beginning
+    When requests within shares come that fill the engine for 2 s
+    Then the request is not refused within 0.1 s
+
+  Scenario Outline: Without early beginnings a request that cannot be in time waits as before
+    Given early beginnings are turned <state>
+    And an engine's owner whose engine has 0.3 s to read, and has cached a part of 5000 tokens
+    When a request with another part and an aim of 0.1 s asks for an early beginning
+    Then the request for an early beginning is <decision>
+
+    Examples:
+      | state | decision |
+      | on    | refused  |
+      | off   | kept     |
+
   # Load pattern "unequal engines": a third of the engines read 0.4 times as fast as the others.
 
   Scenario: Slow engines are the homes of fewer prompts
--- a/tests/steps/engine_choice_steps.py
+++ b/tests/steps/engine_choice_steps.py
@@ -431,6 +431,23 @@
     assert mine and mine[0].eager, refused
 
 
+@before("early beginnings are turned {state}")
+def set_early_beginnings(context: Any, state: str) -> None:
+    defaults = CoreOptions()
+    drawn = defaults.early_engines_drawn if state == "on" else 0
+    context.options = replace(defaults, early_engines_drawn=drawn)
+
+
+@then("the request is not refused within {seconds:g} s")
+def check_stayed(context: Any, seconds: float) -> None:
+    history: History = context.history
+    history.run_until(history.now_s + seconds)
+    refused = [message.request_id for _, _, message in context.sent]
+    assert context.request_id not in refused, refused
+    load = history.alive[context.owner].engine_queues.loads["e0"]
+    assert context.request_id in load.waiting, list(load.waiting)
+
+
 @before("{routers:d} routers and {engines:d} engines, each of which reads {factor:g} times as fast "
         "for {slow_s:g} s of every {period_s:g} s")  # fmt: skip
 def start_spells(
