Forecast again after each late request that leaves an engine

All late requests for early beginnings were refused from one forecast, so those behind a long prompt left with it though they would have been in time. The first is refused, then the rest is forecast again. Requests above a share are refused as before.

--- a/packages/core/src/myrtlehook_core/process/engine_refusals.py
+++ b/packages/core/src/myrtlehook_core/process/engine_refusals.py
@@ -5,7 +5,7 @@
 from myrtlehook_core.process.admission_messages import AdmissionRefusal
 from myrtlehook_core.process.aim_demands import SHORTER_AIM_FRACTION, find_shortest_aim_s
 from myrtlehook_core.process.ejections import may_send_request
-from myrtlehook_core.process.engine_forecasts import forecast_waiting
+from myrtlehook_core.process.engine_forecasts import Forecast, forecast_waiting
 from myrtlehook_core.process.engine_loads import (
     EngineLoad,
     WaitingAdmission,
@@ -107,10 +107,13 @@
             _refuse(queues, context, name, load, waiting, now_s, usable_s)
     for forecast in forecast_waiting(load, find_slots(context, name), now_s):
         limit_s = _compute_begin_limit_s(context, forecast.waiting)
-        seeks_early = _seeks_early_beginning(context, forecast.waiting)
-        may_leave = forecast.waiting.tier > 0 or seeks_early
-        if may_leave and forecast.begin_s > limit_s:
+        if forecast.waiting.tier > 0 and forecast.begin_s > limit_s:
             _refuse(queues, context, name, load, forecast.waiting, now_s, forecast.begin_s)
+    late = _find_late_early_beginning(context, name, load, now_s)
+    while late is not None:
+        # Those behind it may be in time without it, so each refusal needs a new forecast.
+        _refuse(queues, context, name, load, late.waiting, now_s, late.begin_s)
+        late = _find_late_early_beginning(context, name, load, now_s)
 
 
 def make_client_retry_key(waiting: WaitingAdmission) -> str:
@@ -133,6 +136,20 @@
     return max(waiting.aim_deadline_s, now_s) if seeks_early else now_s
 
 
+def _find_late_early_beginning(
+    context: QueueContext, name: str, load: EngineLoad, now_s: float
+) -> Forecast | None:
+    """Return the first request for an early beginning that is forecast to be late."""
+    if not any(_seeks_early_beginning(context, item) for item in load.waiting.values()):
+        return None
+    for forecast in forecast_waiting(load, find_slots(context, name), now_s):
+        waiting = forecast.waiting
+        is_late = forecast.begin_s > _compute_begin_limit_s(context, waiting)
+        if is_late and _seeks_early_beginning(context, waiting):
+            return forecast
+    return None
+
+
 def _compute_begin_limit_s(context: QueueContext, waiting: WaitingAdmission) -> float:
     """Return the latest time at which an answer may begin for its request to be admitted.
 
--- a/tests/features/engine_choice.feature
+++ b/tests/features/engine_choice.feature
@@ -53,6 +53,11 @@
     Then the request is refused within 0.1 s, so that its router asks another engine
     And its refusal names at least 0.85 s
 
+  Scenario: Requests behind one that leaves its engine stay if they can then be in time
+    Given an engine's owner that has queued a prompt of 6000 tokens and 3 of 300 for early beginnings
+    When its engine reads 0.35 times as fast as before
+    Then only the first of them is refused within 0.1 s
+
   Scenario: Without early beginnings a late request waits as before
     Given early beginnings are turned off
     And an engine's owner that has queued a request above its share for an early beginning
--- a/tests/steps/engine_choice_steps.py
+++ b/tests/steps/engine_choice_steps.py
@@ -448,6 +448,39 @@
     assert context.request_id in load.waiting, list(load.waiting)
 
 
+@before("an engine's owner that has queued a prompt of {long:d} tokens and {count:d} of {short:d} "
+        "for early beginnings")  # fmt: skip
+def queue_long(context: Any, long: int, count: int, short: int) -> None:
+    start(context, 2, 1, 0.1)
+    history: History = context.history
+    owner = next(name for name, core in history.alive.items() if core.engine_queues.loads)
+    context.owner, context.asker = owner, next(name for name in history.alive if name != owner)
+    context.number, context.sent = 0, []
+    record_sent(context, AdmissionRefusal)
+    # The asker does not know the requests and would release what it is granted.
+    history.is_cut = lambda sender, receiver: receiver == context.asker
+    # It begins to read this one, so that the next ones wait.
+    ask_owner(context, tokens=5_000)
+    lengths = [long] + [short] * count
+    context.queued = [ask_owner(context, tokens, aim_s=LONG_AIM_S, eager=True) for tokens in lengths]
+    load = history.alive[owner].engine_queues.loads["e0"]
+    assert list(load.waiting) == context.queued, list(load.waiting)
+
+
+@when("its engine reads {factor:g} times as fast as before")
+def slow_down(context: Any, factor: float) -> None:
+    history: History = context.history
+    history.alive[context.owner].engine_queues.loads["e0"].model.rate_tokens_per_s *= factor
+
+
+@then("only the first of them is refused within {seconds:g} s")
+def check_first_left(context: Any, seconds: float) -> None:
+    history: History = context.history
+    history.run_until(history.now_s + seconds)
+    refused = [message.request_id for _, _, message in context.sent]
+    assert refused == context.queued[:1], refused
+
+
 @before("{routers:d} routers and {engines:d} engines, each of which reads {factor:g} times as fast "
         "for {slow_s:g} s of every {period_s:g} s")  # fmt: skip
 def start_spells(
