Let a request for any beginning replace one for an early beginning

A late copy of an eager request was queued after its refusal, swallowed the request that followed, and its own refusal counted no more: the request waited at no owner until it was sent again. The later kind replaces the earlier and is decided anew, never the reverse.

--- a/packages/core/src/myrtlehook_core/process/engine_queues.py
+++ b/packages/core/src/myrtlehook_core/process/engine_queues.py
@@ -102,8 +102,12 @@
         )
         context.outbox.add(sender, grant)
         return
-    if message.request_id in load.waiting:
+    earlier = load.waiting.get(message.request_id)
+    if earlier is not None and (message.eager or not earlier.eager):
         return
+    # A request for any beginning replaces one for an early beginning: the latter's refusal would
+    # not count any more. Never the reverse, since messages may be late.
+    load.waiting.pop(message.request_id, None)
     waiting = _make_waiting(sender, message, now_s)
     known = make_client_retry_key(waiting) in queues.refused_until_s
     waiting.is_client_retry = known and context.options.favours_returned
--- a/tests/features/engine_choice.feature
+++ b/tests/features/engine_choice.feature
@@ -58,6 +58,11 @@
     When its engine reads 0.35 times as fast as before
     Then only the first of them is refused within 0.1 s
 
+  Scenario: A request that no longer asks for an early beginning replaces the one that did
+    Given an engine's owner that has queued a request above its share for an early beginning
+    When the request comes again for any beginning, and then twice for an early one
+    Then it waits once, for any beginning, from when that was asked
+
   Scenario: Without early beginnings a late request waits as before
     Given early beginnings are turned off
     And an engine's owner that has queued a request above its share for an early beginning
--- a/tests/steps/engine_choice_steps.py
+++ b/tests/steps/engine_choice_steps.py
@@ -481,6 +481,25 @@
     assert refused == context.queued[:1], refused
 
 
+@when("the request comes again for any beginning, and then twice for an early one")
+def ask_again(context: Any) -> None:
+    history: History = context.history
+    history.now_s += 0.01
+    context.asked_again_s = history.now_s
+    for eager in (False, True, True):
+        ask_owner(context, 600, 1.0, True, eager, request_id=context.request_id)
+
+
+@then("it waits once, for any beginning, from when that was asked")
+def check_replaced(context: Any) -> None:
+    load = context.history.alive[context.owner].engine_queues.loads["e0"]
+    waiting = load.waiting[context.request_id]
+    assert not waiting.eager, waiting
+    assert waiting.asked_at_s == context.asked_again_s, waiting
+    refused = [message.request_id for _, _, message in context.sent]
+    assert context.request_id not in refused, refused
+
+
 @before("{routers:d} routers and {engines:d} engines, each of which reads {factor:g} times as fast "
         "for {slow_s:g} s of every {period_s:g} s")  # fmt: skip
 def start_spells(
