--- a/packages/core/src/myrtlehook_core/process/admission_messages.py
+++ b/packages/core/src/myrtlehook_core/process/admission_messages.py
@@ -59,6 +59,8 @@
     pace anyway."""
     idle_event_ms: int = 0
     """The same while it reads nothing; 0 if that is not known."""
+    steady_tokens_per_s: float = 0.0
+    """How fast it has read over the last seconds; 0 if that is unknown."""
 
 
 class AdmissionGrant(msgspec.Struct, frozen=True, array_like=True, tag=18):
--- a/packages/core/src/myrtlehook_core/process/admission_requests.py
+++ b/packages/core/src/myrtlehook_core/process/admission_requests.py
@@ -13,6 +13,7 @@
     StreamPauseReport,
 )
 from myrtlehook_core.process.backoffs import is_backing_off
+from myrtlehook_core.process.engine_speeds import PoolSpeeds
 from myrtlehook_core.process.full_tiers import FullTiers
 from myrtlehook_core.process.ingress import IngressContext, IngressState
 from myrtlehook_core.process.regions import may_serve
@@ -61,6 +62,14 @@
     retry_after_s: float = 0.0
     eager: bool = False
     """Whether the current engine is wanted only if it can begin the answer soon."""
+    near_first: bool = False
+    """Whether the first engine asked is the prompt's home in this router's zone only."""
+    home: str = ""
+    """The prompt's home among all zones, if several engines are asked for an early beginning."""
+    early_engines: tuple[str, ...] = ()
+    """The engines that are yet to be asked for an early beginning of the answer."""
+    early_waits_s: dict[str, float] = field(default_factory=dict)
+    """For each engine that refused an early beginning, the wait that it named."""
     granted: bool = False
     begun: bool = False
     unread_tokens: int = 0
@@ -89,6 +98,8 @@
     """For each engine, the prompt parts that this router sent there lately, and their tokens."""
     estimates: dict[str, ReceivedEstimate] = field(default_factory=dict)
     """For each engine that granted a request of this router, its owner's last estimate."""
+    speeds: defaultdict[str, PoolSpeeds] = field(default_factory=lambda: defaultdict(PoolSpeeds))
+    """By pool."""
     full_tiers: defaultdict[str, FullTiers] = field(default_factory=lambda: defaultdict(FullTiers))
     """By pool."""
 
@@ -180,7 +191,7 @@
         deadline_left_ms=round((request.deadline_s - now_s) * 1000.0),
         priority=request.priority,
         tier=admission.tier,
-        hop=admission.hop,
+        hop=0 if admission.backend_server == admission.home else admission.hop,
         fetch_tokens=admission.offered_memory_source.tokens,
         above_share=admission.above_share,
         eager=admission.eager,
--- a/packages/core/src/myrtlehook_core/process/admissions.py
+++ b/packages/core/src/myrtlehook_core/process/admissions.py
@@ -5,7 +5,13 @@
 router becomes the engine's owner, it is sent there.
 """
 
-from myrtlehook_core.process.actions import Dispatch, MessageDropped, RequestRequeued
+from myrtlehook_core.process.actions import (
+    Dispatch,
+    EarlyBeginningRefused,
+    EngineWeightsChanged,
+    MessageDropped,
+    RequestRequeued,
+)
 from myrtlehook_core.process.admission_ends import refuse_admission
 from myrtlehook_core.process.admission_handover import record_estimate, record_sent_parts
 from myrtlehook_core.process.admission_messages import (
@@ -13,6 +19,7 @@
     AdmissionProgress,
     AdmissionRefusal,
     AdmissionRelease,
+    EngineEstimate,
     StreamPauseReport,
 )
 from myrtlehook_core.process.admission_requests import (
@@ -26,7 +33,9 @@
     send_admission_request,
 )
 from myrtlehook_core.process.backoffs import find_pool_backoff_s
+from myrtlehook_core.process.early_beginnings import order_last_engines
 from myrtlehook_core.process.engine_rankings import rank_engines
+from myrtlehook_core.process.engine_speeds import record_speed
 from myrtlehook_core.process.full_tiers import (
     record_tier_admitted,
     record_tier_refused,
@@ -99,9 +108,11 @@
     if options.keeps_shares:
         admission.tier = tier
         admission.above_share = standing.above_share and options.small_workspaces_first
-    ranking = rank_engines(context, request)
+    ranking = rank_engines(context, request, admission.tier, admissions.speeds[request.pool].steps)
     admission.ranked_engines = ranking.names
-    admission.eager = ranking.near_first
+    admission.early_engines = ranking.early_engines
+    admission.near_first = ranking.near_first
+    admission.home = ranking.home
     admissions.open[request.request_id] = admission
     ask_next_engine(admissions, context, admission, now_s)
 
@@ -111,11 +122,14 @@
 ) -> None:
     """Send a request to the next engine in its ranking, or refuse it when none is left."""
     options = context.ingress_context.options
+    if _ask_next_early(admissions, context, admission, now_s):
+        return
     candidates = [name for name in admission.ranked_engines if is_usable_engine(context, name)]
     untried = [name for name in candidates if name not in admission.tried]
     if not untried:
         # Rank again to find engines that have joined since the request was opened.
-        admission.ranked_engines = rank_engines(context, admission.request).names
+        steps = admissions.speeds[admission.request.pool].steps
+        admission.ranked_engines = rank_engines(context, admission.request, steps=steps).names
         candidates = list(admission.ranked_engines)
         untried = [name for name in candidates if name not in admission.tried]
     if admission.request.deadline_s <= now_s:
@@ -130,11 +144,7 @@
         record_tier_refused(full, admission.tier, admission.retry_after_s, now_s)
         refuse_admission(admissions, context, admission, RefusalReason.DEADLINE_UNREACHABLE, now_s)
         return
-    admission.backend_server = untried[0]
-    admission.tried.add(untried[0])
-    admission.asked_at_s = now_s
-    admission.resend_interval_s = FIRST_RESEND_S
-    send_admission_request(admissions, context, admission, now_s)
+    _ask_engine(admissions, context, admission, untried[0], now_s)
 
 
 def handle_admission_grant(
@@ -147,6 +157,7 @@
     """Dispatch a granted request, or release a grant that the request no longer needs."""
     if grant.estimate is not None:
         record_estimate(admissions, grant.backend_server, grant.estimate, now_s)
+        _record_speed(admissions, context, grant.backend_server, grant.estimate)
     admission = admissions.open.get(grant.request_id)
     if admission is None or admission.backend_server != grant.backend_server:
         release = AdmissionRelease(grant.request_id, grant.backend_server, ran=False)
@@ -180,9 +191,10 @@
     if refusal.cached_tokens > admission.memory_source.tokens:
         admission.memory_source = MemorySource(refusal.backend_server, refusal.cached_tokens)
     if admission.eager:
-        # The prompt's home among all zones follows and counts as the first engine asked.
-        admission.eager = False
-    else:
+        admission.early_waits_s[refusal.backend_server] = wait_s
+    is_near_home = admission.near_first and refusal.backend_server == admission.ranked_engines[0]
+    if not (admission.eager and is_near_home):
+        # The home of the own zone does not count: the home among all zones follows.
         admission.hop += 1
     ask_next_engine(admissions, context, admission, now_s)
 
@@ -248,6 +260,7 @@
     admission.granted = False
     admission.begun = False
     admission.eager = False
+    admission.early_engines = ()
     admission.hop = 0
     update_queue_counts(ingress, admission.request, 1)
     if claim_retry(ingress, context.ingress_context, admission.request, reason, now_s):
@@ -275,6 +288,55 @@
             send_admission_request(admissions, context, admission, now_s)
 
 
+def _record_speed(
+    admissions: Admissions, context: AdmissionContext, name: str, estimate: EngineEstimate
+) -> None:
+    """Record an engine's speed for the choice of prompts' homes."""
+    ingress_context = context.ingress_context
+    server = ingress_context.configuration.backend_servers.get(name)
+    if server is None or not ingress_context.options.weighs_engines:
+        return
+    speeds = admissions.speeds[server.pool]
+    engines = sum(
+        other.pool == server.pool
+        for other in ingress_context.configuration.backend_servers.values()
+    )
+    if record_speed(speeds, name, estimate.steady_tokens_per_s, engines):
+        ingress_context.actions.add(
+            EngineWeightsChanged(server.pool, speeds.reference_tokens_per_s, dict(speeds.steps))
+        )
+
+
+def _ask_next_early(
+    admissions: Admissions, context: AdmissionContext, admission: Admission, now_s: float
+) -> bool:
+    """Ask the next engine for an early beginning; False when none is left to be asked so."""
+    usable = [name for name in admission.early_engines if is_usable_engine(context, name)]
+    if usable and admission.request.deadline_s > now_s:
+        admission.eager = True
+        admission.early_engines = tuple(usable[1:])
+        _ask_engine(admissions, context, admission, usable[0], now_s)
+        return True
+    if admission.eager:
+        admission.eager = False
+        if admission.home:
+            order_last_engines(admission)
+            waits_s = dict(admission.early_waits_s)
+            refused = EarlyBeginningRefused(admission.request.request_id, waits_s)
+            context.ingress_context.actions.add(refused)
+    return False
+
+
+def _ask_engine(
+    admissions: Admissions, context: AdmissionContext, admission: Admission, name: str, now_s: float
+) -> None:
+    admission.backend_server = name
+    admission.tried.add(name)
+    admission.asked_at_s = now_s
+    admission.resend_interval_s = FIRST_RESEND_S
+    send_admission_request(admissions, context, admission, now_s)
+
+
 def _withdraw_and_ask_next(
     admissions: Admissions, context: AdmissionContext, admission: Admission, now_s: float
 ) -> None:
--- a/packages/core/src/myrtlehook_core/process/engine_loads.py
+++ b/packages/core/src/myrtlehook_core/process/engine_loads.py
@@ -17,8 +17,8 @@
     learn_forecast_error,
     learn_reading_rate,
     learn_token_time,
-    make_estimate,
 )
+from myrtlehook_core.process.engine_speeds import SteadyRate, make_steady_estimate
 from myrtlehook_core.process.options import CoreOptions
 from myrtlehook_core.process.prompt_caches import PromptCache, count_unread_tokens, record_parts_use
 from myrtlehook_core.process.stream_paces import (
@@ -135,6 +135,7 @@
     aim_demands: AimDemands = field(default_factory=AimDemands)
     pauses: EnginePauses = field(default_factory=EnginePauses)
     stream_pace: StreamPace = field(default_factory=StreamPace)
+    steady_rate: SteadyRate = field(default_factory=SteadyRate)
     last_answer_at_s: float = -math.inf
     """When an answer last began."""
     suspected_down: bool = False
@@ -307,7 +308,8 @@
 
 def make_load_estimate(load: EngineLoad, now_s: float) -> EngineEstimate:
     """Return what this owner believes of an engine, as other routers receive it."""
-    return describe_stream_pace(load.stream_pace, make_estimate(load.model, now_s), now_s)
+    estimate = make_steady_estimate(load.model, load.steady_rate, now_s)
+    return describe_stream_pace(load.stream_pace, estimate, now_s)
 
 
 def is_answer_overdue(load: EngineLoad, request_id: str, now_s: float) -> bool:
--- a/packages/core/src/myrtlehook_core/process/engine_queues.py
+++ b/packages/core/src/myrtlehook_core/process/engine_queues.py
@@ -47,6 +47,10 @@
     make_client_retry_key,
     refuse_unservable_admissions,
 )
+from myrtlehook_core.process.engine_speeds import (
+    adopt_steady_rate,
+    update_steady_rate,
+)
 from myrtlehook_core.process.options import CoreOptions
 from myrtlehook_core.process.prompt_caches import PromptCache, record_parts_use
 from myrtlehook_core.process.queue_contexts import EngineQueues, QueueContext
@@ -111,8 +115,12 @@
         )
         context.outbox.add(sender, grant)
         return
-    if message.request_id in load.waiting:
+    earlier = load.waiting.get(message.request_id)
+    if earlier is not None and (message.eager or not earlier.eager):
         return
+    # A request for any beginning replaces one for an early beginning: the latter's refusal would
+    # not count any more. Never the reverse, since messages may be late.
+    load.waiting.pop(message.request_id, None)
     waiting = _make_waiting(sender, message, now_s)
     known = make_client_retry_key(waiting) in queues.refused_until_s
     waiting.is_client_retry = known and context.options.favours_returned
@@ -187,6 +195,7 @@
         load.model = adopt_estimate(load.model, message.estimate, now_s)
         longest_target_s = max((row.pause_target_ms for row in message.rows), default=0) / 1000.0
         adopt_stream_pace(load.stream_pace, message.estimate, longest_target_s, now_s)
+        adopt_steady_rate(load.steady_rate, message.estimate, now_s)
     record_parts_use(load.cache, message.recent_parts)
     for row in message.rows:
         record_parts_use(load.cache, row.parts)
@@ -198,6 +207,7 @@
     expired = 0
     for name, load in queues.loads.items():
         expired += expire_granted(load, now_s)
+        update_steady_rate(load.steady_rate, load.model, now_s)
         _drop_unreachable(load, context)
         _tell_reading_bound(context, name, load, now_s)
         refuse_unservable_admissions(queues, context, name, load, now_s)
--- a/packages/core/src/myrtlehook_core/process/engine_refusals.py
+++ b/packages/core/src/myrtlehook_core/process/engine_refusals.py
@@ -5,12 +5,13 @@
 from myrtlehook_core.process.admission_messages import AdmissionRefusal
 from myrtlehook_core.process.aim_demands import SHORTER_AIM_FRACTION, find_shortest_aim_s
 from myrtlehook_core.process.ejections import may_send_request
-from myrtlehook_core.process.engine_forecasts import forecast_waiting
+from myrtlehook_core.process.engine_forecasts import Forecast, forecast_waiting
 from myrtlehook_core.process.engine_loads import (
     EngineLoad,
     WaitingAdmission,
     estimate_unread_tokens,
 )
+from myrtlehook_core.process.engine_rankings import MAX_ZONE_LOCAL_SHARED_TOKENS
 from myrtlehook_core.process.prompt_caches import count_cached_tokens
 from myrtlehook_core.process.queue_contexts import (
     EngineQueues,
@@ -25,6 +26,9 @@
 
 MIN_RETRY_AFTER_MS = 50
 
+REREAD_COST = 2.0
+"""Reading a cached part again elsewhere delays both the request and the next one there."""
+
 WITHIN_SHARE_RANK = (0, False)
 """The rank of requests from workspaces that do not exceed their share."""
 
@@ -45,7 +49,8 @@
     if not is_grantable(context, name) or not may_send_request(
         load.health, len(load.granted), now_s
     ):
-        _refuse(queues, context, name, load, waiting, now_s, now_s)
+        usable_s = _find_usable_s(context, waiting, now_s)
+        _refuse(queues, context, name, load, waiting, now_s, usable_s)
         return False
     if not context.options.refuses_at_arrival:
         return True
@@ -53,6 +58,7 @@
         (waiting.is_client_retry or waiting.unavoidably_late)
         and waiting.hop == 0
         and waiting.tier == 0
+        and not _seeks_early_beginning(context, waiting)
     ):
         return True
     own_read_s = estimate_unread_tokens(load, waiting) / load.model.rate_tokens_per_s
@@ -74,7 +80,7 @@
                 limit_s, _compute_reserve_limit_s(context, load, waiting, own_read_s, now_s)
             )
         if other is waiting and waiting.eager:
-            limit_s = min(limit_s, _compute_eager_limit_s(context, waiting))
+            limit_s = min(limit_s, _compute_eager_limit_s(context, load, waiting))
         if other is not waiting and forecast.begin_s - own_read_s > limit_s:
             # The other request would be late without the new one as well.
             continue
@@ -91,16 +97,23 @@
     """Refuse waiting requests that cannot or should not be served at their engine.
 
     These are all requests of an engine that is unusable or ejected, those past their
-    deadline, and those beyond a share whose answers are forecast to begin too late.
+    deadline, and those whose answers are forecast to begin too late and that are beyond a share
+    or wanted early: later requests of a lower rank go before them, and others may begin them.
     """
     usable = is_grantable(context, name) and now_s >= load.health.ejected_until_s
     for waiting in list(load.waiting.values()):
         if not usable or now_s >= waiting.deadline_s:
-            _refuse(queues, context, name, load, waiting, now_s, now_s)
+            usable_s = _find_usable_s(context, waiting, now_s)
+            _refuse(queues, context, name, load, waiting, now_s, usable_s)
     for forecast in forecast_waiting(load, find_slots(context, name), now_s):
         limit_s = _compute_begin_limit_s(context, forecast.waiting)
         if forecast.waiting.tier > 0 and forecast.begin_s > limit_s:
             _refuse(queues, context, name, load, forecast.waiting, now_s, forecast.begin_s)
+    late = _find_late_early_beginning(context, name, load, now_s)
+    while late is not None:
+        # Those behind it may be in time without it, so each refusal needs a new forecast.
+        _refuse(queues, context, name, load, late.waiting, now_s, late.begin_s)
+        late = _find_late_early_beginning(context, name, load, now_s)
 
 
 def make_client_retry_key(waiting: WaitingAdmission) -> str:
@@ -109,6 +122,34 @@
     return f"{waiting.workspace}/{last}/{waiting.prompt_tokens}/{waiting.output_tokens}"
 
 
+def _seeks_early_beginning(context: QueueContext, waiting: WaitingAdmission) -> bool:
+    """Return whether a request is offered to several engines for an early beginning."""
+    return waiting.eager and context.options.early_engines_drawn > 0
+
+
+def _find_usable_s(context: QueueContext, waiting: WaitingAdmission, now_s: float) -> float:
+    """Return the time that an unusable engine names in its refusal.
+
+    It must not look like the engine that can begin the answer first.
+    """
+    seeks_early = _seeks_early_beginning(context, waiting)
+    return max(waiting.aim_deadline_s, now_s) if seeks_early else now_s
+
+
+def _find_late_early_beginning(
+    context: QueueContext, name: str, load: EngineLoad, now_s: float
+) -> Forecast | None:
+    """Return the first request for an early beginning that is forecast to be late."""
+    if not any(_seeks_early_beginning(context, item) for item in load.waiting.values()):
+        return None
+    for forecast in forecast_waiting(load, find_slots(context, name), now_s):
+        waiting = forecast.waiting
+        is_late = forecast.begin_s > _compute_begin_limit_s(context, waiting)
+        if is_late and _seeks_early_beginning(context, waiting):
+            return forecast
+    return None
+
+
 def _compute_begin_limit_s(context: QueueContext, waiting: WaitingAdmission) -> float:
     """Return the latest time at which an answer may begin for its request to be admitted.
 
@@ -140,10 +181,20 @@
     return waiting.asked_at_s + limit_s
 
 
-def _compute_eager_limit_s(context: QueueContext, waiting: WaitingAdmission) -> float:
-    """Return the latest begin of an answer at which an eager request stays at this engine."""
+def _compute_eager_limit_s(
+    context: QueueContext, load: EngineLoad, waiting: WaitingAdmission
+) -> float:
+    """Return the latest begin of an answer at which an eager request stays at this engine.
+
+    A long part that is cached here would have to be read again at another engine, so this one may
+    begin the answer later by what that reading would cost.
+    """
     aim_s = waiting.aim_deadline_s - waiting.asked_at_s
-    return waiting.asked_at_s + context.options.eager_aim_part * aim_s
+    limit_s = waiting.asked_at_s + context.options.eager_aim_part * aim_s
+    cached_tokens = count_cached_tokens(load.cache, waiting.parts)
+    if cached_tokens > MAX_ZONE_LOCAL_SHARED_TOKENS and context.options.early_engines_drawn:
+        limit_s += REREAD_COST * cached_tokens / load.model.rate_tokens_per_s
+    return limit_s
 
 
 def _refuse(
--- a/packages/core/src/myrtlehook_core/process/queue_contexts.py
+++ b/packages/core/src/myrtlehook_core/process/queue_contexts.py
@@ -74,4 +74,5 @@
         estimate=make_load_estimate(load, now_s),
         retry_after_ms=retry_after_ms,
         held_s=max(now_s - waiting.held_since_s, 0.0),
+        eager=waiting.eager,
     )
