--- a/packages/core/src/myrtlehook_core/process/admissions.py
+++ b/packages/core/src/myrtlehook_core/process/admissions.py
@@ -319,6 +319,8 @@
         return True
     if admission.eager:
         admission.eager = False
+        # Those that were not usable so far would be asked for less than the ones before them.
+        admission.early_engines = ()
         if admission.home:
             order_last_engines(admission)
             waits_s = dict(admission.early_waits_s)
@@ -330,6 +332,7 @@
 def _ask_engine(
     admissions: Admissions, context: AdmissionContext, admission: Admission, name: str, now_s: float
 ) -> None:
+    """Offer a request to an engine."""
     admission.backend_server = name
     admission.tried.add(name)
     admission.asked_at_s = now_s
--- a/packages/core/src/myrtlehook_core/process/choosers.py
+++ b/packages/core/src/myrtlehook_core/process/choosers.py
@@ -74,7 +74,8 @@
 
 
 def _compute_median(values: Collection[float]) -> float:
-    """Return the median; the standard library's module for it takes long to import at a start."""
+    """Return the median."""
+    # The standard library's module for this takes long to import at a start.
     ordered = sorted(values)
     middle = len(ordered) // 2
     return (ordered[middle] + ordered[-middle - 1]) / 2.0
--- a/packages/core/src/myrtlehook_core/process/engine_queues.py
+++ b/packages/core/src/myrtlehook_core/process/engine_queues.py
@@ -112,7 +112,7 @@
     known = make_client_retry_key(waiting) in queues.refused_until_s
     waiting.is_client_retry = known and context.options.favours_returned
     set_start_limit(load, waiting, context.options.aim_slack_part, now_s)
-    if message.hop == 0:
+    if message.hop == 0 and not _was_asked_early(context, message):
         record_aim_demand(
             load.aim_demands, waiting.aim_s, estimate_unread_tokens(load, waiting), now_s
         )
@@ -270,6 +270,12 @@
             del load.waiting[request_id]
 
 
+def _was_asked_early(context: QueueContext, message: AdmissionRequest) -> bool:
+    """Return whether the request was offered for an early beginning before, and counted then."""
+    asks_early = context.options.early_engines_drawn > 0 and message.tier == 0
+    return asks_early and not message.eager
+
+
 def _make_waiting(sender: str, message: AdmissionRequest, now_s: float) -> WaitingAdmission:
     return WaitingAdmission(
         request_id=message.request_id,
--- a/packages/core/src/myrtlehook_core/process/engine_refusals.py
+++ b/packages/core/src/myrtlehook_core/process/engine_refusals.py
@@ -11,7 +11,6 @@
     WaitingAdmission,
     estimate_unread_tokens,
 )
-from myrtlehook_core.process.engine_rankings import MAX_ZONE_LOCAL_SHARED_TOKENS
 from myrtlehook_core.process.prompt_caches import count_cached_tokens
 from myrtlehook_core.process.queue_contexts import (
     EngineQueues,
@@ -26,6 +25,9 @@
 
 MIN_RETRY_AFTER_MS = 50
 
+MAX_CHEAP_REREAD_TOKENS = 1_000
+"""A cached part of up to this length is read again in little time."""
+
 REREAD_COST = 2.0
 """Reading a cached part again elsewhere delays both the request and the next one there."""
 
@@ -192,7 +194,7 @@
     aim_s = waiting.aim_deadline_s - waiting.asked_at_s
     limit_s = waiting.asked_at_s + context.options.eager_aim_part * aim_s
     cached_tokens = count_cached_tokens(load.cache, waiting.parts)
-    if cached_tokens > MAX_ZONE_LOCAL_SHARED_TOKENS and context.options.early_engines_drawn:
+    if cached_tokens > MAX_CHEAP_REREAD_TOKENS and context.options.early_engines_drawn:
         limit_s += REREAD_COST * cached_tokens / load.model.rate_tokens_per_s
     return limit_s
 
--- a/packages/core/src/myrtlehook_core/process/engine_speeds.py
+++ b/packages/core/src/myrtlehook_core/process/engine_speeds.py
@@ -126,6 +126,8 @@
     for name in speeds.rates_tokens_per_s.keys() - known:
         del speeds.rates_tokens_per_s[name]
         speeds.steps.pop(name, None)
+    if len(speeds.rates_tokens_per_s) < MIN_KNOWN_ENGINES:
+        speeds.steps.clear()
 
 
 def rank_weighted(key: str, names: Collection[str], steps: Mapping[str, int]) -> tuple[str, ...]:
--- a/tests/features/engine_choice.feature
+++ b/tests/features/engine_choice.feature
@@ -62,6 +62,12 @@
     Given an engine's owner that has queued a request above its share for an early beginning
     When the request comes again for any beginning, and then twice for an early one
     Then it waits once, for any beginning, from when that was asked
+    And the demand for its aim counts its 600 tokens once
+
+  Scenario: Engines that could not be asked for an early beginning are not asked so later
+    Given 6 routers and 8 engines, whose answers take 0.1 s
+    When an engine refuses an early beginning, and the others that would be asked are not usable
+    Then the request asks for no early beginning any more
 
   Scenario: Without early beginnings a late request waits as before
     Given early beginnings are turned off
@@ -105,6 +111,11 @@
     When a router hears rates from 6 of 30 engines, half of them 0.4 times as fast
     Then no engine has a weight of its own, and prompts have the homes of before
 
+  Scenario: Weights end when few engines of a pool are left
+    When a router hears rates from 6 of 6 engines, half of them 0.4 times as fast
+    And 3 of these engines are left
+    Then no engine has a weight of its own, and prompts have the homes of before
+
   Scenario: Engines that differ by the noise of their estimates have equal weights
     When a router hears rates that differ by a factor of 1.3, in 200 random orders
     Then no engine has a weight of its own, and prompts have the homes of before
--- a/tests/steps/engine_choice_steps.py
+++ b/tests/steps/engine_choice_steps.py
@@ -22,6 +22,7 @@
 from myrtlehook_core.process.engine_speeds import (
     PoolSpeeds,
     SteadyRate,
+    drop_removed_speeds,
     rank_weighted,
     record_speed,
     update_steady_rate,
@@ -216,6 +217,12 @@
         record_speed(context.speeds, f"e{number}", rate_tokens_per_s, engines)
 
 
+@when("{left:d} of these engines are left")
+def leave_few(context: Any, left: int) -> None:
+    assert context.speeds.steps
+    drop_removed_speeds(context.speeds, [f"e{number}" for number in range(left)])
+
+
 @then("all routers give the slow engines half the weight, and the others the same")
 def check_weights(context: Any) -> None:
     for name, core in context.history.alive.items():
@@ -540,6 +547,38 @@
     assert context.request_id not in refused, refused
 
 
+@then("the demand for its aim counts its {tokens:d} tokens once")
+def check_demand(context: Any, tokens: int) -> None:
+    demands = context.history.alive[context.owner].engine_queues.loads["e0"].aim_demands
+    counted = [item.tokens for item in demands.by_step.values() if item.aim_s == 1.0]
+    assert counted == [tokens], counted
+
+
+@when("an engine refuses an early beginning, and the others that would be asked are not usable")
+def refuse_early(context: Any) -> None:
+    history: History = context.history
+    ingress = next(iter(history.alive))
+    core = history.alive[ingress]
+    history.is_cut = lambda sender, receiver: sender == ingress
+    for number in range(100):
+        request = make_request(f"q{number}", "a", number, OWN_TOKENS, history.now_s, True)
+        history.ask(ingress, request)
+        context.admission = core.admissions.open[request.request_id]
+        if not context.admission.granted:
+            break
+    assert context.admission.eager, context.admission
+    context.admission.early_engines = ("unknown",)
+    engine = context.admission.backend_server
+    refusal = AdmissionRefusal(request.request_id, engine, 50, 0, True)
+    history.feed(ingress, events.MessageReceived(list(history.alive)[1], 1, refusal))
+
+
+@then("the request asks for no early beginning any more")
+def check_not_early(context: Any) -> None:
+    assert not context.admission.eager, context.admission
+    assert not context.admission.early_engines, context.admission
+
+
 @before("{routers:d} routers and {engines:d} engines, each of which reads {factor:g} times as fast "
         "for {slow_s:g} s of every {period_s:g} s")  # fmt: skip
 def start_spells(
