--- a/packages/core/src/myrtlehook_core/process/engine_refusals.py
+++ b/packages/core/src/myrtlehook_core/process/engine_refusals.py
@@ -101,6 +101,7 @@
     These are all requests of an engine that is unusable or ejected, those past their
     deadline, and those whose answers are forecast to begin too late and that are beyond a share
     or wanted early: later requests of a lower rank go before them, and others may begin them.
+    Within shares they leave one at a time, as long as the next is forecast to be late.
     """
     usable = is_grantable(context, name) and now_s >= load.health.ejected_until_s
     for waiting in list(load.waiting.values()):
@@ -109,7 +110,10 @@
             _refuse(queues, context, name, load, waiting, now_s, usable_s)
     for forecast in forecast_waiting(load, find_slots(context, name), now_s):
         limit_s = _compute_begin_limit_s(context, forecast.waiting)
-        if forecast.waiting.tier > 0 and forecast.begin_s > limit_s:
+        beyond_share = forecast.waiting.tier > 0 or (
+            forecast.waiting.above_share and _seeks_early_beginning(context, forecast.waiting)
+        )
+        if beyond_share and forecast.begin_s > limit_s:
             _refuse(queues, context, name, load, forecast.waiting, now_s, forecast.begin_s)
     late = _find_late_early_beginning(context, name, load, now_s)
     while late is not None:
