Bound the answers in time beside lost and doubled messages, and free the slots of ended engines

The scenario bounded refusals alone. The stand-in kept the slots of an engine's requests after its end.

--- a/tests/features/engine_choice.feature
+++ b/tests/features/engine_choice.feature
@@ -164,4 +164,5 @@
     Given 6 routers and 8 engines, whose answers take 0.5 s, beside lost and doubled messages
     When 180 requests a second share 12 parts, half of them the first, for 6 s
     Then each request is sent to an engine at most once, and ends or is refused
+    And at least 0.8 of them begin in time
     And at most 0.1 of them are refused
--- a/tests/standins/histories.py
+++ b/tests/standins/histories.py
@@ -442,6 +442,7 @@
         """End an engine with all that it runs; it restarts after ``ENGINE_DOWN_S``."""
         self.ended_at_s.append(self.now_s)
         self.broken_engines.add(engine)
+        self.slot_ends_s.pop(engine, None)
         self.at(self.now_s + ENGINE_DOWN_S, lambda: self.broken_engines.discard(engine))
         for request_id, run in self.engine_runs.pop(engine, {}).items():
             self.outcomes[request_id].running = False
