--- a/packages/core/src/myrtlehook_core/process/engine_refusals.py
+++ b/packages/core/src/myrtlehook_core/process/engine_refusals.py
@@ -11,7 +11,6 @@
     WaitingAdmission,
     estimate_unread_tokens,
 )
-from myrtlehook_core.process.engine_rankings import MAX_ZONE_LOCAL_SHARED_TOKENS
 from myrtlehook_core.process.prompt_caches import count_cached_tokens
 from myrtlehook_core.process.queue_contexts import (
     EngineQueues,
@@ -26,6 +25,9 @@
 
 MIN_RETRY_AFTER_MS = 50
 
+MAX_CHEAP_REREAD_TOKENS = 1_000
+"""A cached part of up to this length is read again in little time."""
+
 REREAD_COST = 2.0
 """Reading a cached part again elsewhere delays both the request and the next one there."""
 
@@ -99,6 +101,7 @@
     These are all requests of an engine that is unusable or ejected, those past their
     deadline, and those whose answers are forecast to begin too late and that are beyond a share
     or wanted early: later requests of a lower rank go before them, and others may begin them.
+    Within shares they leave one at a time, as long as the next is forecast to be late.
     """
     usable = is_grantable(context, name) and now_s >= load.health.ejected_until_s
     for waiting in list(load.waiting.values()):
@@ -107,7 +110,10 @@
             _refuse(queues, context, name, load, waiting, now_s, usable_s)
     for forecast in forecast_waiting(load, find_slots(context, name), now_s):
         limit_s = _compute_begin_limit_s(context, forecast.waiting)
-        if forecast.waiting.tier > 0 and forecast.begin_s > limit_s:
+        beyond_share = forecast.waiting.tier > 0 or (
+            forecast.waiting.above_share and _seeks_early_beginning(context, forecast.waiting)
+        )
+        if beyond_share and forecast.begin_s > limit_s:
             _refuse(queues, context, name, load, forecast.waiting, now_s, forecast.begin_s)
     late = _find_late_early_beginning(context, name, load, now_s)
     while late is not None:
@@ -192,7 +198,7 @@
     aim_s = waiting.aim_deadline_s - waiting.asked_at_s
     limit_s = waiting.asked_at_s + context.options.eager_aim_part * aim_s
     cached_tokens = count_cached_tokens(load.cache, waiting.parts)
-    if cached_tokens > MAX_ZONE_LOCAL_SHARED_TOKENS and context.options.early_engines_drawn:
+    if cached_tokens > MAX_CHEAP_REREAD_TOKENS and context.options.early_engines_drawn:
         limit_s += REREAD_COST * cached_tokens / load.model.rate_tokens_per_s
     return limit_s
 
