Bound what owners of servers in other regions grant, and make bid rows once

A bid excluded only the server that was granted last, so that an owner with two servers elsewhere granted them in turn without end: within one event if it was the bidder itself, which hung the router. Each bid row now tells the regions in which one of its requests may be served, and an owner grants by them; servers whose grants could not be used stay excluded until the next refresh. The rows of a refresh are made once for all owners, no longer once for each. regions.feature, a limited call at each of 24 routers, 16 servers elsewhere: without this the scenario of one router doesn't end, now no slot is granted and given back.

--- a/packages/core/src/myrtlehook_core/process/bid_spreading.py
+++ b/packages/core/src/myrtlehook_core/process/bid_spreading.py
@@ -6,7 +6,7 @@
 """
 
 from myrtlehook_core.process.actions import BidsSpread, BidsUpdated
-from myrtlehook_core.process.bidding import send_bid_for_keys
+from myrtlehook_core.process.bidding import make_bid_rows, send_bid_rows
 from myrtlehook_core.process.choosers import Draw
 from myrtlehook_core.process.ingress import (
     IngressContext,
@@ -47,8 +47,9 @@
         return
     for key in keys:
         ingress.queues[key].is_spread = True
+    rows = make_bid_rows(ingress, keys, now_s)
     for owner in owners:
-        send_bid_for_keys(ingress, pool, owner, keys, context.outbox, now_s)
+        send_bid_rows(ingress, pool, owner, rows, context.outbox, now_s)
     queues = [ingress.queues[key] for key in keys]
     oldest_s = min(queue.waiting[0].arrived_at_s for queue in queues)
     waiting = sum(len(queue.waiting) for queue in queues)
--- a/packages/core/src/myrtlehook_core/process/bidding.py
+++ b/packages/core/src/myrtlehook_core/process/bidding.py
@@ -5,11 +5,13 @@
 from myrtlehook_core.process.hashing import rank_routers
 from myrtlehook_core.process.ingress import (
     IngressState,
+    find_waiting_keys,
     get_account,
     make_bid_row,
 )
 from myrtlehook_core.process.messages import (
     Bid,
+    BidRow,
     FloorRow,
     HoldList,
     HoldRow,
@@ -75,13 +77,10 @@
     owner: str,
     outbox: MessageOutbox,
     now_s: float,
-    excluded_server: str = "",
     wants_answer: bool = False,
 ) -> None:
     """Send one owner a bid at once with the queues that are already advertised to it.
 
-    :param excluded_server: a backend server to exclude in this bid, because this router does
-        not send it requests. The next bid excludes it only if it is backing off.
     :param wants_answer: whether the owner answers if it has no free slot.
     """
     advertised = {key for key in ingress.advertised_requests.get(owner, {}) if key.pool == pool}
@@ -91,7 +90,8 @@
         if queue.waiting and (key in advertised or ingress.first_owners.get(key) == owner)
         if key.pool == pool
     ]
-    send_bid_for_keys(ingress, pool, owner, keys, outbox, now_s, excluded_server, wants_answer)
+    rows = make_bid_rows(ingress, keys, now_s)
+    send_bid_rows(ingress, pool, owner, rows, outbox, now_s, wants_answer)
 
 
 def send_bids(
@@ -106,14 +106,17 @@
     An owner gets no bid if it has nothing to learn: no queue waits, and none was advertised to it.
     """
     settled_before_s = now_s - options.spread_delay_s
+    ingress.closed_servers.clear()
     advertised_pools = {key.pool for keys in ingress.advertised_requests.values() for key in keys}
     pools = {key.pool for key, queue in ingress.queues.items() if queue.waiting}
     for pool in sorted(pools | advertised_pools):
+        pool_rows = make_bid_rows(ingress, find_waiting_keys(ingress, pool), now_s)
         for owner in placement.pool_owners.get(pool, ()):
             keys = _find_keys_to_advertise(ingress, pool, owner, settled_before_s)
             advertised = any(key.pool == pool for key in ingress.advertised_requests.get(owner, {}))
             if keys or advertised:
-                send_bid_for_keys(ingress, pool, owner, keys, outbox, now_s)
+                rows = {key: pool_rows[key] for key in keys}
+                send_bid_rows(ingress, pool, owner, rows, outbox, now_s)
 
 
 def _is_settled(queue: WorkspaceQueue, settled_before_s: float) -> bool:
@@ -240,14 +243,20 @@
     return keys
 
 
-def send_bid_for_keys(
+def make_bid_rows(
+    ingress: IngressState, keys: list[PoolKey], now_s: float
+) -> dict[PoolKey, BidRow]:
+    """Return the bid rows of some queues; made once for all owners that get them."""
+    return {key: make_bid_row(ingress, key, now_s) for key in keys}
+
+
+def send_bid_rows(
     ingress: IngressState,
     pool: str,
     owner: str,
-    keys: list[PoolKey],
+    rows: dict[PoolKey, BidRow],
     outbox: MessageOutbox,
     now_s: float,
-    excluded_server: str = "",
     wants_answer: bool = False,
 ) -> None:
     """Send one owner a bid with some queues; the owner forgets all others of the pool."""
@@ -256,13 +265,12 @@
         for key, count in ingress.advertised_requests.get(owner, {}).items()
         if key.pool != pool
     }
-    counts = {key: len(ingress.queues[key].waiting) for key in keys}
+    counts = {key: row.waiting_requests for key, row in rows.items()}
     ingress.advertised_requests[owner] = other_counts | counts
-    rows = tuple(make_bid_row(ingress, key, now_s) for key in keys)
-    excluded_servers = list_backed_off(ingress.backoffs, pool, now_s)
-    if excluded_server and excluded_server not in excluded_servers:
-        excluded_servers = (*excluded_servers, excluded_server)
-    outbox.add(owner, Bid(pool, now_s, rows, excluded_servers, wants_answer))
+    backed_off = list_backed_off(ingress.backoffs, pool, now_s)
+    closed = ingress.closed_servers.get(pool, set()).difference(backed_off)
+    excluded_servers = (*backed_off, *sorted(closed))
+    outbox.add(owner, Bid(pool, now_s, tuple(rows.values()), excluded_servers, wants_answer))
 
 
 def _mark_reported(account: ServiceAccount, standby: bool) -> None:
--- a/packages/core/src/myrtlehook_core/process/bids.py
+++ b/packages/core/src/myrtlehook_core/process/bids.py
@@ -22,6 +22,8 @@
     mean_cost_units: float
     goal_s: float = math.inf
     """When its most urgent request should start, on this router's clock; infinity if not known."""
+    allowed_regions: frozenset[str] | None = None
+    """Regions in which one of its requests may be served; None if one has no limit."""
 
 
 @dataclass(slots=True)
@@ -92,19 +94,23 @@
 
 
 def list_candidates(
-    bids: PoolBids, find_share: Callable[[str], float | None], backend_server: str
+    bids: PoolBids,
+    find_share: Callable[[str], float | None],
+    backend_server: str,
+    region: str = "",
 ) -> list[Candidate]:
     """Return every workspace with requests waiting, at its highest reported virtual service.
 
     :param backend_server: the server with the free slot; bids of routers that exclude it are
         left out.
+    :param region: the server's region; empty if it is not known.
     """
     merged: dict[str, WorkspaceBid] = {}
     for bid in bids.routers.values():
         if backend_server in bid.excluded_servers:
             continue
         for workspace, workspace_bid in bid.workspace_bids.items():
-            if workspace_bid.waiting_requests <= 0:
+            if not _may_use(workspace_bid, region):
                 continue
             known = merged.get(workspace)
             if known is None or workspace_bid.virtual_service_units > known.virtual_service_units:
@@ -122,7 +128,9 @@
     return candidates
 
 
-def pick_bidder(bids: PoolBids, workspace: str, backend_server: str, draw: Draw) -> str:
+def pick_bidder(
+    bids: PoolBids, workspace: str, backend_server: str, draw: Draw, region: str = ""
+) -> str:
     """Pick the router that gets a workspace's slot: the one with the earliest goal.
 
     Among routers without a known goal the choice is random, weighted by the number of requests
@@ -132,7 +140,7 @@
         router: bid.workspace_bids[workspace].waiting_requests
         for router, bid in bids.routers.items()
         if backend_server not in bid.excluded_servers
-        if workspace in bid.workspace_bids and bid.workspace_bids[workspace].waiting_requests > 0
+        if workspace in bid.workspace_bids and _may_use(bid.workspace_bids[workspace], region)
     }
     goals_s = {router: bids.routers[router].workspace_bids[workspace].goal_s for router in waiting}
     earliest = min(goals_s, key=lambda router: (goals_s[router], router))
@@ -162,11 +170,30 @@
 
 def _make_workspace_bid(row: BidRow, now_s: float) -> WorkspaceBid:
     goal_s = math.inf if row.goal_left_ms is None else now_s + row.goal_left_ms / 1000.0
+    regions = None if row.allowed_regions is None else frozenset(row.allowed_regions)
     return WorkspaceBid(
-        row.waiting_requests, row.virtual_service_units, row.mean_cost_units, goal_s
+        row.waiting_requests, row.virtual_service_units, row.mean_cost_units, goal_s, regions
     )
 
 
+def limits_choice(bids: PoolBids) -> bool:
+    """Return whether some bid excludes servers or regions, so that one server's slot may be left
+    and another's be used.
+    """
+    return any(
+        bid.excluded_servers
+        or any(row.allowed_regions is not None for row in bid.workspace_bids.values())
+        for bid in bids.routers.values()
+    )
+
+
+def _may_use(workspace_bid: WorkspaceBid, region: str) -> bool:
+    """Return whether a request waits there that may be served in a region."""
+    if workspace_bid.waiting_requests <= 0:
+        return False
+    return workspace_bid.allowed_regions is None or region in workspace_bid.allowed_regions
+
+
 def _sum_early_charges(bids: PoolBids) -> dict[str, float]:
     sums: dict[str, float] = {}
     for _, workspace, units in bids.early_charges:
--- a/packages/core/src/myrtlehook_core/process/ingress.py
+++ b/packages/core/src/myrtlehook_core/process/ingress.py
@@ -14,7 +14,7 @@
 from myrtlehook_core.process.options import CoreOptions
 from myrtlehook_core.process.outboxes import MessageOutbox
 from myrtlehook_core.process.quarantine import Quarantine
-from myrtlehook_core.process.regions import NO_REGIONS, Regions
+from myrtlehook_core.process.regions import NO_REGIONS, Regions, unite_regions
 from myrtlehook_core.request.admission import TokenBucket
 from myrtlehook_core.request.charges import ServiceAccount
 from myrtlehook_core.request.goals import find_goal_s, find_most_urgent
@@ -68,6 +68,8 @@
     """Waiting requests last advertised, less those granted since, by owner and queue."""
     unreported_keys: set[PoolKey] = field(default_factory=set)
     """Queues that became non-empty and were not reported to their ledger yet."""
+    closed_servers: dict[str, set[str]] = field(default_factory=dict)
+    """By pool: servers whose grants could not be used since the last refresh; bids exclude them."""
     seen_grants: dict[int, float] = field(default_factory=dict)
     """When each received grant may be forgotten. Until then its duplicates are ignored."""
     unconfirmed_releases: list[Release] = field(default_factory=list)
@@ -137,12 +139,22 @@
     mean_units = ServiceAccount(0).cost.mean_units if account is None else account.cost.mean_units
     virtual_units = round(compute_virtual_service_units(ingress, key))
     goal_left_ms = None
+    allowed_regions = None
+    if queue is not None:
+        allowed_regions = unite_regions(request.allowed_regions for request in queue.waiting)
     if queue is not None and ingress.orders_by_goal:
         urgent = find_most_urgent(queue.waiting, queue.mean_run_s, now_s)
         if urgent is not None:
             goal_left_s = find_goal_s(urgent, queue.mean_run_s, now_s) - now_s
             goal_left_ms = round(goal_left_s * 1000.0)
-    return BidRow(key.workspace, waiting, virtual_units, max(1, round(mean_units)), goal_left_ms)
+    return BidRow(
+        key.workspace,
+        waiting,
+        virtual_units,
+        max(1, round(mean_units)),
+        goal_left_ms,
+        None if allowed_regions is None else tuple(sorted(allowed_regions)),
+    )
 
 
 def drop_idle_queues(ingress: IngressState, now_s: float, idle_drop_s: float) -> None:
--- a/packages/core/src/myrtlehook_core/process/messages.py
+++ b/packages/core/src/myrtlehook_core/process/messages.py
@@ -44,6 +44,8 @@
     goal_left_ms: int | None = None
     """Time until the most urgent of the requests should start; see ``request/goals``. None if the
     sender orders requests by their arrival alone."""
+    allowed_regions: tuple[str, ...] | None = None
+    """Regions in which at least one of the requests may be served; None if one has no limit."""
 
 
 class Bid(msgspec.Struct, frozen=True, array_like=True, tag=1):
--- a/packages/core/src/myrtlehook_core/process/owners.py
+++ b/packages/core/src/myrtlehook_core/process/owners.py
@@ -11,6 +11,7 @@
     PoolBids,
     count_waiting_requests,
     expire_bids,
+    limits_choice,
     list_candidates,
     pick_bidder,
     record_bid,
@@ -40,6 +41,7 @@
 )
 from myrtlehook_core.process.options import CoreOptions
 from myrtlehook_core.process.outboxes import MessageOutbox
+from myrtlehook_core.process.regions import NO_REGIONS, Regions, find_region
 from myrtlehook_core.process.slots import (
     Hold,
     ServerSlots,
@@ -81,6 +83,7 @@
     draw: Draw
     actions: ActionList
     outbox: MessageOutbox
+    regions: Regions = NO_REGIONS
 
 
 def set_owned_servers(owner: SlotOwner, names: set[str], now_s: float) -> None:
@@ -233,11 +236,12 @@
     choose = _select_chooser(context, pool)
     while free:
         name = max(free, key=lambda server: (free[server], server))
-        candidates = list_candidates(bids, _make_share_lookup(context.configuration), name)
-        if not candidates and not any(bid.excluded_servers for bid in bids.routers.values()):
+        region = find_region(context.regions, context.configuration.backend_servers[name])
+        candidates = list_candidates(bids, _make_share_lookup(context.configuration), name, region)
+        if not candidates and not limits_choice(bids):
             return
         if not candidates:
-            # Every router with waiting requests excludes this server.
+            # Every router with waiting requests excludes this server or its region.
             del free[name]
             continue
         _grant_one(owner, context, bids, name, choose(candidates, context.draw), now_s)
@@ -260,7 +264,8 @@
     now_s: float,
 ) -> None:
     options = context.options
-    router = pick_bidder(bids, candidate.workspace, backend_server, context.draw)
+    region = find_region(context.regions, context.configuration.backend_servers[backend_server])
+    router = pick_bidder(bids, candidate.workspace, backend_server, context.draw, region)
     subtract_granted_request(bids, router, candidate.workspace)
     pool = context.configuration.backend_servers[backend_server].pool
     if options.early_charge:
--- a/packages/core/src/myrtlehook_core/process/regions.py
+++ b/packages/core/src/myrtlehook_core/process/regions.py
@@ -34,10 +34,29 @@
     return allowed
 
 
+def unite_regions(limits: Iterable[frozenset[str] | None]) -> frozenset[str] | None:
+    """Return the regions that at least one limit allows; None if one allows all, or none is given.
+
+    Stops at the first request without a limit.
+    """
+    allowed: frozenset[str] = frozenset()
+    for limit in limits:
+        if limit is None:
+            return None
+        if not limit <= allowed:
+            allowed |= limit
+    return allowed or None
+
+
 def may_serve(regions: Regions, request: RequestSpecification, server: BackendServer) -> bool:
     """Return whether a backend server is in a region in which the request may be served."""
     allowed = request.allowed_regions
-    return allowed is None or regions.by_zone.get(server.availability_zone, "") in allowed
+    return allowed is None or find_region(regions, server) in allowed
+
+
+def find_region(regions: Regions, server: BackendServer) -> str:
+    """Return the region of a backend server; empty if it is not known."""
+    return regions.by_zone.get(server.availability_zone, "")
 
 
 def find_region_refusal(
--- a/packages/core/src/myrtlehook_core/process/routers.py
+++ b/packages/core/src/myrtlehook_core/process/routers.py
@@ -200,6 +200,7 @@
             draw=self.draw,
             actions=self.actions,
             outbox=self.outbox,
+            regions=self.regions,
         )
 
     def admission_context(self) -> AdmissionContext:
--- a/packages/core/src/myrtlehook_core/process/runs.py
+++ b/packages/core/src/myrtlehook_core/process/runs.py
@@ -85,7 +85,7 @@
 def handle_grant(
     ingress: IngressState, context: IngressContext, owner: str, grant: Grant, now_s: float
 ) -> bool:
-    """Dispatch the oldest waiting request on a granted slot, or release the slot at once.
+    """Dispatch the next waiting request that may use a granted slot, or release the slot.
 
     :returns: whether the owner has granted all requests advertised to it while more are waiting,
         so that it needs a new bid.
@@ -113,6 +113,7 @@
     closed = closed or (request is None and queue is not None and bool(queue.waiting))
     if expired or closed or queue is None or request is None or workspace is None:
         if closed:
+            ingress.closed_servers.setdefault(grant.pool, set()).add(grant.backend_server)
             # Sent before the release: otherwise the owner would grant the same slot again.
             send_bid(
                 ingress,
@@ -120,7 +121,6 @@
                 owner,
                 context.outbox,
                 now_s,
-                grant.backend_server,
                 wants_answer=spreads_bids(context.options),
             )
         reason = _choose_drop_reason(expired, closed)
--- a/tests/features/regions.feature
+++ b/tests/features/regions.feature
@@ -40,3 +40,18 @@
   Scenario: A waiting call is refused once its region has lost its last server
     When a call that "north" alone may serve waits there while the last server in "north" is withdrawn
     Then it is refused as "no_server_in_region" within 0.3 s
+
+  Scenario Outline: Owners with many servers elsewhere do not offer them again and again
+    When a call that "north" alone may serve waits at each of <routers> routers, for 1 server in "north" that is full and <elsewhere> in "south"
+    Then within 0.1 s at most <grants> slots are granted and given back, and <bids> bids are sent
+    And each call that "north" alone may serve is started once, in "north"
+
+    Examples:
+      | routers | elsewhere | grants | bids |
+      | 1       | 2         | 0      | 0    |
+      | 24      | 16        | 0      | 720  |
+
+  Scenario: Of calls with and without a limit, those with one leave slots elsewhere to the others
+    When 1 call without a limit and 12 that "north" alone may serve wait at a router, for 1 server in "north" that is full and 4 in "south"
+    Then within 0.1 s at most 24 slots are granted and given back, and 60 bids are sent
+    And the call without a limit is started once
--- a/tests/steps/region_steps.py
+++ b/tests/steps/region_steps.py
@@ -1,6 +1,9 @@
 """Steps of requests that may be served in some regions only."""
 
 import json
+import signal
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import replace
 from typing import Any
 
@@ -13,7 +16,7 @@
 from myrtlehook_router.request.answers import STATUS_TEXTS, Refusal
 from myrtlehook_router.request.refusals import make_routed_refusal
 from standins.histories import History, Network
-from standins.plain_calls import WARM_UP_S, CallHistory, Service
+from standins.plain_calls import WARM_UP_S, CallFigures, CallHistory, Service
 from standins.pools import make_request
 
 NORTH, SOUTH = frozenset({"north"}), frozenset({"south"})
@@ -117,9 +120,9 @@
     return history
 
 
-def _start_service(server_zones: tuple[str, ...]) -> CallHistory:
+def _start_service(server_zones: tuple[str, ...], routers: int = 6) -> CallHistory:
     """Start a plain service whose routers are all in "north"."""
-    history = CallHistory(Service(routers=6, servers=len(server_zones)), CoreOptions(), 1)
+    history = CallHistory(Service(routers=routers, servers=len(server_zones)), CoreOptions(), 1)
     names = sorted(history.configuration.backend_servers)
     servers = {
         name: replace(history.configuration.backend_servers[name], availability_zone=zone)
@@ -277,3 +280,79 @@
     waiting = list(context.calls.calls)[-1]
     assert context.calls.refused.get(waiting) == reason, context.calls.refused
     assert context.calls.calls[waiting].starts == 0
+
+
+def _start_full_service(routers: int, elsewhere: int) -> CallHistory:
+    """Start a service whose one server in "north" runs calls in all slots."""
+    history = _start_service(("z",) + ("z1",) * elsewhere, routers)
+    for _ in range(history.service.slots):
+        history.ask("r0", "a", NORTH)
+    history.advance(WARM_UP_S + 0.02)
+    assert history.running_on == {"s0": history.service.slots}, history.running_on
+    history.figures = CallFigures()
+    return history
+
+
+@contextmanager
+def _bound_duration(limit_s: int) -> Iterator[None]:
+    """Fail if the block has not ended in time; it may exchange messages without end."""
+
+    def fail(number: int, frame: object) -> None:
+        raise AssertionError(f"not ended after {limit_s} s")
+
+    previous = signal.signal(signal.SIGALRM, fail)
+    signal.alarm(limit_s)
+    try:
+        yield
+    finally:
+        signal.alarm(0)
+        signal.signal(signal.SIGALRM, previous)
+
+
+@when(
+    'a call that "north" alone may serve waits at each of {routers:d} routers, for 1 server in'
+    ' "north" that is full and {elsewhere:d} in "south"'
+)
+def wait_for_full_server(context: Any, routers: int, elsewhere: int) -> None:
+    history = _start_full_service(routers, elsewhere)
+    with _bound_duration(30):
+        for number in range(routers):
+            history.ask(f"r{number}", "a", NORTH)
+        history.advance(history.now_s + 0.1)
+    context.calls = history
+
+
+@when(
+    '1 call without a limit and {limited:d} that "north" alone may serve wait at a router, for 1'
+    ' server in "north" that is full and {elsewhere:d} in "south"'
+)
+def wait_for_both(context: Any, limited: int, elsewhere: int) -> None:
+    history = _start_full_service(6, elsewhere)
+    with _bound_duration(30):
+        for _ in range(limited):
+            history.ask("r1", "a", NORTH)
+        history.ask("r1", "a")
+        history.advance(history.now_s + 0.1)
+    context.calls = history
+
+
+@then(
+    "within 0.1 s at most {grants:d} slots are granted and given back, and {bids:d} bids are sent"
+)
+def check_flood(context: Any, grants: int, bids: int) -> None:
+    figures = context.calls.figures
+    assert figures.dropped["grant_closed"] <= grants, figures.dropped
+    assert figures.messages["Bid"] <= bids, figures.messages
+
+
+@then('each call that "north" alone may serve is started once, in "north"')
+def check_limited_once(context: Any) -> None:
+    context.calls.advance(context.calls.now_s + 2.0)
+    runs = {(call.server, call.starts) for call in context.calls.calls.values()}
+    assert runs == {("s0", 1)}, runs
+
+
+@then("the call without a limit is started once")
+def check_unlimited_once(context: Any) -> None:
+    call = list(context.calls.calls.values())[-1]
+    assert call.starts == 1 and call.server != "s0", call
