--- a/packages/core/src/myrtlehook_core/process/members.py
+++ b/packages/core/src/myrtlehook_core/process/members.py
@@ -231,17 +231,32 @@
     if member is None:
         member = Member(row.router_id, address, -1, MemberState.DEAD, changed_at_s=now_s)
         table.members[row.router_id] = member
+    _apply_capacity(table, member, row)
     if (row.incarnation, state) <= (member.incarnation, member.state) and member.incarnation >= 0:
         return
     member.incarnation = row.incarnation
     member.address = address
     member.availability_zone = row.availability_zone
-    member.capacity = max(row.capacity, 0)
     member.unconfirmed = False
     member.has_left = False
     change_state(table, member, state, StateCause.TOLD, now_s, suspicion_s)
 
 
+def _apply_capacity(table: MemberTable, member: Member, row: MemberRow) -> None:
+    """Apply the capacity of a received row, which a router that does not know it leaves out.
+
+    One that is known stays until a newer incarnation, so that all routers end with the same.
+    """
+    if row.incarnation < member.incarnation:
+        return
+    if row.incarnation == member.incarnation and member.capacity:
+        return
+    capacity = max(row.capacity, 0)
+    if capacity != member.capacity:
+        member.capacity = capacity
+        table.version += 1
+
+
 def change_state(
     table: MemberTable,
     member: Member,
--- a/tests/features/capacities.feature
+++ b/tests/features/capacities.feature
@@ -22,6 +22,9 @@
     And once that member is lost, ownership is by capacity again
 
   Scenario: A VM's processor time is read from its settings and stated in its member row
-    Given platform settings with 0.717 cores, and others that state none
-    Then one router's capacity is 3 quarters of a core, the other's is not known
+    Given platform settings with 0.717 of a core, 3 times as fast, and others that state none
+    Then one router's capacity is 9 quarters of a core, the other's is not known
     And its member row reaches others over the wire, and is read by an earlier release
+
+  Scenario: Routers agree on owners in whatever order rows with and without a capacity reach them
+    Then for any order of a member's own rows and rows relayed without a capacity, the last capacity that it stated is known
--- a/tests/steps/capacity_steps.py
+++ b/tests/steps/capacity_steps.py
@@ -176,7 +176,7 @@
     assert _list_owners(_place(context.member_table)) == context.before
 
 
-@given("platform settings with 0.717 cores, and others that state none")
+@given("platform settings with 0.717 of a core, 3 times as fast, and others that state none")
 def read_capacities(context: Any) -> None:
     text = SETTINGS.format(region="north", zone="n1", zone_region="north")
     stated = text + "Limits.CpuQuota=0.717\nLimits.CoreCount=3\n"
@@ -186,9 +186,9 @@
     ]
 
 
-@then("one router's capacity is 3 quarters of a core, the other's is not known")
+@then("one router's capacity is 9 quarters of a core, the other's is not known")
 def check_capacities(context: Any) -> None:
-    assert context.capacities == [3, 0], context.capacities
+    assert context.capacities == [9, 0], context.capacities
 
 
 @then("its member row reaches others over the wire, and is read by an earlier release")
@@ -197,5 +197,38 @@
     row = msgspec.msgpack.decode(content, type=MemberRow)
     table = _make_table({})
     apply_member_row(table, MemberRow("r1", "", 1, 0, "", row.capacity), 0.0, 1.0)
-    assert table.members["r1"].capacity == 3
+    assert table.members["r1"].capacity == 9
     assert msgspec.msgpack.decode(content, type=EarlierRow).router_id == OWN
+
+
+@then(
+    "for any order of a member's own rows and rows relayed without a capacity, the last capacity"
+    " that it stated is known"
+)
+def check_relayed(context: Any) -> None:
+    own_rows = [
+        MemberRow("r1", "", incarnation, int(state), "", 4 * incarnation)
+        for incarnation in (1, 2)
+        for state in (MemberState.ALIVE, MemberState.LEAVING)
+    ]
+    relayed_rows = [msgspec.structs.replace(row, capacity=0) for row in own_rows]
+    expected = _list_owners(_place(_make_table({1: 8, 2: 4})))
+
+    @for_all(st.permutations([*own_rows, *relayed_rows]))
+    def check(rows: list[MemberRow]) -> None:
+        table = _make_table({2: 4})
+        for row in rows:
+            apply_member_row(table, row, 0.0, 1.0)
+            _list_owners(_place(table))
+        assert table.members["r1"].capacity == 8, rows
+        table.members["r1"].state = MemberState.ALIVE
+        table.version += 1
+        assert _list_owners(_place(table)) == expected
+
+    check()
+    table = _make_table({2: 4})
+    alive = [relayed_rows[2], own_rows[2]]
+    for row in alive:
+        apply_member_row(table, row, 0.0, 1.0)
+        owners = _list_owners(_place(table))
+    assert owners == expected, "the owners known before were kept"
