--- a/packages/core/src/myrtlehook_core/process/ingress.py
+++ b/packages/core/src/myrtlehook_core/process/ingress.py
@@ -146,7 +146,8 @@
         urgent = find_most_urgent(queue.waiting, queue.mean_run_s, now_s)
         if urgent is not None:
             goal_left_s = find_goal_s(urgent, queue.mean_run_s, now_s) - now_s
-            goal_left_ms = round(goal_left_s * 1000.0)
+            if math.isfinite(goal_left_s):
+                goal_left_ms = round(goal_left_s * 1000.0)
     return BidRow(
         key.workspace,
         waiting,
