--- a/packages/core/src/myrtlehook_core/process/regions.py
+++ b/packages/core/src/myrtlehook_core/process/regions.py
@@ -65,6 +65,8 @@
     """Return why a request may not be served from here, or None if it may."""
     if request.allowed_regions is None:
         return None
+    if not request.allowed_regions:
+        return RefusalReason.NO_REGION_ALLOWED
     if regions.own not in request.allowed_regions:
         return RefusalReason.REGION_NOT_ALLOWED
     servers = configuration.backend_servers.values()
--- a/packages/core/src/myrtlehook_core/request/outcomes.py
+++ b/packages/core/src/myrtlehook_core/request/outcomes.py
@@ -38,6 +38,8 @@
     NO_BACKEND_SERVER = "no_backend_server"
     REGION_NOT_ALLOWED = "region_not_allowed"
     """Its route or workspace does not allow that it is served in this router's region."""
+    NO_REGION_ALLOWED = "no_region_allowed"
+    """Its route and its workspace allow no region in common."""
     NO_SERVER_IN_REGION = "no_server_in_region"
     """No backend server of its pool is in a region in which it may be served."""
     BACKED_OFF = "backed_off"
--- a/packages/router/src/myrtlehook_router/request/answers.py
+++ b/packages/router/src/myrtlehook_router/request/answers.py
@@ -36,6 +36,7 @@
     RefusalReason.POOL_NOT_ALLOWED: 403,
     RefusalReason.CONFIGURATION_REMOVED: 403,
     RefusalReason.MALFORMED_BODY: 400,
+    RefusalReason.NO_REGION_ALLOWED: 403,
     RefusalReason.REGION_NOT_ALLOWED: 421,
     RefusalReason.BODY_TOO_LARGE: 413,
     RefusalReason.DUPLICATE_REQUEST_ID: 409,
--- a/packages/router/src/myrtlehook_router/request/placements.py
+++ b/packages/router/src/myrtlehook_router/request/placements.py
@@ -37,6 +37,7 @@
     RefusalReason.SHARE_EXCEEDED: "the workspace asks for more than its share",
     RefusalReason.DEADLINE_PASSED: "the deadline passed before a slot was free",
     RefusalReason.REGION_NOT_ALLOWED: "it may not be served in the region of this router",
+    RefusalReason.NO_REGION_ALLOWED: "its route and its workspace allow no region in common",
     RefusalReason.NO_SERVER_IN_REGION: "no backend server is in a region where it may be served",
     RefusalReason.NO_BACKEND_SERVER: "no backend server is configured for this pool",
     RefusalReason.BACKED_OFF: "each backend server wants nothing of this router for now",
--- a/tests/features/capacities.feature
+++ b/tests/features/capacities.feature
@@ -26,5 +26,17 @@
     Then one router's capacity is 9 quarters of a core, the other's is not known
     And its member row reaches others over the wire, and is read by an earlier release
 
+  Scenario Outline: A processor time that no machine has is rejected with its line
+    Given platform settings in which <line>
+    Then the settings are rejected for their processor time
+
+    Examples:
+      | line                        |
+      | Limits.CpuQuota is inf      |
+      | Limits.CpuQuota is nan      |
+      | Limits.CpuQuota is 1e300    |
+      | Limits.CoreCount is 0       |
+      | Limits.CoreCount is 1000000 |
+
   Scenario: Routers agree on owners in whatever order rows with and without a capacity reach them
     Then for any order of a member's own rows and rows relayed without a capacity, the last capacity that it stated is known
--- a/tests/steps/capacity_steps.py
+++ b/tests/steps/capacity_steps.py
@@ -191,6 +191,18 @@
     assert context.capacities == [9, 0], context.capacities
 
 
+@given("platform settings in which {name} is {value}")
+def read_wrong_capacity(context: Any, name: str, value: str) -> None:
+    text = SETTINGS.format(region="north", zone="n1", zone_region="north")
+    context.settings = parse_settings(f"{text}{name}={value}\n", "node")
+
+
+@then("the settings are rejected for their processor time")
+def check_wrong_capacity(context: Any) -> None:
+    (finding,) = context.settings.unwrap_err()
+    assert "CpuQuota" in str(finding) or "CoreCount" in str(finding), finding
+
+
 @then("its member row reaches others over the wire, and is read by an earlier release")
 def check_row(context: Any) -> None:
     content = msgspec.msgpack.encode(make_own_row(_make_table({}, context.capacities[0])))
