Judge back-offs by the servers that may serve a request

Back-offs were looked up for the whole pool. A limited request whose allowed engines all backed off, while one elsewhere did not, was refused at once as no_backend_server.

--- a/packages/core/src/myrtlehook_core/process/admissions.py
+++ b/packages/core/src/myrtlehook_core/process/admissions.py
@@ -25,7 +25,6 @@
     notify_owner,
     send_admission_request,
 )
-from myrtlehook_core.process.backoffs import find_pool_backoff_s
 from myrtlehook_core.process.engine_rankings import rank_engines
 from myrtlehook_core.process.full_tiers import (
     record_tier_admitted,
@@ -41,6 +40,7 @@
 )
 from myrtlehook_core.process.refusals import (
     choose_last_refusal,
+    find_backoff_s,
     find_refusal,
     refuse_request,
     refuse_with_wait,
@@ -297,8 +297,7 @@
     """
     request = admission.request
     ingress_context = context.ingress_context
-    backoffs = context.ingress.backoffs
-    wait_s = find_pool_backoff_s(backoffs, ingress_context.configuration, request.pool, now_s)
+    wait_s = find_backoff_s(context.ingress, ingress_context, request, now_s)
     if not wait_s:
         reason = RefusalReason.NO_BACKEND_SERVER
         refuse_admission(admissions, context, admission, reason, now_s)
--- a/packages/core/src/myrtlehook_core/process/backoffs.py
+++ b/packages/core/src/myrtlehook_core/process/backoffs.py
@@ -9,9 +9,10 @@
 slots or keep an engine reading, as at any other time.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
-from myrtlehook_core.version.configurations import Configuration
+from myrtlehook_core.version.configurations import BackendServer, Configuration
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,18 +53,24 @@
 
 
 def find_pool_backoff_s(
-    backoffs: Backoffs, configuration: Configuration, pool: str, now_s: float
+    backoffs: Backoffs,
+    configuration: Configuration,
+    pool: str,
+    now_s: float,
+    may_serve: Callable[[BackendServer], bool] = lambda server: True,
 ) -> float:
     """Return the time until the first server of a pool ends its back-off.
 
     0 if a server accepts requests now, or if all servers of the pool are leaving.
+
+    :param may_serve: whether a server counts; all do if it is not given.
     """
     backed_off = set(list_backed_off(backoffs, pool, now_s))
     if not backed_off:
         return 0.0
     soonest_s = 0.0
     for name, server in configuration.backend_servers.items():
-        if server.pool != pool or server.leaving:
+        if server.pool != pool or server.leaving or not may_serve(server):
             continue
         if name not in backed_off:
             return 0.0
--- a/packages/core/src/myrtlehook_core/process/refusals.py
+++ b/packages/core/src/myrtlehook_core/process/refusals.py
@@ -9,7 +9,7 @@
     update_queue_counts,
 )
 from myrtlehook_core.process.quarantine import find_remaining_quarantine_s
-from myrtlehook_core.process.regions import find_region_refusal
+from myrtlehook_core.process.regions import find_region_refusal, may_serve
 from myrtlehook_core.request.admission import (
     TokenBucket,
     can_meet_deadline,
@@ -51,11 +51,24 @@
             refuse_request(ingress, context, request, reason, now_s)
 
 
+def find_backoff_s(
+    ingress: IngressState, context: IngressContext, request: RequestSpecification, now_s: float
+) -> float:
+    """Return the time until a server that may serve the request accepts requests; 0 if one does."""
+    return find_pool_backoff_s(
+        ingress.backoffs,
+        context.configuration,
+        request.pool,
+        now_s,
+        lambda server: may_serve(context.regions, request, server),
+    )
+
+
 def backoff_exceeds_target(
     ingress: IngressState, context: IngressContext, request: RequestSpecification, now_s: float
 ) -> bool:
-    """Return whether all servers of the pool back off beyond the first-token target or deadline."""
-    wait_s = find_pool_backoff_s(ingress.backoffs, context.configuration, request.pool, now_s)
+    """Return whether all servers that may serve it back off beyond its target or deadline."""
+    wait_s = find_backoff_s(ingress, context, request, now_s)
     return wait_s > 0.0 and now_s + wait_s >= min(request.aim_deadline_s, request.deadline_s)
 
 
@@ -67,7 +80,7 @@
     A random spread is added, so that clients that were refused at different times do not all
     retry at the same moment.
     """
-    wait_s = find_pool_backoff_s(ingress.backoffs, context.configuration, request.pool, now_s)
+    wait_s = find_backoff_s(ingress, context, request, now_s)
     return wait_s + context.draw() * RETRY_SPREAD_S if wait_s else 0.0
 
 
--- a/tests/features/regions.feature
+++ b/tests/features/regions.feature
@@ -17,6 +17,14 @@
     Given platform settings of zone "n1" in "north" that name zone "n1" in "south"
     Then the settings are rejected, with the line and both regions
 
+  Scenario: A region that the settings leave out is taken from the zone
+    Given platform settings of zone "n1" without a region that name zone "n1" in "north"
+    Then the router's own region and that of its zone are "north"
+
+  Scenario: Regions that are null are no limit
+    Given a platform configuration whose regions are null
+    Then requests of any route and tenant may be served anywhere
+
   Scenario: A router of a region that is not allowed refuses at once
     When requests that "south" alone may serve reach a router in "north"
     Then each is refused at once as "region_not_allowed", the call to a plain service too
@@ -27,6 +35,15 @@
     Then each is refused at once as "no_server_in_region", the call to a plain service too
     And its caller is answered 503
 
+  Scenario: Where route and workspace allow no region in common, callers are sent to no other router
+    When requests that no region may serve reach a router in "north"
+    Then each is refused at once as "no_region_allowed", the call to a plain service too
+    And its caller is answered 403
+
+  Scenario: A limited request waits for the back-off of its region's engines
+    When a prompt that "north" alone may serve arrives while its engine backs off for 0.3 s, and that in "south" does not
+    Then it runs on the engine in "north" after the back-off
+
   Scenario: Prompts are read, cached and fetched in allowed regions only
     When prompts that "north" alone may serve arrive among others, with the same beginnings
     Then each of them ran on an engine in "north", and fetched memory from none in "south"
--- a/tests/steps/region_steps.py
+++ b/tests/steps/region_steps.py
@@ -11,12 +11,14 @@
 
 from bench.core_drive import POOL as PLAIN_POOL
 from myrtlehook_core import CoreOptions, RefusalReason, Regions, find_route, intersect_regions
+from myrtlehook_core.process.backoffs import record_backoff
 from myrtlehook_platform.configuration import parse_configuration
 from myrtlehook_platform.settings import HEADER_NAMES, make_settings, parse_settings
 from myrtlehook_router.request.answers import STATUS_TEXTS, Refusal
 from myrtlehook_router.request.refusals import make_routed_refusal
 from standins.histories import History, Network
 from standins.plain_calls import WARM_UP_S, CallFigures, CallHistory, Service
+from standins.pools import POOL as MODEL_POOL
 from standins.pools import make_request
 
 NORTH, SOUTH = frozenset({"north"}), frozenset({"south"})
@@ -110,6 +112,32 @@
     assert "Region" in text and "north" in text and "south" in text, text
 
 
+@given('platform settings of zone "n1" without a region that name zone "n1" in "north"')
+def read_settings_without_region(context: Any) -> None:
+    text = SETTINGS.format(region="", zone="n1", zone_region="north")
+    left_out = text.replace("Region=\n", "")
+    context.settings = [parse_settings(content, "node") for content in (text, left_out)]
+
+
+@then('the router\'s own region and that of its zone are "north"')
+def check_region_of_zone(context: Any) -> None:
+    for settings in context.settings:
+        regions = make_settings(settings.unwrap()).regions
+        assert regions == Regions("north", {"n1": "north"}), regions
+
+
+@given("a platform configuration whose regions are null")
+def read_null_regions(context: Any) -> None:
+    context.configuration = parse_configuration(_write_configuration(None, None)).unwrap()
+
+
+@then("requests of any route and tenant may be served anywhere")
+def check_no_limits(context: Any) -> None:
+    route = find_route(context.configuration.routes, "h", "/r/x")
+    assert route.allowed_regions is None
+    assert context.configuration.workspaces["t"].allowed_regions is None
+
+
 def _start_engines(engines_by_zone: tuple[str, ...]) -> History:
     history = History(
         1, 4, len(engines_by_zone), Network(), CoreOptions(), zones=2, regions=REGIONS
@@ -158,6 +186,11 @@
     _ask_both(context, ("z1", "z1"), NORTH)
 
 
+@when('requests that no region may serve reach a router in "north"')
+def ask_without_regions(context: Any) -> None:
+    _ask_both(context, ("z", "z1"), frozenset())
+
+
 @then('each is refused at once as "{reason}", the call to a plain service too')
 def check_refused(context: Any, reason: str) -> None:
     history = context.engines
@@ -174,6 +207,32 @@
     assert status in STATUS_TEXTS
 
 
+@when(
+    'a prompt that "north" alone may serve arrives while its engine backs off for 0.3 s, and that'
+    ' in "south" does not'
+)
+def ask_during_backoff(context: Any) -> None:
+    history = _start_engines(("z", "z1"))
+    router = next(name for name, zone in history.zones.items() if zone == "z")
+    context.backoff_until_s = history.now_s + 0.3
+    north = history.servers[0].name
+    record_backoff(
+        history.alive[router].ingress.backoffs, north, MODEL_POOL, context.backoff_until_s
+    )
+    request = make_request("limited", "a", 1, 500, history.now_s, repeatable=True)
+    history.ask(router, replace(request, allowed_regions=NORTH))
+    history.run_until(history.now_s + 2.0)
+    context.engines = history
+
+
+@then('it runs on the engine in "north" after the back-off')
+def check_run_after_backoff(context: Any) -> None:
+    history = context.engines
+    assert not history.refusal_reasons, history.refusal_reasons
+    runs = [(engine, now_s >= context.backoff_until_s) for _, engine, now_s in history.dispatches]
+    assert runs == [(history.servers[0].name, True)], history.dispatches
+
+
 @when('prompts that "north" alone may serve arrive among others, with the same beginnings')
 def ask_prompts(context: Any) -> None:
     history = _start_engines(("z", "z1", "z", "z1"))
