--- a/packages/core/src/myrtlehook_core/process/runs.py
+++ b/packages/core/src/myrtlehook_core/process/runs.py
@@ -101,33 +101,15 @@
     lease_deadline_s = grant.bid_sent_at_s + context.options.grant_lease_s
     expired = now_s >= lease_deadline_s
     workspace = context.configuration.workspaces.get(grant.workspace)
-    # Check the server again before sending: its owner may not know that it is leaving or has
-    # requested a back-off.
-    server = context.configuration.backend_servers.get(grant.backend_server)
-    backed_off = is_backing_off(ingress.backoffs, grant.backend_server, now_s)
-    closed = backed_off or server is None or server.leaving
-    request = (
-        None if closed or queue is None else _find_servable(ingress, context, queue, server, now_s)
-    )
-    # In a region that no waiting request allows, a server is closed to this router.
-    closed = closed or (request is None and queue is not None and bool(queue.waiting))
-    if expired or closed or queue is None or request is None or workspace is None:
-        if closed:
-            ingress.closed_servers.setdefault(grant.pool, set()).add(grant.backend_server)
-            # Sent before the release: otherwise the owner would grant the same slot again.
-            send_bid(
-                ingress,
-                grant.pool,
-                owner,
-                context.outbox,
-                now_s,
-                wants_answer=spreads_bids(context.options),
-            )
-        reason = _choose_drop_reason(expired, closed)
-        context.actions.add(MessageDropped(reason))
-        release = _release_unused(ingress, key, grant, now_s)
-        ingress.unconfirmed_releases.append(release)
-        context.outbox.add(owner, release)
+    server = _find_open_server(ingress, context, grant, now_s)
+    request = None
+    if server is not None and queue is not None:
+        request = _find_servable(ingress, context, queue, server, now_s)
+    if expired or queue is None or request is None or workspace is None:
+        # In a region that no waiting request allows, a server is closed to this router.
+        waits = queue is not None and bool(queue.waiting)
+        closed = server is None or (request is None and waits)
+        _return_slot(ingress, context, owner, grant, expired, closed, now_s)
         return False
     request = pop_request(queue, now_s, request)
     update_queue_counts(ingress, request, -1)
@@ -138,16 +120,52 @@
     return advertised[key] <= 0 and bool(queue.waiting)
 
 
+def _find_open_server(
+    ingress: IngressState, context: IngressContext, grant: Grant, now_s: float
+) -> BackendServer | None:
+    """Return the granted server if requests may be sent to it.
+
+    Its owner may not know that it is leaving, or has requested a back-off.
+    """
+    server = context.configuration.backend_servers.get(grant.backend_server)
+    if server is None or server.leaving:
+        return None
+    return None if is_backing_off(ingress.backoffs, server.name, now_s) else server
+
+
+def _return_slot(
+    ingress: IngressState,
+    context: IngressContext,
+    owner: str,
+    grant: Grant,
+    expired: bool,
+    closed: bool,
+    now_s: float,
+) -> None:
+    """Release a granted slot that is not used.
+
+    :param closed: whether no waiting request may be sent to the server.
+    """
+    if closed:
+        ingress.closed_servers.setdefault(grant.pool, set()).add(grant.backend_server)
+        # Sent before the release: otherwise the owner would grant the same slot again.
+        wants_answer = spreads_bids(context.options)
+        send_bid(ingress, grant.pool, owner, context.outbox, now_s, wants_answer=wants_answer)
+    context.actions.add(MessageDropped(_choose_drop_reason(expired, closed)))
+    key = PoolKey(grant.workspace, grant.pool)
+    release = _release_unused(ingress, key, grant, now_s)
+    ingress.unconfirmed_releases.append(release)
+    context.outbox.add(owner, release)
+
+
 def _find_servable(
     ingress: IngressState,
     context: IngressContext,
     queue: WorkspaceQueue,
-    server: BackendServer | None,
+    server: BackendServer,
     now_s: float,
 ) -> RequestSpecification | None:
     """Return the next waiting request that may be served in the server's region."""
-    if server is None:
-        return None
     servable = (item for item in queue.waiting if may_serve(context.regions, item, server))
     if ingress.orders_by_goal:
         return find_most_urgent(servable, queue.mean_run_s, now_s)
