--- a/tests/standins/share_histories.py
+++ b/tests/standins/share_histories.py
@@ -24,6 +24,9 @@
 """The bound that users accept: each workspace receives at least this fraction of what it asks
 for, or of what the best served workspace receives, whichever is less."""
 
+ANSWER_S = 0.1
+"""From the beginning of an answer of a history to its end."""
+
 OWN_TOKENS = 700
 REQUEST_TOKENS = 500 + OWN_TOKENS + 2 * 30
 """A request's tokens as shares count them: the shared part, its own part and the output."""
@@ -109,14 +112,19 @@
         self._send(router, again)
 
     def ask_at_random(
-        self, workload: Workload, routers: list[str], draw: random.Random, end_s: float
+        self,
+        workload: Workload,
+        routers: list[str],
+        draw: random.Random,
+        end_s: float,
+        begins_s: float = BEGINS_S,
     ) -> None:
         """Send a workspace's prompts of random sizes at random moments.
 
         :param routers: the routers that its clients reach.
         """
-        time_s = BEGINS_S
-        number = 0
+        time_s = begins_s
+        number = sum(item.workspace == workload.workspace for item in self.asked.values())
         while time_s < end_s:
             own_tokens = round(workload.own_tokens * draw.uniform(0.3, 1.7))
             router = draw.choice(routers)
@@ -133,11 +141,20 @@
             if begins_s <= item.time_s < begins_s + SPAN_S:
                 asked[item.workspace] += item.tokens
             ended_at_s = self._find_end_s(request_id)
-            # An answer of a history ends 0.1 s after it has begun.
-            if ended_at_s is not None and begins_s <= ended_at_s - 0.1 < begins_s + SPAN_S:
+            if ended_at_s is not None and begins_s <= ended_at_s - ANSWER_S < begins_s + SPAN_S:
                 begun[item.workspace] += item.tokens
         return asked, begun
 
+    def sum_begun_tokens(self, workspace: str, begins_s: float, ends_s: float) -> int:
+        """Return the tokens of a workspace's requests whose answers began within a period."""
+        return sum(
+            item.tokens
+            for request_id, item in self.asked.items()
+            if item.workspace == workspace
+            and (ended_at_s := self._find_end_s(request_id)) is not None
+            and begins_s <= ended_at_s - ANSWER_S < ends_s
+        )
+
     def find_refused_workspaces(self, begins_s: float) -> set[str]:
         """Return the workspaces that had a request refused in each second of a span."""
         refused: set[tuple[str, int]] = set()
