--- a/tests/features/regions.feature
+++ b/tests/features/regions.feature
@@ -72,3 +72,9 @@
     When 1 call without a limit and 12 that "north" alone may serve wait at a router, for 1 server in "north" that is full and 4 in "south"
     Then within 0.1 s at most 24 slots are granted and given back, and 60 bids are sent
     And the call without a limit is started once
+
+  # Each of the 8 servers at most once between two refreshes, of which up to two fall into 0.1 s.
+  Scenario: Owners that know another region of a zone offer its servers a bounded number of times
+    When a call that "north" alone may serve waits at a router, while all others take 8 servers in "south" to be in "north"
+    Then within 0.1 s at most 24 slots are granted and given back, and 60 bids are sent
+    And each call that "north" alone may serve is started once, in "north"
--- a/tests/steps/region_steps.py
+++ b/tests/steps/region_steps.py
@@ -415,3 +415,18 @@
 def check_unlimited_once(context: Any) -> None:
     call = list(context.calls.calls.values())[-1]
     assert call.starts == 1 and call.server != "s0", call
+
+
+@when(
+    'a call that "north" alone may serve waits at a router, while all others take {elsewhere:d}'
+    ' servers in "south" to be in "north"'
+)
+def wait_beside_mistaken_owners(context: Any, elsewhere: int) -> None:
+    history = _start_full_service(24, elsewhere)
+    for name, core in history.cores.items():
+        if name != "r0":
+            core.regions = Regions("north", dict.fromkeys(REGIONS, "north"))
+    with _bound_duration(30):
+        history.ask("r0", "a", NORTH)
+        history.advance(history.now_s + 0.1)
+    context.calls = history
