--- a/packages/core/src/myrtlehook_core/process/engine_models.py
+++ b/packages/core/src/myrtlehook_core/process/engine_models.py
@@ -85,6 +85,13 @@
 STEP_WAIT_PART = 0.5
 """A prompt that reaches an engine during a step waits for its end: for half a step on average."""
 
+MIN_SLOW_TOKENS = 200
+"""Late answers to prompts with fewer unread tokens than this in all do not show a slow engine."""
+
+MAX_SLOWDOWN = 20.0
+"""An engine is estimated as slower by at most this factor at once: one that is given too little to
+read also shows late that it is fast."""
+
 TOKEN_TIME_WEIGHT = 0.05
 """Weight of one answer's time per output token in the moving average."""
 
@@ -255,9 +262,13 @@
     Steps of a slow engine are long, and so is the wait for the next one. With too short a delay
     the steps would be partly empty, and the engine would look slower than it is.
     """
+    tokens = sum(sample.tokens for sample in samples)
     elapsed_s = sum(_compute_elapsed_s(sample, model.delay_s) for sample in samples)
     elapsed_s = max(elapsed_s, MIN_READING_S)
-    rate_tokens_per_s = sum(sample.tokens for sample in samples) / elapsed_s
+    rate_tokens_per_s = max(tokens / elapsed_s, model.rate_tokens_per_s / MAX_SLOWDOWN)
+    if tokens < MIN_SLOW_TOKENS:
+        # Prompts that are cached take time for other reasons than their reading.
+        return
     slowdown = model.rate_tokens_per_s / rate_tokens_per_s
     shortest_step_s = min(sample.begun_s - sample.previous_s for sample in samples)
     longest_s = min(STEP_WAIT_PART * shortest_step_s, _find_shortest_s(samples))
--- a/tests/features/engines.feature
+++ b/tests/features/engines.feature
@@ -60,3 +60,15 @@
       | 40   | 512   |
       | 66   | 1024  |
       | 100  | 2048  |
+
+  # Guards against: late answers to prompts that an engine had cached made its owner estimate it as two
+  # hundred times as slow, and a new engine of its pool took over that estimate.
+  Scenario Outline: Late answers to cached prompts do not show a slow engine
+    Given the estimate of an engine that has answered prompts of 1000 tokens
+    When <answers> answers to prompts of <tokens> unread tokens come 0.1 s late
+    Then the engine is estimated to read at least an eighth as fast as before
+
+    Examples:
+      | answers | tokens |
+      | 3       | 1      |
+      | 3       | 5      |
--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -52,6 +52,7 @@
       | seed | seconds |
       | 7006 | 9       |
       | 7049 | 9       |
+      | 9305 | 10      |
 
   Scenario: The checks find requests that reached a server during its back-off or after its notice
     Then 3 requests within a server's back-off are found, and 2 are not
