--- a/packages/core/src/myrtlehook_core/process/engine_models.py
+++ b/packages/core/src/myrtlehook_core/process/engine_models.py
@@ -86,11 +86,12 @@
 """A prompt that reaches an engine during a step waits for its end: for half a step on average."""
 
 MIN_SLOW_TOKENS = 200
-"""Late answers to prompts with fewer unread tokens than this in all do not show a slow engine."""
+"""Late answers to prompts with fewer unread tokens than this in all do not show a slow engine: most
+of such a prompt is cached."""
 
 MAX_SLOWDOWN = 20.0
-"""An engine is estimated as slower by at most this factor at once: one that is given too little to
-read also shows late that it is fast."""
+"""An engine is estimated as slower by at most this factor at once. With a far lower estimate its
+owner would refuse nearly all requests, and few answers would be left to correct it."""
 
 TOKEN_TIME_WEIGHT = 0.05
 """Weight of one answer's time per output token in the moving average."""
@@ -263,12 +264,13 @@
     the steps would be partly empty, and the engine would look slower than it is.
     """
     tokens = sum(sample.tokens for sample in samples)
+    if tokens < MIN_SLOW_TOKENS:
+        # The reading of so few tokens takes next to no time, so the answers are late for another
+        # reason, such as the steps of the engine or a delayed message.
+        return
     elapsed_s = sum(_compute_elapsed_s(sample, model.delay_s) for sample in samples)
     elapsed_s = max(elapsed_s, MIN_READING_S)
     rate_tokens_per_s = max(tokens / elapsed_s, model.rate_tokens_per_s / MAX_SLOWDOWN)
-    if tokens < MIN_SLOW_TOKENS:
-        # Prompts that are cached take time for other reasons than their reading.
-        return
     slowdown = model.rate_tokens_per_s / rate_tokens_per_s
     shortest_step_s = min(sample.begun_s - sample.previous_s for sample in samples)
     longest_s = min(STEP_WAIT_PART * shortest_step_s, _find_shortest_s(samples))
