--- a/tests/features/shares.feature
+++ b/tests/features/shares.feature
@@ -55,3 +55,15 @@
     And engines have begun 0.97 or more of what they begin when each request asks them
     And every request of "d" was begun
     And once "a" asks for slightly more than its share and engines have room, it is served soon
+
+  # Guards against: a workspace that began to flood received several times its share before the
+  # level applied to it, and nothing made that up to the others.
+  Scenario Outline: A workspace that begins to flood takes no other one's share
+    When one of eight workspaces suddenly asks for twenty times as much, seed <seed>
+    Then in any six seconds from its beginning on, each workspace receives 0.5 of what it asks or of what the best served one does
+
+    Examples:
+      | seed |
+      | 0    |
+      | 1    |
+      | 4    |
