Log when versions arrive and what workspaces get each second, and keep these lines in an overload

Log lines are still bounded: these have room for 1,000 more where others are dropped (scenario 'Lines about beliefs...').

--- a/packages/core/src/myrtlehook_core/process/actions.py
+++ b/packages/core/src/myrtlehook_core/process/actions.py
@@ -9,8 +9,9 @@
 from myrtlehook_core.process.admission_messages import DemandRow, EngineEstimate
 from myrtlehook_core.process.members import MemberChange
 from myrtlehook_core.process.messages import Message
+from myrtlehook_core.process.share_tallies import ShareTally
 from myrtlehook_core.request.outcomes import DropReason, RefusalReason, RetryReason
-from myrtlehook_core.version.configurations import Configuration, ServerOrder
+from myrtlehook_core.version.configurations import Configuration, ConfigurationVersion, ServerOrder
 from myrtlehook_core.version.findings import Finding
 from myrtlehook_core.version.source_orders import SourceOrder
 
@@ -91,6 +92,26 @@
     source: str
 
 
+@dataclass(frozen=True, slots=True)
+class ConfigurationHeard:
+    """Another router has a newer configuration, which this one now collects."""
+
+    version: ConfigurationVersion
+    source: str
+    """The router that reported it."""
+    current_number: int
+    """The number of the configuration that is active meanwhile."""
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationSent:
+    """Documents of the active configuration were sent to a router that asked for them."""
+
+    number: int
+    receiver: str
+    documents: int
+
+
 @dataclass(frozen=True, slots=True)
 class BackendServersChanged:
     """The list of backend servers from discovery has changed."""
@@ -241,6 +262,19 @@
     """The workspaces with the largest demand above the level, largest first."""
 
 
+@dataclass(frozen=True, slots=True)
+class ShareTalliesReported:
+    """What workspaces asked for and got of a pool at this router in the last second."""
+
+    pool: str
+    level_tokens: int | None
+    """The level that applies here, within one share window; None if none is known."""
+    level_age_s: float
+    """The time since that level was received."""
+    tallies: dict[str, ShareTally]
+    """By workspace, those that asked for the most."""
+
+
 @dataclass(frozen=True, slots=True)
 class MemberStateChanged:
     """This router's view of another member's state has changed."""
@@ -351,7 +385,9 @@
     | SendOrder
     | FetchPart
     | ConfigurationChanged
+    | ConfigurationHeard
     | ConfigurationRejected
+    | ConfigurationSent
     | BackendServersChanged
     | ColdEngineDetected
     | ReadingBoundChanged
@@ -362,6 +398,7 @@
     | EarlyBeginningRefused
     | EngineWeightsChanged
     | ShareLevelReported
+    | ShareTalliesReported
     | MemberStateChanged
     | RequestRequeued
     | MessageDropped
--- a/packages/core/src/myrtlehook_core/process/event_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/event_handlers.py
@@ -72,7 +72,12 @@
 )
 from myrtlehook_core.process.server_notice_handlers import on_server_noticed
 from myrtlehook_core.process.share_standings import count_arrival
-from myrtlehook_core.process.shares import Reporters, send_demand_reports, send_zone_reports
+from myrtlehook_core.process.shares import (
+    Reporters,
+    report_tallies,
+    send_demand_reports,
+    send_zone_reports,
+)
 from myrtlehook_core.process.source_handlers import (
     PLATFORM,
     on_configuration,
@@ -252,6 +257,7 @@
         )
         send_demand_reports(core.shares, reporters, core.options.quota_window_s, core.outbox, now_s)
         send_zone_reports(core.shares, reporters, core.outbox, now_s)
+        report_tallies(core.shares, core.actions, now_s)
     ingress = core.ingress
     if now_s >= ingress.next_refresh_s:
         ingress.next_refresh_s = now_s + core.options.refresh_interval_s
--- a/packages/core/src/myrtlehook_core/process/message_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/message_handlers.py
@@ -5,6 +5,7 @@
 
 from myrtlehook_core.process.accountants import describe_level, record_demand_report
 from myrtlehook_core.process.actions import (
+    ConfigurationSent,
     MessageDropped,
 )
 from myrtlehook_core.process.admission_messages import (
@@ -208,10 +209,14 @@
 def _handle_configuration_query(
     core: "RouterCore", sender: str, message: ConfigurationQuery, now_s: float
 ) -> None:
+    documents = 0
     for digest in message.digests:
         text = core.exchange.texts.get(digest)
         if text is not None:
             core.outbox.add(sender, ConfigurationReply(digest, text))
+            documents += 1
+    number = core.exchange.current.version.number
+    core.actions.add(ConfigurationSent(number, sender, documents))
 
 
 def _handle_configuration_reply(
--- a/packages/core/src/myrtlehook_core/process/shares.py
+++ b/packages/core/src/myrtlehook_core/process/shares.py
@@ -21,6 +21,7 @@
     replace_report,
     sum_reports,
 )
+from myrtlehook_core.process.actions import ActionList, ShareTalliesReported
 from myrtlehook_core.process.admission_messages import (
     DemandReport,
     DemandRow,
@@ -28,6 +29,7 @@
 )
 from myrtlehook_core.process.hashing import Capacities, rank_routers
 from myrtlehook_core.process.outboxes import MessageOutbox
+from myrtlehook_core.process.share_tallies import ShareTallies, find_tally, pop_due_tallies
 
 BUCKET_S = 0.25
 """Length of the steps in which the window slides."""
@@ -79,6 +81,8 @@
     buckets: deque[DemandBucket] = field(default_factory=deque)
     level: ShareLevel | None = None
     level_deadline_s: float = 0.0
+    level_received_at_s: float = 0.0
+    tallies: ShareTallies = field(default_factory=ShareTallies)
     level_fractions: dict[str, float] = field(default_factory=dict)
     """The level as a fraction of the workspace's demand, for each workspace above the level."""
     reported: bool = False
@@ -104,10 +108,11 @@
     demand = shares.demands.setdefault(pool, PoolDemand())
     asked = _find_bucket(demand, now_s).asked_tokens
     asked[workspace] = asked.get(workspace, 0) + tokens
-    level_fraction = demand.level_fractions.get(workspace)
-    if level_fraction is None or now_s >= demand.level_deadline_s:
-        return 0
-    return _spend_credit(demand, workspace, level_fraction, tokens)
+    tier = _assign_tier(demand, workspace, tokens, now_s)
+    tally = find_tally(demand.tallies, workspace)
+    tally.asked_tokens += tokens
+    tally.tier_tokens[tier] += tokens
+    return tier
 
 
 def record_granted(shares: Shares, pool: str, workspace: str, tokens: int, now_s: float) -> None:
@@ -115,6 +120,7 @@
     demand = shares.demands.setdefault(pool, PoolDemand())
     granted = _find_bucket(demand, now_s).granted_tokens
     granted[workspace] = granted.get(workspace, 0) + tokens
+    find_tally(demand.tallies, workspace).granted_tokens += tokens
 
 
 def record_refused(
@@ -127,6 +133,7 @@
     demand = shares.demands.get(pool)
     if demand is None:
         return
+    find_tally(demand.tallies, workspace).refused_tokens += tokens
     if tier == 0:
         _return_credit(demand, workspace, tokens)
     for bucket in reversed(demand.buckets):
@@ -144,6 +151,30 @@
     return workspace in demand.level_fractions
 
 
+def report_tallies(shares: Shares, actions: ActionList, now_s: float) -> None:
+    """Report each pool's tallies of the last second, if one has ended and requests were refused."""
+    for pool, demand in shares.demands.items():
+        due = pop_due_tallies(demand.tallies, now_s)
+        if not due:
+            continue
+        applies = demand.level is not None and now_s < demand.level_deadline_s
+        actions.add(
+            ShareTalliesReported(
+                pool=pool,
+                level_tokens=demand.level.level_tokens if demand.level and applies else None,
+                level_age_s=now_s - demand.level_received_at_s,
+                tallies=due,
+            )
+        )
+
+
+def _assign_tier(demand: PoolDemand, workspace: str, tokens: int, now_s: float) -> int:
+    level_fraction = demand.level_fractions.get(workspace)
+    if level_fraction is None or now_s >= demand.level_deadline_s:
+        return 0
+    return _spend_credit(demand, workspace, level_fraction, tokens)
+
+
 def _spend_credit(demand: PoolDemand, workspace: str, level_fraction: float, tokens: int) -> int:
     """Assign a request to a tier, so that each tier gets up to one level of the demand.
 
@@ -251,6 +282,7 @@
     demand = shares.demands.setdefault(level.pool, PoolDemand())
     demand.level = level
     demand.level_deadline_s = now_s + LEVEL_LEASE_S
+    demand.level_received_at_s = now_s
     demand.level_fractions = {
         row.workspace: level.level_tokens / row.asked_tokens
         for row in level.rows
--- a/packages/core/src/myrtlehook_core/process/source_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/source_handlers.py
@@ -6,6 +6,7 @@
 from myrtlehook_core.process.actions import (
     BackendServersChanged,
     ConfigurationChanged,
+    ConfigurationHeard,
     ConfigurationRejected,
     FetchPart,
     ReadSource,
@@ -99,7 +100,11 @@
 def apply_source_news(core: "RouterCore", sender: str, news: News, now_s: float) -> None:
     """Apply a peer's news of the source, and ask the peer for what this router lacks."""
     version = ConfigurationVersion(news.configuration_number, news.configuration_digest)
+    heard_before = core.exchange.offer is not None and core.exchange.offer.version == version
     if record_advertised_version(core.exchange, version, sender):
+        if not heard_before:
+            current_number = core.exchange.current.version.number
+            core.actions.add(ConfigurationHeard(version, sender, current_number))
         query_missing_documents(core, now_s)
     apply_reader_rows(core.source_readers, core.identity.router_id, news.readers, now_s)
     lacking = news.servers_order > core.discovery.source_order
--- a/packages/router/src/myrtlehook_router/process/core_tasks.py
+++ b/packages/router/src/myrtlehook_router/process/core_tasks.py
@@ -42,6 +42,8 @@
 ends the process, which is then started again."""
 
 _log = get_logger("core")
+_belief_log = get_logger("core", is_kept=True)
+"""For lines that an investigation of an overload needs; there are a few per second."""
 
 
 class CoreTask:
@@ -190,13 +192,31 @@
     def _record_configuration(self, action: actions.ConfigurationChanged) -> None:
         version = action.configuration.version
         self._counters.add("configuration.accepted")
-        _log.info(
+        _belief_log.info(
             "configuration accepted",
             number=version.number,
             digest=version.digest,
             source=action.source,
         )
 
+    def _record_heard_configuration(self, action: actions.ConfigurationHeard) -> None:
+        _belief_log.info(
+            "configuration heard of",
+            number=action.version.number,
+            digest=action.version.digest,
+            source=action.source,
+            current_number=action.current_number,
+        )
+
+    def _record_sent_configuration(self, action: actions.ConfigurationSent) -> None:
+        self._counters.add("configuration.sent")
+        _belief_log.info(
+            "configuration sent",
+            number=action.number,
+            receiver=action.receiver,
+            documents=action.documents,
+        )
+
     def _record_servers(self, action: actions.BackendServersChanged) -> None:
         self._counters.add("discovery.changed")
         _log.info(
@@ -308,7 +328,7 @@
         )
 
     def _record_share_level(self, action: actions.ShareLevelReported) -> None:
-        _log.info(
+        _belief_log.info(
             "share level",
             pool=action.pool,
             level_tokens=action.level_tokens,
@@ -326,6 +346,25 @@
             },
         )
 
+    def _record_share_tallies(self, action: actions.ShareTalliesReported) -> None:
+        _belief_log.info(
+            "share tallies",
+            pool=action.pool,
+            level_tokens=action.level_tokens,
+            level_age_ms=round(action.level_age_s * 1000.0),
+            workspaces={
+                name: {
+                    "asked_tokens": tally.asked_tokens,
+                    "granted_tokens": tally.granted_tokens,
+                    "refused_tokens": tally.refused_tokens,
+                    "tier_tokens": {
+                        str(tier): tally.tier_tokens[tier] for tier in sorted(tally.tier_tokens)
+                    },
+                }
+                for name, tally in action.tallies.items()
+            },
+        )
+
     def _record_member_change(self, action: actions.MemberStateChanged) -> None:
         change = action.change
         self._counters.add(f"members.{change.state.name.lower()}")
@@ -415,6 +454,8 @@
     actions.SendOrder: CoreTask._send_order,
     actions.FetchPart: CoreTask._fetch_part,
     actions.ConfigurationChanged: CoreTask._record_configuration,
+    actions.ConfigurationHeard: CoreTask._record_heard_configuration,
+    actions.ConfigurationSent: CoreTask._record_sent_configuration,
     actions.BackendServersChanged: CoreTask._record_servers,
     actions.ColdEngineDetected: CoreTask._record_cold_engine,
     actions.ReadingBoundChanged: CoreTask._record_reading_bound,
@@ -426,6 +467,7 @@
     actions.EarlyBeginningRefused: CoreTask._record_early_refusal,
     actions.EngineWeightsChanged: CoreTask._record_engine_weights,
     actions.ShareLevelReported: CoreTask._record_share_level,
+    actions.ShareTalliesReported: CoreTask._record_share_tallies,
     actions.MemberStateChanged: CoreTask._record_member_change,
     actions.RequestRequeued: CoreTask._record_retry,
     actions.MessageDropped: CoreTask._record_dropped_message,
--- a/packages/router/src/myrtlehook_router/process/gateway_daemons.py
+++ b/packages/router/src/myrtlehook_router/process/gateway_daemons.py
@@ -35,7 +35,7 @@
 from myrtlehook_router.process.engine_gauges import list_engine_gauges
 from myrtlehook_router.process.gateway_settings import GatewaySettings
 from myrtlehook_router.process.lags import watch_lag
-from myrtlehook_router.process.log_streams import REPORT_INTERVAL_S, BoundedStream
+from myrtlehook_router.process.log_streams import REPORT_INTERVAL_S, BoundedStream, KeptStream
 from myrtlehook_router.process.logs import get_logger, set_up_logs
 from myrtlehook_router.process.mailboxes import Mailbox
 from myrtlehook_router.process.metrics import Metrics
@@ -91,7 +91,7 @@
         self._stop_signal = Signal()
         self._reload_signal = Signal()
         self._log_stream = BoundedStream(sys.stdout.fileno())
-        set_up_logs(settings.vm, self._log_stream)  # type: ignore[arg-type]
+        set_up_logs(settings.vm, self._log_stream, KeptStream(self._log_stream))  # type: ignore[arg-type]
         self._settings = settings
         self._started_at_s = clocks.now_s()
         self._draining = False
--- a/packages/router/src/myrtlehook_router/process/log_streams.py
+++ b/packages/router/src/myrtlehook_router/process/log_streams.py
@@ -11,12 +11,23 @@
 """Delay after a partial write; a pipe holds about 160 lines."""
 
 MAX_QUEUED_LINES = 4000
+MAX_KEPT_LINES = 1000
+"""Number of lines that may be queued beyond that by loggers whose lines are kept."""
+
 MAX_LINES_PER_FLUSH = 500
 """Limits the output to 5,000 lines per second."""
 
 REPORT_INTERVAL_S = 1.0
 
 
+class KeptStream:
+    """A view of a bounded stream whose lines are kept while others are dropped."""
+
+    def __init__(self, stream: "BoundedStream") -> None:
+        self.write = stream.write_kept
+        self.flush = stream.flush
+
+
 class BoundedStream:
     """Queues whole lines, which a separate task writes to a descriptor."""
 
@@ -32,7 +43,14 @@
 
     def write(self, text: str) -> None:
         """Queue one line, or drop and count it if the queue is full."""
-        if len(self._lines) >= MAX_QUEUED_LINES:
+        self._queue(text, MAX_QUEUED_LINES)
+
+    def write_kept(self, text: str) -> None:
+        """Queue one line that must not be lost in an overload."""
+        self._queue(text, MAX_QUEUED_LINES + MAX_KEPT_LINES)
+
+    def _queue(self, text: str, max_lines: int) -> None:
+        if len(self._lines) >= max_lines:
             self.dropped_lines += 1
             return
         self._lines.append(text)
--- a/packages/router/src/myrtlehook_router/process/logs.py
+++ b/packages/router/src/myrtlehook_router/process/logs.py
@@ -15,8 +15,17 @@
 EventDict = MutableMapping[str, Any]
 
 
-def set_up_logs(vm: str, stream: TextIO | None = None) -> None:
-    """Make every log line a JSON object that names this VM."""
+KEPT = "kept"
+"""Argument of the logger factory for loggers whose lines are kept in an overload."""
+
+
+def set_up_logs(vm: str, stream: TextIO | None = None, kept_stream: TextIO | None = None) -> None:
+    """Make every log line a JSON object that names this VM.
+
+    :param kept_stream: written to instead of ``stream`` by loggers whose lines are kept.
+    """
+    regular = structlog.WriteLogger(stream or sys.stdout)
+    kept = structlog.WriteLogger(kept_stream) if kept_stream is not None else regular
 
     def add_vm(logger: object, method: str, event: EventDict) -> EventDict:
         # A context variable would not carry over from one green thread to another.
@@ -33,11 +42,14 @@
         ],
         # WriteLogger writes a line and its newline in one call. With a logger that writes the
         # newline separately, a bounded stream would count, and drop, half lines.
-        logger_factory=structlog.WriteLoggerFactory(file=stream or sys.stdout),
+        logger_factory=lambda *names: kept if KEPT in names else regular,
         cache_logger_on_first_use=True,
     )
 
 
-def get_logger(name: str) -> "structlog.typing.FilteringBoundLogger":
-    """Return a logger whose lines carry the name of a part of the router."""
-    return structlog.get_logger(part=name)
+def get_logger(name: str, is_kept: bool = False) -> "structlog.typing.FilteringBoundLogger":
+    """Return a logger whose lines carry the name of a part of the router.
+
+    :param is_kept: whether its lines are kept while others are dropped; for a few per second only.
+    """
+    return structlog.get_logger(*((KEPT,) if is_kept else ()), part=name)
--- a/packages/router/src/myrtlehook_router/request/relays.py
+++ b/packages/router/src/myrtlehook_router/request/relays.py
@@ -190,6 +190,7 @@
         request_id=relay.request.request_id,
         route=relay.request.route.name,
         workspace=relay.request.workspace.name,
+        configuration=relay.request.configuration_number,
         prompt_tokens=relay.prompt_tokens,
         share_tokens=find_share_tokens(placement.specification),
         aim_ms=round(relay.request.route.aim_s * 1000.0),
--- a/packages/router/src/myrtlehook_router/request/routed.py
+++ b/packages/router/src/myrtlehook_router/request/routed.py
@@ -43,6 +43,8 @@
     """The client's deadline or the end of the route's time-out, whichever comes first."""
     route: Route
     workspace: Workspace
+    configuration_number: int
+    """The version of the configuration that decided on its route, workspace and deadline."""
     authenticated: bool
     """Whether a key identified the workspace; otherwise its name is not sent to the server."""
 
@@ -83,6 +85,7 @@
             deadline_s=arrived_at_s + timeout_s,
             route=route,
             workspace=workspace,
+            configuration_number=configuration.version.number,
             authenticated=authenticated,
         )
     )
--- a/tests/features/overload.feature
+++ b/tests/features/overload.feature
@@ -9,6 +9,12 @@
     Then 4001 whole lines arrive
     And the loss report names a log that dropped 1000 lines
 
+  # Guards against: an overload dropped the lines that show which configuration and which level
+  # applied, so that an incident could not be explained.
+  Scenario: Lines about beliefs are kept in an overload, and are bounded too
+    When a process logs 5000 lines, then 1200 that are kept, before its log is read
+    Then 1000 of the kept lines arrive
+
   Scenario: Refusals that are too many for a log line each are logged in sums
     When a process refuses 500 requests of one kind and 10 of another in a second
     Then at most 35 lines are logged for them
--- a/tests/features/shares.feature
+++ b/tests/features/shares.feature
@@ -4,6 +4,11 @@
     When a workspace floods engines that 120000 tokens a second are configured for
     Then the accountant has reported the level and the workspaces above it, once a second
 
+  Scenario: The log shows what each workspace asked for and got, and by which level, every second
+    When a workspace floods engines that 120000 tokens a second are configured for
+    Then its router has reported each second what it asked for, by tier, and what it got
+    And each of these reports names a level that is less than a second old
+
   Scenario: The logs show what a workspace asked for, what it received, and why it was refused
     Given logs of 8 s in which "a" is answered and "b" is refused half of what it asks, for two reasons
     Then the tool's worst share is that of "b", 0.5 of it, with both reasons
--- a/tests/standins/histories.py
+++ b/tests/standins/histories.py
@@ -221,6 +221,8 @@
         """Number of refusals by engines' owners."""
         self.level_reports: list[actions.ShareLevelReported] = []
         """Share levels that accountants have reported to operators."""
+        self.tally_reports: list[tuple[float, actions.ShareTalliesReported]] = []
+        """Tallies that routers have reported to operators, and when."""
         self._configuration = make_configuration(tokens_per_s, cold_start)
         self._source = source
         self._regions = regions or {}
@@ -365,6 +367,8 @@
             self.owner_refusals += action.retry_after_ms is not None
         elif isinstance(action, actions.ShareLevelReported):
             self.level_reports.append(action)
+        elif isinstance(action, actions.ShareTalliesReported):
+            self.tally_reports.append((self.now_s, action))
 
     def _deliver(self, sender: str, core: RouterCore, action: actions.Send) -> None:
         is_near = self.zones[sender] == self.zones.get(action.router_id)
--- a/tests/steps/share_steps.py
+++ b/tests/steps/share_steps.py
@@ -76,6 +76,26 @@
         assert level.reports >= 1, level
 
 
+@then("its router has reported each second what it asked for, by tier, and what it got")
+def check_tallies(context: Any) -> None:
+    reports = context.served.history.tally_reports
+    assert 3 <= len(reports) <= 4, reports
+    tallies = [report.tallies["a"] for _, report in reports]
+    for tally in tallies:
+        assert 0 < tally.granted_tokens < tally.asked_tokens, tally
+        assert sum(tally.tier_tokens.values()) == tally.asked_tokens, tally
+    asked_tokens = sum(tally.asked_tokens for tally in tallies)
+    sent_tokens = sum(item.tokens for item in context.served.asked.values())
+    assert 0.7 * sent_tokens < asked_tokens <= sent_tokens, (asked_tokens, sent_tokens)
+
+
+@then("each of these reports names a level that is less than a second old")
+def check_level_ages(context: Any) -> None:
+    for _, report in context.served.history.tally_reports[1:]:
+        assert report.level_tokens is not None and report.level_tokens > 0, report
+        assert 0.0 <= report.level_age_s < 1.0, report
+
+
 @when(
     '{lost:d} of 4 engines are lost while "a" floods, "b" asks for slightly less than its share'
     ' and "c" for slightly more'
