Reproduce requests that an older configuration decides, or that outlast their timeout, listed as known red

Real processes: a busy router passes a connection on to a neighbour that cannot get the new configuration, and the caller gets 404 for a route that is in force at its router; a neighbour that freezes under a passed request leaves its caller without an answer until the neighbour is given up (0.55 s + 2 s), 1.5 s after a timeout of 1 s. With sockets alone: a server that sends its answer byte by byte is still read 20 s after a deadline of 0.5 s. All three fail on the present code; each has its entry.

--- a/tests/features/engines.feature
+++ b/tests/features/engines.feature
@@ -72,3 +72,9 @@
       | answers | tokens |
       | 3       | 1      |
       | 3       | 5      |
+
+  # Guards against: each received byte restarted the time-out, so that a server that sent its answer
+  # in pieces held a request past its route's timeout.
+  Scenario: A server that trickles its answer is not waited for past the deadline
+    When a server sends its answer byte by byte, without an end
+    Then reading it ends at its deadline, although bytes still arrive
--- a/tests/features/passing.feature
+++ b/tests/features/passing.feature
@@ -157,3 +157,20 @@
     Given a neighbour that has accepted a connection 10 ms after it was asked
     When the router's event loop is blocked for longer than a neighbour has to answer
     Then the neighbour serves the caller, and no answer is counted as missing
+
+  # Guards against: a busy router passed connections on to a neighbour with an older configuration,
+  # so that callers got 404 for a route that had been in force at their router before.
+  Scenario: A connection is not passed on to a router with an older configuration
+    Given a busy router, and a neighbour that cannot receive large configurations
+    When a large configuration with the new route "fresh" is in force at router 1
+    Then each of 5 requests of "planners" for "/fresh/a" at router 1 is answered
+
+  # Guards against: a request whose neighbour fell silent had no answer long after its route's
+  # timeout, since the router that held its connection kept no deadline.
+  @nodes.3.busy
+  Scenario: A passed request whose neighbour falls silent is answered at its route's timeout
+    Given router 1 knows its neighbours
+    And the streaming routes have a short timeout in force at every router
+    And every engine is silent
+    When "planners" asks for a summary at router 1, and the router that takes it freezes
+    Then the attempt has status 504 and no seal
