End an answer that trickles in at its request's deadline

Callers saw requests that outlasted their route's timeout without a final answer. Cause: the time left was set as a socket's time-out before each read, and eventlet applies it to each wait for bytes. One read of a chunk takes several waits, so a server that sends a few bytes from time to time restarted it without end. Now the socket keeps the deadline and computes the time left at each wait, so that nothing a server sends prolongs it. The same cause: calls to the store use this socket as well. Calls of the product's own interface (connection/backends) have time-outs by urllib3 of the same kind: open.

--- a/packages/router/src/myrtlehook_router/connection/server_connections.py
+++ b/packages/router/src/myrtlehook_router/connection/server_connections.py
@@ -6,6 +6,7 @@
 """
 
 import contextlib
+import math
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -35,6 +36,9 @@
 UNACKNOWLEDGED_TIMEOUT_MS = 4000
 """A connection fails once sent bytes have been unacknowledged for this long."""
 
+MIN_TIMEOUT_S = 0.001
+"""Shortest time-out of a call after its deadline; 0 would make the socket non-blocking."""
+
 _select = patcher.original("select")
 _CONNECTION_ERRORS = (HTTPError, HTTPException, OSError, EOFError, ValueError)
 """What urllib3, http.client and sockets raise for broken connections and responses."""
@@ -72,13 +76,23 @@
     """The number of connections opened so far."""
 
 
-class ResetDetectingSocket(GreenSocket):
-    """A socket that distinguishes a reset from a regular end of stream.
+class ServerSocket(GreenSocket):
+    """A socket that reports resets, and whose time-out is a deadline.
 
-    eventlet's own sockets return no bytes for both, so a response without a length
-    would look complete after a reset.
+    eventlet's own sockets return no bytes for both a reset and a regular end of stream, so a
+    response without a length would look complete after a reset. Their time-out begins anew with
+    each piece that arrives, so a response that trickles in would never time out.
     """
 
+    deadline_s = math.inf
+
+    def gettimeout(self) -> float | None:
+        """Return the time left until the deadline; called by eventlet before each wait."""
+        if self.deadline_s == math.inf:
+            timeout_s: float | None = super().gettimeout()
+            return timeout_s
+        return max(self.deadline_s - clocks.now_s(), MIN_TIMEOUT_S)
+
     def _recv_loop(self, recv_method: Any, empty_value: Any, *arguments: Any) -> Any:
         def receive(*given: Any) -> Any:
             try:
@@ -96,7 +110,7 @@
     def _new_conn(self) -> socket.socket:
         opened = super()._new_conn()
         if isinstance(opened, GreenSocket):
-            opened.__class__ = ResetDetectingSocket
+            opened.__class__ = ServerSocket
         return opened
 
 
@@ -243,7 +257,7 @@
     connection_pool: ConnectionPool, address: str, deadline_s: float
 ) -> HTTPConnection | None:
     host, _, port = address.rpartition(":")
-    timeout_s = max(min(CONNECT_TIMEOUT_S, deadline_s - clocks.now_s()), 0.001)
+    timeout_s = max(min(CONNECT_TIMEOUT_S, deadline_s - clocks.now_s()), MIN_TIMEOUT_S)
     connection = ServerConnection(
         host, int(port), timeout=timeout_s, socket_options=_SOCKET_OPTIONS
     )
@@ -271,10 +285,12 @@
     )
 
 
-def _set_timeout(connection: HTTPConnection, sock: socket.socket, deadline_s: float) -> None:
-    remaining_s = max(deadline_s - clocks.now_s(), 0.001)
+def _set_timeout(connection: HTTPConnection, sock: Any, deadline_s: float) -> None:
+    remaining_s = max(deadline_s - clocks.now_s(), MIN_TIMEOUT_S)
     connection.timeout = remaining_s
     sock.settimeout(remaining_s)
+    if isinstance(sock, ServerSocket):
+        sock.deadline_s = deadline_s
 
 
 def _is_readable(connection: HTTPConnection) -> bool:
