Pass connections only to routers with the same configuration

Cause: a busy router passes connections on to neighbours, and nothing compared their versions; a neighbour that is slow to get a version decided for callers of one that has it, and the reverse made the passing router go back afterwards. Why it works: the introduction names the sender's version, under its authentication tag, and a neighbour with any other one declines, so that the caller is served by its own router. Versions differ for fractions of a second.

--- a/packages/router/src/myrtlehook_router/connection/introductions.py
+++ b/packages/router/src/myrtlehook_router/connection/introductions.py
@@ -11,9 +11,11 @@
 
 VERDICT_ACCEPTED = b"+"
 VERDICT_DECLINED = b"-"
+VERDICT_OTHER_CONFIGURATION = b"c"
+"""Declined because the two routers have different configurations at the moment."""
 
 MAX_INTRODUCTION_BYTES = 256
-_GREETING = "myrtlehook-pass-1"
+_GREETING = "myrtlehook-pass-2"
 _TAG_BYTES = 16
 _NONCE_BYTES = 8
 
@@ -25,29 +27,33 @@
     sender: str
     """Id of the router that holds the client's connection."""
     receiver: str
+    configuration_number: int = 0
+    """The version of the sender's configuration."""
 
 
 def write_introduction(introduction: Introduction, fleet_key: str) -> bytes:
     """Return the line that proves to the receiver that a router of the fleet is the sender."""
     nonce = secrets.token_hex(_NONCE_BYTES)
     tag = _make_tag(introduction, nonce, fleet_key)
-    return f"{_GREETING} {introduction.sender} {nonce} {tag}\n".encode()
+    number = introduction.configuration_number
+    return f"{_GREETING} {introduction.sender} {number} {nonce} {tag}\n".encode()
 
 
 def read_introduction(line: bytes, receiver: str, fleet_key: str) -> Introduction | None:
     """Parse such a line; returns None unless a router of the fleet wrote it for this receiver."""
     try:
-        greeting, sender, nonce, tag = line.decode("ascii").split()
+        greeting, sender, number, nonce, tag = line.decode("ascii").split()
+        introduction = Introduction(sender, receiver, int(number))
     except ValueError:
         return None
     if greeting != _GREETING:
         return None
-    introduction = Introduction(sender, receiver)
     expected_tag = _make_tag(introduction, nonce, fleet_key)
     return introduction if hmac.compare_digest(tag, expected_tag) else None
 
 
 def _make_tag(introduction: Introduction, nonce: str, fleet_key: str) -> str:
-    content = f"{introduction.sender}|{introduction.receiver}|{nonce}".encode()
+    number = introduction.configuration_number
+    content = f"{introduction.sender}|{introduction.receiver}|{number}|{nonce}".encode()
     key = fleet_key.encode()[:64]
     return hashlib.blake2b(content, key=key, digest_size=_TAG_BYTES).hexdigest()
--- a/packages/router/src/myrtlehook_router/connection/neighbour_protocols.py
+++ b/packages/router/src/myrtlehook_router/connection/neighbour_protocols.py
@@ -8,6 +8,7 @@
     MAX_INTRODUCTION_BYTES,
     VERDICT_ACCEPTED,
     VERDICT_DECLINED,
+    VERDICT_OTHER_CONFIGURATION,
     read_introduction,
 )
 from myrtlehook_router.process.counters import Counters
@@ -23,6 +24,7 @@
     router_id: str,
     fleet_key: str,
     can_accept: Callable[[], bool],
+    get_configuration_number: Callable[[], int],
     counters: Counters,
 ) -> type:
     """Make the protocol class of the listener for neighbours' connections.
@@ -30,6 +32,9 @@
     :param protocol: the protocol class for clients; it closes a connection after one response,
         so that a neighbour that stops has no idle connections of its clients here.
     :param can_accept: returns whether this router can serve other routers' clients now.
+    :param get_configuration_number: returns the version of this router's configuration. A client
+        of a router must not meet an older version than before, wherever it is served, so only
+        routers with the same version serve each other's clients.
     """
 
     class NeighbourProtocol(protocol):
@@ -47,8 +52,19 @@
                 counters.add("passed.not_taken")
                 self._send_verdict(VERDICT_DECLINED)
                 return
+            number = get_configuration_number()
+            if introduction.configuration_number != number:
+                counters.add("passed.other_configuration")
+                _log.info(
+                    "connection declined",
+                    sender=introduction.sender,
+                    sender_configuration=introduction.configuration_number,
+                    configuration=number,
+                )
+                self._send_verdict(VERDICT_OTHER_CONFIGURATION)
+                return
             counters.add("passed.taken")
-            _log.info("connection taken", sender=introduction.sender)
+            _log.info("connection taken", sender=introduction.sender, configuration=number)
             if self._send_verdict(VERDICT_ACCEPTED):
                 super().handle()
 
--- a/packages/router/src/myrtlehook_router/connection/passing.py
+++ b/packages/router/src/myrtlehook_router/connection/passing.py
@@ -23,6 +23,7 @@
 )
 from myrtlehook_router.connection.introductions import (
     VERDICT_ACCEPTED,
+    VERDICT_OTHER_CONFIGURATION,
     Introduction,
     write_introduction,
 )
@@ -102,7 +103,13 @@
         table: MemberTable,
         draw: Callable[[], float],
         counters: Counters,
+        get_configuration_number: Callable[[], int],
     ) -> None:
+        """Prepare to pass connections on.
+
+        :param get_configuration_number: returns the version of this router's configuration.
+        """
+        self._get_configuration_number = get_configuration_number
         self._config = config
         self._table = table
         self._draw = draw
@@ -202,7 +209,9 @@
         if status:
             self._give_up_neighbour(passed, "not_connected")
             return
-        introduction = Introduction(self._config.router_id, passed.neighbour_id)
+        introduction = Introduction(
+            self._config.router_id, passed.neighbour_id, self._get_configuration_number()
+        )
         try:
             neighbour_socket.send(write_introduction(introduction, self._config.fleet_key))
         except OSError:
@@ -229,6 +238,9 @@
             return
         except OSError:
             verdict = b""
+        if verdict == VERDICT_OTHER_CONFIGURATION:
+            self._give_up_neighbour(passed, "neighbour_has_other_configuration")
+            return
         if verdict != VERDICT_ACCEPTED:
             self._give_up_neighbour(passed, "neighbour_short")
             return
--- a/packages/router/src/myrtlehook_router/process/caller_servers.py
+++ b/packages/router/src/myrtlehook_router/process/caller_servers.py
@@ -43,6 +43,7 @@
     router_id: str
     fleet_key: str
     options: CoreOptions
+    get_configuration_number: Callable[[], int]
 
 
 class CallerServer:
@@ -79,6 +80,7 @@
             services.router_id,
             services.fleet_key,
             self._can_accept_passed_connections,
+            services.get_configuration_number,
             services.counters,
         )
         self._run_server(PacedListener(open_listener(listener)), protocol)
--- a/packages/router/src/myrtlehook_router/process/gateway_daemons.py
+++ b/packages/router/src/myrtlehook_router/process/gateway_daemons.py
@@ -237,6 +237,7 @@
             router_id=self._router_id,
             fleet_key=settings.fleet_key,
             options=settings.options,
+            get_configuration_number=self._get_configuration_number,
         )
         return CallerServer(services, self._passer)
 
@@ -248,7 +249,11 @@
             self._router_id, settings.fleet_key, settings.neighbours.port
         )
         return ConnectionPasser(
-            passing_config, self._core_task.core.table, random.random, self._counters
+            passing_config,
+            self._core_task.core.table,
+            random.random,
+            self._counters,
+            self._get_configuration_number,
         )
 
     def _serve_callers(self) -> None:
@@ -270,6 +275,9 @@
     def _get_limits(self) -> IngressLimits:
         return self._core_task.configuration.limits
 
+    def _get_configuration_number(self) -> int:
+        return self._core_task.configuration.version.number
+
     def _answer_readiness(self, environ: dict[str, Any], start_response: Any) -> list[bytes]:
         status = "200 OK" if self.is_ready() else "503 Service Unavailable"
         start_response(status, [("Content-Length", "0")])
--- a/tests/steps/passer_steps.py
+++ b/tests/steps/passer_steps.py
@@ -58,7 +58,9 @@
     context.members = MemberTable(RouterIdentity("127.0.0.1:2", "", 1, "hall-1"), 1)
     _set_neighbour_state(context, MemberState.ALIVE, time.monotonic())
     context.counters = Counters(None)
-    context.passer = ConnectionPasser(config, context.members, lambda: 0.5, context.counters)
+    context.passer = ConnectionPasser(
+        config, context.members, lambda: 0.5, context.counters, lambda: 1
+    )
     return listener
 
 
