Let workspaces use their share by time, and return credit by a router's part of it

Callers of the largest workspaces got a third of what was due to them for six seconds after another workspace began to flood. Causes, one class: a figure of the whole fleet was applied at each router. (1) Credit grew with each request by level / asked, both of the last window, so a flood received its rise over the window times its share until the sums showed it; (2) refused requests gave back credit up to half a *level* at each router, 12 levels at 24 routers, and its own callers, who come back, spent it: in seconds 1 to 4 of the flood 84 to 139 thousand tokens a second of returned requests of tier 0 began, its level being 27 thousand a second. Now credit grows with time by the router's part of the level, and returns up to half of that part; a tier with any credit takes a request of any size and goes into debt (with credit for half of it, as before, short prompts would use up each tier: urgent prompts of 1,800 tokens were all refused beside patient ones of 600). 'each tier of a workspace holds one level': credit depends on time now, so the requests are spread over windows, with the same bound of two requests; new beside it: at any moments tier 0 holds at most one level and one request.

--- a/packages/core/src/myrtlehook_core/process/full_tiers.py
+++ b/packages/core/src/myrtlehook_core/process/full_tiers.py
@@ -12,7 +12,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from myrtlehook_core.process.shares import HIGHEST_TIER
+from myrtlehook_core.process.share_credits import HIGHEST_TIER
 
 FULL_AFTER_REFUSALS = 8
 """A tier is full after this many refusals of it, or of lower ones, without an admission."""
--- a/packages/core/src/myrtlehook_core/process/message_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/message_handlers.py
@@ -293,7 +293,7 @@
 
 
 def _handle_share_level(core: "RouterCore", sender: str, message: ShareLevel, now_s: float) -> None:
-    apply_level(core.shares, message, now_s)
+    apply_level(core.shares, message, core.options.quota_window_s, now_s)
 
 
 # The message parameter is `Any` here because each handler accepts its own message type.
--- a/packages/core/src/myrtlehook_core/process/shares.py
+++ b/packages/core/src/myrtlehook_core/process/shares.py
@@ -10,7 +10,6 @@
 spare capacity is shared evenly too, whatever the engines' real capacity is.
 """
 
-import math
 from collections import Counter, deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -29,6 +28,13 @@
 )
 from myrtlehook_core.process.hashing import Capacities, rank_routers
 from myrtlehook_core.process.outboxes import MessageOutbox
+from myrtlehook_core.process.share_credits import (
+    ShareCredit,
+    grow_credit,
+    return_credit,
+    set_limit,
+    spend_credit,
+)
 from myrtlehook_core.process.share_tallies import ShareTallies, find_tally, pop_due_tallies
 
 BUCKET_S = 0.25
@@ -41,12 +47,9 @@
 """Number of routers from which on each zone's reports are summed by a collector. The report of a
 zone is no longer than that of one busy router; in return, levels are 0.2 s older."""
 
-MAX_RETURNED_LEVELS = 0.5
-"""Limit, in levels, up to which refused requests restore the credit of their workspace. A higher
-limit admits requests that engines cannot serve once some of them are lost."""
-
-HIGHEST_TIER = 15
-"""Tier of all demand beyond this number of levels."""
+CREDIT_MEMORY_S = 10.0
+"""How long a workspace keeps its credit after the last level that applied to it. The demand of many
+workspaces is now above the level and now below."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,8 +90,12 @@
     """The level as a fraction of the workspace's demand, for each workspace above the level."""
     reported: bool = False
     """Whether the last report contained rows."""
-    tier_credits_tokens: dict[str, list[float]] = field(default_factory=dict)
-    """Unused credit by tier, for each workspace above the level."""
+    reported_tokens: dict[str, int] = field(default_factory=dict)
+    """By workspace. The demand that the last report contained."""
+    credits: dict[str, ShareCredit] = field(default_factory=dict)
+    """For each workspace above the level now or lately."""
+    window_s: float = 0.0
+    """The window within which the level applies; 0 as long as none is known."""
 
 
 @dataclass(slots=True)
@@ -134,8 +141,9 @@
     if demand is None:
         return
     find_tally(demand.tallies, workspace).refused_tokens += tokens
-    if tier == 0:
-        _return_credit(demand, workspace, tokens)
+    credit = demand.credits.get(workspace)
+    if tier == 0 and credit is not None:
+        return_credit(credit, tokens)
     for bucket in reversed(demand.buckets):
         if bucket.begins_at_s <= asked_at_s:
             refused = bucket.refused_tokens
@@ -172,41 +180,9 @@
     level_fraction = demand.level_fractions.get(workspace)
     if level_fraction is None or now_s >= demand.level_deadline_s:
         return 0
-    return _spend_credit(demand, workspace, level_fraction, tokens)
-
-
-def _spend_credit(demand: PoolDemand, workspace: str, level_fraction: float, tokens: int) -> int:
-    """Assign a request to a tier, so that each tier gets up to one level of the demand.
-
-    Every request adds the fraction ``level_fraction`` of its tokens to the credit of each tier. The
-    request is charged to the lowest tier whose credit covers at least half of its tokens.
-    """
-    tiers = min(math.ceil(1.0 / level_fraction), HIGHEST_TIER + 1)
-    credits_tokens = demand.tier_credits_tokens.setdefault(workspace, [])
-    credits_tokens.extend([0.0] * (tiers - len(credits_tokens)))
-    for tier in range(tiers):
-        credits_tokens[tier] += level_fraction * tokens
-    for tier in range(tiers):
-        if credits_tokens[tier] >= tokens / 2.0:
-            credits_tokens[tier] -= tokens
-            return tier
-    return tiers - 1
-
-
-def _return_credit(demand: PoolDemand, workspace: str, tokens: int) -> None:
-    """Return the credit of a refused request, so that a later request can use it.
-
-    A share limits the tokens that a workspace receives, not those that it asks for. Requests with
-    long prompts are refused more often than those with short ones for the same demand. If refused
-    requests used up the share, a workspace would receive less the longer its prompts are. Credit
-    beyond the share is not returned: engines cannot serve all of that demand, so the workspace
-    with the largest demand would receive the most.
-    """
-    credits_tokens = demand.tier_credits_tokens.get(workspace)
-    if not credits_tokens or demand.level is None:
-        return
-    limit_tokens = max(credits_tokens[0], MAX_RETURNED_LEVELS * demand.level.level_tokens)
-    credits_tokens[0] = min(credits_tokens[0] + tokens, limit_tokens)
+    credit = demand.credits[workspace]
+    grow_credit(credit, demand.window_s, now_s)
+    return spend_credit(credit, level_fraction, tokens)
 
 
 def send_demand_reports(
@@ -223,6 +199,7 @@
         if not rows and not demand.reported:
             continue
         demand.reported = bool(rows)
+        demand.reported_tokens = {row.workspace: row.asked_tokens for row in rows}
         accountant = find_accountant(pool, reporters)
         collector = find_collector(pool, reporters) or accountant
         if collector is not None:
@@ -277,19 +254,33 @@
     return found[0] if found else None
 
 
-def apply_level(shares: Shares, level: ShareLevel, now_s: float) -> None:
-    """Apply the level that a pool's accountant has computed."""
+def apply_level(shares: Shares, level: ShareLevel, window_s: float, now_s: float) -> None:
+    """Apply the level that a pool's accountant has computed.
+
+    :param window_s: the window within which it applies.
+    """
     demand = shares.demands.setdefault(level.pool, PoolDemand())
     demand.level = level
     demand.level_deadline_s = now_s + LEVEL_LEASE_S
     demand.level_received_at_s = now_s
+    demand.window_s = window_s
     demand.level_fractions = {
         row.workspace: level.level_tokens / row.asked_tokens
         for row in level.rows
         if level.level_tokens > 0 and row.asked_tokens > 0
     }
-    for workspace in demand.tier_credits_tokens.keys() - demand.level_fractions.keys():
-        del demand.tier_credits_tokens[workspace]
+    for workspace, level_fraction in demand.level_fractions.items():
+        # This router's part of the level is its part of the demand.
+        own_tokens = demand.reported_tokens.get(workspace, 0)
+        limit_tokens = min(level_fraction * own_tokens, float(level.level_tokens))
+        credit = demand.credits.get(workspace)
+        if credit is None:
+            demand.credits[workspace] = ShareCredit(limit_tokens, now_s, now_s)
+        else:
+            set_limit(credit, limit_tokens, window_s, now_s)
+    for workspace, credit in list(demand.credits.items()):
+        if now_s >= credit.confirmed_at_s + CREDIT_MEMORY_S:
+            del demand.credits[workspace]
 
 
 def _find_bucket(demand: PoolDemand, now_s: float) -> DemandBucket:
--- a/tests/features/admission.feature
+++ b/tests/features/admission.feature
@@ -9,6 +9,7 @@
   Scenario: Max-min shares
     Then for any demands, the level gives away all capacity and no workspace more than it asks for
     And for any request sizes, each tier of a workspace holds one level within two requests
+    And for any moments of requests, tier 0 holds at most one level, and one request
     And two workspaces that flood one engine unevenly receive similar amounts
     And a workspace that floods suddenly gets little more than one that has flooded before
     And once a flood has lasted for a window, every request of a small workspace is served
