--- a/tests/features/passing.feature
+++ b/tests/features/passing.feature
@@ -174,3 +174,15 @@
     And every engine is silent
     When "planners" asks for a summary at router 1, and the router that takes it freezes
     Then the attempt has status 504 and no seal
+
+  # Guards against: the time that a connection had waited at the router that passed it on did not
+  # count where it was served, so that its request outlasted its deadline by that time.
+  @nodes.2
+  Scenario Outline: What a connection has waited counts where it is passed on to
+    When router 1 passes a connection on to router 2 that has waited <waited> ms, with a request of <deadline> ms
+    Then router 2 answers it with <status>
+
+    Examples:
+      | waited | deadline | status |
+      | 0      | 5000     | 200    |
+      | 900    | 500      | 503    |
--- a/tests/steps/passed_deadline_steps.py
+++ b/tests/steps/passed_deadline_steps.py
@@ -12,7 +12,13 @@
 
 from emulator.sites import PLAIN_SERVICE, make_configuration, make_route
 from environment import ALWAYS_PASSING
+from myrtlehook_platform.settings import FLEET_KEY
 from myrtlehook_router.connection.backends import SendFailure
+from myrtlehook_router.connection.introductions import (
+    VERDICT_ACCEPTED,
+    Introduction,
+    write_introduction,
+)
 from myrtlehook_router.connection.server_connections import (
     ConnectionPool,
     Exchange,
@@ -131,3 +137,28 @@
 def check_trickle(context: Any) -> None:
     assert context.outcome, f"still reading after {GIVE_UP_S} s, at {time.monotonic():.0f}"
     assert context.outcome[0].err_value is SendFailure.TIMED_OUT, context.outcome
+
+
+@when(
+    "router {sender:d} passes a connection on to router {receiver:d} that has waited {waited:d} ms,"
+    " with a request of {deadline:d} ms"
+)
+def pass_waited(context: Any, sender: int, receiver: int, waited: int, deadline: int) -> None:
+    peer, helping = context.nodes.ports["peer"], context.nodes.ports["helping"]
+    own, other = (f"{node(context, number).ip}:{peer}" for number in (sender, receiver))
+    introduction = Introduction(own, other, configuration_number=1, waited_ms=waited)
+    headers = make_headers(new_id(), "planners") | {"Deadline-Ms": str(deadline)}
+    lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+    request = f"GET /setpoint/a HTTP/1.1\r\n{lines}\r\n".encode()
+    address = (node(context, receiver).ip, helping)
+    with socket.create_connection(address, timeout=GIVE_UP_S) as connection:
+        connection.sendall(write_introduction(introduction, FLEET_KEY) + request)
+        context.received = b""
+        while piece := connection.recv(4096):
+            context.received += piece
+
+
+@then("router {number:d} answers it with {status:d}")
+def check_passed_status(context: Any, number: int, status: int) -> None:
+    wanted = VERDICT_ACCEPTED + f"HTTP/1.1 {status} ".encode()
+    assert context.received.startswith(wanted), context.received
