--- a/packages/core/src/myrtlehook_core/process/full_tiers.py
+++ b/packages/core/src/myrtlehook_core/process/full_tiers.py
@@ -23,11 +23,6 @@
 TRIAL_ONE_IN = 8
 """Of the requests of a full tier, one in this many is sent to engines as a trial."""
 
-MAX_EQUAL_TIER = 3
-"""Up to this tier, all full tiers have trials equally often. Above it, trials are rarer the higher
-the tier: a workspace that asks for many times its share would otherwise find most of the free
-capacity, just because it has the most trials."""
-
 
 @dataclass(slots=True)
 class TierOutcomes:
@@ -75,6 +70,5 @@
     oldest_s = outcomes.refused_at_s[0]
     if oldest_s <= max(now_s - REFUSAL_MAX_AGE_S, outcomes.admitted_at_s):
         return False
-    one_in = TRIAL_ONE_IN * max(tier - MAX_EQUAL_TIER + 1, 1)
-    outcomes.refused_untried = (outcomes.refused_untried + 1) % one_in
+    outcomes.refused_untried = (outcomes.refused_untried + 1) % TRIAL_ONE_IN
     return outcomes.refused_untried > 0
