--- a/packages/core/src/myrtlehook_core/process/shares.py
+++ b/packages/core/src/myrtlehook_core/process/shares.py
@@ -288,7 +288,7 @@
         level_fraction = demand.level_fractions.get(workspace)
         if level_fraction is not None:
             own_tokens = demand.reported_tokens.get(workspace, 0)
-            # Its own report may be newer than the sum of all.
+            # This router's last report may be newer than the sum of all routers.
             limit_tokens = min(level_fraction * own_tokens, float(level.level_tokens))
             set_limit(credit, limit_tokens, demand.window_s, now_s)
         elif now_s >= credit.confirmed_at_s + CREDIT_MEMORY_S:
--- a/tests/standins/flood_histories.py
+++ b/tests/standins/flood_histories.py
@@ -2,7 +2,7 @@
 
 import itertools
 import random
-from collections import Counter
+from collections import Counter, defaultdict
 from dataclasses import dataclass, replace
 
 from myrtlehook_core import CoreOptions, RequestSpecification
@@ -131,7 +131,7 @@
             if 0 <= second < FAIR_SPAN_SECONDS:
                 received[second][prompt.workspace] += prompt.tokens
         total = sum(received, Counter[str]())
-        largest = self._find_largest_tokens()
+        left_out = self._sum_largest_tokens(begins_s)
         best, _ = total.most_common(1)[0]
         return [
             UnfairSpan(
@@ -143,17 +143,20 @@
                     min(asked[second][name], received[second][best])
                     for second in range(FAIR_SPAN_SECONDS)
                 )
-                - LEFT_OUT_REQUESTS * largest[name],
+                - left_out[name],
             )
             for name in set.intersection(*waited)
         ]
 
-    def _find_largest_tokens(self) -> Counter[str]:
-        """Return the tokens of each workspace's largest request."""
-        largest: Counter[str] = Counter()
+    def _sum_largest_tokens(self, begins_s: float) -> Counter[str]:
+        """Return the tokens of each workspace's largest requests of a span."""
+        sizes: defaultdict[str, list[int]] = defaultdict(list)
         for prompt in self.asked.values():
-            largest[prompt.workspace] = max(largest[prompt.workspace], prompt.tokens)
-        return largest
+            if begins_s <= prompt.time_s < begins_s + SPAN_S:
+                sizes[prompt.workspace].append(prompt.tokens)
+        return Counter(
+            {name: sum(sorted(found)[-LEFT_OUT_REQUESTS:]) for name, found in sizes.items()}
+        )
 
     def _find_begin_s(self, request_id: str) -> float | None:
         outcomes = self.history.outcomes
