Show that streams go on at another software version than the one that began them (red)

Emulated engines have a software version, which each event names; a resumed run goes on from its last event instead of generating what came before again.

--- a/emulator/control.py
+++ b/emulator/control.py
@@ -6,11 +6,11 @@
 from typing import Any
 
 from emulator.sites import (
-    MODEL_SERVICE,
     PLAIN_SERVICE,
     Site,
     describe_site,
     end_engine,
+    put_engine,
     put_server,
     restore_store_copy,
 )
@@ -68,6 +68,9 @@
             site.store.drop(f"servers/{name}")
             continue
         _put_entry(site, name, state)
+    for name, version in order.get("software_versions", {}).items():
+        site.engines[name].software_version = version
+        _put_entry(site, name, "ready")
     for name in order.get("end", []):
         end_engine(site, site.engines[name])
     if order.get("keep_copy"):
@@ -80,6 +83,6 @@
 
 def _put_entry(site: Site, name: str, state: str) -> None:
     if name in site.engines:
-        put_server(site, name, MODEL_SERVICE, site.engines[name].speed.slots, state)
+        put_engine(site, site.engines[name], state)
     else:
         put_server(site, name, PLAIN_SERVICE, site.services[name].slots, state)
--- a/emulator/engines.py
+++ b/emulator/engines.py
@@ -80,6 +80,12 @@
     """Time from an engine's end until it starts again."""
     keeps_id: bool = False
     """Whether an engine starts again under the same id."""
+    next_software_version: str = ""
+    """The software version with which engines start again; their former one if empty."""
+    entry_delay_ms: float = 0.0
+    """How long after an engine's start its entry tells of it."""
+    states_start: bool = True
+    """Whether entries state when their engine started."""
 
 
 @dataclass(slots=True)
@@ -100,6 +106,7 @@
 
     def __init__(self, identifier: str, speed: EngineSpeed, shared: SharedFaults) -> None:
         self.identifier = identifier
+        self.software_version = "v1"
         self.shared = shared
         self.speed = speed
         self.faults = EngineFaults()
@@ -212,6 +219,10 @@
         first_event = int(environ.get("HTTP_LAST_EVENT_ID") or 0) + 1
         cached = self._use_cache(environ.get("HTTP_PROMPT_PREFIX", ""))
         run = Run(attempt_id, max(int(prompt) - cached, 1), int(max_output), first_event)
+        # What was generated before is read again with the prompt, not generated again.
+        run.generated_tokens = min(
+            (first_event - 1) * self.speed.event_tokens, run.output_tokens - 1
+        )
         self.waiting.append(run)
         return run
 
@@ -331,7 +342,8 @@
         if number == 0:
             raise StopIteration
         self._sent += 1
-        return b"id: %d\ndata: event %d\n\n" % (number, number)
+        version = self._engine.software_version.encode()
+        return b"id: %d\ndata: event %d of %s\n\n" % (number, number, version)
 
     def _wait_for_event(self) -> int:
         """Return the next event's number; raises if the client disconnects meanwhile."""
--- a/emulator/sites.py
+++ b/emulator/sites.py
@@ -121,6 +121,7 @@
         del site.engines[engine.identifier]
         engine.identifier = f"i-engine-again-{next(site.restart_numbers)}"
         site.engines[engine.identifier] = engine
+    engine.software_version = site.engine_faults.next_software_version or engine.software_version
     _register_engine(site, engine, process)
 
 
@@ -128,17 +129,36 @@
     identifier = engine.identifier
     site.processes[identifier] = process
     site.addresses[identifier] = process.address
-    site.started_at_ms[identifier] = int(time.time() * 1000)
-    put_server(site, identifier, MODEL_SERVICE, engine.speed.slots)
+    if site.engine_faults.states_start:
+        site.started_at_ms[identifier] = int(time.time() * 1000)
+    delay_s = site.engine_faults.entry_delay_ms / 1000.0
+    if delay_s:
+        eventlet.spawn_after(delay_s, put_engine, site, engine)
+    else:
+        put_engine(site, engine)
+
+
+def put_engine(site: Site, engine: Engine, state: str = "ready") -> None:
+    """Write an engine's entry into the store."""
+    put_server(
+        site, engine.identifier, MODEL_SERVICE, engine.speed.slots, state, engine.software_version
+    )
 
 
-def put_server(site: Site, identifier: str, service: str, slots: int, state: str = "ready") -> None:
+def put_server(
+    site: Site,
+    identifier: str,
+    service: str,
+    slots: int,
+    state: str = "ready",
+    software_version: str = "v1",
+) -> None:
     """Write a server's entry into the store."""
     entry = {
         "Service": service,
         "Address": site.addresses[identifier],
         "Zone": site.zones.get(identifier, ZONE),
-        "Version": "v1",
+        "Version": software_version,
         "SlotCount": slots,
         "State": state,
         "ColdRemainingMs": 0,
@@ -220,6 +240,7 @@
     return {
         "calls": dict(site.store.calls),
         "ended": list(site.ended_engines),
+        "running_engines": sorted(site.processes),
         "servers": {
             name: {
                 "runs": dict(server.runs),
--- a/tests/environment.py
+++ b/tests/environment.py
@@ -33,6 +33,9 @@
 MANY_ENGINES = 6
 """The number of engines with which some keep running while others have ended."""
 
+VERSIONED_ENGINES = 8
+"""The number of engines with which several of each software version serve."""
+
 ALWAYS_PASSING = {"passing_starts_part": -2.0, "passing_all_part": -1.0}
 """Thresholds at which a router considers itself busy, however low its load is."""
 
@@ -91,7 +94,7 @@
     nodes.options = {f"edge-{number}": BUSY_OPTIONS.get(option, {}) for number in range(1, 10)}
     nodes.options["edge-1"] = ALWAYS_PASSING if option in BUSY_OPTIONS else {}
     try:
-        engines = MANY_ENGINES if option == "many" else 2
+        engines = {"many": MANY_ENGINES, "versions": VERSIONED_ENGINES}.get(option, 2)
         nodes.start(routers=routers, engines=engines, empty=option == "empty")
         context.nodes = nodes
         yield nodes
