Log the software version at which streams begin, break off and go on

The adapter dropped the software version of an engine's entry, so that no log could tell at which version a stream went on. It is part of a backend server now, also in what routers tell one another; a stream that may be resumed has lines for its beginning, its break and its continuation, with the engine, its version, the last event and the attempt that it resumes. No decision changes.

--- a/packages/core/src/myrtlehook_core/process/source_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/source_handlers.py
@@ -202,6 +202,7 @@
         instance=server.instance,
         lapsed=server.name in lapsed,
         cold_ms=server.cold_ms,
+        software_version=server.software_version,
     )
 
 
@@ -216,4 +217,5 @@
         leaving=row.leaving,
         instance=row.instance,
         cold_ms=row.cold_ms,
+        software_version=row.software_version,
     )
--- a/packages/core/src/myrtlehook_core/process/source_messages.py
+++ b/packages/core/src/myrtlehook_core/process/source_messages.py
@@ -31,6 +31,7 @@
     lapsed: bool
     """Whether its entry was missing after an outage of the source and may still come back."""
     cold_ms: int = 0
+    software_version: str = ""
 
 
 class ServersQuery(msgspec.Struct, frozen=True, array_like=True, tag=25):
--- a/packages/core/src/myrtlehook_core/version/configurations.py
+++ b/packages/core/src/myrtlehook_core/version/configurations.py
@@ -123,6 +123,8 @@
     request, so that another server that now has the address rejects the request."""
     cold_ms: int = 0
     """Remaining cold time as the server reported it; see ``process/cold_engines``."""
+    software_version: str = ""
+    """The version of its software, not of its model's weights; empty if it is not stated."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/router/src/myrtlehook_router/request/answer_streams.py
+++ b/packages/router/src/myrtlehook_router/request/answer_streams.py
@@ -19,6 +19,7 @@
     check_server_after_failure,
     close_relay,
     end_relay,
+    log_stream,
     record_output,
     report_failed_attempt,
 )
@@ -83,6 +84,8 @@
         self._splitter = EventSplitter()
         given = find_header(relay.request.headers, relay.names.last_event_id)
         self._last_event_id = given or ""
+        self._begun = False
+        """Whether an event of the current attempt was forwarded."""
 
     def __iter__(self) -> Iterator[bytes]:
         return self
@@ -114,12 +117,20 @@
         for event_id, content in found.events:
             if not self._is_new(event_id):
                 continue
+            if not self._begun:
+                self._log_begin(event_id)
             if event_id:
                 self._last_event_id = event_id
             kept.append(content)
         record_output(self._relay, len(kept))
         return b"".join(kept)
 
+    def _log_begin(self, event_id: str) -> None:
+        """Log the first event of an attempt; the stream goes on if there were others before it."""
+        self._begun = True
+        event = "stream goes on" if self._last_event_id else "stream began"
+        log_stream(self._relay, event, self._last_event_id, next_event_id=event_id)
+
     def _is_new(self, event_id: str) -> bool:
         """Return whether an event comes after the last one that was forwarded.
 
@@ -141,13 +152,17 @@
     def _resume(self) -> None:
         relay = self._relay
         self._splitter.incomplete_event = b""
+        self._begun = False
         if relay.caller_disconnected:
             raise ConnectionError("the client closed its connection")
+        log_stream(relay, "stream broke off", self._last_event_id)
         report_failed_attempt(relay, RetryReason.ANSWER_BROKEN)
         while True:
             slot = wait_for_slot(relay.placement)
             if isinstance(slot, Err):
-                end_relay(relay, Outcome.UNKNOWN, f"not resumed: {slot.err_value.reason}")
+                reason = slot.err_value.reason
+                log_stream(relay, "stream not resumed", self._last_event_id, reason=reason)
+                end_relay(relay, Outcome.UNKNOWN, f"not resumed: {reason}")
                 raise ConnectionError("the stream could not be resumed")
             if self._resume_at(slot.ok_value):
                 relay.placement.services.counters.add("stream.resumed")
--- a/packages/router/src/myrtlehook_router/request/headers.py
+++ b/packages/router/src/myrtlehook_router/request/headers.py
@@ -30,6 +30,9 @@
     request_id: str = "X-Request-Id"
     deadline_ms: str = "X-Deadline-Ms"
     last_event_id: str = "Last-Event-Id"
+    resumes: str = "X-Resumes"
+    """The request id of the attempt that brought the first event of a stream, on those that resume
+    it."""
     seal: str = "X-Answer-Seal"
     """Set by a backend server on every response that it makes itself."""
     workspace: str = "X-Workspace"
--- a/packages/router/src/myrtlehook_router/request/relays.py
+++ b/packages/router/src/myrtlehook_router/request/relays.py
@@ -4,13 +4,19 @@
 
 import urllib3
 
-from myrtlehook_core import Outcome, RefusalReason, RetryReason, find_share_tokens
+from myrtlehook_core import (
+    BackendServer,
+    Outcome,
+    RefusalReason,
+    RetryReason,
+    find_share_tokens,
+)
 from myrtlehook_router.connection.backends import SendFailure
 from myrtlehook_router.connection.server_connections import ConnectionPool, Exchange
 from myrtlehook_router.process import clocks
 from myrtlehook_router.process.logs import get_logger
 from myrtlehook_router.request.broken_runs import check_server_after_broken_run
-from myrtlehook_router.request.headers import HeaderNames
+from myrtlehook_router.request.headers import HeaderNames, find_header
 from myrtlehook_router.request.placements import (
     Placement,
     close_placement,
@@ -37,6 +43,8 @@
 """Service received from a plain service is counted in slot milliseconds."""
 
 _log = get_logger("requests")
+_stream_log = get_logger("requests", is_kept=True)
+"""For lines that tell which software version wrote which events of a stream."""
 
 
 @dataclass(slots=True)
@@ -56,6 +64,8 @@
     maybe_run: bool = False
     """Whether one of the attempts so far may have run."""
     backend_server: str = ""
+    software_version: str = ""
+    """Of that server, as listed when the request was sent there."""
     memory_source: str = ""
     """Another backend server, from whose cache this one fetches a prefix of the prompt."""
     attempts: int = 0
@@ -87,9 +97,10 @@
         check_server_after_broken_run(relay.placement, relay.backend_server, relay.sent_at_s)
 
 
-def begin_attempt(relay: Relay) -> None:
+def begin_attempt(relay: Relay, server: BackendServer) -> None:
     """Reset the state of the current attempt, before the request is sent once more."""
     relay.attempts += 1
+    relay.software_version = server.software_version
     relay.sent_at_s = clocks.now_s()
     relay.has_output = False
     begin_stream_attempt(relay.pauses)
@@ -112,6 +123,22 @@
     )
 
 
+def log_stream(relay: Relay, event: str, last_event_id: str, **details: str | None) -> None:
+    """Log where a stream that may be resumed began, broke off, went on, or why it did not.
+
+    :param last_event_id: the last event of the stream that was forwarded so far.
+    """
+    _stream_log.info(
+        event,
+        request_id=relay.request.request_id,
+        resumes=find_header(relay.request.headers, relay.names.resumes),
+        backend_server=relay.backend_server,
+        software_version=relay.software_version,
+        last_event_id=last_event_id,
+        **details,
+    )
+
+
 def report_failed_attempt(relay: Relay, reason: RetryReason) -> None:
     """Log a failed attempt and report it to the core, which then decides on the request again."""
     _log.info(
@@ -195,6 +222,7 @@
         share_tokens=find_share_tokens(placement.specification),
         aim_ms=round(relay.request.route.aim_s * 1000.0),
         backend_server=relay.backend_server,
+        software_version=relay.software_version,
         attempts=relay.attempts,
         outcome=outcome,
         detail=detail,
