Keep streams to the software version that began them

Cause: a router treated a stream that is taken up as a new one. It did not read Resumes, and no decision knew an engine's version; inside one answer too, the next engine was any of the pool.

Change: the router that forwards the first event of an attempt binds the request to the version of the engine that wrote it, and tells two keepers, which follow the stream's key on a hash ring (routers weigh nothing for it: 42 streams a second at each of 1,200 routers). A router that a client returns to knows the version, or asks the three next routers along the ring, then three further ones, and refuses within 0.5 s if nobody knows. It concludes nothing from what is listed. Who forwards a stream tells its keepers' successors, and keepers that have restarted unnoticed. A bound request gets only engines of its version, checked again when it is sent; where none is left it is refused at once.

--- a/packages/core/src/myrtlehook_core/__init__.py
+++ b/packages/core/src/myrtlehook_core/__init__.py
@@ -53,6 +53,7 @@
     RequestSpecification,
     find_share_tokens,
 )
+from myrtlehook_core.request.stream_keys import make_stream_key
 from myrtlehook_core.version.configurations import (
     BackendServer,
     ColdStart,
@@ -228,6 +229,7 @@
     "intersect_regions",
     "join_parts",
     "judge_event",
+    "make_stream_key",
     "make_weighted_chooser",
     "schedule_retry",
     "record_lag",
--- a/packages/core/src/myrtlehook_core/process/actions.py
+++ b/packages/core/src/myrtlehook_core/process/actions.py
@@ -28,6 +28,8 @@
     lease_deadline_s: float
     memory_source: str = ""
     """Another backend server, from whose cache this one fetches a prefix of the prompt."""
+    software_version: str | None = None
+    """The only software version that the server may have; None if any may run the request."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -357,6 +359,21 @@
     router_id: str
 
 
+@dataclass(frozen=True, slots=True)
+class StreamOriginFound:
+    """The software version that began a resumed stream was looked up."""
+
+    request_id: str
+    software_version: str | None
+    """None if it was not found, so that the request is refused."""
+    source: str
+    """The router that knew it; empty if none did."""
+    asked: tuple[str, ...] = ()
+    """The routers that were asked in vain."""
+    answers: int = 0
+    """How many of these answered."""
+
+
 @dataclass(frozen=True, slots=True)
 class QuarantineChanged:
     """A request was quarantined until a given time, or released from quarantine."""
@@ -407,6 +424,7 @@
     | ServerEjected
     | ServerEndCounted
     | RestartNoticed
+    | StreamOriginFound
     | QuarantineChanged
     | PauseDetected
 )
--- a/packages/core/src/myrtlehook_core/process/admission_ends.py
+++ b/packages/core/src/myrtlehook_core/process/admission_ends.py
@@ -15,6 +15,10 @@
 from myrtlehook_core.request.charges import settle_charge
 from myrtlehook_core.request.outcomes import RefusalReason
 
+VERSION_RETRY_AFTER_S = 1.0
+"""When a client may resume a stream again of whose software version no server is left: servers that
+have ended are back after some seconds."""
+
 
 def end_admission(
     admissions: Admissions,
@@ -60,6 +64,8 @@
     )
     backoff_s = find_retry_wait_s(context.ingress, ingress_context, request, now_s)
     wait_s = quarantine_s or max(admission.retry_after_s, backoff_s)
+    if reason is RefusalReason.NO_SERVER_OF_VERSION:
+        wait_s = max(wait_s, VERSION_RETRY_AFTER_S)
     refuse_with_wait(context.ingress_context, request, reason, wait_s)
 
 
--- a/packages/core/src/myrtlehook_core/process/admission_requests.py
+++ b/packages/core/src/myrtlehook_core/process/admission_requests.py
@@ -13,10 +13,10 @@
     StreamPauseReport,
 )
 from myrtlehook_core.process.backoffs import is_backing_off
+from myrtlehook_core.process.eligible_servers import may_serve
 from myrtlehook_core.process.engine_speeds import PoolSpeeds
 from myrtlehook_core.process.full_tiers import FullTiers
 from myrtlehook_core.process.ingress import IngressContext, IngressState
-from myrtlehook_core.process.regions import may_serve
 from myrtlehook_core.process.shares import Shares
 from myrtlehook_core.request.requests import PromptPart, RequestSpecification
 
@@ -117,6 +117,14 @@
     """The zone of this router."""
 
 
+def may_run_at(context: AdmissionContext, request: RequestSpecification, name: str) -> bool:
+    """Return whether an engine is usable and may serve a request."""
+    server = context.ingress_context.configuration.backend_servers.get(name)
+    if server is None or not is_usable_engine(context, name):
+        return False
+    return may_serve(context.ingress_context.regions, request, server)
+
+
 def is_usable_engine(context: AdmissionContext, name: str) -> bool:
     """Return whether an engine is known, not leaving, and not in back-off at this router."""
     server = context.ingress_context.configuration.backend_servers.get(name)
--- a/packages/core/src/myrtlehook_core/process/admissions.py
+++ b/packages/core/src/myrtlehook_core/process/admissions.py
@@ -29,10 +29,12 @@
     Admissions,
     MemorySource,
     is_usable_engine,
+    may_run_at,
     notify_owner,
     send_admission_request,
 )
 from myrtlehook_core.process.early_beginnings import order_last_engines
+from myrtlehook_core.process.eligible_servers import find_eligibility_refusal
 from myrtlehook_core.process.engine_rankings import rank_engines
 from myrtlehook_core.process.engine_speeds import record_speed
 from myrtlehook_core.process.full_tiers import (
@@ -124,7 +126,10 @@
     options = context.ingress_context.options
     if _ask_next_early(admissions, context, admission, now_s):
         return
-    candidates = [name for name in admission.ranked_engines if is_usable_engine(context, name)]
+    # A stream that has begun since the ranking goes on at one software version only.
+    candidates = [
+        name for name in admission.ranked_engines if may_run_at(context, admission.request, name)
+    ]
     untried = [name for name in candidates if name not in admission.tried]
     if not untried:
         # Rank again to find engines that have joined since the request was opened.
@@ -167,7 +172,7 @@
         return
     if admission.request.deadline_s <= now_s:
         refuse_admission(admissions, context, admission, RefusalReason.DEADLINE_PASSED, now_s)
-    elif not is_usable_engine(context, grant.backend_server):
+    elif not may_run_at(context, admission.request, grant.backend_server):
         # Check the engine once more before dispatch: it may have reported a back-off to this
         # router that its owner has not received.
         context.ingress_context.actions.add(MessageDropped(DropReason.GRANT_CLOSED))
@@ -282,7 +287,7 @@
         elif admission.request.workspace not in context.ingress_context.configuration.workspaces:
             reason = RefusalReason.CONFIGURATION_REMOVED
             refuse_admission(admissions, context, admission, reason, now_s)
-        elif not is_usable_engine(context, admission.backend_server):
+        elif not may_run_at(context, admission.request, admission.backend_server):
             _withdraw_and_ask_next(admissions, context, admission, now_s)
         elif now_s >= admission.next_send_s:
             send_admission_request(admissions, context, admission, now_s)
@@ -311,7 +316,9 @@
     admissions: Admissions, context: AdmissionContext, admission: Admission, now_s: float
 ) -> bool:
     """Ask the next engine for an early beginning; False when none is left to be asked so."""
-    usable = [name for name in admission.early_engines if is_usable_engine(context, name)]
+    usable = [
+        name for name in admission.early_engines if may_run_at(context, admission.request, name)
+    ]
     if usable and admission.request.deadline_s > now_s:
         admission.eager = True
         admission.early_engines = tuple(usable[1:])
@@ -364,7 +371,10 @@
     ingress_context = context.ingress_context
     wait_s = find_backoff_s(context.ingress, ingress_context, request, now_s)
     if not wait_s:
-        reason = RefusalReason.NO_BACKEND_SERVER
+        reason = find_eligibility_refusal(
+            ingress_context.regions, ingress_context.configuration, request
+        )
+        reason = reason or RefusalReason.NO_BACKEND_SERVER
         refuse_admission(admissions, context, admission, reason, now_s)
     elif now_s + wait_s >= min(request.aim_deadline_s, request.deadline_s):
         refuse_admission(admissions, context, admission, RefusalReason.BACKED_OFF, now_s)
@@ -407,6 +417,7 @@
             priority_units,
             now_s + options.grant_lease_s,
             _choose_memory_source(context, admission),
+            request.software_version,
         )
     )
 
--- /dev/null
+++ b/packages/core/src/myrtlehook_core/process/eligible_servers.py
@@ -0,0 +1,29 @@
+"""Which backend servers of its pool may serve a request, by their region and software version."""
+
+from myrtlehook_core.process.regions import Regions, find_region_refusal, is_region_allowed
+from myrtlehook_core.request.outcomes import RefusalReason
+from myrtlehook_core.request.requests import RequestSpecification
+from myrtlehook_core.version.configurations import BackendServer, Configuration
+
+
+def may_serve(regions: Regions, request: RequestSpecification, server: BackendServer) -> bool:
+    """Return whether a backend server has a region and a version that the request allows."""
+    if request.software_version not in (None, server.software_version):
+        return False
+    return is_region_allowed(regions, request, server)
+
+
+def find_eligibility_refusal(
+    regions: Regions, configuration: Configuration, request: RequestSpecification
+) -> RefusalReason | None:
+    """Return why no server may serve a request from here, or None if one may."""
+    region_reason = find_region_refusal(regions, configuration, request)
+    if region_reason is not None or request.software_version is None:
+        return region_reason
+    servers = configuration.backend_servers.values()
+    if any(
+        server.pool == request.pool and not server.leaving and may_serve(regions, request, server)
+        for server in servers
+    ):
+        return None
+    return RefusalReason.NO_SERVER_OF_VERSION
--- a/packages/core/src/myrtlehook_core/process/engine_rankings.py
+++ b/packages/core/src/myrtlehook_core/process/engine_rankings.py
@@ -6,9 +6,9 @@
 
 from myrtlehook_core.process.admission_requests import AdmissionContext, is_usable_engine
 from myrtlehook_core.process.early_beginnings import choose_early_engines
+from myrtlehook_core.process.eligible_servers import may_serve
 from myrtlehook_core.process.engine_speeds import rank_weighted
 from myrtlehook_core.process.hashing import rank_routers
-from myrtlehook_core.process.regions import may_serve
 from myrtlehook_core.request.requests import RequestSpecification
 
 NO_STEPS: Mapping[str, int] = MappingProxyType({})
--- a/packages/core/src/myrtlehook_core/process/event_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/event_handlers.py
@@ -7,20 +7,16 @@
 from myrtlehook_core.process import events
 from myrtlehook_core.process.admission_ends import abandon_admission, end_admission
 from myrtlehook_core.process.admissions import (
-    is_admitted_by_tokens,
-    open_admission,
     record_progress,
     retry_admission,
     send_pause_report,
     tick_admissions,
 )
 from myrtlehook_core.process.backoffs import drop_ended_backoffs
-from myrtlehook_core.process.bid_spreading import spreads_bids
 from myrtlehook_core.process.bidding import (
     find_keys_to_report,
     repeat_releases,
     send_bids,
-    send_first_bid,
     send_hold_summaries,
     send_reports,
 )
@@ -47,7 +43,6 @@
 from myrtlehook_core.process.messages import Release
 from myrtlehook_core.process.orders import find_order
 from myrtlehook_core.process.owners import (
-    count_free_in_pool,
     handle_load,
     tick_owner,
 )
@@ -62,16 +57,15 @@
     resend_sound_run_reports,
 )
 from myrtlehook_core.process.refusals import refuse_unservable
+from myrtlehook_core.process.request_placing import place_request
 from myrtlehook_core.process.restarted_peers import hand_over_after_restart
 from myrtlehook_core.process.runs import (
     abandon_request,
-    accept_request,
     end_run,
     record_observed_service,
     retry_run,
 )
 from myrtlehook_core.process.server_notice_handlers import on_server_noticed
-from myrtlehook_core.process.share_standings import count_arrival
 from myrtlehook_core.process.shares import (
     Reporters,
     report_tallies,
@@ -89,6 +83,14 @@
     sweep_source,
     tick_source,
 )
+from myrtlehook_core.process.stream_origin_handlers import (
+    abandon_lookup,
+    look_up_origin,
+    needs_origin,
+    on_stream_begun,
+    tick_lookups,
+)
+from myrtlehook_core.process.stream_origins import ResumedRequest, drop_expired_origins
 from myrtlehook_core.request.requests import RequestSpecification
 from myrtlehook_core.version.exchange import (
     handle_document,
@@ -106,35 +108,15 @@
 
 
 def _on_request(core: "RouterCore", event: events.RequestArrived, now_s: float) -> None:
-    ingress = core.ingress
-    if is_admitted_by_tokens(core.ingress_context(), event.request):
-        standing = event.standing or count_arrival(core.shares, event.request, now_s)
-        open_admission(core.admissions, core.admission_context(), event.request, standing, now_s)
-        return
-    key = accept_request(ingress, core.ingress_context(), event.request, now_s)
-    if key is None or key not in ingress.unreported_keys:
-        return
-    ingress.unreported_keys.discard(key)
-    if core.options.exchange_totals:
-        # Reported at once, so that the ledger raises the total of a workspace that was idle to
-        # the floor before it is served.
-        send_reports(ingress, core.placement, core.options, core.draw, core.outbox, {key}, now_s)
-    context = core.owner_context()
-    free = count_free_in_pool(core.owner, context, key.pool, now_s)
-    preferred = core.identity.router_id if free > 0 else None
-    send_first_bid(
-        ingress,
-        core.placement,
-        event.request,
-        preferred,
-        core.draw,
-        core.outbox,
-        now_s,
-        wants_answer=spreads_bids(core.options),
-    )
+    if needs_origin(core, event.request):
+        look_up_origin(core, ResumedRequest(event.request, event.standing), now_s)
+    else:
+        place_request(core, event.request, event.standing, now_s)
 
 
 def _on_abandoned(core: "RouterCore", event: events.RequestAbandoned, now_s: float) -> None:
+    if abandon_lookup(core, event.request_id):
+        return
     if abandon_admission(core.admissions, core.admission_context(), event.request_id):
         return
     if not abandon_request(core.ingress, event.request_id):
@@ -248,6 +230,7 @@
     tick_owner(core.owner, core.owner_context(), now_s)
     tick_queues(core.engine_queues, core.queue_context(), now_s)
     tick_admissions(core.admissions, core.admission_context(), now_s)
+    tick_lookups(core, now_s)
     if now_s >= core.shares.next_report_s:
         core.shares.next_report_s = now_s + core.options.demand_interval_s
         near = core.placement.zones.get(core.identity.availability_zone, ())
@@ -300,6 +283,7 @@
     drop_idle_queues(core.ingress, now_s, core.options.idle_drop_s)
     drop_idle_accounts(core.ledger, now_s, core.options)
     forget_old_evidence(core.quarantine, now_s)
+    drop_expired_origins(core.stream_origins, now_s)
     forget_removed_servers(core.leaving_servers, core.configuration.backend_servers, now_s)
     drop_ended_backoffs(core.ingress.backoffs, now_s)
     resend_sound_run_reports(core, now_s)
@@ -311,6 +295,7 @@
     events.RequestArrived: _on_request,
     events.RequestAbandoned: _on_abandoned,
     events.ServiceObserved: _on_service,
+    events.StreamBegun: on_stream_begun,
     events.RunEnded: _on_ended,
     events.StreamPaused: _on_stream_paused,
     events.ServerEndedInRun: on_server_ended,
--- a/packages/core/src/myrtlehook_core/process/events.py
+++ b/packages/core/src/myrtlehook_core/process/events.py
@@ -41,6 +41,15 @@
     observed_units: float
 
 
+@dataclass(frozen=True, slots=True)
+class StreamBegun:
+    """The first event of a stream that may be resumed is about to be forwarded to its client."""
+
+    request_id: str
+    software_version: str
+    """Of the backend server that wrote the event."""
+
+
 @dataclass(frozen=True, slots=True)
 class RunEnded:
     """A dispatched request has ended, successfully or not, at a cost in service units."""
@@ -200,6 +209,7 @@
     RequestArrived
     | RequestAbandoned
     | ServiceObserved
+    | StreamBegun
     | RunEnded
     | StreamPaused
     | ServerEndedInRun
--- a/packages/core/src/myrtlehook_core/process/message_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/message_handlers.py
@@ -97,6 +97,16 @@
     report_configuration,
 )
 from myrtlehook_core.process.source_messages import ServersQuery, ServersReply
+from myrtlehook_core.process.stream_origin_handlers import (
+    handle_origin_notice,
+    handle_origin_query,
+    handle_origin_unknown,
+)
+from myrtlehook_core.process.stream_origin_messages import (
+    StreamOriginNotice,
+    StreamOriginQuery,
+    StreamOriginUnknown,
+)
 from myrtlehook_core.request.outcomes import DropReason
 from myrtlehook_core.version.exchange import handle_document
 
@@ -313,6 +323,9 @@
     ServersReply: handle_servers_reply,
     ServerEndReport: handle_end_report,
     SoundRunReport: handle_sound_run_report,
+    StreamOriginNotice: handle_origin_notice,
+    StreamOriginQuery: handle_origin_query,
+    StreamOriginUnknown: handle_origin_unknown,
     EarlyCharge: _handle_early_charge,
     Bid: _handle_bid,
     NoFreeSlot: _handle_no_free_slot,
--- a/packages/core/src/myrtlehook_core/process/messages.py
+++ b/packages/core/src/myrtlehook_core/process/messages.py
@@ -32,6 +32,11 @@
 )
 from myrtlehook_core.process.quarantine_messages import ServerEndReport, SoundRunReport
 from myrtlehook_core.process.source_messages import ServersQuery, ServersReply
+from myrtlehook_core.process.stream_origin_messages import (
+    StreamOriginNotice,
+    StreamOriginQuery,
+    StreamOriginUnknown,
+)
 
 
 class BidRow(msgspec.Struct, frozen=True, array_like=True):
@@ -219,6 +224,9 @@
     | ServersReply
     | ServerEndReport
     | SoundRunReport
+    | StreamOriginNotice
+    | StreamOriginQuery
+    | StreamOriginUnknown
     | EarlyCharge
     | Bid
     | NoFreeSlot
--- a/packages/core/src/myrtlehook_core/process/refusals.py
+++ b/packages/core/src/myrtlehook_core/process/refusals.py
@@ -2,6 +2,7 @@
 
 from myrtlehook_core.process.actions import Refuse
 from myrtlehook_core.process.backoffs import find_pool_backoff_s
+from myrtlehook_core.process.eligible_servers import find_eligibility_refusal, may_serve
 from myrtlehook_core.process.ingress import (
     IngressContext,
     IngressState,
@@ -9,7 +10,6 @@
     update_queue_counts,
 )
 from myrtlehook_core.process.quarantine import find_remaining_quarantine_s
-from myrtlehook_core.process.regions import find_region_refusal, may_serve
 from myrtlehook_core.request.admission import (
     TokenBucket,
     can_meet_deadline,
@@ -37,8 +37,8 @@
         for position, request in enumerate(queue.waiting):
             if removed:
                 refused.append((request, RefusalReason.CONFIGURATION_REMOVED))
-            elif region_reason := find_region_refusal(regions, configuration, request):
-                refused.append((request, region_reason))
+            elif reason := find_eligibility_refusal(regions, configuration, request):
+                refused.append((request, reason))
             elif request.deadline_s <= now_s:
                 refused.append((request, RefusalReason.DEADLINE_PASSED))
             elif backoff_exceeds_target(ingress, context, request, now_s):
@@ -101,9 +101,9 @@
         return RefusalReason.DUPLICATE_REQUEST_ID
     if find_remaining_quarantine_s(context.quarantine, request.fingerprint, now_s):
         return RefusalReason.QUARANTINED
-    region_reason = find_region_refusal(context.regions, context.configuration, request)
-    if region_reason is not None:
-        return region_reason
+    reason = find_eligibility_refusal(context.regions, context.configuration, request)
+    if reason is not None:
+        return reason
     if key.pool not in context.configuration.served_pools:
         return RefusalReason.NO_BACKEND_SERVER
     if backoff_exceeds_target(ingress, context, request, now_s):
--- a/packages/core/src/myrtlehook_core/process/regions.py
+++ b/packages/core/src/myrtlehook_core/process/regions.py
@@ -48,7 +48,9 @@
     return allowed or None
 
 
-def may_serve(regions: Regions, request: RequestSpecification, server: BackendServer) -> bool:
+def is_region_allowed(
+    regions: Regions, request: RequestSpecification, server: BackendServer
+) -> bool:
     """Return whether a backend server is in a region in which the request may be served."""
     allowed = request.allowed_regions
     return allowed is None or find_region(regions, server) in allowed
@@ -71,7 +73,8 @@
         return RefusalReason.REGION_NOT_ALLOWED
     servers = configuration.backend_servers.values()
     if any(
-        server.pool == request.pool and may_serve(regions, request, server) for server in servers
+        server.pool == request.pool and is_region_allowed(regions, request, server)
+        for server in servers
     ):
         return None
     return RefusalReason.NO_SERVER_IN_REGION
--- a/packages/core/src/myrtlehook_core/process/restarted_peers.py
+++ b/packages/core/src/myrtlehook_core/process/restarted_peers.py
@@ -12,6 +12,7 @@
 from myrtlehook_core.process.bidding import send_hold_lists
 from myrtlehook_core.process.members import MemberState
 from myrtlehook_core.process.quarantine_handlers import resend_ends
+from myrtlehook_core.process.stream_origin_handlers import resend_origins
 
 if TYPE_CHECKING:
     from myrtlehook_core.process.routers import RouterCore
@@ -39,3 +40,4 @@
     send_hold_lists(core.ingress, servers, core.outbox)
     core.begin_ledger_handover(now_s)
     resend_ends(core, router_id, now_s)
+    resend_origins(core, router_id, now_s)
--- a/packages/core/src/myrtlehook_core/process/routers.py
+++ b/packages/core/src/myrtlehook_core/process/routers.py
@@ -75,6 +75,8 @@
 from myrtlehook_core.process.shares import Shares
 from myrtlehook_core.process.source_messages import ReaderRow
 from myrtlehook_core.process.source_readers import SourceReaders, collect_reader_rows
+from myrtlehook_core.process.stream_origin_handlers import hand_over_origins
+from myrtlehook_core.process.stream_origins import StreamOrigins
 from myrtlehook_core.process.stream_pauses import count_recent_pauses
 from myrtlehook_core.version.configurations import Configuration
 from myrtlehook_core.version.discovery import Discovery, apply_discovery
@@ -116,6 +118,7 @@
         self.engine_queues = EngineQueues()
         self.shares = Shares()
         self.quarantine = Quarantine(first_serial=identity.incarnation)
+        self.stream_origins = StreamOrigins()
         self.source_readers = SourceReaders(reading=options.first_read_delay_s == 0.0)
         self._now_s = 0.0
         self.last_tick_s: float | None = None
@@ -309,6 +312,7 @@
         drop_removed_engines(self.admissions, frozenset(owners))
         send_holds_to_new_owners(self.ingress, previous_owners, self.placement, self.outbox)
         hand_over_ends(self, now_s)
+        hand_over_origins(self, now_s)
         self.begin_ledger_handover(now_s)
 
     def begin_ledger_handover(self, now_s: float) -> None:
--- a/packages/core/src/myrtlehook_core/process/runs.py
+++ b/packages/core/src/myrtlehook_core/process/runs.py
@@ -4,6 +4,7 @@
 from myrtlehook_core.process.backoffs import is_backing_off
 from myrtlehook_core.process.bid_spreading import spreads_bids, update_other_owners
 from myrtlehook_core.process.bidding import send_bid
+from myrtlehook_core.process.eligible_servers import may_serve
 from myrtlehook_core.process.ingress import (
     IngressContext,
     IngressState,
@@ -17,7 +18,6 @@
 from myrtlehook_core.process.messages import Grant, Release
 from myrtlehook_core.process.quarantine import find_remaining_quarantine_s
 from myrtlehook_core.process.refusals import choose_last_refusal, find_refusal, refuse_request
-from myrtlehook_core.process.regions import may_serve
 from myrtlehook_core.request.charges import (
     ServiceAccount,
     cancel_charge,
@@ -107,7 +107,7 @@
     if server is not None and queue is not None:
         request = _find_servable(ingress, context, queue, server, now_s)
     if expired or queue is None or request is None or workspace is None:
-        # In a region that no waiting request allows, a server is closed to this router.
+        # A server that may serve no waiting request is closed to this router.
         waits = queue is not None and bool(queue.waiting)
         closed = server is None or (request is None and waits)
         _return_slot(ingress, context, owner, grant, expired, closed, now_s)
@@ -166,7 +166,7 @@
     server: BackendServer,
     now_s: float,
 ) -> RequestSpecification | None:
-    """Return the next waiting request that may be served in the server's region."""
+    """Return the next waiting request that the server may serve."""
     servable = (item for item in queue.waiting if may_serve(context.regions, item, server))
     if ingress.orders_by_goal:
         return find_most_urgent(servable, queue.mean_run_s, now_s)
@@ -251,7 +251,12 @@
     ingress.retry_budget = min(budget, context.options.retry_burst)
     context.actions.add(
         Dispatch(
-            request.request_id, grant.backend_server, attempt, priority_units, lease_deadline_s
+            request.request_id,
+            grant.backend_server,
+            attempt,
+            priority_units,
+            lease_deadline_s,
+            software_version=request.software_version,
         )
     )
 
--- a/packages/core/src/myrtlehook_core/request/requests.py
+++ b/packages/core/src/myrtlehook_core/request/requests.py
@@ -48,6 +48,14 @@
     """Equal for requests with the same workspace, method, path and body; empty if not known."""
     allowed_regions: frozenset[str] | None = None
     """The regions in which it may be served; None if it may be served anywhere."""
+    stream_key: bytes = b""
+    """Equal for all attempts of a client at one stream that may be resumed; empty if it is none, or
+    if its client does not name the attempt that began it."""
+    resumes: bool = False
+    """Whether an earlier attempt has brought events of its stream."""
+    software_version: str | None = None
+    """The only software version of backend servers at which its stream may go on; None while any
+    may run it."""
 
 
 def count_share_tokens(prompt_tokens: int, output_tokens: int) -> int:
--- a/packages/router/src/myrtlehook_router/process/core_tasks.py
+++ b/packages/router/src/myrtlehook_router/process/core_tasks.py
@@ -417,6 +417,18 @@
             age_s=round(action.age_s, 3),
         )
 
+    def _record_stream_origin(self, action: actions.StreamOriginFound) -> None:
+        found = action.software_version is not None
+        self._counters.add("stream.origin_found" if found else "stream.origin_unknown")
+        _belief_log.info(
+            "stream origin found" if found else "stream origin unknown",
+            request_id=action.request_id,
+            software_version=action.software_version,
+            source=action.source or None,
+            asked=action.asked,
+            answers=action.answers,
+        )
+
     def _record_restart(self, action: actions.RestartNoticed) -> None:
         self._counters.add("members.restart_noticed")
         _log.warning("router has restarted unnoticed", member=action.router_id)
@@ -476,6 +488,7 @@
     actions.ServerEjected: CoreTask._record_ejection,
     actions.ServerEndCounted: CoreTask._record_server_end,
     actions.RestartNoticed: CoreTask._record_restart,
+    actions.StreamOriginFound: CoreTask._record_stream_origin,
     actions.QuarantineChanged: CoreTask._record_quarantine,
     actions.PauseDetected: CoreTask._record_pause,
 }
--- a/packages/router/src/myrtlehook_router/request/answer_streams.py
+++ b/packages/router/src/myrtlehook_router/request/answer_streams.py
@@ -13,7 +13,7 @@
 from myrtlehook_router.request.attempts import READ_BYTES, compute_read_deadline_s, send_once
 from myrtlehook_router.request.event_streams import EventSplitter, split_events
 from myrtlehook_router.request.headers import find_header
-from myrtlehook_router.request.placements import wait_for_slot
+from myrtlehook_router.request.placements import report_stream_begun, wait_for_slot
 from myrtlehook_router.request.relays import (
     Relay,
     check_server_after_failure,
@@ -22,6 +22,7 @@
     log_stream,
     record_output,
     report_failed_attempt,
+    take_dispatch,
 )
 
 STALL_TIMEOUT_S = 1.2
@@ -118,16 +119,17 @@
             if not self._is_new(event_id):
                 continue
             if not self._begun:
-                self._log_begin(event_id)
+                self._begin_attempt(event_id)
             if event_id:
                 self._last_event_id = event_id
             kept.append(content)
         record_output(self._relay, len(kept))
         return b"".join(kept)
 
-    def _log_begin(self, event_id: str) -> None:
-        """Log the first event of an attempt; the stream goes on if there were others before it."""
+    def _begin_attempt(self, event_id: str) -> None:
+        """Report and log the first event of an attempt, before it is forwarded."""
         self._begun = True
+        report_stream_begun(self._relay.placement, self._relay.software_version)
         event = "stream goes on" if self._last_event_id else "stream began"
         log_stream(self._relay, event, self._last_event_id, next_event_id=event_id)
 
@@ -170,14 +172,11 @@
 
     def _resume_at(self, dispatch: actions.Dispatch) -> bool:
         relay = self._relay
-        relay.backend_server = dispatch.backend_server
-        relay.memory_source = dispatch.memory_source
-        servers = relay.placement.services.configuration().backend_servers
-        server = servers.get(dispatch.backend_server)
-        if server is None:
-            report_failed_attempt(relay, RetryReason.SERVER_LEAVING)
+        server = take_dispatch(relay, dispatch)
+        if isinstance(server, Err):
+            report_failed_attempt(relay, server.err_value)
             return False
-        sent = send_once(relay, server, self._last_event_id or None)
+        sent = send_once(relay, server.ok_value, self._last_event_id or None)
         if isinstance(sent, Err):
             report_failed_attempt(relay, sent.err_value)
             return False
--- a/packages/router/src/myrtlehook_router/request/answering.py
+++ b/packages/router/src/myrtlehook_router/request/answering.py
@@ -24,6 +24,7 @@
     end_relay,
     refuse_relay,
     report_failed_attempt,
+    take_dispatch,
 )
 
 MAX_BUFFERED_BYTES = 1024 * 1024
@@ -67,13 +68,11 @@
 
 def _run_attempt(relay: Relay, dispatch: actions.Dispatch) -> Result[Answer, RetryReason]:
     """Send the request to one backend server; an error is the reason to queue it again."""
-    server = relay.placement.services.configuration().backend_servers.get(dispatch.backend_server)
-    relay.backend_server = dispatch.backend_server
-    relay.memory_source = dispatch.memory_source
-    if server is None:
-        return Err(RetryReason.SERVER_LEAVING)
+    server = take_dispatch(relay, dispatch)
+    if isinstance(server, Err):
+        return server
     last_event_id = find_header(relay.request.headers, relay.names.last_event_id)
-    sent = send_once(relay, server, last_event_id)
+    sent = send_once(relay, server.ok_value, last_event_id)
     if isinstance(sent, Err):
         return sent
     response = sent.ok_value
--- a/packages/router/src/myrtlehook_router/request/gateways.py
+++ b/packages/router/src/myrtlehook_router/request/gateways.py
@@ -18,6 +18,7 @@
     find_share_tokens,
     fingerprint_request,
     intersect_regions,
+    make_stream_key,
     schedule_retry,
     should_shed,
 )
@@ -207,10 +208,13 @@
     route = request.route
     own_priority = request.workspace.priority
     prompt = read_prompt(request.headers, services.names)
+    resumes = find_header(request.headers, services.names.resumes)
+    # All attempts at a stream are for the pool that was chosen for the one that began it.
+    pool = choose_pool(route, resumes or request.request_id)
     return RequestSpecification(
         request_id=scope_id(request.workspace.name, request.request_id),
         workspace=request.workspace.name,
-        pool=choose_pool(route, request.request_id),
+        pool=pool,
         body_bytes=len(body),
         arrived_at_s=request.arrived_at_s,
         deadline_s=request.deadline_s,
@@ -229,9 +233,26 @@
         allowed_regions=intersect_regions(
             (route.allowed_regions, request.workspace.allowed_regions)
         ),
+        stream_key=_find_stream_key(services, request, pool, resumes),
+        resumes=route.resumable and _has_events(services, request, resumes),
     )
 
 
+def _has_events(services: GatewayServices, request: RoutedRequest, resumes: str | None) -> bool:
+    """Return whether the client has events of the stream from an earlier attempt."""
+    return bool(resumes or find_header(request.headers, services.names.last_event_id))
+
+
+def _find_stream_key(
+    services: GatewayServices, request: RoutedRequest, pool: str, resumes: str | None
+) -> bytes:
+    """Return the key of a stream that may be resumed; empty if its first attempt is not known."""
+    is_named = bool(resumes) or not _has_events(services, request, resumes)
+    if not request.route.resumable or not is_named:
+        return b""
+    return make_stream_key(request.workspace.name, pool, resumes or request.request_id)
+
+
 def _refuse(
     services: GatewayServices,
     environ: dict[str, Any],
--- a/packages/router/src/myrtlehook_router/request/placements.py
+++ b/packages/router/src/myrtlehook_router/request/placements.py
@@ -47,6 +47,8 @@
     RefusalReason.NO_REGION_ALLOWED: "its route and its workspace allow no region in common",
     RefusalReason.NO_SERVER_IN_REGION: "no backend server is in a region where it may be served",
     RefusalReason.NO_BACKEND_SERVER: "no backend server is configured for this pool",
+    RefusalReason.NO_SERVER_OF_VERSION: "no backend server has the version that began this stream",
+    RefusalReason.STREAM_ORIGIN_UNKNOWN: "the version that began this stream is not known",
     RefusalReason.BACKED_OFF: "each backend server wants nothing of this router for now",
     RefusalReason.QUARANTINED: "backend servers ended again and again while they ran this request",
     RefusalReason.RETRIES_EXHAUSTED: "no backend server would start the request",
@@ -163,6 +165,13 @@
     )
 
 
+def report_stream_begun(placement: Placement, software_version: str) -> None:
+    """Report the version of the server that wrote the first event of a running request's stream."""
+    placement.services.mailbox.post(
+        events.StreamBegun(placement.specification.request_id, software_version)
+    )
+
+
 def report_service(placement: Placement, observed_units: float) -> None:
     """Report how much service a running request has consumed so far."""
     placement.services.mailbox.post(
--- a/packages/router/src/myrtlehook_router/request/relays.py
+++ b/packages/router/src/myrtlehook_router/request/relays.py
@@ -3,12 +3,14 @@
 from dataclasses import dataclass, field
 
 import urllib3
+from result import Err, Ok, Result
 
 from myrtlehook_core import (
     BackendServer,
     Outcome,
     RefusalReason,
     RetryReason,
+    actions,
     find_share_tokens,
 )
 from myrtlehook_router.connection.backends import SendFailure
@@ -97,6 +99,23 @@
         check_server_after_broken_run(relay.placement, relay.backend_server, relay.sent_at_s)
 
 
+def take_dispatch(relay: Relay, dispatch: actions.Dispatch) -> Result[BackendServer, RetryReason]:
+    """Return the server that a dispatch names, as it is listed now.
+
+    The error is why the request cannot be sent there: since the dispatch the server was removed, or
+    listed with another software version than the one at which the stream may go on.
+    """
+    relay.backend_server = dispatch.backend_server
+    relay.memory_source = dispatch.memory_source
+    servers = relay.placement.services.configuration().backend_servers
+    server = servers.get(dispatch.backend_server)
+    if server is None:
+        return Err(RetryReason.SERVER_LEAVING)
+    if dispatch.software_version not in (None, server.software_version):
+        return Err(RetryReason.SERVER_REPLACED)
+    return Ok(server)
+
+
 def begin_attempt(relay: Relay, server: BackendServer) -> None:
     """Reset the state of the current attempt, before the request is sent once more."""
     relay.attempts += 1
