Rely on no listed software version of a server that has ended until its entry changes

What callers saw: streams of two versions also where both engines were listed at one: an engine starts again under its id with other software, and its entry tells so later; until then streams begin and go on there as if nothing had changed.

Cause: an engine's version is known by its entry, and an entry may be older than the process at its address. Class: what is listed of a process is taken for what runs there.

Change: the router that sees an end (its answer broke off, and nothing listens) notes it and tells the engine's owner, whose grants tell everyone who is sent there. For 5 s, unless the entry goes or has another start, no stream goes on at that name, and one that begins there is recorded with an unknown version, so that it is refused when it returns. New streams begin there as before, so that no capacity is lost.

Not covered: an engine that nobody had a run at when it ended, and an owner that changes within the 5 s.

--- a/packages/core/src/myrtlehook_core/process/admission_messages.py
+++ b/packages/core/src/myrtlehook_core/process/admission_messages.py
@@ -71,6 +71,8 @@
     unread_tokens: int
     """Prompt tokens that the engine is expected to read for it."""
     estimate: EngineEstimate | None = None
+    unconfirmed_ms: int = 0
+    """For how long the engine's listed software version is not relied on; see ``ended_servers``."""
 
 
 class AdmissionRefusal(msgspec.Struct, frozen=True, array_like=True, tag=19):
--- a/packages/core/src/myrtlehook_core/process/admission_requests.py
+++ b/packages/core/src/myrtlehook_core/process/admission_requests.py
@@ -14,6 +14,7 @@
 )
 from myrtlehook_core.process.backoffs import is_backing_off
 from myrtlehook_core.process.eligible_servers import may_serve
+from myrtlehook_core.process.ended_servers import is_version_confirmed
 from myrtlehook_core.process.engine_speeds import PoolSpeeds
 from myrtlehook_core.process.full_tiers import FullTiers
 from myrtlehook_core.process.ingress import IngressContext, IngressState
@@ -119,10 +120,15 @@
 
 def may_run_at(context: AdmissionContext, request: RequestSpecification, name: str) -> bool:
     """Return whether an engine is usable and may serve a request."""
-    server = context.ingress_context.configuration.backend_servers.get(name)
+    ingress_context = context.ingress_context
+    server = ingress_context.configuration.backend_servers.get(name)
     if server is None or not is_usable_engine(context, name):
         return False
-    return may_serve(context.ingress_context.regions, request, server)
+    if request.software_version is not None and not is_version_confirmed(
+        ingress_context.ended_servers, name, context.now_s
+    ):
+        return False
+    return may_serve(ingress_context.regions, request, server)
 
 
 def is_usable_engine(context: AdmissionContext, name: str) -> bool:
--- a/packages/core/src/myrtlehook_core/process/admissions.py
+++ b/packages/core/src/myrtlehook_core/process/admissions.py
@@ -35,6 +35,7 @@
 )
 from myrtlehook_core.process.early_beginnings import order_last_engines
 from myrtlehook_core.process.eligible_servers import find_eligibility_refusal
+from myrtlehook_core.process.ended_servers import record_unconfirmed
 from myrtlehook_core.process.engine_rankings import rank_engines
 from myrtlehook_core.process.engine_speeds import record_speed
 from myrtlehook_core.process.full_tiers import (
@@ -163,6 +164,9 @@
     if grant.estimate is not None:
         record_estimate(admissions, grant.backend_server, grant.estimate, now_s)
         _record_speed(admissions, context, grant.backend_server, grant.estimate)
+    if grant.unconfirmed_ms:
+        until_s = now_s + grant.unconfirmed_ms / 1000.0
+        record_unconfirmed(context.ingress_context.ended_servers, grant.backend_server, until_s)
     admission = admissions.open.get(grant.request_id)
     if admission is None or admission.backend_server != grant.backend_server:
         release = AdmissionRelease(grant.request_id, grant.backend_server, ran=False)
--- /dev/null
+++ b/packages/core/src/myrtlehook_core/process/ended_servers.py
@@ -0,0 +1,64 @@
+"""Servers whose process has ended while their entry is still listed unchanged.
+
+A server may start again under the same name with other software, before its entry tells so. Until
+the entry changes, or a time has passed in which it would have, the listed software version of such
+a server is not relied on: no stream goes on there, and a stream that begins there cannot go on
+anywhere. The router that saw the end tells the server's owner, which tells all others with its
+grants.
+"""
+
+from typing import TYPE_CHECKING
+
+from myrtlehook_core.process import events
+from myrtlehook_core.process.ended_server_messages import ServerEndedNotice
+
+if TYPE_CHECKING:
+    from myrtlehook_core.process.routers import RouterCore
+
+UNCONFIRMED_S = 5.0
+"""How long a version is not relied on after its server has ended. A server writes its entry as it
+starts, and the entry of one that stays away lapses within about this time."""
+
+UNKNOWN_VERSION = "\0unknown"
+"""Stands for the version of a server whose listed version is not relied on; no server has it."""
+
+EndedServers = dict[str, float]
+"""By server that has ended, until when its listed version is not relied on."""
+
+
+def record_ended(ended: EndedServers, backend_server: str, ended_at_s: float) -> None:
+    """Record that a server's process has ended."""
+    record_unconfirmed(ended, backend_server, ended_at_s + UNCONFIRMED_S)
+
+
+def record_unconfirmed(ended: EndedServers, backend_server: str, until_s: float) -> None:
+    """Record until when the listed version of a server is not relied on."""
+    ended[backend_server] = max(until_s, ended.get(backend_server, until_s))
+
+
+def is_version_confirmed(ended: EndedServers, backend_server: str, now_s: float) -> bool:
+    """Return whether the listed software version of a server may be relied on."""
+    until_s = ended.get(backend_server)
+    return until_s is None or now_s >= until_s
+
+
+def note_server_end(core: "RouterCore", event: events.ServerEndedInRun, now_s: float) -> None:
+    """Record the end of a server that this router has seen, and tell the server's owner."""
+    record_ended(core.ended_servers, event.backend_server, event.ended_s)
+    owner = core.placement.server_owners.get(event.backend_server)
+    if owner is not None and owner != core.identity.router_id:
+        age_ms = round((now_s - event.ended_s) * 1000.0)
+        core.outbox.add(owner, ServerEndedNotice(event.backend_server, age_ms))
+
+
+def handle_ended_notice(
+    core: "RouterCore", sender: str, message: ServerEndedNotice, now_s: float
+) -> None:
+    """Record, as a server's owner, an end that another router has seen."""
+    record_ended(core.ended_servers, message.backend_server, now_s - message.age_ms / 1000.0)
+
+
+def drop_expired_ends(ended: EndedServers, now_s: float) -> None:
+    """Drop servers whose listed version may be relied on again."""
+    for name in [name for name, until_s in ended.items() if now_s >= until_s]:
+        del ended[name]
--- a/packages/core/src/myrtlehook_core/process/engine_grants.py
+++ b/packages/core/src/myrtlehook_core/process/engine_grants.py
@@ -2,7 +2,6 @@
 
 import math
 
-from myrtlehook_core.process.admission_messages import AdmissionGrant
 from myrtlehook_core.process.cold_engines import delay_next_grant, find_paced_grant_s, is_cold
 from myrtlehook_core.process.ejections import may_send_request
 from myrtlehook_core.process.engine_forecasts import order_waiting
@@ -17,7 +16,12 @@
     sum_held_tokens,
 )
 from myrtlehook_core.process.options import CoreOptions
-from myrtlehook_core.process.queue_contexts import EngineQueues, QueueContext, describe_decision
+from myrtlehook_core.process.queue_contexts import (
+    EngineQueues,
+    QueueContext,
+    describe_decision,
+    make_grant,
+)
 from myrtlehook_core.process.reading_plans import find_grant_start_s
 from myrtlehook_core.process.stream_paces import may_bound_reading
 from myrtlehook_core.version.configurations import BackendServer
@@ -108,6 +112,8 @@
     decided = describe_decision(context, name, load, waiting, now_s)
     item = grant_admission(load, waiting, now_s)
     delay_next_grant(load.pace, now_s)
-    grant = AdmissionGrant(waiting.request_id, name, item.unread_tokens, decided.estimate)
+    grant = make_grant(
+        context, waiting.request_id, name, item.unread_tokens, decided.estimate, now_s
+    )
     context.outbox.add(waiting.router_id, grant)
     context.actions.add(decided)
--- a/packages/core/src/myrtlehook_core/process/engine_queues.py
+++ b/packages/core/src/myrtlehook_core/process/engine_queues.py
@@ -13,7 +13,6 @@
     ServerEjected,
 )
 from myrtlehook_core.process.admission_messages import (
-    AdmissionGrant,
     AdmissionProgress,
     AdmissionRelease,
     AdmissionRequest,
@@ -53,7 +52,7 @@
 )
 from myrtlehook_core.process.options import CoreOptions
 from myrtlehook_core.process.prompt_caches import PromptCache, record_parts_use
-from myrtlehook_core.process.queue_contexts import EngineQueues, QueueContext
+from myrtlehook_core.process.queue_contexts import EngineQueues, QueueContext, make_grant
 from myrtlehook_core.process.stream_paces import (
     StreamPace,
     adopt_stream_pace,
@@ -110,8 +109,8 @@
     held = load.granted.get(message.request_id)
     if held is not None:
         estimate = make_load_estimate(load, now_s)
-        grant = AdmissionGrant(
-            message.request_id, message.backend_server, held.unread_tokens, estimate
+        grant = make_grant(
+            context, message.request_id, message.backend_server, held.unread_tokens, estimate, now_s
         )
         context.outbox.add(sender, grant)
         return
--- a/packages/core/src/myrtlehook_core/process/engine_rankings.py
+++ b/packages/core/src/myrtlehook_core/process/engine_rankings.py
@@ -4,9 +4,8 @@
 from dataclasses import dataclass
 from types import MappingProxyType
 
-from myrtlehook_core.process.admission_requests import AdmissionContext, is_usable_engine
+from myrtlehook_core.process.admission_requests import AdmissionContext, may_run_at
 from myrtlehook_core.process.early_beginnings import choose_early_engines
-from myrtlehook_core.process.eligible_servers import may_serve
 from myrtlehook_core.process.engine_speeds import rank_weighted
 from myrtlehook_core.process.hashing import rank_routers
 from myrtlehook_core.request.requests import RequestSpecification
@@ -51,8 +50,7 @@
     servers = [
         server
         for server in context.ingress_context.configuration.backend_servers.values()
-        if server.pool == request.pool and is_usable_engine(context, server.name)
-        if may_serve(context.ingress_context.regions, request, server)
+        if server.pool == request.pool and may_run_at(context, request, server.name)
     ]
     key = f"engine/{find_affinity_key(request)}"
     names = [server.name for server in servers]
--- a/packages/core/src/myrtlehook_core/process/event_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/event_handlers.py
@@ -20,6 +20,7 @@
     send_hold_summaries,
     send_reports,
 )
+from myrtlehook_core.process.ended_servers import drop_expired_ends, note_server_end
 from myrtlehook_core.process.engine_grants import grant_due
 from myrtlehook_core.process.engine_queues import tick_queues
 from myrtlehook_core.process.ingress import (
@@ -145,6 +146,11 @@
     _send_release(core, ended)
 
 
+def _on_server_ended(core: "RouterCore", event: events.ServerEndedInRun, now_s: float) -> None:
+    note_server_end(core, event, now_s)
+    on_server_ended(core, event, now_s)
+
+
 def _find_running_request(core: "RouterCore", request_id: str) -> RequestSpecification | None:
     admission = core.admissions.open.get(request_id)
     if admission is not None:
@@ -286,6 +292,7 @@
     drop_expired_origins(core.stream_origins, now_s)
     forget_removed_servers(core.leaving_servers, core.configuration.backend_servers, now_s)
     drop_ended_backoffs(core.ingress.backoffs, now_s)
+    drop_expired_ends(core.ended_servers, now_s)
     resend_sound_run_reports(core, now_s)
     sweep_source(core, now_s)
 
@@ -298,7 +305,7 @@
     events.StreamBegun: on_stream_begun,
     events.RunEnded: _on_ended,
     events.StreamPaused: _on_stream_paused,
-    events.ServerEndedInRun: on_server_ended,
+    events.ServerEndedInRun: _on_server_ended,
     events.ServerNoticed: on_server_noticed,
     events.RunNotStarted: _on_not_started,
     events.MessageReceived: _on_message,
--- a/packages/core/src/myrtlehook_core/process/ingress.py
+++ b/packages/core/src/myrtlehook_core/process/ingress.py
@@ -10,6 +10,7 @@
 from myrtlehook_core.process.actions import ActionList
 from myrtlehook_core.process.backoffs import Backoffs
 from myrtlehook_core.process.choosers import Draw
+from myrtlehook_core.process.ended_servers import EndedServers
 from myrtlehook_core.process.messages import BidRow, Release, TotalRow
 from myrtlehook_core.process.options import CoreOptions
 from myrtlehook_core.process.outboxes import MessageOutbox
@@ -101,6 +102,7 @@
     outbox: MessageOutbox
     quarantine: Quarantine
     regions: Regions = NO_REGIONS
+    ended_servers: EndedServers = field(default_factory=dict)
 
 
 def record_totals(ingress: IngressState, rows: tuple[TotalRow, ...], now_s: float) -> None:
--- a/packages/core/src/myrtlehook_core/process/message_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/message_handlers.py
@@ -25,6 +25,8 @@
     send_bid,
     send_hold_list,
 )
+from myrtlehook_core.process.ended_server_messages import ServerEndedNotice
+from myrtlehook_core.process.ended_servers import handle_ended_notice
 from myrtlehook_core.process.engine_queues import (
     handle_admission_progress,
     handle_admission_release,
@@ -323,6 +325,7 @@
     ServersReply: handle_servers_reply,
     ServerEndReport: handle_end_report,
     SoundRunReport: handle_sound_run_report,
+    ServerEndedNotice: handle_ended_notice,
     StreamOriginNotice: handle_origin_notice,
     StreamOriginQuery: handle_origin_query,
     StreamOriginUnknown: handle_origin_unknown,
--- a/packages/core/src/myrtlehook_core/process/messages.py
+++ b/packages/core/src/myrtlehook_core/process/messages.py
@@ -21,6 +21,7 @@
     ShareLevel,
     StreamPauseReport,
 )
+from myrtlehook_core.process.ended_server_messages import ServerEndedNotice
 from myrtlehook_core.process.membership_messages import (
     Ack,
     Announcement,
@@ -224,6 +225,7 @@
     | ServersReply
     | ServerEndReport
     | SoundRunReport
+    | ServerEndedNotice
     | StreamOriginNotice
     | StreamOriginQuery
     | StreamOriginUnknown
--- a/packages/core/src/myrtlehook_core/process/queue_contexts.py
+++ b/packages/core/src/myrtlehook_core/process/queue_contexts.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, field
 
 from myrtlehook_core.process.actions import ActionList, AdmissionDecided
+from myrtlehook_core.process.admission_messages import AdmissionGrant, EngineEstimate
+from myrtlehook_core.process.ended_servers import EndedServers
 from myrtlehook_core.process.engine_loads import (
     EngineLoad,
     WaitingAdmission,
@@ -36,6 +38,7 @@
     is_reachable: Callable[[str], bool]
     actions: ActionList
     outbox: MessageOutbox
+    ended_servers: EndedServers = field(default_factory=dict)
 
 
 def find_slots(context: QueueContext, name: str) -> int:
@@ -76,3 +79,16 @@
         held_s=max(now_s - waiting.held_since_s, 0.0),
         eager=waiting.eager,
     )
+
+
+def make_grant(
+    context: QueueContext,
+    request_id: str,
+    name: str,
+    unread_tokens: int,
+    estimate: EngineEstimate,
+    now_s: float,
+) -> AdmissionGrant:
+    """Make the message that grants a request, with how far the engine's entry is relied on."""
+    unconfirmed_s = max(context.ended_servers.get(name, now_s) - now_s, 0.0)
+    return AdmissionGrant(request_id, name, unread_tokens, estimate, round(unconfirmed_s * 1000.0))
--- a/packages/core/src/myrtlehook_core/process/routers.py
+++ b/packages/core/src/myrtlehook_core/process/routers.py
@@ -22,6 +22,7 @@
 from myrtlehook_core.process.choosers import Draw
 from myrtlehook_core.process.cold_engines import ColdEngines
 from myrtlehook_core.process.cold_handlers import mark_cold_engines
+from myrtlehook_core.process.ended_servers import EndedServers
 from myrtlehook_core.process.engine_grants import find_next_grant_s
 from myrtlehook_core.process.engine_loads import (
     EngineFigures,
@@ -119,6 +120,7 @@
         self.shares = Shares()
         self.quarantine = Quarantine(first_serial=identity.incarnation)
         self.stream_origins = StreamOrigins()
+        self.ended_servers: EndedServers = {}
         self.source_readers = SourceReaders(reading=options.first_read_delay_s == 0.0)
         self._now_s = 0.0
         self.last_tick_s: float | None = None
@@ -200,6 +202,7 @@
             outbox=self.outbox,
             quarantine=self.quarantine,
             regions=self.regions,
+            ended_servers=self.ended_servers,
         )
 
     def owner_context(self) -> OwnerContext:
@@ -234,6 +237,7 @@
             is_reachable=self.is_reachable,
             actions=self.actions,
             outbox=self.outbox,
+            ended_servers=self.ended_servers,
         )
 
     def probe_context(self) -> ProbeContext:
--- a/packages/core/src/myrtlehook_core/process/runs.py
+++ b/packages/core/src/myrtlehook_core/process/runs.py
@@ -5,6 +5,7 @@
 from myrtlehook_core.process.bid_spreading import spreads_bids, update_other_owners
 from myrtlehook_core.process.bidding import send_bid
 from myrtlehook_core.process.eligible_servers import may_serve
+from myrtlehook_core.process.ended_servers import is_version_confirmed
 from myrtlehook_core.process.ingress import (
     IngressContext,
     IngressState,
@@ -167,7 +168,12 @@
     now_s: float,
 ) -> RequestSpecification | None:
     """Return the next waiting request that the server may serve."""
-    servable = (item for item in queue.waiting if may_serve(context.regions, item, server))
+    confirmed = is_version_confirmed(context.ended_servers, server.name, now_s)
+    servable = (
+        item
+        for item in queue.waiting
+        if may_serve(context.regions, item, server) and (confirmed or item.software_version is None)
+    )
     if ingress.orders_by_goal:
         return find_most_urgent(servable, queue.mean_run_s, now_s)
     return next(servable, None)
--- a/packages/core/src/myrtlehook_core/process/stream_origin_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/stream_origin_handlers.py
@@ -5,6 +5,7 @@
 
 from myrtlehook_core.process import events
 from myrtlehook_core.process.actions import Refuse, StreamOriginFound
+from myrtlehook_core.process.ended_servers import UNKNOWN_VERSION, is_version_confirmed
 from myrtlehook_core.process.hash_rings import find_keepers
 from myrtlehook_core.process.request_placing import place_request
 from myrtlehook_core.process.share_standings import count_refused_request
@@ -38,11 +39,21 @@
 
 def on_stream_begun(core: "RouterCore", event: events.StreamBegun, now_s: float) -> None:
     """Bind a running stream to the version that wrote its first event, and tell its keepers."""
-    request = _bind_running(core, event.request_id, event.software_version)
-    if request is None or not request.stream_key:
+    running = core.admissions.open.get(event.request_id) or core.ingress.running.get(
+        event.request_id
+    )
+    if running is None:
+        return
+    version = event.software_version
+    if version and not is_version_confirmed(core.ended_servers, running.backend_server, now_s):
+        version = UNKNOWN_VERSION
+    if running.request.software_version is None:
+        running.request = replace(running.request, software_version=version)
+    request = running.request
+    if not request.stream_key:
         return
     expires_at_s = compute_expiry_s(request.deadline_s, now_s)
-    record_origin(core.stream_origins, request.stream_key, event.software_version, expires_at_s)
+    record_origin(core.stream_origins, request.stream_key, version, expires_at_s)
     core.stream_origins.own[request.stream_key] = ()
     _tell_keepers(core, request.stream_key, now_s)
 
@@ -150,18 +161,6 @@
         _tell_keepers(core, stream_key, now_s)
 
 
-def _bind_running(
-    core: "RouterCore", request_id: str, software_version: str
-) -> RequestSpecification | None:
-    """Have a running request go on at one version only, if it breaks off; None if it has ended."""
-    running = core.admissions.open.get(request_id) or core.ingress.running.get(request_id)
-    if running is None:
-        return None
-    if running.request.software_version is None:
-        running.request = replace(running.request, software_version=software_version)
-    return running.request
-
-
 def _tell_keepers(core: "RouterCore", stream_key: bytes, now_s: float) -> None:
     """Send the origin of a stream to those of its keepers that were not told yet."""
     origins = core.stream_origins
--- a/tests/features/stream_versions.feature
+++ b/tests/features/stream_versions.feature
@@ -68,3 +68,9 @@
 
   Scenario: Keepers are found without weighing all routers, and few keys move
     Then a router that joins or departs changes few keepers, and all routers keep alike many keys
+
+  Scenario: A server that has ended carries no stream on until its entry tells of it anew
+    Given a fleet of 4 routers and engines of two software versions
+    When a stream begins at router 1 and its engine ends and is back under its name
+    Then router 2 takes it up at another engine of the version that began it
+    And a stream that begins at the engine that ended cannot be taken up for 5 seconds
--- a/tests/standins/histories.py
+++ b/tests/standins/histories.py
@@ -189,6 +189,8 @@
         self.slot_ends_s: dict[str, list[float]] = {}
         """By engine: a heap of the times at which its requests end."""
         self.broken_engines: set[str] = set()
+        self.versions_before: dict[str, str] = {}
+        """Software versions of engines that are no longer listed."""
         self.engine_runs: dict[str, dict[str, EngineRun]] = {}
         """By engine and request."""
         self.ends_engine: Callable[[RequestSpecification], bool] = lambda request: False
@@ -296,8 +298,9 @@
             self.feed(name, events.BackendServersRead(servers, False, evacuated_zones=evacuated))
 
     def find_software_version(self, engine: str) -> str:
-        """Return the software version that is listed for an engine."""
-        return next(server.software_version for server in self._servers if server.name == engine)
+        """Return the software version of an engine, also of one that has left."""
+        listed = {server.name: server.software_version for server in self._servers}
+        return listed[engine] if engine in listed else self.versions_before[engine]
 
     @property
     def servers(self) -> tuple[BackendServer, ...]:
--- a/tests/steps/stream_origin_steps.py
+++ b/tests/steps/stream_origin_steps.py
@@ -12,7 +12,7 @@
 
 from myrtlehook_core import CoreOptions, make_stream_key
 from myrtlehook_core.process.hash_rings import build_ring, find_keepers
-from standins.histories import History, Network
+from standins.histories import ENGINE_DOWN_S, History, Network
 from standins.pools import POOL, make_request
 
 OPTIONS = CoreOptions(retry_burst=1000.0)
@@ -120,6 +120,20 @@
     history.at(history.now_s + down_s, lambda: history.start_router(name))
 
 
+def _end_and_rename(history: History, number: int) -> None:
+    """End an engine, which starts again under another name."""
+    before = history.servers[number]
+    history.end_engine(before.name)
+    restarted = replace(before, name=f"{before.name}-again")
+    history.versions_before[before.name] = before.software_version
+
+    def publish() -> None:
+        kept = tuple(server for server in history.servers if server.name != before.name)
+        history.publish((*kept[:number], restarted, *kept[number:]))
+
+    history.at(history.now_s + ENGINE_DOWN_S, publish)
+
+
 def _list_begun(history: History, streams: list[SimulatedStream], takes_up: bool) -> list[bool]:
     """Return, for each new attempt or each that took a stream up, whether it brought an event."""
     return [
@@ -148,8 +162,8 @@
             history.at(at_s, lambda one=stream: _begin(history, one, draw))
         for number in range(6):
             # Two engines of each version always serve.
-            engine = f"e{number % 6}"
-            history.at(2.0 + number * 0.8, lambda one=engine: history.end_engine(one))
+            at_s = 2.0 + number * 0.8
+            history.at(at_s, lambda one=number: _end_and_rename(history, one))
         for number in range(2):
             name = draw.choice(list(history.alive))
             at_s = 2.5 + number * 2.2
@@ -283,3 +297,34 @@
     assert find_keepers(build_ring(names[:1]), keys[0], 2) == (names[0],)
     assert find_keepers(build_ring(names[:1]), keys[0], 2, names[0]) == ()
     assert find_keepers(build_ring(()), keys[0], 2) == ()
+
+
+@when("a stream begins at router 1 and its engine ends and is back under its name")
+def end_first_engine(context: Any) -> None:
+    history = context.history
+    _begin_at_first(context)
+    context.ended = history.outcomes[context.stream.attempt_ids[0]].begun_engines[0]
+    history.end_engine(context.ended)
+    history.run_until(history.now_s + ENGINE_DOWN_S + 0.2)
+
+
+@then("router {router:d} takes it up at another engine of the version that began it")
+def check_other_engine(context: Any, router: int) -> None:
+    check_goes_on(context, router)
+    engines = context.history.outcomes[context.stream.attempt_ids[-1]].begun_engines
+    assert context.ended not in engines, engines
+
+
+@then("a stream that begins at the engine that ended cannot be taken up for {wait_s:d} seconds")
+def check_unconfirmed(context: Any, wait_s: int) -> None:
+    history = context.history
+    listed = history.servers
+    for expected in (["no_server_of_version"], None):
+        history.publish(tuple(one for one in listed if one.name == context.ended))
+        context.stream = SimulatedStream(f"after-{expected}", history.now_s + STREAM_DEADLINE_S)
+        _begin_at_first(context)
+        history.publish(listed)
+        attempt_id = _send(history, context.stream, context.routers[1])
+        history.run_until(history.now_s + 0.4)
+        assert history.refusal_reasons.get(attempt_id) == expected, history.refusal_reasons
+        history.run_until(history.now_s + wait_s)
