Fetch no prompt from the memory of an engine of another software version

The same cause as streams that mixed versions, elsewhere: an engine was told to take over what another one keeps of a prompt, whatever its software version. The red test (admission.feature, 'A prompt is never fetched from an engine of another software version') got e1, of the other version, on.

--- a/packages/core/src/myrtlehook_core/process/admission_requests.py
+++ b/packages/core/src/myrtlehook_core/process/admission_requests.py
@@ -150,26 +150,31 @@
     if not context.ingress_context.options.fetches_memory:
         return NO_SOURCE
     request = admission.request
+    reader = admission.backend_server
     best = NO_SOURCE
-    if is_usable_engine(context, admission.memory_source.backend_server):
+    if _may_transfer_prompt(context, admission.memory_source.backend_server, reader, request):
         best = admission.memory_source
     for name, recent in admissions.recent_parts.items():
         tokens = count_sent_tokens(recent, request.prompt_parts)
-        if tokens > best.tokens and _may_transfer_prompt(context, name, request):
+        if tokens > best.tokens and _may_transfer_prompt(context, name, reader, request):
             best = MemorySource(name, tokens)
     return NO_SOURCE if best.backend_server == admission.backend_server else best
 
 
 def _may_transfer_prompt(
-    context: AdmissionContext, name: str, request: RequestSpecification
+    context: AdmissionContext, name: str, reader: str, request: RequestSpecification
 ) -> bool:
-    """Return whether an engine is usable and of the request's pool and an allowed region.
+    """Return whether an engine is usable, and of the request's pool and an allowed region.
 
-    Other pools run other models.
+    Other pools run other models, and another software version than the reading engine's may lay
+    out its memory in another way.
     """
-    server = context.ingress_context.configuration.backend_servers.get(name)
+    servers = context.ingress_context.configuration.backend_servers
+    server = servers.get(name)
     if server is None or server.pool != request.pool or not is_usable_engine(context, name):
         return False
+    if reader in servers and servers[reader].software_version != server.software_version:
+        return False
     return may_serve(context.ingress_context.regions, request, server)
 
 
--- a/tests/features/admission.feature
+++ b/tests/features/admission.feature
@@ -41,6 +41,12 @@
     Then those at other engines name the home as the source, and read only what is their own
     And without the option no request names a source, and other engines read the session's part
 
+  # Guards against: engines of two software versions served one pool, and an engine was told to take
+  # over what one of the other version had kept of a prompt.
+  Scenario: A prompt is never fetched from an engine of another software version
+    When an engine's own parts and what its owner said are at engines of another software version
+    Then nothing is fetched from there, and what is kept at its own version is
+
   Scenario: A prompt is never fetched from an engine of another pool
     When a router has sent a prompt's parts to engines of two pools
     Then the source for a request is an engine of its own pool, or none
--- a/tests/steps/memory_source_steps.py
+++ b/tests/steps/memory_source_steps.py
@@ -7,7 +7,7 @@
 from behave import then, when
 
 from myrtlehook_core import BackendServer, CoreOptions, events
-from myrtlehook_core.process.admission_requests import Admission, find_memory_source
+from myrtlehook_core.process.admission_requests import Admission, MemorySource, find_memory_source
 from standins.histories import History, Network
 from standins.pools import make_request
 
@@ -89,6 +89,30 @@
     assert [source.backend_server for source in context.sources] == ["", "e1"], context.sources
 
 
+@when("an engine's own parts and what its owner said are at engines of another software version")
+def send_to_versions(context: Any) -> None:
+    history = History(7, routers=1, engines=4, network=Network(), options=CoreOptions())
+    versions = {"e0": "v1", "e1": "v2", "e2": "v2", "e3": "v1"}
+    history.publish(
+        tuple(replace(one, software_version=versions[one.name]) for one in history.servers)
+    )
+    history.run_until(1.5)
+    core = next(iter(history.alive.values()))
+    request = make_request("q", "a", 0, OWN_TOKENS, 1.5, True)
+    parts = OrderedDict((part.part_id, part.tokens) for part in request.prompt_parts)
+    core.admissions.recent_parts["e1"] = parts
+    asked = Admission(request, backend_server="e0")
+    asked.memory_source = MemorySource("e2", SESSION_TOKENS)
+    context.sources = [find_memory_source(core.admissions, core.admission_context(), asked)]
+    core.admissions.recent_parts["e3"] = OrderedDict(list(parts.items())[:1])
+    context.sources.append(find_memory_source(core.admissions, core.admission_context(), asked))
+
+
+@then("nothing is fetched from there, and what is kept at its own version is")
+def check_versions(context: Any) -> None:
+    assert [source.backend_server for source in context.sources] == ["", "e3"], context.sources
+
+
 @when("a prompt of {tokens:d} tokens with an aim of 0.6 s comes to idle engines")
 def ask_long(context: Any, tokens: int) -> None:
     context.history = History(6, routers=3, engines=3, network=Network(), options=CoreOptions())
