Treat a stream that ends inside an event as broken off

What callers saw: an answer with neither a length nor chunks ended inside an event, and was passed on as complete, with half an event at its end.

Cause: such an answer ends with its connection, so that its regular end and a break look alike to HTTP. The router took the end for regular and forwarded the rest of an event as bytes that belong to the answer.

Change: an answer that consists of events (or does not say what it is) and ends inside one has been broken off. One that may be resumed goes on from its last whole event, at the version that began it; of the others the client's connection is closed without an end. Either way the server is checked, as after a reset. Answers of other types are as before.

--- a/emulator/engines.py
+++ b/emulator/engines.py
@@ -72,6 +72,10 @@
 
     break_after_events: int = 0
     """The next stream breaks off after this number of events; 0 breaks none."""
+    unframed: bool = False
+    """Whether answers come with neither a length nor chunks and end with their connection."""
+    cut_after_events: int = 0
+    """The next unframed stream ends inside the event after this number of events; 0 for none."""
     ending_body: str = ""
     """A request whose body begins with this text ends each engine that begins to run it."""
     end_after_ms: float = 40.0
@@ -179,8 +183,12 @@
         headers += make_notice_headers(self.faults.leaving)
         if self.faults.leaving:
             headers.append(("Connection", "close"))
+        connection = environ["wsgi.input"].get_socket()
+        stream = Stream(self, run, connection)
+        if self.shared.unframed:
+            send_unframed(connection, headers, stream)
         start_response("200 OK", headers)
-        return Stream(self, run, environ["wsgi.input"].get_socket())
+        return stream
 
     def _end_during_run(self, environ: dict[str, Any], attempt_id: str) -> None:
         """End the engine's process just after sending the head of this run's answer."""
@@ -321,6 +329,21 @@
     raise ConnectionResetError("connection closed without an answer")
 
 
+def send_unframed(connection: Any, headers: list[tuple[str, str]], stream: "Stream") -> None:
+    """Send an answer that ends with its connection, without a reset."""
+    head = "".join(f"{name}: {value}\r\n" for name, value in headers)
+    connection.sendall(f"HTTP/1.1 200 OK\r\n{head}Connection: close\r\n\r\n".encode())
+    while (cut := stream.read_cut_event()) is None:
+        event = next(stream, None)
+        if event is None:
+            break
+        connection.sendall(event)
+    connection.sendall(cut or b"")
+    stream.close()
+    connection.shutdown(socket.SHUT_RDWR)
+    raise ConnectionResetError("the answer ends with its connection")
+
+
 class Stream:
     """The events of one run. Closing the stream early cancels the run."""
 
@@ -345,6 +368,15 @@
         version = self._engine.software_version.encode()
         return b"id: %d\ndata: event %d of %s\n\n" % (number, number, version)
 
+    def read_cut_event(self) -> bytes | None:
+        """Return the first half of the next event if the stream is to end there, else None."""
+        faults = self._engine.shared
+        if not 0 < faults.cut_after_events <= self._sent:
+            return None
+        faults.cut_after_events = 0
+        event = next(self)
+        return event[: len(event) // 2]
+
     def _wait_for_event(self) -> int:
         """Return the next event's number; raises if the client disconnects meanwhile."""
         while True:
--- a/packages/router/src/myrtlehook_router/request/answer_streams.py
+++ b/packages/router/src/myrtlehook_router/request/answer_streams.py
@@ -10,8 +10,14 @@
 from result import Err
 
 from myrtlehook_core import Outcome, RetryReason, actions
+from myrtlehook_router.connection.backends import SendFailure
 from myrtlehook_router.request.attempts import READ_BYTES, compute_read_deadline_s, send_once
-from myrtlehook_router.request.event_streams import EventSplitter, split_events
+from myrtlehook_router.request.event_streams import (
+    EVENT_END_BYTES,
+    EventSplitter,
+    ends_inside_event,
+    split_events,
+)
 from myrtlehook_router.request.headers import find_header
 from myrtlehook_router.request.placements import report_stream_begun, wait_for_slot
 from myrtlehook_router.request.relays import (
@@ -32,9 +38,17 @@
 class PassThroughStream:
     """Forwards the bytes of a response as they arrive."""
 
-    def __init__(self, relay: Relay, first: bytes) -> None:
+    def __init__(self, relay: Relay, has_events: bool, first: bytes = b"") -> None:
+        """Begin to forward a response.
+
+        :param has_events: whether the body consists of events; it is incomplete if it ends inside
+            one. Nothing else tells so of a response without a length or chunks.
+        :param first: what was read of the body before.
+        """
         self._relay = relay
         self._first = first
+        self._has_events = has_events
+        self._tail = b""
 
     def __iter__(self) -> Iterator[bytes]:
         return self
@@ -47,16 +61,25 @@
         assert relay.exchange is not None
         read = relay.exchange.read_some(READ_BYTES, relay.request.deadline_s)
         if isinstance(read, Err):
-            check_server_after_failure(relay, read.err_value)
-            failed = not relay.caller_disconnected
-            end_relay(relay, Outcome.UNKNOWN, f"broke off: {read.err_value}", failed)
-            raise ConnectionError("the backend server broke off its answer")
+            raise self._break_off(read.err_value)
         if not read.ok_value:
+            if ends_inside_event(self._tail):
+                raise self._break_off(SendFailure.BROKEN)
             end_relay(relay, Outcome.COMPLETED, "streamed")
             raise StopIteration
+        if self._has_events:
+            self._tail = (self._tail + read.ok_value)[-EVENT_END_BYTES:]
         record_output(relay, read.ok_value.count(b"\n\n"))
         return read.ok_value
 
+    def _break_off(self, failure: SendFailure) -> ConnectionError:
+        """End the request as broken off; the returned error closes the client's connection."""
+        relay = self._relay
+        check_server_after_failure(relay, failure)
+        failed = not relay.caller_disconnected
+        end_relay(relay, Outcome.UNKNOWN, f"broke off: {failure}", failed)
+        return ConnectionError("the backend server broke off its answer")
+
     def close(self) -> None:
         """Release everything that the request holds; called by the WSGI server in every case."""
         close_relay(self._relay)
@@ -80,8 +103,10 @@
 class ResumableStream:
     """Forwards whole events, and resumes the stream at another server if one breaks it off."""
 
-    def __init__(self, relay: Relay) -> None:
+    def __init__(self, relay: Relay, has_events: bool) -> None:
+        """Begin to forward a response; ``has_events`` is as in ``PassThroughStream``."""
         self._relay = relay
+        self._has_events = has_events
         self._splitter = EventSplitter()
         given = find_header(relay.request.headers, relay.names.last_event_id)
         self._last_event_id = given or ""
@@ -103,7 +128,11 @@
                 self._resume()
                 continue
             if not read.ok_value:
-                return self._finish()
+                if not self._ends_inside_event():
+                    return self._finish()
+                check_server_after_failure(relay, SendFailure.BROKEN)
+                self._resume()
+                continue
             whole = self._collect_new_events(read.ok_value)
             if whole:
                 return whole
@@ -142,6 +171,9 @@
             return True
         return int(event_id) > int(self._last_event_id)
 
+    def _ends_inside_event(self) -> bool:
+        return self._has_events and ends_inside_event(self._splitter.incomplete_event)
+
     def _finish(self) -> bytes:
         rest = self._splitter.incomplete_event
         if rest:
--- a/packages/router/src/myrtlehook_router/request/answering.py
+++ b/packages/router/src/myrtlehook_router/request/answering.py
@@ -31,6 +31,7 @@
 """A response up to this size is read completely before any of it is sent to the client, so that
 the request can still be sent again if the response breaks off."""
 
+EVENT_STREAM_TYPE = "text/event-stream"
 MIN_SERVER_ERROR_STATUS = 500
 BACKEND_BROKEN = "backend_broken"
 """Error code of a failure that is attributed to a backend server."""
@@ -96,7 +97,8 @@
         body += piece.ok_value
         if len(body) > MAX_BUFFERED_BYTES:
             headers = _make_answer_headers(relay, response)
-            return Ok(Answer(response.status, PassThroughStream(relay, bytes(body)), headers))
+            stream = PassThroughStream(relay, has_events=False, first=bytes(body))
+            return Ok(Answer(response.status, stream, headers))
     # Only on streaming routes does an error status count as a failure of the server: a plain
     # service's own error is a response like any other, and says little about its server.
     streamed = relay.request.route.kind is RequestKind.STREAMING
@@ -112,8 +114,9 @@
     status. Once the status has been sent, an unterminated body is the only sign of a failure.
     """
     headers = _make_answer_headers(relay, response)
-    resumable = relay.request.route.resumable
-    stream = ResumableStream(relay) if resumable else PassThroughStream(relay, b"")
+    has_events = _has_events(response)
+    make_stream = ResumableStream if relay.request.route.resumable else PassThroughStream
+    stream = make_stream(relay, has_events)
     try:
         first = next(stream, b"")
     except ConnectionError:
@@ -123,6 +126,13 @@
     return Answer(response.status, PrefetchedStream(stream, first), headers)
 
 
+def _has_events(response: urllib3.HTTPResponse) -> bool:
+    """Return whether a response consists of events, which it does unless it says otherwise."""
+    return str(response.headers.get("Content-Type", EVENT_STREAM_TYPE)).startswith(
+        EVENT_STREAM_TYPE
+    )
+
+
 def _answer_failure(relay: Relay, code: str) -> Answer:
     """Answer a request that may or may not have run."""
     late = clocks.now_s() >= relay.request.deadline_s
--- a/packages/router/src/myrtlehook_router/request/event_streams.py
+++ b/packages/router/src/myrtlehook_router/request/event_streams.py
@@ -3,6 +3,9 @@
 from dataclasses import dataclass, field
 
 EVENT_END = b"\n\n"
+EVENT_END_BYTES = 4
+"""Length of the longest end of an event."""
+
 ID_FIELD = b"id:"
 
 
@@ -36,6 +39,14 @@
     return found
 
 
+def ends_inside_event(tail: bytes) -> bool:
+    """Return whether a stream that ends here ends inside an event.
+
+    :param tail: its last bytes, at least the ``EVENT_END_BYTES`` last ones if it has so many.
+    """
+    return bool(tail.strip()) and not tail.endswith((EVENT_END, b"\n\r\n"))
+
+
 def _find_end(content: bytes) -> int:
     """Return the index after the blank line that ends the first event, or -1."""
     ends = [
--- a/tests/steps/platform_fault_steps.py
+++ b/tests/steps/platform_fault_steps.py
@@ -37,6 +37,16 @@
     context.nodes.order(faults={"engines": {"break_after_events": count}})
 
 
+@given("answers have no length")
+def send_unframed(context: Any) -> None:
+    context.nodes.order(faults={"engines": {"unframed": True}})
+
+
+@given("the next answer has no length and ends inside the event after {count:d} events")
+def cut_stream(context: Any, count: int) -> None:
+    context.nodes.order(faults={"engines": {"unframed": True, "cut_after_events": count}})
+
+
 @given("every engine answers 1 request under a wrong id")
 def answer_under_wrong_ids(context: Any) -> None:
     inject_engine_faults(context, wrong_ids=1)
