--- a/emulator/engines.py
+++ b/emulator/engines.py
@@ -78,6 +78,9 @@
     """The next unframed stream ends inside the event after this number of events; 0 for none."""
     ending_body: str = ""
     """A request whose body begins with this text ends each engine that begins to run it."""
+    ending_part: str = ""
+    """A request whose prompt has this part, not as its last one, ends each engine that begins to
+    run it."""
     end_after_ms: float = 40.0
     """Time from the beginning of such a run to the engine's end."""
     back_after_s: float = 1.0
@@ -167,8 +170,7 @@
             self.faults.reset_answers -= 1
             break_connection(environ)
         run = self._enqueue_run(environ, attempt_id)
-        ending = self.shared.ending_body.encode()
-        if ending and body.startswith(ending):
+        if self._ends_engines(environ, body):
             self._end_during_run(environ, attempt_id)
         shown_id = attempt_id
         if self.faults.wrong_ids > 0:
@@ -190,6 +192,14 @@
         start_response("200 OK", headers)
         return stream
 
+    def _ends_engines(self, environ: dict[str, Any], body: bytes) -> bool:
+        """Return whether a request ends each engine that runs it."""
+        ending = self.shared.ending_body.encode()
+        if ending and body.startswith(ending):
+            return True
+        parts = environ.get("HTTP_PROMPT_PREFIX", "").split(",")[:-1]
+        return self.shared.ending_part in [part.partition(":")[0] for part in parts]
+
     def _end_during_run(self, environ: dict[str, Any], attempt_id: str) -> None:
         """End the engine's process just after sending the head of this run's answer."""
         send_answer_head(environ["wsgi.input"].get_socket(), attempt_id, self.make_seal(attempt_id))
