Quarantine parts of prompts under which engines end one after another

Cause: the quarantine identified a request by workspace, method, path and body. No two of these were alike, so each end counted for a request that never came again. Class: evidence is kept for the wrong unit.

Change: the quarantine is kept a second time, by the key of a part at one software version. An end counts for every part on which the engine had not begun to write, each engine once, engines that end within 0.1 s once; an answer that goes on for 0.1 s or ends well clears its parts. At the second end all routers hear of the suspicion, so that those who have seen answers on the part can say so; at the third, or at the fourth for the first part of prompts, it is held at all routers. What many share is thus cleared before it could be held; ends by chance hold nobody.

--- a/packages/core/src/myrtlehook_core/__init__.py
+++ b/packages/core/src/myrtlehook_core/__init__.py
@@ -47,6 +47,7 @@
 from myrtlehook_core.request.admission import QueueLimits
 from myrtlehook_core.request.fingerprints import fingerprint_request
 from myrtlehook_core.request.outcomes import DropReason, Outcome, RefusalReason, RetryReason
+from myrtlehook_core.request.part_keys import SuspectPart, make_part_digests, make_part_key
 from myrtlehook_core.request.requests import (
     PoolKey,
     PromptPart,
@@ -229,6 +230,9 @@
     "intersect_regions",
     "join_parts",
     "judge_event",
+    "SuspectPart",
+    "make_part_digests",
+    "make_part_key",
     "make_stream_key",
     "make_weighted_chooser",
     "schedule_retry",
--- a/packages/core/src/myrtlehook_core/process/actions.py
+++ b/packages/core/src/myrtlehook_core/process/actions.py
@@ -383,6 +383,11 @@
     """The servers that ended while they ran it; 0 if the request was released."""
     quarantined_until_s: float
     cause: QuarantineCause
+    told_by: str
+    """The router whose report or news this follows from, or this router itself."""
+    is_part: bool = False
+    """Whether ``fingerprint`` is the key of a part of prompts, which may be suspect only: then no
+    requests are refused."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/myrtlehook_core/process/admission_ends.py
+++ b/packages/core/src/myrtlehook_core/process/admission_ends.py
@@ -9,8 +9,8 @@
 )
 from myrtlehook_core.process.events import RunEnded
 from myrtlehook_core.process.ingress import get_account, make_pool_key, update_queue_counts
-from myrtlehook_core.process.quarantine import find_remaining_quarantine_s
 from myrtlehook_core.process.refusals import find_retry_wait_s, refuse_with_wait
+from myrtlehook_core.process.request_quarantines import find_request_quarantine_s
 from myrtlehook_core.process.share_standings import count_refused_request
 from myrtlehook_core.request.charges import settle_charge
 from myrtlehook_core.request.outcomes import RefusalReason
@@ -59,9 +59,7 @@
     del admissions.open[request.request_id]
     _close_admission(context, admission, ran=False)
     ingress_context = context.ingress_context
-    quarantine_s = find_remaining_quarantine_s(
-        ingress_context.quarantine, request.fingerprint, now_s
-    )
+    quarantine_s = find_request_quarantine_s(ingress_context.quarantines, request, now_s)
     backoff_s = find_retry_wait_s(context.ingress, ingress_context, request, now_s)
     wait_s = quarantine_s or max(admission.retry_after_s, backoff_s)
     if reason is RefusalReason.NO_SERVER_OF_VERSION:
--- a/packages/core/src/myrtlehook_core/process/event_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/event_handlers.py
@@ -55,6 +55,7 @@
 from myrtlehook_core.process.quarantine_handlers import (
     on_server_ended,
     record_completed_request,
+    record_sound_parts,
     resend_sound_run_reports,
 )
 from myrtlehook_core.process.refusals import refuse_unservable
@@ -151,6 +152,12 @@
     on_server_ended(core, event, now_s)
 
 
+def _on_parts_sound(core: "RouterCore", event: events.PartsShownSound, now_s: float) -> None:
+    request = _find_running_request(core, event.request_id)
+    if request is not None:
+        record_sound_parts(core, request, event.software_version, now_s)
+
+
 def _find_running_request(core: "RouterCore", request_id: str) -> RequestSpecification | None:
     admission = core.admissions.open.get(request_id)
     if admission is not None:
@@ -289,6 +296,7 @@
     drop_idle_queues(core.ingress, now_s, core.options.idle_drop_s)
     drop_idle_accounts(core.ledger, now_s, core.options)
     forget_old_evidence(core.quarantine, now_s)
+    forget_old_evidence(core.part_quarantine, now_s)
     drop_expired_origins(core.stream_origins, now_s)
     forget_removed_servers(core.leaving_servers, core.configuration.backend_servers, now_s)
     drop_ended_backoffs(core.ingress.backoffs, now_s)
@@ -306,6 +314,7 @@
     events.RunEnded: _on_ended,
     events.StreamPaused: _on_stream_paused,
     events.ServerEndedInRun: _on_server_ended,
+    events.PartsShownSound: _on_parts_sound,
     events.ServerNoticed: on_server_noticed,
     events.RunNotStarted: _on_not_started,
     events.MessageReceived: _on_message,
--- a/packages/core/src/myrtlehook_core/process/events.py
+++ b/packages/core/src/myrtlehook_core/process/events.py
@@ -9,6 +9,7 @@
 from myrtlehook_core.process.messages import Message
 from myrtlehook_core.process.share_standings import ShareStanding
 from myrtlehook_core.request.outcomes import RetryReason
+from myrtlehook_core.request.part_keys import SuspectPart
 from myrtlehook_core.request.requests import RequestSpecification
 from myrtlehook_core.version.configurations import BackendServer
 from myrtlehook_core.version.source_orders import NO_ORDER, SourceOrder
@@ -86,6 +87,17 @@
     """When the request was sent there."""
     ended_s: float
     """When its answer broke off."""
+    suspect_parts: tuple[SuspectPart, ...] = ()
+    """The parts of its prompt, in order; none if the run had shown them to be sound."""
+
+
+@dataclass(frozen=True, slots=True)
+class PartsShownSound:
+    """A server has written on a request's prompt for long enough that no part of it is harmful."""
+
+    request_id: str
+    software_version: str
+    """Of the server."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -213,6 +225,7 @@
     | RunEnded
     | StreamPaused
     | ServerEndedInRun
+    | PartsShownSound
     | ServerNoticed
     | RunNotStarted
     | MessageReceived
--- a/packages/core/src/myrtlehook_core/process/ingress.py
+++ b/packages/core/src/myrtlehook_core/process/ingress.py
@@ -14,8 +14,8 @@
 from myrtlehook_core.process.messages import BidRow, Release, TotalRow
 from myrtlehook_core.process.options import CoreOptions
 from myrtlehook_core.process.outboxes import MessageOutbox
-from myrtlehook_core.process.quarantine import Quarantine
 from myrtlehook_core.process.regions import NO_REGIONS, Regions, unite_regions
+from myrtlehook_core.process.request_quarantines import Quarantines
 from myrtlehook_core.request.admission import TokenBucket
 from myrtlehook_core.request.charges import ServiceAccount
 from myrtlehook_core.request.goals import find_goal_s, find_most_urgent
@@ -100,7 +100,7 @@
     draw: Draw
     actions: ActionList
     outbox: MessageOutbox
-    quarantine: Quarantine
+    quarantines: Quarantines
     regions: Regions = NO_REGIONS
     ended_servers: EndedServers = field(default_factory=dict)
 
--- a/packages/core/src/myrtlehook_core/process/message_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/message_handlers.py
@@ -176,13 +176,13 @@
 def _handle_probe(core: "RouterCore", sender: str, message: Probe, now_s: float) -> None:
     handle_probe(core.probe_context(), sender, message, now_s)
     apply_source_news(core, sender, message.news, now_s)
-    apply_quarantine_news(core, message.news, now_s)
+    apply_quarantine_news(core, sender, message.news, now_s)
 
 
 def _handle_ack(core: "RouterCore", sender: str, message: Ack, now_s: float) -> None:
     handle_ack(core.prober, core.probe_context(), sender, message, now_s)
     apply_source_news(core, sender, message.news, now_s)
-    apply_quarantine_news(core, message.news, now_s)
+    apply_quarantine_news(core, sender, message.news, now_s)
 
 
 def _handle_announcement(
@@ -191,7 +191,7 @@
     previous_state = find_state(core.table, sender)
     apply_news(core.probe_context(), sender, message.news, now_s)
     apply_source_news(core, sender, message.news, now_s)
-    relay_quarantine_news(core, sender, apply_quarantine_news(core, message.news, now_s))
+    relay_quarantine_news(core, sender, apply_quarantine_news(core, sender, message.news, now_s))
     if not core.is_in_own_zone(sender) and find_state(core.table, sender) is not previous_state:
         # A stopping router of another zone announces itself to only a few routers of this zone,
         # which therefore pass the change on. Probes carry all other changes.
@@ -215,7 +215,7 @@
 ) -> None:
     apply_news(core.probe_context(), sender, message.news, now_s)
     apply_source_news(core, sender, message.news, now_s)
-    apply_quarantine_news(core, message.news, now_s)
+    apply_quarantine_news(core, sender, message.news, now_s)
 
 
 def _handle_configuration_query(
--- a/packages/core/src/myrtlehook_core/process/quarantine.py
+++ b/packages/core/src/myrtlehook_core/process/quarantine.py
@@ -12,10 +12,19 @@
 Requests that merely ran beside the harmful one are counted and quarantined in the same way. A run
 of theirs that completes (a sound run), at any router, clears them and lifts the quarantine; a
 request that ends servers never completes.
+
+Parts of prompts are handled alike, in a second state of the same kind, by the key of the part at
+one software version. An end counts for each part of the prompts on which its server had not begun
+to write, and an answer that a server writes on a part is a sound run of it. So what many requests
+share is cleared all the time, and what remains under all ends is the part that causes them. At the
+second end all routers hear of the suspicion, so that they can report sound runs; at the third the
+part is quarantined. The first part of a prompt, which thousands of requests may share, needs one
+end more than others: those of the same requests are quarantined before it.
 """
 
 import math
 from collections import OrderedDict
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import TypeVar
 
@@ -26,17 +35,33 @@
     ServerEnd,
     drop_excess_ends,
     find_consecutive_ends,
+    find_separate_ends,
 )
+from myrtlehook_core.request.part_keys import find_part_digest, is_part_key
 
 ENDS_TO_QUARANTINE = 2
 """The number of consecutive ends at which a request is quarantined. A single end is no evidence,
 since it happens to all requests that the server was running. Each further one costs a whole server
 and up to 64 answers that it was producing."""
 
+PART_ENDS_TO_SUSPECT = 2
+"""The number of ends at which all routers hear of a suspect part."""
+
+PART_ENDS_TO_QUARANTINE = 3
+"""The number of ends at which a part is quarantined. More requests share a part than a fingerprint,
+so it needs more evidence than these."""
+
+FIRST_PART_ENDS_TO_QUARANTINE = 4
+"""The same for the first part of prompts."""
+
 FIRST_QUARANTINE_S = 60.0
 """How long the first quarantine of a request lasts. From then on a harmful request ends at most one
 server a minute."""
 
+FIRST_PART_QUARANTINE_S = 300.0
+"""How long the first quarantine of a part lasts. Requests with a harmful part keep coming from many
+clients, so that each end of a quarantine costs a server or two."""
+
 MAX_QUARANTINE_S = 3600.0
 """The quarantine doubles with each further end up to this limit, so that the request is tried again
 within an hour after the servers were repaired."""
@@ -44,9 +69,9 @@
 END_MEMORY_S = 2.0 * MAX_QUARANTINE_S
 """Ends further apart than this do not count as consecutive."""
 
-LIFT_NEWS_S = 10.0
-"""How long the news that a quarantine was lifted is sent. Probes spread it to all of 1,200
-routers in less time."""
+NEWS_S = 10.0
+"""How long the news that a quarantine was lifted, or that a part is suspect, is sent. Probes spread
+it to all of 1,200 routers in less time."""
 
 MAX_QUARANTINE_ROWS = 8
 """The greatest number of quarantine rows on one message, of about 40 bytes each. If more requests
@@ -107,6 +132,8 @@
     """When each request last completed at this router."""
     last_end_serial: int = 0
     """Serial of the last server end that this router has seen itself."""
+    part_verdicts: dict[bytes, set[bytes]] = field(default_factory=dict)
+    """By the digest of a part: the keys under which there are verdicts on it."""
     known_routers: frozenset[str] = frozenset()
     """The routers from which the collectors were last chosen."""
     has_new_quarantines: bool = False
@@ -123,15 +150,35 @@
     if now_s - end.ended_s > END_MEMORY_S or _is_before_lift(verdict, end):
         return None
     suspect = quarantine.suspects.get(fingerprint, SuspectRequest())
-    if end.key in suspect.kept_ends:
+    if end.key in suspect.kept_ends or is_end_kept(quarantine, fingerprint, end.backend_server):
         return None
     suspect.kept_ends[end.key] = end
     _store_last(quarantine.suspects, fingerprint, suspect, MAX_SUSPECTS)
     counted_before = _count_known_ends(suspect, verdict)
-    _count_consecutive_ends(suspect, verdict)
+    _count_consecutive_ends(fingerprint, suspect, verdict)
     return suspect if suspect.ends > counted_before else None
 
 
+def is_end_kept(quarantine: Quarantine, fingerprint: bytes, backend_server: str) -> bool:
+    """Return whether a part's end of this server is kept, as another run may have shown it.
+
+    Ends under whole requests are told apart by their runs.
+    """
+    suspect = quarantine.suspects.get(fingerprint)
+    if suspect is None or not is_part_key(fingerprint):
+        return False
+    return any(end.backend_server == backend_server for end in suspect.kept_ends.values())
+
+
+def count_needed_ends(fingerprint: bytes, suspect: SuspectRequest) -> int:
+    """Return the number of ends at which a request or part is quarantined."""
+    if not is_part_key(fingerprint):
+        return ENDS_TO_QUARANTINE
+    if any(end.is_first_part for end in suspect.kept_ends.values()):
+        return FIRST_PART_ENDS_TO_QUARANTINE
+    return PART_ENDS_TO_QUARANTINE
+
+
 def next_end_serial(quarantine: Quarantine) -> int:
     """Return the serial of a server end that this router has just seen itself."""
     quarantine.last_end_serial = max(quarantine.last_end_serial, quarantine.first_serial) + 1
@@ -152,6 +199,7 @@
             ended_age_ms=round((now_s - end.ended_s) * 1000.0),
             reporter=end.reporter,
             serial=end.serial,
+            is_first_part=end.is_first_part,
         )
         for end in ends
     )
@@ -160,8 +208,13 @@
 def quarantine_request(
     quarantine: Quarantine, fingerprint: bytes, suspect: SuspectRequest, now_s: float
 ) -> Verdict:
-    """Quarantine a request for which enough ends were counted."""
-    duration_s = FIRST_QUARANTINE_S * 2.0 ** (suspect.ends - ENDS_TO_QUARANTINE)
+    """Quarantine a request or part for which enough ends were counted, or suspect a part.
+
+    A suspicion is a verdict that quarantines nothing.
+    """
+    excess = suspect.ends - count_needed_ends(fingerprint, suspect)
+    first_s = FIRST_PART_QUARANTINE_S if is_part_key(fingerprint) else FIRST_QUARANTINE_S
+    duration_s = first_s * 2.0**excess if excess >= 0 else 0.0
     verdict = Verdict(
         serial=_next_serial(quarantine, fingerprint),
         ends=suspect.ends,
@@ -169,8 +222,8 @@
         quarantined_until_s=now_s + min(duration_s, MAX_QUARANTINE_S),
         recorded_at_s=now_s,
     )
-    _store_last(quarantine.verdicts, fingerprint, verdict, MAX_VERDICTS)
-    quarantine.has_new_quarantines = True
+    _store_verdict(quarantine, fingerprint, verdict)
+    quarantine.has_new_quarantines = duration_s > 0.0
     return verdict
 
 
@@ -186,7 +239,7 @@
         return False
     serial = _next_serial(quarantine, fingerprint)
     lifted = Verdict(serial, ends=0, since_s=now_s, quarantined_until_s=now_s, recorded_at_s=now_s)
-    _store_last(quarantine.verdicts, fingerprint, lifted, MAX_VERDICTS)
+    _store_verdict(quarantine, fingerprint, lifted)
     return True
 
 
@@ -195,11 +248,17 @@
     _store_last(quarantine.sound_runs, fingerprint, now_s, MAX_SOUND_RUNS)
 
 
+def has_run_since(quarantine: Quarantine, fingerprint: bytes, since_s: float) -> bool:
+    """Return whether a sound run of a request or part was recorded here after a time."""
+    return quarantine.sound_runs.get(fingerprint, -math.inf) > since_s
+
+
 def is_cleared(quarantine: Quarantine, fingerprint: bytes) -> bool:
     """Return whether a quarantined request has completed here since its first counted end."""
     verdict = quarantine.verdicts.get(fingerprint)
-    sound_at_s = quarantine.sound_runs.get(fingerprint, -math.inf)
-    return verdict is not None and verdict.ends > 0 and sound_at_s > verdict.since_s
+    if verdict is None or not verdict.ends:
+        return False
+    return has_run_since(quarantine, fingerprint, verdict.since_s)
 
 
 def find_remaining_quarantine_s(quarantine: Quarantine, fingerprint: bytes, now_s: float) -> float:
@@ -208,6 +267,25 @@
     return 0.0 if verdict is None else max(verdict.quarantined_until_s - now_s, 0.0)
 
 
+def find_parts_quarantine_s(
+    quarantine: Quarantine, part_digests: Iterable[bytes], now_s: float
+) -> float:
+    """Return for how many seconds a prompt is still refused because of one of its parts.
+
+    A part that is harmful at one software version is refused for servers of all.
+    """
+    if not quarantine.part_verdicts:
+        return 0.0
+    return max(
+        (
+            find_remaining_quarantine_s(quarantine, key, now_s)
+            for part_digest in part_digests
+            for key in quarantine.part_verdicts.get(part_digest, ())
+        ),
+        default=0.0,
+    )
+
+
 def count_quarantined(quarantine: Quarantine, now_s: float) -> int:
     """Return the number of requests that are quarantined at present."""
     return sum(now_s < verdict.quarantined_until_s for verdict in quarantine.verdicts.values())
@@ -218,7 +296,7 @@
     current = [
         (fingerprint, verdict)
         for fingerprint, verdict in quarantine.verdicts.items()
-        if now_s < verdict.quarantined_until_s or _is_lift_news(verdict, now_s)
+        if now_s < verdict.quarantined_until_s or _is_news(verdict, now_s)
     ]
     current.sort(key=lambda item: item[1].times_sent)
     for _, verdict in current[:MAX_QUARANTINE_ROWS]:
@@ -240,7 +318,7 @@
         quarantined_until_s=now_s + min(row.left_ms / 1000.0, MAX_QUARANTINE_S),
         recorded_at_s=now_s,
     )
-    _store_last(quarantine.verdicts, row.fingerprint, verdict, MAX_VERDICTS)
+    _store_verdict(quarantine, row.fingerprint, verdict)
     if verdict.ends:
         quarantine.has_new_quarantines = True
     else:
@@ -256,6 +334,7 @@
     for fingerprint, verdict in list(quarantine.verdicts.items()):
         if now_s - verdict.recorded_at_s > END_MEMORY_S:
             del quarantine.verdicts[fingerprint]
+            _forget_part_verdict(quarantine, fingerprint)
 
 
 def _make_end(report: ServerEndReport, now_s: float) -> ServerEnd:
@@ -265,6 +344,7 @@
         backend_server=report.backend_server,
         began_s=now_s - report.began_age_ms / 1000.0,
         ended_s=now_s - report.ended_age_ms / 1000.0,
+        is_first_part=report.is_first_part,
     )
 
 
@@ -278,9 +358,14 @@
     return max(suspect.ends, 0 if verdict is None else verdict.ends)
 
 
-def _count_consecutive_ends(suspect: SuspectRequest, verdict: Verdict | None) -> None:
-    """Count the kept ends of a request again, and those after its verdict on top of that one."""
-    series = find_consecutive_ends(suspect.kept_ends.values(), -math.inf)
+def _count_consecutive_ends(
+    fingerprint: bytes, suspect: SuspectRequest, verdict: Verdict | None
+) -> None:
+    """Count the kept ends of a request or part again, and those after its verdict on top of it."""
+    if is_part_key(fingerprint):
+        series = find_separate_ends(suspect.kept_ends.values())
+    else:
+        series = find_consecutive_ends(suspect.kept_ends.values(), -math.inf)
     suspect.ends = max(suspect.ends, len(series))
     suspect.first_end_s = min(suspect.first_end_s, series[0].ended_s)
     suspect.last_end_s = max(suspect.last_end_s, series[-1].ended_s)
@@ -296,8 +381,10 @@
     return max(quarantine.first_serial, 0 if known is None else known.serial) + 1
 
 
-def _is_lift_news(verdict: Verdict, now_s: float) -> bool:
-    return verdict.ends == 0 and now_s < verdict.recorded_at_s + LIFT_NEWS_S
+def _is_news(verdict: Verdict, now_s: float) -> bool:
+    """Return whether a verdict that quarantines nothing is to be told to other routers."""
+    holds_nothing = verdict.quarantined_until_s <= verdict.recorded_at_s
+    return holds_nothing and now_s < verdict.recorded_at_s + NEWS_S
 
 
 def _make_row(fingerprint: bytes, verdict: Verdict, now_s: float) -> QuarantineRow:
@@ -310,10 +397,34 @@
     )
 
 
+def _store_verdict(quarantine: Quarantine, fingerprint: bytes, verdict: Verdict) -> None:
+    evicted = _store_last(quarantine.verdicts, fingerprint, verdict, MAX_VERDICTS)
+    for dropped in evicted:
+        _forget_part_verdict(quarantine, dropped)
+    if is_part_key(fingerprint):
+        keys = quarantine.part_verdicts.setdefault(find_part_digest(fingerprint), set())
+        keys.add(fingerprint)
+
+
+def _forget_part_verdict(quarantine: Quarantine, fingerprint: bytes) -> None:
+    """Remove a key whose verdict was dropped from the index of parts."""
+    part_digest = find_part_digest(fingerprint)
+    keys = quarantine.part_verdicts.get(part_digest)
+    if keys is None:
+        return
+    keys.discard(fingerprint)
+    if not keys:
+        del quarantine.part_verdicts[part_digest]
+
+
 def _store_last(
     table: OrderedDict[bytes, Kept], fingerprint: bytes, item: Kept, limit: int
-) -> None:
+) -> list[bytes]:
+    """Store an item as the most recent one; return the keys of those evicted for it."""
     table[fingerprint] = item
     table.move_to_end(fingerprint)
+    evicted = []
     while len(table) > limit:
-        table.popitem(last=False)
+        key, _ = table.popitem(last=False)
+        evicted.append(key)
+    return evicted
--- a/packages/core/src/myrtlehook_core/process/quarantine_messages.py
+++ b/packages/core/src/myrtlehook_core/process/quarantine_messages.py
@@ -4,7 +4,8 @@
 
 
 class ServerEndReport(msgspec.Struct, frozen=True, array_like=True, tag=28):
-    """Reports to a collector that a backend server ended while it ran this request.
+    """Reports to a collector that a backend server ended while it ran this request, or one whose
+    prompt has this part: ``fingerprint`` is that of the request or the key of the part.
 
     Each router that holds the report sends it to routers that become collectors later.
     """
@@ -20,6 +21,8 @@
     """The router that saw the end."""
     serial: int
     """With the reporter, identifies the end; see ``ServerEnd.serial``."""
+    is_first_part: bool = False
+    """Whether the fingerprint is the key of the first part of a prompt."""
 
 
 class SoundRunReport(msgspec.Struct, frozen=True, array_like=True, tag=29):
--- a/packages/core/src/myrtlehook_core/process/refusals.py
+++ b/packages/core/src/myrtlehook_core/process/refusals.py
@@ -9,7 +9,7 @@
     make_pool_key,
     update_queue_counts,
 )
-from myrtlehook_core.process.quarantine import find_remaining_quarantine_s
+from myrtlehook_core.process.request_quarantines import find_request_quarantine_s
 from myrtlehook_core.request.admission import (
     TokenBucket,
     can_meet_deadline,
@@ -99,7 +99,7 @@
         return RefusalReason.CONFIGURATION_REMOVED
     if request.request_id in ingress.attempts:
         return RefusalReason.DUPLICATE_REQUEST_ID
-    if find_remaining_quarantine_s(context.quarantine, request.fingerprint, now_s):
+    if find_request_quarantine_s(context.quarantines, request, now_s):
         return RefusalReason.QUARANTINED
     reason = find_eligibility_refusal(context.regions, context.configuration, request)
     if reason is not None:
@@ -142,7 +142,7 @@
     context: IngressContext, request: RequestSpecification, now_s: float
 ) -> RefusalReason:
     """Return the refusal reason of a request that was dispatched and is not retried."""
-    if find_remaining_quarantine_s(context.quarantine, request.fingerprint, now_s):
+    if find_request_quarantine_s(context.quarantines, request, now_s):
         return RefusalReason.QUARANTINED
     if request.deadline_s <= now_s:
         return RefusalReason.DEADLINE_PASSED
@@ -159,7 +159,7 @@
     """Refuse a request, with the time after which its client should retry."""
     if reason is not RefusalReason.DUPLICATE_REQUEST_ID:
         ingress.attempts.pop(request.request_id, None)
-    wait_s = find_remaining_quarantine_s(context.quarantine, request.fingerprint, now_s)
+    wait_s = find_request_quarantine_s(context.quarantines, request, now_s)
     if not wait_s:
         backoff_s = find_retry_wait_s(ingress, context, request, now_s)
         wait_s = max(
--- a/packages/core/src/myrtlehook_core/process/routers.py
+++ b/packages/core/src/myrtlehook_core/process/routers.py
@@ -73,6 +73,7 @@
 from myrtlehook_core.process.reading_gaps import sum_reading_s
 from myrtlehook_core.process.refusals import refuse_unservable
 from myrtlehook_core.process.regions import NO_REGIONS, Regions
+from myrtlehook_core.process.request_quarantines import Quarantines
 from myrtlehook_core.process.shares import Shares
 from myrtlehook_core.process.source_messages import ReaderRow
 from myrtlehook_core.process.source_readers import SourceReaders, collect_reader_rows
@@ -119,6 +120,7 @@
         self.engine_queues = EngineQueues()
         self.shares = Shares()
         self.quarantine = Quarantine(first_serial=identity.incarnation)
+        self.part_quarantine = Quarantine(first_serial=identity.incarnation)
         self.stream_origins = StreamOrigins()
         self.ended_servers: EndedServers = {}
         self.source_readers = SourceReaders(reading=options.first_read_delay_s == 0.0)
@@ -200,7 +202,7 @@
             draw=self.draw,
             actions=self.actions,
             outbox=self.outbox,
-            quarantine=self.quarantine,
+            quarantines=self.quarantines,
             regions=self.regions,
             ended_servers=self.ended_servers,
         )
@@ -254,6 +256,11 @@
             actions=self.actions,
         )
 
+    @property
+    def quarantines(self) -> Quarantines:
+        """The quarantines of requests and of parts of prompts."""
+        return Quarantines(self.quarantine, self.part_quarantine)
+
     def is_reachable(self, router_id: str) -> bool:
         """Return whether a router may be alive, so that messages can be sent to it."""
         return is_reachable(self.table, router_id)
@@ -266,7 +273,10 @@
         return collect_reader_rows(self.source_readers, self.table, self.options, self._now_s)
 
     def _collect_quarantine_rows(self) -> tuple[QuarantineRow, ...]:
-        return collect_quarantine_rows(self.quarantine, self._now_s)
+        return (
+            *collect_quarantine_rows(self.quarantine, self._now_s),
+            *collect_quarantine_rows(self.part_quarantine, self._now_s),
+        )
 
     def _list_other_owners(self, pool: str) -> tuple[str, ...]:
         owners = self.placement.pool_owners.get(pool, ())
@@ -279,7 +289,7 @@
         self._update_ownership(now_s)
         mark_cold_engines(self, now_s)
         self._deliver_messages(now_s)
-        if self.quarantine.has_new_quarantines:
+        if self.quarantine.has_new_quarantines or self.part_quarantine.has_new_quarantines:
             refuse_quarantined_requests(self, now_s)
             self._deliver_messages(now_s)
 
--- a/packages/core/src/myrtlehook_core/process/runs.py
+++ b/packages/core/src/myrtlehook_core/process/runs.py
@@ -17,8 +17,8 @@
     update_queue_counts,
 )
 from myrtlehook_core.process.messages import Grant, Release
-from myrtlehook_core.process.quarantine import find_remaining_quarantine_s
 from myrtlehook_core.process.refusals import choose_last_refusal, find_refusal, refuse_request
+from myrtlehook_core.process.request_quarantines import find_request_quarantine_s
 from myrtlehook_core.request.charges import (
     ServiceAccount,
     cancel_charge,
@@ -287,9 +287,9 @@
         return False
     if reason is RetryReason.ANSWER_BROKEN and not request.repeatable:
         return False
-    if request.deadline_s <= now_s or find_remaining_quarantine_s(
-        context.quarantine, request.fingerprint, now_s
-    ):
+    if request.deadline_s <= now_s:
+        return False
+    if find_request_quarantine_s(context.quarantines, request, now_s):
         return False
     if ingress.attempts.get(request.request_id, 0) >= _find_attempts_limit(
         context, request, reason
--- a/packages/core/src/myrtlehook_core/process/server_ends.py
+++ b/packages/core/src/myrtlehook_core/process/server_ends.py
@@ -13,6 +13,10 @@
 cause ends several servers within about 10 ms, and messages are under way for a few more. A router
 waits as long before it sends a request under which a server ended to another server."""
 
+COMMON_CAUSE_S = 0.1
+"""Servers that end within this time of one another may have ended by a common cause; the routers
+that see it do so within some milliseconds of one another, unless they are busy."""
+
 MAX_KEPT_ENDS = 4
 """The greatest number of ends that are kept for one request. A verdict holds the count of those
 that had to be dropped."""
@@ -34,6 +38,8 @@
     """When the request was sent to the server."""
     ended_s: float
     """When the answer broke off."""
+    is_first_part: bool = False
+    """Whether the run's prompt begins with the part that the end is kept for."""
 
     @property
     def key(self) -> EndKey:
@@ -57,6 +63,23 @@
     return series
 
 
+def find_separate_ends(ends: Iterable[ServerEnd]) -> list[ServerEnd]:
+    """Return ends of different servers that did not come at the same moment.
+
+    For a part of prompts: several requests that share it may be under way at a time, so that each
+    server which ends by itself counts. A common cause, such as a lost rack, ends servers at once.
+    """
+    series: list[ServerEnd] = []
+    servers: set[str] = set()
+    for end in sorted(ends, key=lambda item: (item.ended_s, item.key)):
+        if end.backend_server in servers:
+            continue
+        if not series or end.ended_s >= series[-1].ended_s + COMMON_CAUSE_S:
+            series.append(end)
+            servers.add(end.backend_server)
+    return series
+
+
 def drop_excess_ends(ends: dict[EndKey, ServerEnd], series: list[ServerEnd]) -> None:
     """Drop ends beyond ``MAX_KEPT_ENDS``: those outside of the series first, then the oldest."""
     counted = {end.key for end in series}
--- a/packages/core/src/myrtlehook_core/request/requests.py
+++ b/packages/core/src/myrtlehook_core/request/requests.py
@@ -46,6 +46,8 @@
     0 if there is no target."""
     fingerprint: bytes = b""
     """Equal for requests with the same workspace, method, path and body; empty if not known."""
+    part_digests: tuple[bytes, ...] = ()
+    """Digests of the parts of its prompt that other requests may share, in order."""
     allowed_regions: frozenset[str] | None = None
     """The regions in which it may be served; None if it may be served anywhere."""
     stream_key: bytes = b""
--- a/packages/router/src/myrtlehook_router/process/core_tasks.py
+++ b/packages/router/src/myrtlehook_router/process/core_tasks.py
@@ -37,6 +37,13 @@
 FAULT_RETRY_AFTER_S = 1.0
 """Retry delay given to the client of a request whose event raised an exception in the core."""
 
+QUARANTINE_STATES = {
+    "held": "quarantined",
+    "suspect": "suspect",
+    "lifted": "no longer quarantined",
+}
+"""How log lines call what is believed of a request, or of a part of prompts."""
+
 INTERNAL_EVENTS = (events.Tick, events.GrantsDue)
 """Events without input from outside: a core that raises on these is broken, so the exception
 ends the process, which is then started again."""
@@ -407,7 +414,7 @@
 
     def _record_server_end(self, action: actions.ServerEndCounted) -> None:
         self._counters.add("quarantine.ends")
-        _log.warning(
+        _belief_log.warning(
             "backend server ended under a request",
             fingerprint=action.fingerprint.hex(),
             backend_server=action.backend_server,
@@ -434,14 +441,17 @@
         _log.warning("router has restarted unnoticed", member=action.router_id)
 
     def _record_quarantine(self, action: actions.QuarantineChanged) -> None:
-        self._counters.add("quarantine.held" if action.ends else "quarantine.lifted")
         left_s = action.quarantined_until_s - clocks.now_s()
-        _log.warning(
-            "request quarantined" if action.ends else "request no longer quarantined",
+        kind = "part" if action.is_part else "request"
+        state = "held" if left_s > 0.0 else "suspect" if action.ends else "lifted"
+        self._counters.add(f"quarantine.{state}" + (".parts" if action.is_part else ""))
+        _belief_log.warning(
+            f"{kind} {QUARANTINE_STATES[state]}",
             fingerprint=action.fingerprint.hex(),
             ends=action.ends,
             for_s=round(max(left_s, 0.0), 2),
             cause=action.cause,
+            told_by=action.told_by,
         )
 
     def _record_pause(self, action: actions.PauseDetected) -> None:
--- a/packages/router/src/myrtlehook_router/process/gateway_daemons.py
+++ b/packages/router/src/myrtlehook_router/process/gateway_daemons.py
@@ -298,6 +298,7 @@
             "backend_connections_opened": self._connection_pool.opened_count,
             "shed_part": self._shedding.refused_fraction,
             "quarantined_requests": count_quarantined(core.quarantine, clocks.now_s()),
+            "quarantined_parts": count_quarantined(core.part_quarantine, clocks.now_s()),
             "reads_source": float(self._read_switch.wanted),
             "log_lines_dropped": self._log_stream.dropped_lines,
             "busy_part": self._caller_server.busy_meter.busy_fraction,
--- a/packages/router/src/myrtlehook_router/request/broken_runs.py
+++ b/packages/router/src/myrtlehook_router/request/broken_runs.py
@@ -2,7 +2,7 @@
 
 import eventlet
 
-from myrtlehook_core import events
+from myrtlehook_core import RequestSpecification, SuspectPart, events, make_part_key
 from myrtlehook_router.connection.server_checks import ServerState
 from myrtlehook_router.process import clocks
 from myrtlehook_router.process.logs import get_logger
@@ -17,10 +17,16 @@
 one that broke off."""
 
 _log = get_logger("requests")
+_belief_log = get_logger("requests", is_kept=True)
+"""For lines that tell what was under way when a server ended."""
 
 
 def check_server_after_broken_run(
-    placement: Placement, backend_server: str, sent_at_s: float
+    placement: Placement,
+    backend_server: str,
+    sent_at_s: float,
+    software_version: str = "",
+    shown_sound: bool = False,
 ) -> None:
     """Check whether the server of a broken response has ended, and report that to the core.
 
@@ -29,6 +35,9 @@
     about to leave is not checked.
 
     :param sent_at_s: when the request was sent to that server.
+    :param software_version: of that server.
+    :param shown_sound: whether the server had written on the prompt for long enough that no part of
+        it can have ended the server.
     """
     services = placement.services
     server = services.configuration().backend_servers.get(backend_server)
@@ -38,10 +47,13 @@
     state = services.server_checks.check(server.address)
     specification = placement.specification
     services.counters.add(f"backend.broken.{state}")
-    _log.info(
+    suspect_parts = () if shown_sound else _list_suspect_parts(specification, software_version)
+    log = _belief_log if state is ServerState.ENDED else _log
+    log.info(
         "answer broke off",
         request_id=specification.request_id,
         fingerprint=specification.fingerprint.hex(),
+        suspect_parts=_describe_parts(specification, suspect_parts),
         backend_server=backend_server,
         backend_server_state=state,
         ran_ms=round((ended_s - sent_at_s) * 1000.0, 1),
@@ -49,6 +61,29 @@
     if state is ServerState.ENDED:
         fingerprint = specification.fingerprint
         services.mailbox.post(
-            events.ServerEndedInRun(fingerprint, backend_server, sent_at_s, ended_s)
+            events.ServerEndedInRun(fingerprint, backend_server, sent_at_s, ended_s, suspect_parts)
         )
         eventlet.sleep(QUARANTINE_DECISION_WAIT_S)
+
+
+def _list_suspect_parts(
+    specification: RequestSpecification, software_version: str
+) -> tuple[SuspectPart, ...]:
+    """Return the parts of a prompt that may have ended a server of this software version."""
+    return tuple(
+        SuspectPart(make_part_key(part_digest, software_version), is_first=number == 0)
+        for number, part_digest in enumerate(specification.part_digests)
+    )
+
+
+def _describe_parts(
+    specification: RequestSpecification, suspect_parts: tuple[SuspectPart, ...]
+) -> dict[str, str]:
+    """Return the keys of suspect parts by their ids, for the log."""
+    parts = specification.prompt_parts[:-1]
+    if len(parts) > len(suspect_parts):
+        # Of a long prompt, the first part and the last ones are looked at.
+        parts = (*parts[:1], *parts[len(parts) + 1 - len(suspect_parts) :])
+    return {
+        part.part_id: suspect.key.hex() for part, suspect in zip(parts, suspect_parts, strict=False)
+    }
--- a/packages/router/src/myrtlehook_router/request/gateways.py
+++ b/packages/router/src/myrtlehook_router/request/gateways.py
@@ -18,6 +18,7 @@
     find_share_tokens,
     fingerprint_request,
     intersect_regions,
+    make_part_digests,
     make_stream_key,
     schedule_retry,
     should_shed,
@@ -230,6 +231,7 @@
         fingerprint=fingerprint_request(
             request.workspace.name, request.method, request.target, body
         ),
+        part_digests=make_part_digests(pool, prompt.parts),
         allowed_regions=intersect_regions(
             (route.allowed_regions, request.workspace.allowed_regions)
         ),
--- a/packages/router/src/myrtlehook_router/request/placements.py
+++ b/packages/router/src/myrtlehook_router/request/placements.py
@@ -172,6 +172,14 @@
     )
 
 
+def report_sound_parts(placement: Placement, software_version: str) -> None:
+    """Report that a server of this version writes an answer on a running request's prompt."""
+    if placement.specification.part_digests:
+        placement.services.mailbox.post(
+            events.PartsShownSound(placement.specification.request_id, software_version)
+        )
+
+
 def report_service(placement: Placement, observed_units: float) -> None:
     """Report how much service a running request has consumed so far."""
     placement.services.mailbox.post(
--- a/packages/router/src/myrtlehook_router/request/relays.py
+++ b/packages/router/src/myrtlehook_router/request/relays.py
@@ -25,6 +25,7 @@
     end_placement,
     report_not_started,
     report_service,
+    report_sound_parts,
     report_stream_pause,
 )
 from myrtlehook_router.request.refusal_sums import RefusedKind, count_refusal
@@ -41,6 +42,10 @@
 SERVER_REPLACED_STATUS = 421
 """The address now belongs to another server than the expected one, and that server declined."""
 
+SOUND_OUTPUT_S = 0.1
+"""A part that ends servers does so when they begin to write on it. An answer that has gone on for
+this long, or has ended well, shows that all parts of its prompt are sound."""
+
 UNITS_PER_SECOND = 1000.0
 """Service received from a plain service is counted in slot milliseconds."""
 
@@ -75,6 +80,10 @@
     first_byte_at_s: float = 0.0
     has_output: bool = False
     """The current attempt has produced output."""
+    output_since_s: float = 0.0
+    """When it produced its first output."""
+    shown_sound: bool = False
+    """Whether it has produced output for long enough that no part of its prompt is harmful."""
     status: int = 0
     """HTTP status of the current attempt's response; 0 without one."""
     pauses: StreamPauses = field(default_factory=StreamPauses)
@@ -96,7 +105,13 @@
     Skipped for a time-out, and where the response broke off because the client disconnected.
     """
     if failure is SendFailure.BROKEN and not relay.caller_disconnected:
-        check_server_after_broken_run(relay.placement, relay.backend_server, relay.sent_at_s)
+        check_server_after_broken_run(
+            relay.placement,
+            relay.backend_server,
+            relay.sent_at_s,
+            relay.software_version,
+            relay.shown_sound,
+        )
 
 
 def take_dispatch(relay: Relay, dispatch: actions.Dispatch) -> Result[BackendServer, RetryReason]:
@@ -122,6 +137,7 @@
     relay.software_version = server.software_version
     relay.sent_at_s = clocks.now_s()
     relay.has_output = False
+    relay.shown_sound = False
     begin_stream_attempt(relay.pauses)
     relay.status = 0
     relay.notice = NO_NOTICE
@@ -183,7 +199,15 @@
         report_stream_pause(relay.placement, pause_s)
     if not relay.has_output:
         relay.has_output = True
+        relay.output_since_s = clocks.now_s()
         report_service(relay.placement, compute_cost_units(relay))
+    elif not relay.shown_sound and clocks.now_s() >= relay.output_since_s + SOUND_OUTPUT_S:
+        _report_shown_sound(relay)
+
+
+def _report_shown_sound(relay: Relay) -> None:
+    relay.shown_sound = True
+    report_sound_parts(relay.placement, relay.software_version)
 
 
 def compute_cost_units(relay: Relay) -> float:
@@ -222,6 +246,8 @@
         return
     if outcome is Outcome.COMPLETED:
         placement.figure = _find_figure(relay)
+    if outcome is Outcome.COMPLETED and not failed and not relay.shown_sound:
+        _report_shown_sound(relay)
     if relay.attempts:
         longest_pause_s = relay.pauses.longest_in_attempt_s
         end_placement(placement, compute_cost_units(relay), outcome, failed, longest_pause_s)
--- a/tests/standins/histories.py
+++ b/tests/standins/histories.py
@@ -29,10 +29,12 @@
     RouterIdentity,
     Shedding,
     SourceOrder,
+    SuspectPart,
     actions,
     count_arrival,
     encode_message,
     events,
+    make_part_key,
     should_shed,
 )
 from standins.pools import POOL, make_configuration, name_zone
@@ -51,6 +53,9 @@
 ENGINE_DOWN_S = 1.5
 """From the end of an engine to its restart."""
 
+SOUND_OUTPUT_S = 0.1
+"""From the begin of an answer until it shows that the parts of its prompt are sound."""
+
 RATE_TOKENS_PER_S = 30_000.0
 SLOTS = 16
 """The number of requests that an engine runs at once; more of them wait inside it."""
@@ -116,7 +121,7 @@
         self.servers.pop(name, None)
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class EngineRun:
     """A run of a request at an engine."""
 
@@ -126,6 +131,8 @@
     core: RouterCore
     request: RequestSpecification
     began_s: float
+    begun_at_s: float | None = None
+    """When its answer began, if its router saw that."""
 
 
 @dataclass(slots=True)
@@ -466,11 +473,31 @@
             self.outcomes[request_id].running = False
             if self.alive.get(run.ingress) is not run.core:
                 continue
-            fingerprint = run.request.fingerprint
-            ended = events.ServerEndedInRun(fingerprint, engine, run.began_s, self.now_s)
+            ended = events.ServerEndedInRun(
+                run.request.fingerprint,
+                engine,
+                run.began_s,
+                self.now_s,
+                self._list_suspect_parts(run, engine),
+            )
             self.feed(run.ingress, ended)
             self.at(self.now_s + END_DETECTION_S, partial(self._report_broken_run, run))
 
+    def _list_suspect_parts(self, run: EngineRun, engine: str) -> tuple[SuspectPart, ...]:
+        """Return the parts of a run's prompt, unless its answer has gone on for some time."""
+        if run.begun_at_s is not None and self.now_s >= run.begun_at_s + SOUND_OUTPUT_S:
+            return ()
+        version = self.find_software_version(engine)
+        return tuple(
+            SuspectPart(make_part_key(part_digest, version), is_first=number == 0)
+            for number, part_digest in enumerate(run.request.part_digests)
+        )
+
+    def _show_sound(self, run: EngineRun, engine: str) -> None:
+        if self.alive.get(run.ingress) is run.core and self._is_running(run, engine):
+            version = self.find_software_version(engine)
+            self.feed(run.ingress, events.PartsShownSound(run.request.request_id, version))
+
     def _report_broken_run(self, run: EngineRun) -> None:
         if self.alive.get(run.ingress) is run.core:
             request_id = run.request.request_id
@@ -491,6 +518,8 @@
                 self.leaving_reported_at_s.setdefault((run.ingress, engine), self.now_s)
                 notice = events.ServerNoticed(engine, run.request.request_id, leaving=True)
                 self.feed(run.ingress, notice)
+            run.begun_at_s = self.now_s
+            self.at(self.now_s + SOUND_OUTPUT_S, lambda: self._show_sound(run, engine))
             outcome = self.outcomes[run.request.request_id]
             outcome.begun_at_s = self.now_s
             outcome.begun_engines.append(engine)
@@ -503,6 +532,7 @@
         if not self._is_running(run, engine):
             return
         request_id = run.request.request_id
+        self._show_sound(run, engine)
         del self.engine_runs[engine][request_id]
         if self.alive.get(run.ingress) is run.core:
             outcome = self.outcomes[request_id]
--- a/tests/standins/pools.py
+++ b/tests/standins/pools.py
@@ -12,6 +12,7 @@
     QueueLimits,
     RequestSpecification,
     Workspace,
+    make_part_digests,
 )
 
 POOL = "model"
@@ -51,6 +52,7 @@
         prompt_parts=parts,
         aim_deadline_s=now_s + 0.6,
         fingerprint=fingerprint or request_id.encode(),
+        part_digests=make_part_digests(POOL, parts),
     )
 
 
