Quarantine a stream that servers had written on only after four of their ends

Cause: an end counted for every request that was under way, however long its answer had gone on.

Two strong ends quarantine as before, otherwise four are needed: what ends engines late is still found. Test: quarantine.feature, 'A stream that goes on after two engines have ended under it...'; before this change it is quarantined after two.

--- a/packages/core/src/myrtlehook_core/process/events.py
+++ b/packages/core/src/myrtlehook_core/process/events.py
@@ -89,6 +89,8 @@
     """When its answer broke off."""
     suspect_parts: tuple[SuspectPart, ...] = ()
     """The parts of its prompt, in order; none if the run had shown them to be sound."""
+    shown_sound: bool = False
+    """Whether the server had written on its prompt for some time."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/myrtlehook_core/process/quarantine.py
+++ b/packages/core/src/myrtlehook_core/process/quarantine.py
@@ -44,6 +44,10 @@
 since it happens to all requests that the server was running. Each further one costs a whole server
 and up to 64 answers that it was producing."""
 
+WRITTEN_ENDS_TO_QUARANTINE = 4
+"""The same for requests on which the servers had written for some time. A long stream may well be
+under way at two ends by chance, and what ends servers mostly does so before they write."""
+
 PART_ENDS_TO_SUSPECT = 2
 """The number of ends at which all routers hear of a suspect part."""
 
@@ -172,11 +176,13 @@
 
 def count_needed_ends(fingerprint: bytes, suspect: SuspectRequest) -> int:
     """Return the number of ends at which a request or part is quarantined."""
-    if not is_part_key(fingerprint):
-        return ENDS_TO_QUARANTINE
-    if any(end.is_first_part for end in suspect.kept_ends.values()):
-        return FIRST_PART_ENDS_TO_QUARANTINE
-    return PART_ENDS_TO_QUARANTINE
+    ends = suspect.kept_ends.values()
+    if is_part_key(fingerprint):
+        is_first = any(end.is_weak for end in ends)
+        return FIRST_PART_ENDS_TO_QUARANTINE if is_first else PART_ENDS_TO_QUARANTINE
+    strong = find_consecutive_ends((end for end in ends if not end.is_weak), -math.inf)
+    is_proved = len(strong) >= ENDS_TO_QUARANTINE
+    return ENDS_TO_QUARANTINE if is_proved else WRITTEN_ENDS_TO_QUARANTINE
 
 
 def next_end_serial(quarantine: Quarantine) -> int:
@@ -199,12 +205,20 @@
             ended_age_ms=round((now_s - end.ended_s) * 1000.0),
             reporter=end.reporter,
             serial=end.serial,
-            is_first_part=end.is_first_part,
+            is_weak=end.is_weak,
         )
         for end in ends
     )
 
 
+def has_enough_ends(fingerprint: bytes, suspect: SuspectRequest) -> bool:
+    """Return whether a request or part is to be quarantined, or a part to be suspected."""
+    needed = count_needed_ends(fingerprint, suspect)
+    return suspect.ends >= (
+        min(needed, PART_ENDS_TO_SUSPECT) if is_part_key(fingerprint) else needed
+    )
+
+
 def quarantine_request(
     quarantine: Quarantine, fingerprint: bytes, suspect: SuspectRequest, now_s: float
 ) -> Verdict:
@@ -344,7 +358,7 @@
         backend_server=report.backend_server,
         began_s=now_s - report.began_age_ms / 1000.0,
         ended_s=now_s - report.ended_age_ms / 1000.0,
-        is_first_part=report.is_first_part,
+        is_weak=report.is_weak,
     )
 
 
--- a/packages/core/src/myrtlehook_core/process/quarantine_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/quarantine_handlers.py
@@ -10,12 +10,11 @@
 from myrtlehook_core.process.membership_messages import News
 from myrtlehook_core.process.probing import announce_news, announce_news_in_zone
 from myrtlehook_core.process.quarantine import (
-    PART_ENDS_TO_SUSPECT,
     Quarantine,
     Verdict,
     apply_quarantine_row,
     count_end,
-    count_needed_ends,
+    has_enough_ends,
     has_run_since,
     is_cleared,
     is_end_kept,
@@ -47,7 +46,7 @@
     """Report the end of a server to the collectors of the request and of its prompt's parts."""
     if not core.options.quarantines_requests or not event.fingerprint:
         return
-    _report_end(core, event, event.fingerprint, False, now_s)
+    _report_end(core, event, event.fingerprint, event.shown_sound, now_s)
     for part in event.suspect_parts:
         known = core.part_quarantine
         if has_run_since(known, part.key, event.began_s):
@@ -60,7 +59,7 @@
     core: "RouterCore",
     event: events.ServerEndedInRun,
     key: bytes,
-    is_first_part: bool,
+    is_weak: bool,
     now_s: float,
 ) -> None:
     """Report an end to the collectors of one fingerprint or key of a part."""
@@ -71,7 +70,7 @@
         ended_age_ms=round((now_s - event.ended_s) * 1000.0),
         reporter=core.identity.router_id,
         serial=next_end_serial(choose_quarantine(core.quarantines, key)),
-        is_first_part=is_first_part,
+        is_weak=is_weak,
     )
     own_id = core.identity.router_id
     core.outbox.add(own_id, report)
@@ -100,7 +99,7 @@
             age_s=message.ended_age_ms / 1000.0,
         )
     )
-    if suspect.ends < min(count_needed_ends(fingerprint, suspect), PART_ENDS_TO_SUSPECT):
+    if not has_enough_ends(fingerprint, suspect):
         return
     verdict = quarantine_request(quarantine, fingerprint, suspect, now_s)
     _report_verdict(core, fingerprint, verdict, QuarantineCause.COUNTED, sender)
--- a/packages/core/src/myrtlehook_core/process/quarantine_messages.py
+++ b/packages/core/src/myrtlehook_core/process/quarantine_messages.py
@@ -21,8 +21,8 @@
     """The router that saw the end."""
     serial: int
     """With the reporter, identifies the end; see ``ServerEnd.serial``."""
-    is_first_part: bool = False
-    """Whether the fingerprint is the key of the first part of a prompt."""
+    is_weak: bool = False
+    """Whether it proves less than others; see ``ServerEnd.is_weak``."""
 
 
 class SoundRunReport(msgspec.Struct, frozen=True, array_like=True, tag=29):
--- a/packages/core/src/myrtlehook_core/process/server_ends.py
+++ b/packages/core/src/myrtlehook_core/process/server_ends.py
@@ -38,8 +38,9 @@
     """When the request was sent to the server."""
     ended_s: float
     """When the answer broke off."""
-    is_first_part: bool = False
-    """Whether the run's prompt begins with the part that the end is kept for."""
+    is_weak: bool = False
+    """Whether it takes more ends like this one to quarantine a request or part: the server had
+    written on the request for some time, or the part is the first of its prompt."""
 
     @property
     def key(self) -> EndKey:
--- a/packages/router/src/myrtlehook_router/request/broken_runs.py
+++ b/packages/router/src/myrtlehook_router/request/broken_runs.py
@@ -61,7 +61,9 @@
     if state is ServerState.ENDED:
         fingerprint = specification.fingerprint
         services.mailbox.post(
-            events.ServerEndedInRun(fingerprint, backend_server, sent_at_s, ended_s, suspect_parts)
+            events.ServerEndedInRun(
+                fingerprint, backend_server, sent_at_s, ended_s, suspect_parts, shown_sound
+            )
         )
         eventlet.sleep(QUARANTINE_DECISION_WAIT_S)
 
--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -86,6 +86,15 @@
   Scenario: Engines that end by chance leave no request quarantined that completes elsewhere
     Then in any history with engines that end by chance, a request that many clients send is still served
 
+  # Guards against: a stream whose engines ended twice by chance was taken for their cause, and could
+  # not go on for a minute.
+  Scenario: A stream that goes on after two engines have ended under it is not quarantined
+    Given a fleet of 4 routers and 6 engines
+    When "stream" is under way at 2 ends of engines that had written on it for 0.3 s
+    Then no router quarantines "stream"
+    When "stream" is under way at 2 ends of engines that had written on it for 0.3 s
+    Then all routers quarantine "stream" within 1 second
+
   Scenario: The loss of a rack leads to no quarantine
     Given a fleet of 6 routers and 8 engines
     When "popular" is sent to every engine, and all of them end at once
--- a/tests/standins/histories.py
+++ b/tests/standins/histories.py
@@ -479,13 +479,14 @@
                 run.began_s,
                 self.now_s,
                 self._list_suspect_parts(run, engine),
+                self._has_written(run),
             )
             self.feed(run.ingress, ended)
             self.at(self.now_s + END_DETECTION_S, partial(self._report_broken_run, run))
 
     def _list_suspect_parts(self, run: EngineRun, engine: str) -> tuple[SuspectPart, ...]:
         """Return the parts of a run's prompt, unless its answer has gone on for some time."""
-        if run.begun_at_s is not None and self.now_s >= run.begun_at_s + SOUND_OUTPUT_S:
+        if self._has_written(run):
             return ()
         version = self.find_software_version(engine)
         return tuple(
@@ -493,6 +494,10 @@
             for number, part_digest in enumerate(run.request.part_digests)
         )
 
+    def _has_written(self, run: EngineRun) -> bool:
+        """Return whether a run's answer has gone on for long enough to show its parts sound."""
+        return run.begun_at_s is not None and self.now_s >= run.begun_at_s + SOUND_OUTPUT_S
+
     def _show_sound(self, run: EngineRun, engine: str) -> None:
         if self.alive.get(run.ingress) is run.core and self._is_running(run, engine):
             version = self.find_software_version(engine)
--- a/tests/steps/quarantine_property_steps.py
+++ b/tests/steps/quarantine_property_steps.py
@@ -162,6 +162,24 @@
     history.run_until(history.now_s + 0.5)
 
 
+@when(
+    '"{name}" is under way at {count:d} ends of engines that had written on it for {written_s:g} s'
+)
+def end_while_writing(context: Any, name: str, count: int, written_s: float) -> None:
+    history = context.history
+    history.find_answer_s = lambda request: 5.0
+    for _ in range(count):
+        number = len(history.ended_at_s)
+        request_id = send_request(history, list(history.alive)[0], number, name.encode())
+        history.run_until(history.now_s + 0.1 + written_s)
+        # Its in-answer resumption would be under way at the next end as well.
+        engine = next(one for one, runs in history.engine_runs.items() if request_id in runs)
+        history.end_engine(engine)
+        history.run_until(history.now_s + 0.02)
+        history.feed(history.outcomes[request_id].ingress, events.RequestAbandoned(request_id))
+        history.run_until(history.now_s + 2.0)
+
+
 def _find_quarantining_routers(history: History, name: str) -> list[str]:
     return [
         ingress
