Count ends under one request once against the parts of its prompt

Cause: ends for which the requests were quarantined themselves counted against their parts as well.

Change: an end is kept for a part with the beginning of its request's fingerprint, and each request counts once. No end is counted on top of a mere suspicion, since a router that lacks the ends it rests on cannot tell requests apart. An engine that comes back under its name within no less than 0.5 s has another life, whose end counts again.

--- a/packages/core/src/myrtlehook_core/process/quarantine.py
+++ b/packages/core/src/myrtlehook_core/process/quarantine.py
@@ -36,6 +36,7 @@
     drop_excess_ends,
     find_consecutive_ends,
     find_separate_ends,
+    is_same_end,
 )
 from myrtlehook_core.request.part_keys import find_part_digest, is_part_key
 
@@ -154,7 +155,9 @@
     if now_s - end.ended_s > END_MEMORY_S or _is_before_lift(verdict, end):
         return None
     suspect = quarantine.suspects.get(fingerprint, SuspectRequest())
-    if end.key in suspect.kept_ends or is_end_kept(quarantine, fingerprint, end.backend_server):
+    if end.key in suspect.kept_ends:
+        return None
+    if is_end_kept(quarantine, fingerprint, end.backend_server, end.ended_s):
         return None
     suspect.kept_ends[end.key] = end
     _store_last(quarantine.suspects, fingerprint, suspect, MAX_SUSPECTS)
@@ -163,15 +166,17 @@
     return suspect if suspect.ends > counted_before else None
 
 
-def is_end_kept(quarantine: Quarantine, fingerprint: bytes, backend_server: str) -> bool:
-    """Return whether a part's end of this server is kept, as another run may have shown it.
+def is_end_kept(
+    quarantine: Quarantine, fingerprint: bytes, backend_server: str, ended_s: float
+) -> bool:
+    """Return whether this end of a server is kept for a part, as another run may have shown it.
 
     Ends under whole requests are told apart by their runs.
     """
     suspect = quarantine.suspects.get(fingerprint)
     if suspect is None or not is_part_key(fingerprint):
         return False
-    return any(end.backend_server == backend_server for end in suspect.kept_ends.values())
+    return any(is_same_end(end, backend_server, ended_s) for end in suspect.kept_ends.values())
 
 
 def count_needed_ends(fingerprint: bytes, suspect: SuspectRequest) -> int:
@@ -206,6 +211,7 @@
             reporter=end.reporter,
             serial=end.serial,
             is_weak=end.is_weak,
+            request_digest=end.request_digest,
         )
         for end in ends
     )
@@ -359,6 +365,7 @@
         began_s=now_s - report.began_age_ms / 1000.0,
         ended_s=now_s - report.ended_age_ms / 1000.0,
         is_weak=report.is_weak,
+        request_digest=report.request_digest,
     )
 
 
@@ -383,8 +390,11 @@
     suspect.ends = max(suspect.ends, len(series))
     suspect.first_end_s = min(suspect.first_end_s, series[0].ended_s)
     suspect.last_end_s = max(suspect.last_end_s, series[-1].ended_s)
-    if verdict is not None and verdict.ends:
-        later = find_consecutive_ends(suspect.kept_ends.values(), verdict.recorded_at_s)
+    if verdict is not None and verdict.ends and not _is_suspicion(verdict):
+        later = find_consecutive_ends(
+            series if is_part_key(fingerprint) else suspect.kept_ends.values(),
+            verdict.recorded_at_s,
+        )
         suspect.ends = max(suspect.ends, verdict.ends + len(later))
         suspect.first_end_s = min(suspect.first_end_s, verdict.since_s)
     drop_excess_ends(suspect.kept_ends, series)
@@ -395,10 +405,19 @@
     return max(quarantine.first_serial, 0 if known is None else known.serial) + 1
 
 
+def _is_suspicion(verdict: Verdict) -> bool:
+    """Return whether a verdict only tells that a part is suspect.
+
+    No ends are counted on top of it: who knows it without the ends that it rests on cannot tell
+    whether a later one came under a request of its own.
+    """
+    return verdict.ends > 0 and verdict.quarantined_until_s <= verdict.recorded_at_s
+
+
 def _is_news(verdict: Verdict, now_s: float) -> bool:
     """Return whether a verdict that quarantines nothing is to be told to other routers."""
-    holds_nothing = verdict.quarantined_until_s <= verdict.recorded_at_s
-    return holds_nothing and now_s < verdict.recorded_at_s + NEWS_S
+    is_unheld = _is_suspicion(verdict) or not verdict.ends
+    return is_unheld and now_s < verdict.recorded_at_s + NEWS_S
 
 
 def _make_row(fingerprint: bytes, verdict: Verdict, now_s: float) -> QuarantineRow:
--- a/packages/core/src/myrtlehook_core/process/quarantine_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/quarantine_handlers.py
@@ -38,6 +38,9 @@
 if TYPE_CHECKING:
     from myrtlehook_core.process.routers import RouterCore
 
+REQUEST_DIGEST_BYTES = 4
+"""Enough to tell apart the few requests under which a part's ends are kept."""
+
 COLLECTOR_COUNT = 2
 """The number of routers that count the ends of one request: two, because one may be down."""
 
@@ -51,7 +54,7 @@
         known = core.part_quarantine
         if has_run_since(known, part.key, event.began_s):
             continue
-        if not is_end_kept(known, part.key, event.backend_server):
+        if not is_end_kept(known, part.key, event.backend_server, event.ended_s):
             _report_end(core, event, part.key, part.is_first, now_s)
 
 
@@ -71,6 +74,7 @@
         reporter=core.identity.router_id,
         serial=next_end_serial(choose_quarantine(core.quarantines, key)),
         is_weak=is_weak,
+        request_digest=event.fingerprint[:REQUEST_DIGEST_BYTES] if is_part_key(key) else b"",
     )
     own_id = core.identity.router_id
     core.outbox.add(own_id, report)
--- a/packages/core/src/myrtlehook_core/process/quarantine_messages.py
+++ b/packages/core/src/myrtlehook_core/process/quarantine_messages.py
@@ -23,6 +23,8 @@
     """With the reporter, identifies the end; see ``ServerEnd.serial``."""
     is_weak: bool = False
     """Whether it proves less than others; see ``ServerEnd.is_weak``."""
+    request_digest: bytes = b""
+    """Beginning of the request's fingerprint, where the end is reported for a part."""
 
 
 class SoundRunReport(msgspec.Struct, frozen=True, array_like=True, tag=29):
--- a/packages/core/src/myrtlehook_core/process/server_ends.py
+++ b/packages/core/src/myrtlehook_core/process/server_ends.py
@@ -17,6 +17,9 @@
 """Servers that end within this time of one another may have ended by a common cause; the routers
 that see it do so within some milliseconds of one another, unless they are busy."""
 
+MIN_LIFE_S = 0.5
+"""Ends of one server that are reported within this time are the same end, seen by several runs."""
+
 MAX_KEPT_ENDS = 4
 """The greatest number of ends that are kept for one request. A verdict holds the count of those
 that had to be dropped."""
@@ -41,6 +44,8 @@
     is_weak: bool = False
     """Whether it takes more ends like this one to quarantine a request or part: the server had
     written on the request for some time, or the part is the first of its prompt."""
+    request_digest: bytes = b""
+    """Beginning of the request's fingerprint, where the end is kept for a part."""
 
     @property
     def key(self) -> EndKey:
@@ -65,22 +70,30 @@
 
 
 def find_separate_ends(ends: Iterable[ServerEnd]) -> list[ServerEnd]:
-    """Return ends of different servers that did not come at the same moment.
+    """Return ends under different requests that did not come at the same moment.
 
     For a part of prompts: several requests that share it may be under way at a time, so that each
-    server which ends by itself counts. A common cause, such as a lost rack, ends servers at once.
+    server which ends by itself counts. A common cause, such as a lost rack, ends servers at once,
+    and one request that ends several servers may do so by itself.
     """
     series: list[ServerEnd] = []
-    servers: set[str] = set()
+    requests: set[bytes] = set()
     for end in sorted(ends, key=lambda item: (item.ended_s, item.key)):
-        if end.backend_server in servers:
+        if end.request_digest in requests:
+            continue
+        if any(is_same_end(end, other.backend_server, other.ended_s) for other in series):
             continue
         if not series or end.ended_s >= series[-1].ended_s + COMMON_CAUSE_S:
             series.append(end)
-            servers.add(end.backend_server)
+            requests.add(end.request_digest)
     return series
 
 
+def is_same_end(end: ServerEnd, backend_server: str, ended_s: float) -> bool:
+    """Return whether a server that ended at this time is the same one, in the same life."""
+    return end.backend_server == backend_server and abs(end.ended_s - ended_s) < MIN_LIFE_S
+
+
 def drop_excess_ends(ends: dict[EndKey, ServerEnd], series: list[ServerEnd]) -> None:
     """Drop ends beyond ``MAX_KEPT_ENDS``: those outside of the series first, then the oldest."""
     counted = {end.key for end in series}
--- a/tests/features/harmful_parts.feature
+++ b/tests/features/harmful_parts.feature
@@ -42,6 +42,13 @@
     When 5 requests with the parts "first" and "bad" end one engine each
     Then every router refuses "bad" and none refuses "first"
 
+  # Guards against: two requests that ended two engines each had a first part that nobody else used, and
+  # all that came with that part later was refused.
+  Scenario: Requests that end engines by themselves leave their parts unquarantined
+    Given a fleet of 4 routers and engines of two software versions
+    When 2 requests that are sent again and again end engines, both with the parts "first" and "common"
+    Then every router quarantines both requests, and refuses neither part
+
   Scenario: A part on which an answer has begun since the first end is not quarantined
     Given a fleet of 4 routers and engines of two software versions
     When engines end under a part whose answers begin elsewhere between the ends
--- a/tests/steps/harmful_part_property_steps.py
+++ b/tests/steps/harmful_part_property_steps.py
@@ -18,6 +18,7 @@
     RequestSpecification,
     RouterCore,
     events,
+    fingerprint_request,
     make_part_digests,
     make_part_key,
 )
@@ -27,6 +28,7 @@
     Quarantine,
     count_end,
     find_parts_quarantine_s,
+    find_remaining_quarantine_s,
 )
 from myrtlehook_core.process.quarantine_messages import ServerEndReport
 from myrtlehook_core.request.part_keys import PART_KEY_BYTES
@@ -61,7 +63,12 @@
     request = make_request(request_id, "a", 1, 100, history.now_s, True)
     own = request.prompt_parts[-1]
     prompt = (*(PromptPart(part, 100) for part in parts), own)
-    request = replace(request, prompt_parts=prompt, part_digests=make_part_digests(POOL, prompt))
+    request = replace(
+        request,
+        prompt_parts=prompt,
+        part_digests=make_part_digests(POOL, prompt),
+        fingerprint=fingerprint_request("a", "POST", "/", request_id.encode()),
+    )
     history.ask(ingress, request)
     return request_id
 
@@ -232,6 +239,39 @@
         assert not _is_refused(core, served, now_s), name
 
 
+@when(
+    "{count:d} requests that are sent again and again end engines, both with the parts"
+    ' "{first}" and "{second}"'
+)
+def end_by_themselves(context: Any, count: int, first: str, second: str) -> None:
+    history = context.history
+    routers = list(history.alive)
+    prompt = (PromptPart(first, 100), PromptPart(second, 100), PromptPart("own", 100))
+    context.fingerprints = [f"{number}-alone".encode() for number in range(count)]
+    history.ends_engine = lambda request: request.fingerprint in context.fingerprints
+    for number in range(6 * count):
+        request = make_request(f"q{number}", "a", 1, 100, history.now_s, True)
+        request = replace(
+            request,
+            fingerprint=context.fingerprints[number % count],
+            prompt_parts=prompt,
+            part_digests=make_part_digests(POOL, prompt),
+        )
+        history.ask(routers[number % len(routers)], request)
+        history.run_until(history.now_s + 0.25)
+    context.parts = (first, second)
+    assert len(history.ended_at_s) >= 2 * count, history.ended_at_s
+
+
+@then("every router quarantines both requests, and refuses neither part")
+def check_only_requests(context: Any) -> None:
+    now_s = context.history.now_s
+    for name, core in context.history.alive.items():
+        for fingerprint in context.fingerprints:
+            assert find_remaining_quarantine_s(core.quarantine, fingerprint, now_s) > 0.0, name
+        assert not any(_is_refused(core, part, now_s) for part in context.parts), name
+
+
 @when("engines end under a part whose answers begin elsewhere between the ends")
 def end_under_sound_part(context: Any) -> None:
     history = context.history
