--- a/packages/core/src/myrtlehook_core/process/admission_requests.py
+++ b/packages/core/src/myrtlehook_core/process/admission_requests.py
@@ -20,6 +20,7 @@
 from myrtlehook_core.process.ingress import IngressContext, IngressState
 from myrtlehook_core.process.shares import Shares
 from myrtlehook_core.request.requests import PromptPart, RequestSpecification
+from myrtlehook_core.version.configurations import BackendServer
 
 FIRST_RESEND_S = 0.1
 """An admission request without an answer is first sent again after this long."""
@@ -120,12 +121,19 @@
 
 def may_run_at(context: AdmissionContext, request: RequestSpecification, name: str) -> bool:
     """Return whether an engine is usable and may serve a request."""
-    ingress_context = context.ingress_context
-    server = ingress_context.configuration.backend_servers.get(name)
+    server = context.ingress_context.configuration.backend_servers.get(name)
     if server is None or not is_usable_engine(context, name):
         return False
+    return may_be_served_by(context, request, server)
+
+
+def may_be_served_by(
+    context: AdmissionContext, request: RequestSpecification, server: BackendServer
+) -> bool:
+    """Return whether an engine may serve a request, if it is usable."""
+    ingress_context = context.ingress_context
     if request.software_version is not None and not is_version_confirmed(
-        ingress_context.ended_servers, name, context.now_s
+        ingress_context.ended_servers, server.name, context.now_s
     ):
         return False
     return may_serve(ingress_context.regions, request, server)
--- a/packages/core/src/myrtlehook_core/process/engine_rankings.py
+++ b/packages/core/src/myrtlehook_core/process/engine_rankings.py
@@ -4,7 +4,11 @@
 from dataclasses import dataclass
 from types import MappingProxyType
 
-from myrtlehook_core.process.admission_requests import AdmissionContext, may_run_at
+from myrtlehook_core.process.admission_requests import (
+    AdmissionContext,
+    is_usable_engine,
+    may_be_served_by,
+)
 from myrtlehook_core.process.early_beginnings import choose_early_engines
 from myrtlehook_core.process.engine_speeds import rank_weighted
 from myrtlehook_core.process.hashing import rank_routers
@@ -50,7 +54,8 @@
     servers = [
         server
         for server in context.ingress_context.configuration.backend_servers.values()
-        if server.pool == request.pool and may_run_at(context, request, server.name)
+        if server.pool == request.pool and is_usable_engine(context, server.name)
+        if may_be_served_by(context, request, server)
     ]
     key = f"engine/{find_affinity_key(request)}"
     names = [server.name for server in servers]
--- a/packages/core/src/myrtlehook_core/process/stream_origins.py
+++ b/packages/core/src/myrtlehook_core/process/stream_origins.py
@@ -131,8 +131,13 @@
 
 
 def drop_expired_origins(origins: StreamOrigins, now_s: float) -> None:
-    """Drop origins of streams that cannot be resumed any more."""
-    expired = [key for key, origin in origins.known.items() if now_s >= origin.expires_at_s]
-    for key in expired:
+    """Drop origins of streams that cannot be resumed any more, as far as they come first.
+
+    Those that are kept for longer hold up the later ones, which do not count as known any more.
+    """
+    while origins.known:
+        key, origin = next(iter(origins.known.items()))
+        if now_s < origin.expires_at_s:
+            return
         del origins.known[key]
         origins.own.pop(key, None)
