Have the soak's clients take broken streams up, and its engines be of two software versions

Clients resume a broken stream of a resumable route at another router, with Last-Event-Id and Resumes; each event names its version; no stream may hold two, over all attempts at it. Engines that are ended by the schedule come back at the other version under their id.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -25,7 +25,8 @@
 
 OUTPUT_TOKENS = 30
 LAST_EVENT_NUMBER = 10
-EVENT_ID_PATTERN = re.compile(rb"id: ([0-9]+)\n")
+EVENT_PATTERN = re.compile(rb"id: ([0-9]+)\ndata: event [0-9]+ of ([^\n]+)\n\n")
+RESUMABLE_PATH = "/diagnosis/a"
 PATHS = {"/diagnosis/a": "POST", "/summary/a": "POST", "/valve/a": "POST", "/setpoint/a": "GET"}
 STREAMED = ("/diagnosis/a", "/summary/a")
 
@@ -53,6 +54,14 @@
     """Whether the answer announced that its server leaves."""
     longest_pause_s: float = 0.0
     """The longest time between two events of a stream, as they arrived."""
+    workspace: str = ""
+    first_attempt_id: str = ""
+    """The attempt that brought the first event of the stream that this one takes up; empty if it
+    takes none up."""
+    last_event_id: int = 0
+    """The last event that had arrived before this attempt."""
+    software_versions: list[str] = field(default_factory=list)
+    """The software version that wrote each event."""
 
 
 class Caller:
@@ -64,6 +73,8 @@
         self._records = records
         self._router = ""
         self._connection: http.client.HTTPConnection | None = None
+        self._broken: AttemptRecord | None = None
+        """The last attempt, if it broke off and may be taken up."""
 
     def run(self, end_s: float, pause_s: float) -> None:
         """Send requests one after another until the end."""
@@ -75,13 +86,19 @@
 
     def _send_attempt(self) -> AttemptRecord:
         path = self._draw.choice(list(PATHS))
+        workspace = self._draw.choice(list(KEYS))
         attempt_id = f"{self._draw.getrandbits(64):016x}"
+        broken, self._broken = self._broken, None
         if self._connection is None:
             self._router = self._draw.choice(self._routers)
             ip, _, port = self._router.rpartition(":")
             timeout_s = DEADLINE_S + TIMEOUT_MARGIN_S
             self._connection = http.client.HTTPConnection(ip, int(port), timeout=timeout_s)
-        record = AttemptRecord(attempt_id, path, self._router, time.monotonic())
+        record = AttemptRecord(
+            attempt_id, path, self._router, time.monotonic(), workspace=workspace
+        )
+        if broken is not None:
+            _take_up(record, broken)
         self._records.append(record)
         try:
             self._exchange(record)
@@ -91,6 +108,9 @@
         except (http.client.HTTPException, OSError):
             record.broken = record.status != 0
             self._close_connection()
+        is_partial = record.broken or record.timed_out
+        if record.path == RESUMABLE_PATH and is_partial and _find_last_event_id(record):
+            self._broken = record
         record.ended_s = time.monotonic()
         return record
 
@@ -107,8 +127,6 @@
         record.server_leaves = "Server-Leaving" in response.headers
         content = self._read_content(record, response)
         record.content_digest = hashlib.sha256(content).hexdigest()
-        if record.path in STREAMED and record.status == 200:
-            record.event_ids = [int(number) for number in EVENT_ID_PATTERN.findall(content)]
         if response.will_close:
             self._close_connection()
 
@@ -119,6 +137,8 @@
         last_event_at_s = 0.0
         while piece := response.read1():
             content += piece
+            if record.status == 200:
+                _record_events(record, content)
             if b"id: " not in piece:
                 continue
             now_s = time.monotonic()
@@ -134,13 +154,15 @@
         self._connection = None
 
     def _make_headers(self, record: AttemptRecord) -> dict[str, str]:
-        workspace = self._draw.choice(list(KEYS))
         headers = {
             "Host": HOST,
             "Attempt-Id": record.attempt_id,
             "Deadline-Ms": str(int(DEADLINE_S * 1000)),
-            "Authorization": f"Bearer {KEYS[workspace]}",
+            "Authorization": f"Bearer {KEYS[record.workspace]}",
         }
+        if record.first_attempt_id:
+            headers["Last-Event-Id"] = str(record.last_event_id)
+            headers["Resumes"] = record.first_attempt_id
         if record.path in STREAMED:
             unique_tokens = self._draw.randrange(1, 1500)
             session = self._draw.randrange(12)
@@ -151,6 +173,25 @@
         return headers
 
 
+def _take_up(record: AttemptRecord, broken: AttemptRecord) -> None:
+    """Make an attempt take up the stream of one that broke off."""
+    record.path = broken.path
+    record.workspace = broken.workspace
+    record.first_attempt_id = broken.first_attempt_id or broken.attempt_id
+    record.last_event_id = _find_last_event_id(broken)
+
+
+def _find_last_event_id(record: AttemptRecord) -> int:
+    return record.event_ids[-1] if record.event_ids else record.last_event_id
+
+
+def _record_events(record: AttemptRecord, content: bytes) -> None:
+    """Record the whole events that have arrived so far."""
+    found = EVENT_PATTERN.findall(content)
+    record.event_ids = [int(number) for number, _ in found]
+    record.software_versions = [version.decode() for _, version in found]
+
+
 def main() -> None:
     """Run all clients of one order and print their attempts."""
     order: dict[str, Any] = json.load(sys.stdin)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -39,6 +39,21 @@
     return violations
 
 
+def check_versions(attempts: Iterable[AttemptRecord]) -> list[Violation]:
+    """Check that each stream holds events of one software version, over all attempts at it."""
+    versions: dict[str, set[str]] = {}
+    last_attempts: dict[str, AttemptRecord] = {}
+    for attempt in attempts:
+        first_id = attempt.first_attempt_id or attempt.attempt_id
+        versions.setdefault(first_id, set()).update(attempt.software_versions)
+        last_attempts[first_id] = attempt
+    return [
+        _make_violation(f"a stream keeps to one version, not {sorted(found)}", last_attempts[name])
+        for name, found in versions.items()
+        if len(found) > 1
+    ]
+
+
 def check_runs(attempts: Iterable[AttemptRecord], runs: Mapping[str, int]) -> list[Violation]:
     """Check what clients saw against what all servers together ran.
 
@@ -96,7 +111,8 @@
     violations = []
     if attempt.seal not in seals:
         violations.append(_make_violation("a success carries a server's seal", attempt))
-    if attempt.path in STREAMED and attempt.event_ids != list(range(1, LAST_EVENT_NUMBER + 1)):
+    expected_ids = list(range(attempt.last_event_id + 1, LAST_EVENT_NUMBER + 1))
+    if attempt.path in STREAMED and attempt.event_ids != expected_ids:
         violations.append(_make_violation(f"a stream is whole, not {attempt.event_ids}", attempt))
     method = "GET" if attempt.path == "/setpoint/a" else "POST"
     body = "" if method == "GET" else attempt.attempt_id
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -12,7 +12,13 @@
 
 from emulator.sites import make_configuration
 from soak.callers import PATHS, AttemptRecord
-from soak.checks import Violation, check_answers, check_deadlines, check_runs
+from soak.checks import (
+    Violation,
+    check_answers,
+    check_deadlines,
+    check_runs,
+    check_versions,
+)
 from soak.notice_checks import BACKOFF_S, InjectedFaults, check_notices
 from soak.pause_checks import check_logged_pauses, check_unbroken_streams
 from soak.schedules import (
@@ -48,6 +54,7 @@
 PAUSE_TARGET_MS = 200
 """The longest pause that the routes allow in runs with engines of unequal speed."""
 
+VERSIONS = ("v1", "v2")
 RECOVERY_S = 12.0
 FIRST_VERSION = 1
 STOP_STATUS = 0
@@ -69,6 +76,8 @@
     """Whether the store is restored from a copy."""
     paces: bool = False
     """Whether engines are of unequal speed, and have slow spells."""
+    versions: bool = False
+    """Whether engines are of two software versions, which change when one starts again."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -129,6 +138,10 @@
         self.fleet.order(addresses={name: addresses[name] for name in proxied})
         if self.options.paces:
             self._publish_configuration()
+        if self.options.versions:
+            engines = [name for name in self._list_servers() if _is_engine(name)]
+            versions = {name: VERSIONS[number % 2] for number, name in enumerate(engines)}
+            self.fleet.order(software_versions=versions)
         self.fleet.start_nodes(self.options.routers)
 
     def _list_servers(self) -> list[str]:
@@ -169,6 +182,7 @@
         self.violations += check_answers(attempts, sealing)
         self.violations += check_deadlines(attempts, faults, routers, start_s)
         self.violations += check_unbroken_streams(attempts, faults, start_s)
+        self.violations += check_versions(attempts)
         if options.paces:
             logs = [node.log_path.read_text() for node in self.fleet.nodes]
             self.violations += check_logged_pauses(attempts, logs)
@@ -254,6 +268,9 @@
     def _end_engines(self, fault: Fault, begins: bool) -> None:
         if fault.how == "end":
             if begins:
+                if self.options.versions:
+                    version = VERSIONS[self.scheduled_ends % 2]
+                    self.fleet.order(faults={"engines": {"next_software_version": version}})
                 self.scheduled_ends += 1
                 self.fleet.order(end=[fault.target])
             return
--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -27,6 +27,14 @@
       | 3009 | 8       |
       | 3048 | 8       |
 
+  Scenario Outline: The promises are kept while engines of two software versions end
+    When the soak plays seed <seed> for <seconds> s, and engines of two software versions end
+    Then no promise was broken, and clients were served
+
+    Examples:
+      | seed | seconds |
+      | 21   | 6       |
+
   Scenario Outline: The promises are kept while servers send notices in answers
     When the soak plays seed <seed> for <seconds> s, engines end, and servers send notices
     Then no promise was broken, and clients were served
--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -34,6 +34,11 @@
     context.result = execute_run(RunOptions(seed, seconds, endings=True))
 
 
+@when("the soak plays seed {seed:d} for {seconds:g} s, and engines of two software versions end")
+def play_versions(context: Any, seed: int, seconds: float) -> None:
+    context.result = execute_run(RunOptions(seed, seconds, endings=True, versions=True))
+
+
 @when("the soak plays seed {seed:d} for {seconds:g} s, engines end, and servers send notices")
 def play_notices(context: Any, seed: int, seconds: float) -> None:
     context.result = execute_run(RunOptions(seed, seconds, endings=True, notices=True))
