Set a request's software version where it is sent, and know the versions of simulated engines that have left

regressions.feature and shares.feature failed in a run of all features: a regression test calls begin_attempt with the relay alone, as it did before; simulated histories looked up versions of engines that were withdrawn. No check changed.

--- a/packages/router/src/myrtlehook_router/request/attempts.py
+++ b/packages/router/src/myrtlehook_router/request/attempts.py
@@ -41,7 +41,8 @@
 
     The error is the reason; ``relay.maybe_run`` is set where the request may have run.
     """
-    begin_attempt(relay, server)
+    begin_attempt(relay)
+    relay.software_version = server.software_version
     exchange = Exchange(relay.connection_pool, _make_outgoing_request(relay, server, last_event_id))
     relay.exchange = exchange
     if relay.caller_disconnected:
--- a/packages/router/src/myrtlehook_router/request/relays.py
+++ b/packages/router/src/myrtlehook_router/request/relays.py
@@ -131,10 +131,9 @@
     return Ok(server)
 
 
-def begin_attempt(relay: Relay, server: BackendServer) -> None:
+def begin_attempt(relay: Relay) -> None:
     """Reset the state of the current attempt, before the request is sent once more."""
     relay.attempts += 1
-    relay.software_version = server.software_version
     relay.sent_at_s = clocks.now_s()
     relay.has_output = False
     relay.shown_sound = False
--- a/tests/standins/histories.py
+++ b/tests/standins/histories.py
@@ -299,6 +299,7 @@
         self, servers: tuple[BackendServer, ...], evacuated: frozenset[str] = frozenset()
     ) -> None:
         """Replace the listed engines and evacuated zones; every router learns of it at once."""
+        self.versions_before |= {one.name: one.software_version for one in self._servers}
         self._servers = servers
         self._evacuated = evacuated
         for name in list(self.alive):
--- a/tests/steps/stream_origin_steps.py
+++ b/tests/steps/stream_origin_steps.py
@@ -125,7 +125,6 @@
     before = history.servers[number]
     history.end_engine(before.name)
     restarted = replace(before, name=f"{before.name}-again")
-    history.versions_before[before.name] = before.software_version
 
     def publish() -> None:
         kept = tuple(server for server in history.servers if server.name != before.name)
