Correct what a reading of the whole change found

- A suspicion could cancel the check of waiting requests that a quarantine in the same event had asked for.
- A request that was quarantined before took four ends after a restart of its collectors, two being enough.
- One end told the server's owner once for each of its runs.
- Origins of streams were kept and sent where no server states a version.
- A resumed stream whose version is not confirmed anywhere was told to come back at once; it is told 1 s, as where no server of its version is left.
- An answer with an error status cleared the parts of its prompt.

quarantine.feature, harmful_parts.feature and the histories of stream_versions.feature pass.

--- a/packages/core/src/myrtlehook_core/process/admissions.py
+++ b/packages/core/src/myrtlehook_core/process/admissions.py
@@ -34,7 +34,6 @@
     send_admission_request,
 )
 from myrtlehook_core.process.early_beginnings import order_last_engines
-from myrtlehook_core.process.eligible_servers import find_eligibility_refusal
 from myrtlehook_core.process.ended_servers import record_unconfirmed
 from myrtlehook_core.process.engine_rankings import rank_engines
 from myrtlehook_core.process.engine_speeds import record_speed
@@ -375,10 +374,9 @@
     ingress_context = context.ingress_context
     wait_s = find_backoff_s(context.ingress, ingress_context, request, now_s)
     if not wait_s:
-        reason = find_eligibility_refusal(
-            ingress_context.regions, ingress_context.configuration, request
-        )
-        reason = reason or RefusalReason.NO_BACKEND_SERVER
+        reason = RefusalReason.NO_BACKEND_SERVER
+        if request.software_version is not None:
+            reason = RefusalReason.NO_SERVER_OF_VERSION
         refuse_admission(admissions, context, admission, reason, now_s)
     elif now_s + wait_s >= min(request.aim_deadline_s, request.deadline_s):
         refuse_admission(admissions, context, admission, RefusalReason.BACKED_OFF, now_s)
--- a/packages/core/src/myrtlehook_core/process/ended_servers.py
+++ b/packages/core/src/myrtlehook_core/process/ended_servers.py
@@ -43,10 +43,14 @@
 
 
 def note_server_end(core: "RouterCore", event: events.ServerEndedInRun, now_s: float) -> None:
-    """Record the end of a server that this router has seen, and tell the server's owner."""
+    """Record the end of a server that this router has seen, and tell the server's owner.
+
+    One end breaks off many runs; the owner is told once.
+    """
+    is_known = not is_version_confirmed(core.ended_servers, event.backend_server, now_s)
     record_ended(core.ended_servers, event.backend_server, event.ended_s)
     owner = core.placement.server_owners.get(event.backend_server)
-    if owner is not None and owner != core.identity.router_id:
+    if owner is not None and owner != core.identity.router_id and not is_known:
         age_ms = round((now_s - event.ended_s) * 1000.0)
         core.outbox.add(owner, ServerEndedNotice(event.backend_server, age_ms))
 
--- a/packages/core/src/myrtlehook_core/process/quarantine.py
+++ b/packages/core/src/myrtlehook_core/process/quarantine.py
@@ -179,12 +179,16 @@
     return any(is_same_end(end, backend_server, ended_s) for end in suspect.kept_ends.values())
 
 
-def count_needed_ends(fingerprint: bytes, suspect: SuspectRequest) -> int:
+def count_needed_ends(quarantine: Quarantine, fingerprint: bytes, suspect: SuspectRequest) -> int:
     """Return the number of ends at which a request or part is quarantined."""
     ends = suspect.kept_ends.values()
     if is_part_key(fingerprint):
         is_first = any(end.is_weak for end in ends)
         return FIRST_PART_ENDS_TO_QUARANTINE if is_first else PART_ENDS_TO_QUARANTINE
+    verdict = quarantine.verdicts.get(fingerprint)
+    if verdict is not None and verdict.ends:
+        # It was proved before; the ends that proved it may be kept no longer.
+        return ENDS_TO_QUARANTINE
     strong = find_consecutive_ends((end for end in ends if not end.is_weak), -math.inf)
     is_proved = len(strong) >= ENDS_TO_QUARANTINE
     return ENDS_TO_QUARANTINE if is_proved else WRITTEN_ENDS_TO_QUARANTINE
@@ -217,12 +221,11 @@
     )
 
 
-def has_enough_ends(fingerprint: bytes, suspect: SuspectRequest) -> bool:
+def has_enough_ends(quarantine: Quarantine, fingerprint: bytes, suspect: SuspectRequest) -> bool:
     """Return whether a request or part is to be quarantined, or a part to be suspected."""
-    needed = count_needed_ends(fingerprint, suspect)
-    return suspect.ends >= (
-        min(needed, PART_ENDS_TO_SUSPECT) if is_part_key(fingerprint) else needed
-    )
+    if is_part_key(fingerprint):
+        return suspect.ends >= PART_ENDS_TO_SUSPECT
+    return suspect.ends >= count_needed_ends(quarantine, fingerprint, suspect)
 
 
 def quarantine_request(
@@ -232,7 +235,7 @@
 
     A suspicion is a verdict that quarantines nothing.
     """
-    excess = suspect.ends - count_needed_ends(fingerprint, suspect)
+    excess = suspect.ends - count_needed_ends(quarantine, fingerprint, suspect)
     first_s = FIRST_PART_QUARANTINE_S if is_part_key(fingerprint) else FIRST_QUARANTINE_S
     duration_s = first_s * 2.0**excess if excess >= 0 else 0.0
     verdict = Verdict(
@@ -243,7 +246,7 @@
         recorded_at_s=now_s,
     )
     _store_verdict(quarantine, fingerprint, verdict)
-    quarantine.has_new_quarantines = duration_s > 0.0
+    quarantine.has_new_quarantines |= duration_s > 0.0
     return verdict
 
 
--- a/packages/core/src/myrtlehook_core/process/quarantine_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/quarantine_handlers.py
@@ -103,7 +103,7 @@
             age_s=message.ended_age_ms / 1000.0,
         )
     )
-    if not has_enough_ends(fingerprint, suspect):
+    if not has_enough_ends(quarantine, fingerprint, suspect):
         return
     verdict = quarantine_request(quarantine, fingerprint, suspect, now_s)
     _report_verdict(core, fingerprint, verdict, QuarantineCause.COUNTED, sender)
--- a/packages/core/src/myrtlehook_core/process/stream_origin_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/stream_origin_handlers.py
@@ -50,7 +50,7 @@
     if running.request.software_version is None:
         running.request = replace(running.request, software_version=version)
     request = running.request
-    if not request.stream_key:
+    if not request.stream_key or not version:
         return
     expires_at_s = compute_expiry_s(request.deadline_s, now_s)
     record_origin(core.stream_origins, request.stream_key, version, expires_at_s)
--- a/packages/router/src/myrtlehook_router/request/relays.py
+++ b/packages/router/src/myrtlehook_router/request/relays.py
@@ -46,6 +46,9 @@
 """A part that ends servers does so when they begin to write on it. An answer that has gone on for
 this long, or has ended well, shows that all parts of its prompt are sound."""
 
+MIN_FAILURE_STATUS = 300
+"""From this status on, an answer does not show that its server has written on the prompt."""
+
 UNITS_PER_SECOND = 1000.0
 """Service received from a plain service is counted in slot milliseconds."""
 
@@ -245,7 +248,8 @@
         return
     if outcome is Outcome.COMPLETED:
         placement.figure = _find_figure(relay)
-    if outcome is Outcome.COMPLETED and not failed and not relay.shown_sound:
+    is_success = outcome is Outcome.COMPLETED and relay.status < MIN_FAILURE_STATUS
+    if is_success and not relay.shown_sound:
         _report_shown_sound(relay)
     if relay.attempts:
         longest_pause_s = relay.pauses.longest_in_attempt_s
