--- a/tests/standins/histories.py
+++ b/tests/standins/histories.py
@@ -306,9 +306,12 @@
             self.feed(name, events.BackendServersRead(servers, False, evacuated_zones=evacuated))
 
     def find_software_version(self, engine: str) -> str:
-        """Return the software version of an engine, also of one that has left."""
+        """Return the software version of an engine, also of one that has left.
+
+        Servers of a ``Source`` state none.
+        """
         listed = {server.name: server.software_version for server in self._servers}
-        return listed[engine] if engine in listed else self.versions_before[engine]
+        return listed.get(engine, self.versions_before.get(engine, ""))
 
     @property
     def servers(self) -> tuple[BackendServer, ...]:
