Name and describe what a newcomer would stop at

Two functions of one name told different things; the tables of the quarantine were described for requests only, and a constant's name said nothing of its case.

--- a/packages/core/src/myrtlehook_core/process/quarantine.py
+++ b/packages/core/src/myrtlehook_core/process/quarantine.py
@@ -97,7 +97,7 @@
 
 @dataclass(slots=True)
 class SuspectRequest:
-    """The server ends that a router holds for one request."""
+    """The server ends that a router holds for one request, or for one part of prompts."""
 
     ends: int = 0
     """The number of consecutive ends."""
@@ -110,7 +110,7 @@
 
 @dataclass(slots=True)
 class Verdict:
-    """Whether one request is quarantined, as this router knows it."""
+    """Whether one request or part is quarantined, as this router knows it."""
 
     serial: int
     ends: int
@@ -126,7 +126,10 @@
 
 @dataclass(slots=True)
 class Quarantine:
-    """What one router knows of requests that end servers; all tables are keyed by fingerprint."""
+    """What one router knows of requests, or of parts of prompts, that end servers.
+
+    The tables are keyed by the fingerprints of requests or by the keys of parts.
+    """
 
     first_serial: int
     """Lower bound of the serials given here; greater than that of any earlier process."""
@@ -134,7 +137,7 @@
     """Requests whose ends this router has seen or received, the most recently changed one last."""
     verdicts: OrderedDict[bytes, Verdict] = field(default_factory=OrderedDict)
     sound_runs: OrderedDict[bytes, float] = field(default_factory=OrderedDict)
-    """When each request last completed at this router."""
+    """When each request last completed at this router, or each part was last shown to be sound."""
     last_end_serial: int = 0
     """Serial of the last server end that this router has seen itself."""
     part_verdicts: dict[bytes, set[bytes]] = field(default_factory=dict)
--- a/packages/core/src/myrtlehook_core/process/request_quarantines.py
+++ b/packages/core/src/myrtlehook_core/process/request_quarantines.py
@@ -1,4 +1,8 @@
-"""Whether a request is quarantined, by its fingerprint or by a part of its prompt."""
+"""Whether a request is quarantined, by its fingerprint or by a part of its prompt.
+
+Both kinds of state are alike, see ``quarantine``. They are kept apart so that neither crowds out
+the other.
+"""
 
 from dataclasses import dataclass
 
--- a/packages/core/src/myrtlehook_core/process/stream_origin_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/stream_origin_handlers.py
@@ -21,7 +21,7 @@
     MAX_ASKED,
     MAX_LOOKUPS,
     RESEND_INTERVAL_S,
-    RETRY_AFTER_S,
+    UNKNOWN_RETRY_AFTER_S,
     OriginLookup,
     ResumedRequest,
     compute_expiry_s,
@@ -229,4 +229,4 @@
         arrived_at_s = resumed.request.arrived_at_s
         count_refused_request(core.shares, resumed.request, resumed.standing.tier, arrived_at_s)
     core.actions.add(StreamOriginFound(request_id, None, "", asked, answers))
-    core.actions.add(Refuse(request_id, RefusalReason.STREAM_ORIGIN_UNKNOWN, RETRY_AFTER_S))
+    core.actions.add(Refuse(request_id, RefusalReason.STREAM_ORIGIN_UNKNOWN, UNKNOWN_RETRY_AFTER_S))
--- a/packages/core/src/myrtlehook_core/process/stream_origins.py
+++ b/packages/core/src/myrtlehook_core/process/stream_origins.py
@@ -35,7 +35,7 @@
 """After this long without an answer the request is refused. Its client gives up on a silent attempt
 after some seconds, and may find a router that is in touch with the keepers."""
 
-RETRY_AFTER_S = 0.5
+UNKNOWN_RETRY_AFTER_S = 0.5
 """When a client may resume a stream again whose origin was not found in time."""
 
 MIN_ORIGIN_MEMORY_S = 30.0
--- a/packages/core/src/myrtlehook_core/request/part_keys.py
+++ b/packages/core/src/myrtlehook_core/request/part_keys.py
@@ -9,7 +9,8 @@
 PART_DIGEST_BYTES = 12
 VERSION_DIGEST_BYTES = 3
 PART_KEY_BYTES = PART_DIGEST_BYTES + VERSION_DIGEST_BYTES
-"""Differs from the length of a request's fingerprint, which tells the two apart."""
+"""Messages about ends carry fingerprints of requests and keys of parts in one field; their lengths
+tell the two apart."""
 
 MAX_PARTS = 16
 """The greatest number of parts of one prompt that are looked at: the first, and the last ones."""
--- a/packages/router/src/myrtlehook_router/request/answering.py
+++ b/packages/router/src/myrtlehook_router/request/answering.py
@@ -114,7 +114,7 @@
     status. Once the status has been sent, an unterminated body is the only sign of a failure.
     """
     headers = _make_answer_headers(relay, response)
-    has_events = _has_events(response)
+    has_events = _consists_of_events(response)
     make_stream = ResumableStream if relay.request.route.resumable else PassThroughStream
     stream = make_stream(relay, has_events)
     try:
@@ -126,7 +126,7 @@
     return Answer(response.status, PrefetchedStream(stream, first), headers)
 
 
-def _has_events(response: urllib3.HTTPResponse) -> bool:
+def _consists_of_events(response: urllib3.HTTPResponse) -> bool:
     """Return whether a response consists of events, which it does unless it says otherwise."""
     return str(response.headers.get("Content-Type", EVENT_STREAM_TYPE)).startswith(
         EVENT_STREAM_TYPE
--- a/packages/router/src/myrtlehook_router/request/gateways.py
+++ b/packages/router/src/myrtlehook_router/request/gateways.py
@@ -236,11 +236,11 @@
             (route.allowed_regions, request.workspace.allowed_regions)
         ),
         stream_key=_find_stream_key(services, request, pool, resumes),
-        resumes=route.resumable and _has_events(services, request, resumes),
+        resumes=route.resumable and _resumes_stream(services, request, resumes),
     )
 
 
-def _has_events(services: GatewayServices, request: RoutedRequest, resumes: str | None) -> bool:
+def _resumes_stream(services: GatewayServices, request: RoutedRequest, resumes: str | None) -> bool:
     """Return whether the client has events of the stream from an earlier attempt."""
     return bool(resumes or find_header(request.headers, services.names.last_event_id))
 
@@ -249,7 +249,7 @@
     services: GatewayServices, request: RoutedRequest, pool: str, resumes: str | None
 ) -> bytes:
     """Return the key of a stream that may be resumed; empty if its first attempt is not known."""
-    is_named = bool(resumes) or not _has_events(services, request, resumes)
+    is_named = bool(resumes) or not _resumes_stream(services, request, resumes)
     if not request.route.resumable or not is_named:
         return b""
     return make_stream_key(request.workspace.name, pool, resumes or request.request_id)
