Log what is believed of each backend server, from whom and since when

Nothing showed which servers waited for their entry to return, until when and why, or what a router believed of a server when it sent a request there.

- 'backend server believed' (kept in an overload) for each changed belief: state before and now, by which way it was learned (entry, peer, answer, deadline), from whom, when the server counts as gone, and the source's order.
- 'request ended' and 'attempt failed' tell on which belief the last attempt was sent, how old that was, and how long ago the source had answered any router.
- 'request sent in doubt' (kept, 20 a second) where the server's entry was missing, or the source had been silent for over 2 s.

No decision reads any of it.

--- a/packages/core/src/myrtlehook_core/__init__.py
+++ b/packages/core/src/myrtlehook_core/__init__.py
@@ -40,6 +40,7 @@
 from myrtlehook_core.process.quarantine import count_quarantined
 from myrtlehook_core.process.regions import NO_REGIONS, Regions, intersect_regions
 from myrtlehook_core.process.routers import RouterCore
+from myrtlehook_core.process.server_beliefs import SendBelief, ServerBelief, ServerState
 from myrtlehook_core.process.share_standings import ShareStanding, count_arrival, should_shed
 from myrtlehook_core.process.shares import Shares
 from myrtlehook_core.process.shedding import Shedding, record_lag, schedule_retry, should_refuse
@@ -144,6 +145,9 @@
     "ShareStanding",
     "NO_ORDER",
     "NO_REGIONS",
+    "SendBelief",
+    "ServerBelief",
+    "ServerState",
     "SourceOrder",
     "ConfigurationParser",
     "ListenAddress",
--- a/packages/core/src/myrtlehook_core/process/actions.py
+++ b/packages/core/src/myrtlehook_core/process/actions.py
@@ -162,6 +162,31 @@
     """The request whose answer said so, if any."""
 
 
+@dataclass(frozen=True, slots=True)
+class ServerBeliefChanged:
+    """What this router believes of a backend server has changed."""
+
+    backend_server: str
+    state_before: str
+    """Empty if nothing was believed of it."""
+    state: str
+    learned_by: str
+    """The way by which this was learned."""
+    source: str
+    """The platform, the router that reported it, or the request whose answer said so."""
+    until_s: float | None
+    """When it counts as gone, if its entry is missing."""
+    order: SourceOrder
+    """Up to which this router knows the source."""
+
+
+@dataclass(frozen=True, slots=True)
+class ServerBeliefsOmitted:
+    """Too many beliefs have changed at once to report each of them."""
+
+    count: int
+
+
 @dataclass(frozen=True, slots=True)
 class ServerBackoffReported:
     """A backend server has asked this router to back off until a given time."""
@@ -414,6 +439,8 @@
     | ColdEngineDetected
     | ReadingBoundChanged
     | ServerLeavingReported
+    | ServerBeliefChanged
+    | ServerBeliefsOmitted
     | ServerBackoffReported
     | ReadSource
     | AdmissionDecided
--- a/packages/core/src/myrtlehook_core/process/routers.py
+++ b/packages/core/src/myrtlehook_core/process/routers.py
@@ -74,6 +74,12 @@
 from myrtlehook_core.process.refusals import refuse_unservable
 from myrtlehook_core.process.regions import NO_REGIONS, Regions
 from myrtlehook_core.process.request_quarantines import Quarantines
+from myrtlehook_core.process.server_beliefs import (
+    SendBelief,
+    ServerBeliefs,
+    find_send_belief,
+    update_leaving_beliefs,
+)
 from myrtlehook_core.process.shares import Shares
 from myrtlehook_core.process.source_messages import ReaderRow
 from myrtlehook_core.process.source_readers import SourceReaders, collect_reader_rows
@@ -123,6 +129,7 @@
         self.part_quarantine = Quarantine(first_serial=identity.incarnation)
         self.stream_origins = StreamOrigins()
         self.ended_servers: EndedServers = {}
+        self.server_beliefs = ServerBeliefs()
         self.source_readers = SourceReaders(reading=options.first_read_delay_s == 0.0)
         self._now_s = 0.0
         self.last_tick_s: float | None = None
@@ -187,6 +194,10 @@
             for name, load in sorted(self.engine_queues.loads.items())
         ]
 
+    def find_send_belief(self, backend_server: str, now_s: float) -> SendBelief | None:
+        """Return what is believed of a server to which a request is sent now, for logs."""
+        return find_send_belief(self, backend_server, now_s)
+
     def handle_message(self, sender: str, message: Message, now_s: float) -> None:
         """Handle a message from another router or from this one."""
         MESSAGE_HANDLERS[type(message)](self, sender, message, now_s)
@@ -292,6 +303,7 @@
         if self.quarantine.has_new_quarantines or self.part_quarantine.has_new_quarantines:
             refuse_quarantined_requests(self, now_s)
             self._deliver_messages(now_s)
+        update_leaving_beliefs(self, now_s)
 
     def _deliver_messages(self, now_s: float) -> None:
         while self.outbox.messages:
--- a/packages/core/src/myrtlehook_core/process/source_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/source_handlers.py
@@ -16,6 +16,7 @@
 from myrtlehook_core.process.membership_messages import LeavingRow, News
 from myrtlehook_core.process.messages import ConfigurationQuery
 from myrtlehook_core.process.probing import announce_news, announce_news_in_zone
+from myrtlehook_core.process.server_beliefs import LearnedBy, update_beliefs
 from myrtlehook_core.process.source_messages import ServerRow, ServersQuery, ServersReply
 from myrtlehook_core.process.source_readers import (
     apply_reader_rows,
@@ -71,6 +72,7 @@
     ):
         report_servers(core, PLATFORM)
         _announce_source_news(core)
+    update_beliefs(core, LearnedBy.ENTRY, PLATFORM, now_s)
 
 
 def on_source_answered(core: "RouterCore", event: events.SourceAnswered, now_s: float) -> None:
@@ -95,6 +97,7 @@
     query_missing_documents(core, now_s)
     if expire_deadlines(core.discovery, now_s):
         report_servers(core, PLATFORM)
+        update_beliefs(core, LearnedBy.DEADLINE, PLATFORM, now_s)
 
 
 def apply_source_news(core: "RouterCore", sender: str, news: News, now_s: float) -> None:
@@ -142,6 +145,7 @@
     ):
         report_servers(core, sender)
         _relay_source_news(core, sender)
+    update_beliefs(core, LearnedBy.PEER, sender, now_s)
 
 
 def report_servers(core: "RouterCore", source: str) -> None:
--- a/packages/core/src/myrtlehook_core/process/source_readers.py
+++ b/packages/core/src/myrtlehook_core/process/source_readers.py
@@ -119,6 +119,11 @@
     return now_s < readers.outage_until_s
 
 
+def find_source_age_s(readers: SourceReaders, now_s: float) -> float:
+    """Return how long ago the source is known to have answered any router."""
+    return now_s - max([readers.own_answer_at_s, *readers.answer_reported_at_s.values()])
+
+
 def find_readers_before(
     readers: SourceReaders, table: MemberTable, options: CoreOptions, now_s: float
 ) -> tuple[str, ...]:
--- a/packages/router/src/myrtlehook_router/process/core_tasks.py
+++ b/packages/router/src/myrtlehook_router/process/core_tasks.py
@@ -265,6 +265,25 @@
             request_id=action.request_id or None,
         )
 
+    def _record_server_belief(self, action: actions.ServerBeliefChanged) -> None:
+        self._counters.add(f"backend.believed.{action.state}.{action.learned_by}")
+        left_s = None if action.until_s is None else action.until_s - clocks.now_s()
+        _belief_log.info(
+            "backend server believed",
+            backend_server=action.backend_server,
+            before=action.state_before or None,
+            state=action.state,
+            learned_by=action.learned_by,
+            source=action.source,
+            gone_in_s=None if left_s is None else round(left_s, 3),
+            era=action.order.era,
+            revision=action.order.revision,
+        )
+
+    def _record_omitted_beliefs(self, action: actions.ServerBeliefsOmitted) -> None:
+        self._counters.add("backend.believed.omitted", action.count)
+        _belief_log.info("backend servers believed, omitted", count=action.count)
+
     def _record_backoff(self, action: actions.ServerBackoffReported) -> None:
         self._counters.add("backend.backoff")
         left_s = action.until_s - clocks.now_s()
@@ -482,6 +501,8 @@
     actions.ColdEngineDetected: CoreTask._record_cold_engine,
     actions.ReadingBoundChanged: CoreTask._record_reading_bound,
     actions.ServerLeavingReported: CoreTask._record_leaving_server,
+    actions.ServerBeliefChanged: CoreTask._record_server_belief,
+    actions.ServerBeliefsOmitted: CoreTask._record_omitted_beliefs,
     actions.ServerBackoffReported: CoreTask._record_backoff,
     actions.ReadSource: CoreTask._switch_source_reading,
     actions.ConfigurationRejected: CoreTask._record_rejected_configuration,
--- a/packages/router/src/myrtlehook_router/process/gateway_daemons.py
+++ b/packages/router/src/myrtlehook_router/process/gateway_daemons.py
@@ -224,6 +224,9 @@
             shares=self._core_task.core.shares,
             refusal_sums=self._refusal_sums,
             tallies=self._tallies,
+            find_send_belief=lambda backend_server: self._core_task.core.find_send_belief(
+                backend_server, clocks.now_s()
+            ),
         )
         services = CallerServices(
             application=make_gateway(
--- a/packages/router/src/myrtlehook_router/request/relays.py
+++ b/packages/router/src/myrtlehook_router/request/relays.py
@@ -10,6 +10,7 @@
     Outcome,
     RefusalReason,
     RetryReason,
+    SendBelief,
     actions,
     find_share_tokens,
 )
@@ -31,6 +32,7 @@
 from myrtlehook_router.request.refusal_sums import RefusedKind, count_refusal
 from myrtlehook_router.request.request_tallies import Figure
 from myrtlehook_router.request.routed import RoutedRequest
+from myrtlehook_router.request.send_beliefs import describe_send_belief, report_doubtful_send
 from myrtlehook_router.request.server_notices import NO_NOTICE, ServerNotice, report_notice
 from myrtlehook_router.request.stream_pauses import (
     StreamPauses,
@@ -80,6 +82,8 @@
     """Another backend server, from whose cache this one fetches a prefix of the prompt."""
     attempts: int = 0
     sent_at_s: float = 0.0
+    send_belief: SendBelief | None = None
+    """What was believed of that server when the request was sent there."""
     first_byte_at_s: float = 0.0
     has_output: bool = False
     """The current attempt has produced output."""
@@ -138,6 +142,15 @@
     """Reset the state of the current attempt, before the request is sent once more."""
     relay.attempts += 1
     relay.sent_at_s = clocks.now_s()
+    relay.send_belief = relay.placement.services.find_send_belief(relay.backend_server)
+    report_doubtful_send(
+        relay.placement.services.doubtful_sends,
+        relay.placement.services.counters,
+        relay.request.request_id,
+        relay.backend_server,
+        relay.send_belief,
+        relay.sent_at_s,
+    )
     relay.has_output = False
     relay.shown_sound = False
     begin_stream_attempt(relay.pauses)
@@ -187,6 +200,7 @@
         status=relay.status or None,
         leaving=relay.notice.leaving,
         backoff_s=relay.notice.backoff_s,
+        **describe_send_belief(relay.send_belief, relay.sent_at_s),
     )
     report_not_started(relay.placement, reason)
 
@@ -271,6 +285,7 @@
         aim_ms=round(relay.request.route.aim_s * 1000.0),
         backend_server=relay.backend_server,
         software_version=relay.software_version,
+        **describe_send_belief(relay.send_belief, relay.sent_at_s),
         attempts=relay.attempts,
         outcome=outcome,
         detail=detail,
--- /dev/null
+++ b/packages/router/src/myrtlehook_router/request/send_beliefs.py
@@ -0,0 +1,75 @@
+"""Logs what was believed of a backend server when a request was sent to it."""
+
+from dataclasses import dataclass
+
+from myrtlehook_core import SendBelief, ServerState
+from myrtlehook_router.process.counters import Counters
+from myrtlehook_router.process.logs import get_logger
+
+DOUBTFUL_SOURCE_AGE_S = 2.0
+"""A belief is doubtful once the source has not answered any router for this long."""
+
+MAX_LINES_PER_SECOND = 20
+"""The number of doubtful sends that are logged in one second; the others are only counted."""
+
+_log = get_logger("requests", is_kept=True)
+
+
+@dataclass(slots=True)
+class DoubtfulSends:
+    """Limits the rate of log lines about doubtful sends."""
+
+    second_ends_s: float = 0.0
+    lines: int = 0
+    """Logged within the current second."""
+
+
+def describe_send_belief(belief: SendBelief | None, sent_at_s: float) -> dict[str, object]:
+    """Return the log fields of a belief on which a request was sent; none without a belief."""
+    if belief is None:
+        return {}
+    return {
+        "server_state": belief.server.state,
+        "server_learned_by": belief.server.learned_by,
+        "server_source": belief.server.source,
+        "server_age_ms": round((sent_at_s - belief.server.since_s) * 1000.0),
+        "source_age_ms": _round_ms(belief.source_age_s),
+    }
+
+
+def report_doubtful_send(
+    sends: DoubtfulSends,
+    counters: Counters,
+    request_id: str,
+    backend_server: str,
+    belief: SendBelief | None,
+    now_s: float,
+) -> None:
+    """Count and log a request sent to a server that may have left; such lines survive overloads."""
+    if belief is None or not _is_doubtful(belief):
+        return
+    counters.add(f"backend.doubtful_sends.{belief.server.state}")
+    if now_s >= sends.second_ends_s:
+        sends.second_ends_s = now_s + 1.0
+        sends.lines = 0
+    sends.lines += 1
+    if sends.lines > MAX_LINES_PER_SECOND:
+        return
+    until_s = belief.server.until_s
+    _log.info(
+        "request sent in doubt",
+        request_id=request_id,
+        backend_server=backend_server,
+        gone_in_s=None if until_s is None else round(until_s - now_s, 3),
+        **describe_send_belief(belief, now_s),
+    )
+
+
+def _is_doubtful(belief: SendBelief) -> bool:
+    is_listed = belief.server.state is ServerState.LISTED
+    return not is_listed or belief.source_age_s > DOUBTFUL_SOURCE_AGE_S
+
+
+def _round_ms(duration_s: float) -> int | None:
+    """Return milliseconds; None for a source that has never answered."""
+    return None if duration_s == float("inf") else round(duration_s * 1000.0)
--- a/packages/router/src/myrtlehook_router/request/services.py
+++ b/packages/router/src/myrtlehook_router/request/services.py
@@ -3,12 +3,13 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from myrtlehook_core import Configuration, Shares, Shedding
+from myrtlehook_core import Configuration, SendBelief, Shares, Shedding
 from myrtlehook_router.connection.server_checks import ServerChecks
 from myrtlehook_router.process.counters import Counters
 from myrtlehook_router.process.mailboxes import Mailbox
 from myrtlehook_router.request.refusal_sums import RefusalSums
 from myrtlehook_router.request.request_tallies import RequestTallies
+from myrtlehook_router.request.send_beliefs import DoubtfulSends
 from myrtlehook_router.request.tickets import TicketRegistry
 
 
@@ -29,6 +30,9 @@
     """The core's own object: requests refused before they reach the core are counted in it too."""
     refusal_sums: RefusalSums = field(default_factory=RefusalSums)
     tallies: RequestTallies = field(default_factory=RequestTallies)
+    find_send_belief: Callable[[str], SendBelief | None] = lambda backend_server: None
+    """What is believed of a backend server to which a request is sent now, for logs."""
+    doubtful_sends: DoubtfulSends = field(default_factory=DoubtfulSends)
     server_checks: ServerChecks = field(default_factory=ServerChecks)
     logged_unreadable_servers: set[str] = field(default_factory=set)
     """Backend servers whose unreadable headers have been logged."""
--- a/tests/standins/departures.py
+++ b/tests/standins/departures.py
@@ -79,9 +79,7 @@
             headers = make_headers(attempt_id, "planners", "300,12", parts)
             sent_s = time.monotonic()
             node = self.nodes()[router]
-            attempt = send(
-                node, "POST", PATH, headers, attempt_id.encode(), REQUEST_TIMEOUT_S
-            )
+            attempt = send(node, "POST", PATH, headers, attempt_id.encode(), REQUEST_TIMEOUT_S)
             self.statuses.append((sent_s, 0 if attempt.broken else attempt.status))
 
 
