--- a/tests/standins/departures.py
+++ b/tests/standins/departures.py
@@ -326,3 +326,31 @@
     "a router is frozen while the store refuses calls": _freeze_router,
     "all routers but one are frozen for 1.2 s": _freeze_most,
 }
+
+
+RETURN_AFTER_S = 1.8
+"""From the store's return until live servers have written their entries again."""
+
+
+def play_long_outage(run: DepartureRun, away_s: float) -> tuple[int, int]:
+    """Let the store be away until all entries have lapsed; servers write them again on its return.
+
+    :returns: how many requests were sent from the beginning of the outage until some time after
+        the return, and how many of them were served.
+    """
+    callers = Callers(lambda: list(run.nodes.nodes))
+    callers.start(len(run.nodes.nodes))
+    time.sleep(WARM_UP_S)
+    servers = [name for name in run.nodes.describe()["servers"] if name.startswith("i-engine")]
+    began_s = time.monotonic()
+    run.set_path(list(run.nodes.stores), "reset")
+    time.sleep(away_s)
+    run.nodes.order(servers=dict.fromkeys(servers, "gone"))
+    run.set_path(list(run.nodes.stores), "pass")
+    for server in servers:
+        time.sleep(RETURN_AFTER_S / len(servers))
+        run.nodes.order(servers={server: "ready"})
+    time.sleep(AFTER_S)
+    callers.stop()
+    sent = [status for sent_s, status in callers.statuses if sent_s > began_s]
+    return len(sent), sum(status == 200 for status in sent)
--- a/tests/standins/histories.py
+++ b/tests/standins/histories.py
@@ -236,6 +236,8 @@
         """Tallies that routers have reported to operators, and when."""
         self._configuration = make_configuration(tokens_per_s, cold_start)
         self._source = source
+        self._failed_readers: set[str] = set()
+        """Routers whose last call to the source has failed."""
         self._regions = regions or {}
         self._options = options
         self._evacuated: frozenset[str] = frozenset()
@@ -365,12 +367,15 @@
             return
         source.calls[name] += 1
         if name in source.refused_to:
+            self._failed_readers.add(name)
             self.feed(name, events.SourceFailed())
             return
+        after_outage = name in self._failed_readers
+        self._failed_readers.discard(name)
         self.feed(name, events.ConfigurationRead(str(source.configuration_number)))
         servers = tuple(source.servers.values())
         zones = source.evacuated_zones
-        self.feed(name, events.BackendServersRead(servers, False, source.order, zones))
+        self.feed(name, events.BackendServersRead(servers, after_outage, source.order, zones))
         self.feed(name, events.SourceAnswered())
 
     def _carry_out(self, name: str, core: RouterCore, action: Any) -> None:
--- /dev/null
+++ b/tests/steps/departure_steps.py
@@ -0,0 +1,41 @@
+"""Steps of servers that leave beside troubles of the store and of routers."""
+
+from typing import Any
+
+from behave import given, then, when
+
+from standins.departures import BOUND_S, play_long_outage, start_run
+
+ENGINES = 6
+
+
+@given("{routers:d} routers, whose paths to the store can fail, before 6 engines")
+def start_routers(context: Any, routers: int) -> None:
+    context.run = start_run(routers, ENGINES)
+    context.add_cleanup(context.run.nodes.stop)
+
+
+@when('an engine leaves by way of "{way}", and {trouble}')
+def leave_beside_trouble(context: Any, way: str, trouble: str) -> None:
+    context.departure = context.run.play(way, trouble)
+
+
+@then("no request reaches it later than {bound_s:g} s after the store took that")
+def check_none_late(context: Any, bound_s: float) -> None:
+    assert bound_s == BOUND_S
+    departure = context.departure
+    assert departure.sent > 0
+    assert not departure.late, f"{departure}; logs: {context.run.nodes.folder}"
+
+
+@when("the store is away for {away_s:g} s, and all engines write their entries again afterwards")
+def lose_store(context: Any, away_s: float) -> None:
+    context.sent, context.served = play_long_outage(context.run, away_s)
+
+
+@then("all requests are served meanwhile")
+def check_all_served(context: Any) -> None:
+    assert context.sent > 0
+    assert context.served == context.sent, (
+        f"{context.served} of {context.sent} served; logs: {context.run.nodes.folder}"
+    )
