Take a missing entry for a lapsed one only after an outage that was long enough

What callers saw: requests reached servers up to 3.4 s after the store had taken that they leave (13 to 147 of some 340 in 3.4 s of the rows of departures.feature), at servers that may have ended by then.

Cause: any failed call of one router, or a second without reports of readers, counted as an outage of the source; after it each missing entry had 2 s to return, counted by each router from when it heard of it, a peer later than the reader.

Change: - An outage is the time between two proofs that the source was reachable, by any router; probes carry the latest proof (number and age). Only one of 1.75 heartbeat intervals or more (a lease of three, less the time since the last heartbeat) can make entries lapse. - The time to return counts from the end of the outage; peers are told how much is left. Nobody begins it again. - Until then such a server gets requests only if the others hold less than two thirds of its pool's slots. An outage makes most entries lapse; a few that are missing afterwards have left. - A pause of this process breaks the chain of proofs, so that its own silence is no outage.

Tried: counting by the age of readers' reports; it hides up to 1.5 s of an outage, since a reader claims answers while its watch waits.

--- a/packages/core/src/myrtlehook_core/process/events.py
+++ b/packages/core/src/myrtlehook_core/process/events.py
@@ -179,8 +179,6 @@
     """The complete list of backend servers from discovery."""
 
     servers: tuple[BackendServer, ...]
-    after_outage: bool
-    """Whether this is the first list after the source was unreadable or lost its history."""
     source_order: SourceOrder = NO_ORDER
     """The version of the list at the source; a list older than the known one is ignored."""
     evacuated_zones: frozenset[str] = frozenset()
@@ -189,13 +187,19 @@
 
 @dataclass(frozen=True, slots=True)
 class SourceAnswered:
-    """The source has just answered, so what was read from it is up to date."""
+    """The source has just answered, so what is read from it next is up to date."""
+
+    asked_at_s: float | None = None
+    """When the call was sent; None for now."""
 
 
 @dataclass(frozen=True, slots=True)
 class SourceFailed:
     """A call to the source has failed."""
 
+    asked_at_s: float | None = None
+    """When the call was sent; None for now."""
+
 
 @dataclass(frozen=True, slots=True)
 class SeedsNamed:
--- a/packages/core/src/myrtlehook_core/process/options.py
+++ b/packages/core/src/myrtlehook_core/process/options.py
@@ -134,6 +134,8 @@
     """A reader that has not reported for this long that the source answers it is not counted."""
     source_silence_s: float = 1.4
     """How long after an answer of the source a reader may report that the source still answers."""
+    lapse_after_s: float = 2.1
+    """The shortest outage of the source in which the entry of a live server can lapse."""
     exchange_totals: bool = True
     """Whether routers exchange service totals; False only in the benchmark's baseline, where each
     router keeps its own counters."""
--- a/packages/core/src/myrtlehook_core/process/probing.py
+++ b/packages/core/src/myrtlehook_core/process/probing.py
@@ -44,7 +44,7 @@
     update_suspected_zones,
 )
 from myrtlehook_core.process.quarantine_messages import QuarantineRow
-from myrtlehook_core.process.source_messages import ReaderRow
+from myrtlehook_core.process.source_messages import ReaderRow, SourceProof
 from myrtlehook_core.version.configurations import ConfigurationVersion
 from myrtlehook_core.version.source_orders import SourceOrder
 
@@ -108,6 +108,8 @@
     """Returns the routers that read the configuration source."""
     collect_quarantine_rows: Callable[[], tuple[QuarantineRow, ...]]
     """Returns the quarantine rows to send with the next message."""
+    make_source_proof: Callable[[], SourceProof | None]
+    """Returns the latest proof that the configuration source was reachable."""
     actions: ActionList
 
 
@@ -331,6 +333,7 @@
         servers_order=context.servers_order,
         readers=context.collect_reader_rows(),
         quarantine=context.collect_quarantine_rows(),
+        proof=context.make_source_proof(),
     )
 
 
--- a/packages/core/src/myrtlehook_core/process/routers.py
+++ b/packages/core/src/myrtlehook_core/process/routers.py
@@ -4,6 +4,7 @@
 test or benchmark can drive many routers in one process, in any order.
 """
 
+import math
 from collections.abc import Iterable
 
 from myrtlehook_core.process import events
@@ -82,6 +83,7 @@
 )
 from myrtlehook_core.process.shares import Shares
 from myrtlehook_core.process.source_messages import ReaderRow
+from myrtlehook_core.process.source_outages import SourceOutages, forget_proofs, make_proof
 from myrtlehook_core.process.source_readers import SourceReaders, collect_reader_rows
 from myrtlehook_core.process.stream_origin_handlers import hand_over_origins
 from myrtlehook_core.process.stream_origins import StreamOrigins
@@ -129,10 +131,13 @@
         self.part_quarantine = Quarantine(first_serial=identity.incarnation)
         self.stream_origins = StreamOrigins()
         self.ended_servers: EndedServers = {}
+        self.source_outages = SourceOutages()
         self.server_beliefs = ServerBeliefs()
         self.source_readers = SourceReaders(reading=options.first_read_delay_s == 0.0)
         self._now_s = 0.0
         self.last_tick_s: float | None = None
+        self.resumed_at_s = -math.inf
+        """When this process noticed its last pause."""
         self.actions = ActionList()
         """The actions that the current event has produced."""
         self.outbox = MessageOutbox()
@@ -149,7 +154,8 @@
         if self._applied_base is not base or self._applied_revisions != revisions:
             self._applied_base = base
             self._applied_revisions = revisions
-            discovered = apply_discovery(base, self.discovery)
+            leaving = self.leaving_servers.servers.keys()
+            discovered = apply_discovery(base, self.discovery, leaving)
             self._configuration = mark_leaving(discovered, self.leaving_servers)
         return self._configuration
 
@@ -263,6 +269,7 @@
             version=self.configuration.version,
             servers_order=self.discovery.source_order,
             collect_reader_rows=self._collect_reader_rows,
+            make_source_proof=lambda: make_proof(self.source_outages, self._now_s),
             collect_quarantine_rows=self._collect_quarantine_rows,
             actions=self.actions,
         )
@@ -362,6 +369,8 @@
         # Other routers may have become the owners of servers and leases during the pause, so state
         # from before it is no longer reliable.
         self.last_tick_s = now_s
+        self.resumed_at_s = now_s
+        forget_proofs(self.source_outages)
         self.actions.add(PauseDetected(late_s))
         reset_owner_state(self.owner, now_s)
         clear_queues(self.engine_queues, now_s)
--- a/packages/core/src/myrtlehook_core/process/server_beliefs.py
+++ b/packages/core/src/myrtlehook_core/process/server_beliefs.py
@@ -14,7 +14,6 @@
     ServerBeliefsOmitted,
     ServerLeavingReported,
 )
-from myrtlehook_core.process.source_readers import find_source_age_s
 
 if TYPE_CHECKING:
     from myrtlehook_core.process.routers import RouterCore
@@ -66,7 +65,7 @@
 
     server: ServerBelief
     source_age_s: float
-    """How long ago the source is known to have answered any router."""
+    """How long ago the source was known to be reachable for any router."""
 
 
 @dataclass(slots=True)
@@ -124,7 +123,7 @@
     belief = core.server_beliefs.beliefs.get(name)
     if belief is None:
         return None
-    return SendBelief(belief, find_source_age_s(core.source_readers, now_s))
+    return SendBelief(belief, now_s - core.source_outages.proven_at_s)
 
 
 def _record_leaving(core: "RouterCore", report: ServerLeavingReported, now_s: float) -> None:
--- a/packages/core/src/myrtlehook_core/process/source_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/source_handlers.py
@@ -18,16 +18,22 @@
 from myrtlehook_core.process.probing import announce_news, announce_news_in_zone
 from myrtlehook_core.process.server_beliefs import LearnedBy, update_beliefs
 from myrtlehook_core.process.source_messages import ServerRow, ServersQuery, ServersReply
+from myrtlehook_core.process.source_outages import (
+    apply_proof,
+    find_return_deadline_s,
+    record_failed_call,
+    record_own_proof,
+)
 from myrtlehook_core.process.source_readers import (
     apply_reader_rows,
     find_readers_before,
-    had_recent_outage,
     record_answer,
     record_failure,
     update_reading,
 )
 from myrtlehook_core.version.configurations import BackendServer, ConfigurationVersion
 from myrtlehook_core.version.discovery import (
+    RETURN_GRACE_S,
     ServerChanges,
     apply_server_changes,
     apply_server_list,
@@ -65,10 +71,10 @@
 
 def on_servers(core: "RouterCore", event: events.BackendServersRead, now_s: float) -> None:
     """Apply the source's list of backend servers, and announce changes."""
-    after_outage = event.after_outage or had_recent_outage(core.source_readers, now_s)
+    return_deadline_s = find_return_deadline_s(core.source_outages, now_s)
     zones = event.evacuated_zones
     if apply_server_list(
-        core.discovery, event.servers, after_outage, now_s, event.source_order, zones
+        core.discovery, event.servers, return_deadline_s, now_s, event.source_order, zones
     ):
         report_servers(core, PLATFORM)
         _announce_source_news(core)
@@ -78,11 +84,16 @@
 def on_source_answered(core: "RouterCore", event: events.SourceAnswered, now_s: float) -> None:
     """Record that the source answers this router."""
     record_answer(core.source_readers, now_s)
+    asked_at_s = now_s if event.asked_at_s is None else event.asked_at_s
+    record_own_proof(core.source_outages, asked_at_s, core.options.lapse_after_s)
 
 
 def on_source_failed(core: "RouterCore", event: events.SourceFailed, now_s: float) -> None:
     """Record that the source does not answer this router."""
     record_failure(core.source_readers)
+    if event.asked_at_s is None or event.asked_at_s >= core.resumed_at_s:
+        # A call from before a pause of this process may have failed because of the pause.
+        record_failed_call(core.source_outages)
 
 
 def tick_source(core: "RouterCore", now_s: float) -> None:
@@ -109,6 +120,7 @@
             current_number = core.exchange.current.version.number
             core.actions.add(ConfigurationHeard(version, sender, current_number))
         query_missing_documents(core, now_s)
+    apply_proof(core.source_outages, news.proof, core.options.lapse_after_s, now_s)
     apply_reader_rows(core.source_readers, core.identity.router_id, news.readers, now_s)
     lacking = news.servers_order > core.discovery.source_order
     if lacking and now_s >= core.source_readers.next_query_s:
@@ -121,7 +133,10 @@
 ) -> None:
     """Send a peer the changes of backend servers that it asks for."""
     changes = collect_server_changes(core.discovery, message.known_order)
-    rows = tuple(_make_server_row(server, changes.lapsed) for server in changes.servers)
+    deadlines_s = changes.lapsed_deadlines_s
+    rows = tuple(
+        _make_server_row(server, deadlines_s.get(server.name), now_s) for server in changes.servers
+    )
     zones = tuple(sorted(changes.evacuated_zones))
     reply = ServersReply(changes.order, changes.whole, rows, changes.gone, zones)
     core.outbox.add(sender, reply)
@@ -136,13 +151,14 @@
         order=message.order,
         whole=message.whole,
         servers=tuple(_parse_server_row(row) for row in message.rows),
-        lapsed=frozenset(row.name for row in message.rows if row.lapsed),
+        lapsed_deadlines_s={
+            row.name: now_s + _read_return_time_s(row) for row in message.rows if row.lapsed
+        },
         gone=message.gone,
         evacuated_zones=frozenset(message.evacuated_zones),
     )
-    if apply_server_changes(
-        core.discovery, changes, had_recent_outage(core.source_readers, now_s), now_s
-    ):
+    return_deadline_s = find_return_deadline_s(core.source_outages, now_s)
+    if apply_server_changes(core.discovery, changes, return_deadline_s, now_s):
         report_servers(core, sender)
         _relay_source_news(core, sender)
     update_beliefs(core, LearnedBy.PEER, sender, now_s)
@@ -194,7 +210,18 @@
         announce_news_in_zone(core.probe_context())
 
 
-def _make_server_row(server: BackendServer, lapsed: frozenset[str]) -> ServerRow:
+def _read_return_time_s(row: ServerRow) -> float:
+    """Return how long a server's missing entry may still return."""
+    if row.gone_in_ms < 0:
+        return RETURN_GRACE_S
+    return min(row.gone_in_ms / 1000.0, RETURN_GRACE_S)
+
+
+def _make_server_row(
+    server: BackendServer, lapsed_deadline_s: float | None, now_s: float
+) -> ServerRow:
+    is_lapsed = lapsed_deadline_s is not None
+    left_s = 0.0 if lapsed_deadline_s is None else max(lapsed_deadline_s - now_s, 0.0)
     return ServerRow(
         name=server.name,
         pool=server.pool,
@@ -204,9 +231,10 @@
         checks_orders=server.checks_orders,
         leaving=server.leaving,
         instance=server.instance,
-        lapsed=server.name in lapsed,
+        lapsed=is_lapsed,
         cold_ms=server.cold_ms,
         software_version=server.software_version,
+        gone_in_ms=round(left_s * 1000.0) if is_lapsed else -1,
     )
 
 
--- a/packages/core/src/myrtlehook_core/process/source_messages.py
+++ b/packages/core/src/myrtlehook_core/process/source_messages.py
@@ -17,6 +17,14 @@
     """How long before this message that report was. An age, so that no clocks are compared."""
 
 
+class SourceProof(msgspec.Struct, frozen=True, array_like=True):
+    """Proof that the source was reachable, as one router reports it to another."""
+
+    number: int
+    """Identifies the proof; not to be compared with the receiver's clock."""
+    age_ms: int
+
+
 class ServerRow(msgspec.Struct, frozen=True, array_like=True):
     """One backend server as discovery knows it."""
 
@@ -32,6 +40,8 @@
     """Whether its entry was missing after an outage of the source and may still come back."""
     cold_ms: int = 0
     software_version: str = ""
+    gone_in_ms: int = -1
+    """How much of its time to return is left if its entry is missing; -1 if not stated."""
 
 
 class ServersQuery(msgspec.Struct, frozen=True, array_like=True, tag=25):
--- a/packages/core/src/myrtlehook_core/process/source_readers.py
+++ b/packages/core/src/myrtlehook_core/process/source_readers.py
@@ -30,10 +30,6 @@
 
 DECIDE_INTERVAL_S = 0.1
 
-OUTAGE_MEMORY_S = 1.0
-"""How long after an outage of the source the first list may lack entries because of it. A longer
-time would keep servers in use that are really gone."""
-
 
 @dataclass(slots=True)
 class SourceReaders:
@@ -51,7 +47,6 @@
     next_decision_s: float = -math.inf
     too_few_since_s: float = math.inf
     """Since when too few routers before this one in the order read the source."""
-    outage_until_s: float = 0.0
     next_query_s: float = 0.0
     """When a peer may be asked again for changes of backend servers."""
     order: tuple[str, ...] = ()
@@ -107,23 +102,12 @@
         return False
     readers.next_decision_s = now_s + DECIDE_INTERVAL_S
     readers.started_at_s = min(readers.started_at_s, now_s)
-    _record_outage(readers, table, options, now_s)
     wanted = _should_read(readers, table, options, now_s)
     changed = wanted != readers.reading
     readers.reading = wanted
     return changed
 
 
-def had_recent_outage(readers: SourceReaders, now_s: float) -> bool:
-    """Return whether the source is, or was until recently, out of reach of all known readers."""
-    return now_s < readers.outage_until_s
-
-
-def find_source_age_s(readers: SourceReaders, now_s: float) -> float:
-    """Return how long ago the source is known to have answered any router."""
-    return now_s - max([readers.own_answer_at_s, *readers.answer_reported_at_s.values()])
-
-
 def find_readers_before(
     readers: SourceReaders, table: MemberTable, options: CoreOptions, now_s: float
 ) -> tuple[str, ...]:
@@ -166,20 +150,6 @@
     return max(place - options.source_readers + 1, 0) * STAGGER_PER_PLACE_S
 
 
-def _record_outage(
-    readers: SourceReaders, table: MemberTable, options: CoreOptions, now_s: float
-) -> None:
-    own_id = table.identity.router_id
-    ages_s = [
-        _find_answer_age_s(readers, own_id, router, options, now_s)
-        for router in readers.answer_reported_at_s
-    ]
-    ages_s.append(_find_answer_age_s(readers, own_id, own_id, options, now_s))
-    knew_readers = readers.has_read or bool(readers.answer_reported_at_s)
-    if knew_readers and min(ages_s) >= options.reader_age_limit_s:
-        readers.outage_until_s = now_s + OUTAGE_MEMORY_S
-
-
 def _find_answer_age_s(
     readers: SourceReaders, own_id: str, router_id: str, options: CoreOptions, now_s: float
 ) -> float:
--- a/packages/core/src/myrtlehook_core/version/discovery.py
+++ b/packages/core/src/myrtlehook_core/version/discovery.py
@@ -4,11 +4,12 @@
 peers send. Each of them carries the source order (era and revision) that it reflects,
 and an older one never replaces a newer one. A server that has announced that it is
 leaving stays marked as leaving for as long as it is known by that name. Entries that
-lapsed (expired) during an outage of the source get a grace period to return before their
-servers count as removed.
+may have lapsed (expired) in an outage of the source have until a deadline to return,
+before their servers count as removed. It follows from the end of the outage, and peers
+are told how much of it is left, so that nothing begins it again.
 
 A source that is restored from a backup has lost all changes since the backup. Servers
-that are missing from the backup register again shortly, so they get the same grace period
+that are missing from the backup register again shortly, so they have as long to return
 as after an outage. Servers that the backup lists although they had been removed get no
 requests for a hold-off period, within which the entry of a dead server expires again.
 """
@@ -18,9 +19,10 @@
 
 from myrtlehook_core.version.configurations import BackendServer, Configuration
 from myrtlehook_core.version.source_orders import NO_ORDER, SourceOrder
+from myrtlehook_core.version.withheld_servers import find_withheld_missing
 
 RETURN_GRACE_S = 2.0
-"""How long an entry that expired during an outage has to return."""
+"""How long after the end of an outage an entry that expired in it has to return."""
 
 RESTORED_HOLDOFF_S = 6.0
 """How long a removed server gets no requests after a restored backup lists it again. The entry
@@ -40,10 +42,11 @@
     leaving: set[str] = field(default_factory=set)
     """Servers that have announced that they are leaving."""
     lapsed_deadlines_s: dict[str, float] = field(default_factory=dict)
-    """When a server whose entry was missing after an outage counts as removed."""
+    """When a server whose entry was missing after an outage counts as removed. Until then it gets
+    requests only if the others of its pool are too few."""
     revision: int = 0
-    """Incremented when ``known``, ``evacuated_zones`` or the hold-offs change; local to this
-    process, unlike ``source_order``."""
+    """Incremented when ``known``, ``evacuated_zones``, the hold-offs or the set of servers with a
+    missing entry change; local to this process, unlike ``source_order``."""
     source_order: SourceOrder = NO_ORDER
     """The source order that ``known`` reflects."""
     changed_orders: dict[str, SourceOrder] = field(default_factory=dict)
@@ -68,8 +71,8 @@
     whole: bool
     """``servers`` is the full list; servers that it lacks are removed."""
     servers: tuple[BackendServer, ...]
-    lapsed: frozenset[str]
-    """Those of ``servers`` whose entry was missing after an outage and may still return."""
+    lapsed_deadlines_s: dict[str, float]
+    """When those of ``servers`` count as removed whose entry is missing and may still return."""
     gone: tuple[str, ...]
     evacuated_zones: frozenset[str] = frozenset()
     """All evacuated zones, not only changes."""
@@ -78,16 +81,21 @@
 def apply_server_list(
     discovery: Discovery,
     servers: Iterable[BackendServer],
-    after_outage: bool,
+    return_deadline_s: float | None,
     now_s: float,
     order: SourceOrder = NO_ORDER,
     evacuated_zones: frozenset[str] = frozenset(),
 ) -> bool:
-    """Apply the source's full list as of ``order``; return whether anything changed."""
+    """Apply the source's full list as of ``order``; return whether anything changed.
+
+    :param return_deadline_s: until when entries that are missing may return; None if their
+        servers have been removed.
+    """
     if order < discovery.source_order:
         return False
     listed = {server.name: _merge_known_state(discovery, server) for server in servers}
-    after_outage = _handle_new_era(discovery, order, listed.keys(), now_s) or after_outage
+    if _handle_new_era(discovery, order, listed.keys(), now_s):
+        return_deadline_s = now_s + RETURN_GRACE_S
     missing = discovery.known.keys() - listed.keys()
     lapsed_before = set(discovery.lapsed_deadlines_s)
     instances = _collect_instances(listed)
@@ -95,16 +103,16 @@
         if discovery.known[name].instance in instances:
             discovery.lapsed_deadlines_s.pop(name, None)
             continue
-        if after_outage:
-            discovery.lapsed_deadlines_s.setdefault(name, now_s + RETURN_GRACE_S)
+        if return_deadline_s is not None:
+            discovery.lapsed_deadlines_s.setdefault(name, return_deadline_s)
         if name in discovery.lapsed_deadlines_s:
             listed[name] = discovery.known[name]
     for name in listed.keys() - missing:
         discovery.lapsed_deadlines_s.pop(name, None)
     if not discovery.active:
         discovery.complete_since_order = order
-    _record_orders(discovery, listed, lapsed_before, order)
-    return _replace_known(discovery, listed, evacuated_zones)
+    lapse_changed = _record_orders(discovery, listed, lapsed_before, order)
+    return _replace_known(discovery, listed, evacuated_zones) or lapse_changed
 
 
 def collect_server_changes(discovery: Discovery, after: SourceOrder) -> ServerChanges:
@@ -116,50 +124,56 @@
     is_other_era = after.era != discovery.source_order.era
     whole = is_other_era or after < discovery.complete_since_order or after == NO_ORDER
     changed = discovery.changed_orders
-    names = [name for name in discovery.known if whole or changed[name] > after]
+    names = {name: None for name in discovery.known if whole or changed[name] > after}
     removed = discovery.removed_orders.items()
     return ServerChanges(
         order=discovery.source_order,
         whole=whole,
         servers=tuple(discovery.known[name] for name in names),
-        lapsed=frozenset(discovery.lapsed_deadlines_s).intersection(names),
+        lapsed_deadlines_s={
+            name: deadline_s
+            for name, deadline_s in discovery.lapsed_deadlines_s.items()
+            if name in names
+        },
         gone=tuple(name for name, order in removed if not is_other_era and order > after),
         evacuated_zones=discovery.evacuated_zones,
     )
 
 
 def apply_server_changes(
-    discovery: Discovery, changes: ServerChanges, after_outage: bool, now_s: float
+    discovery: Discovery, changes: ServerChanges, return_deadline_s: float | None, now_s: float
 ) -> bool:
     """Apply changes that a peer has sent; return whether anything changed.
 
-    :param after_outage: whether servers that a full list lacks may still return.
+    :param return_deadline_s: until when entries that are missing may return, by what this router
+        knows of the source's outages; None if their servers have been removed.
     """
     if changes.order <= discovery.source_order:
         return False
     received = {server.name: _merge_known_state(discovery, server) for server in changes.servers}
-    after_outage = _handle_new_era(discovery, changes.order, received.keys(), now_s) or after_outage
+    if _handle_new_era(discovery, changes.order, received.keys(), now_s):
+        return_deadline_s = now_s + RETURN_GRACE_S
     listed = received if changes.whole else discovery.known | received
     listed = {name: server for name, server in listed.items() if name not in changes.gone}
     deadlines_s = discovery.lapsed_deadlines_s
     lapsed_before = set(deadlines_s)
-    for name in received.keys() - changes.lapsed:
+    for name in received.keys() - changes.lapsed_deadlines_s.keys():
         deadlines_s.pop(name, None)
-    lapsed = set(changes.lapsed)
-    if after_outage:
+    for name, deadline_s in changes.lapsed_deadlines_s.items():
+        deadlines_s[name] = min(deadlines_s.get(name, deadline_s), deadline_s)
+    if return_deadline_s is not None:
+        # The peer may have been unable to notice the outage, for instance because it was paused.
         instances = _collect_instances(received)
-        missing = discovery.known.keys() - listed.keys() - set(changes.gone)
-        lapsed |= {name for name in missing if discovery.known[name].instance not in instances}
-    for name in lapsed:
-        deadlines_s.setdefault(name, now_s + RETURN_GRACE_S)
-        if name not in listed:
-            listed[name] = discovery.known[name]
+        for name in discovery.known.keys() - listed.keys():
+            if discovery.known[name].instance not in instances:
+                deadlines_s.setdefault(name, return_deadline_s)
+                listed[name] = discovery.known[name]
     for name in deadlines_s.keys() - listed.keys():
         del deadlines_s[name]
     if not discovery.active:
         discovery.complete_since_order = changes.order
-    _record_orders(discovery, listed, lapsed_before, changes.order)
-    return _replace_known(discovery, listed, changes.evacuated_zones)
+    lapse_changed = _record_orders(discovery, listed, lapsed_before, changes.order)
+    return _replace_known(discovery, listed, changes.evacuated_zones) or lapse_changed
 
 
 def expire_deadlines(discovery: Discovery, now_s: float) -> bool:
@@ -183,20 +197,27 @@
     return _replace_known(discovery, kept, discovery.evacuated_zones)
 
 
-def apply_discovery(configuration: Configuration, discovery: Discovery) -> Configuration:
+def apply_discovery(
+    configuration: Configuration, discovery: Discovery, leaving: Collection[str] = ()
+) -> Configuration:
     """Return the configuration with the discovered servers.
 
-    Servers that must get no requests, because of a hold-off or an evacuation, are marked as
-    leaving.
+    Servers that must get no requests, because of a hold-off or an evacuation, or because their
+    entries are missing and others can stand in for them, are marked as leaving.
+
+    :param leaving: servers that have announced otherwise than by their entries that they leave.
     """
     if not discovery.active:
         return configuration
-    withheld = {
-        name: replace(server, leaving=True)
+    names = {
+        name
         for name, server in discovery.known.items()
         if name in discovery.holdoff_deadlines_s
         or server.availability_zone in discovery.evacuated_zones
     }
+    missing = discovery.lapsed_deadlines_s.keys()
+    names |= find_withheld_missing(discovery.known, missing, names.union(leaving))
+    withheld = {name: replace(discovery.known[name], leaving=True) for name in names}
     return replace(
         configuration,
         backend_servers=discovery.known | withheld if withheld else discovery.known,
@@ -253,8 +274,11 @@
     servers: dict[str, BackendServer],
     lapsed_before: set[str],
     order: SourceOrder,
-) -> None:
-    """Record the source order at which each server changed or was removed."""
+) -> bool:
+    """Record the source order at which each server changed or was removed.
+
+    :returns: whether the set of servers with a missing entry has changed.
+    """
     discovery.source_order = order
     lapse_changed = lapsed_before ^ discovery.lapsed_deadlines_s.keys()
     for name, server in servers.items():
@@ -267,6 +291,8 @@
     while len(discovery.removed_orders) > MAX_REMEMBERED_REMOVALS:
         oldest = next(iter(discovery.removed_orders))
         discovery.complete_since_order = discovery.removed_orders.pop(oldest)
+    discovery.revision += bool(lapse_changed)
+    return bool(lapse_changed)
 
 
 def _replace_known(
--- a/packages/router/src/myrtlehook_router/request/relays.py
+++ b/packages/router/src/myrtlehook_router/request/relays.py
@@ -142,15 +142,7 @@
     """Reset the state of the current attempt, before the request is sent once more."""
     relay.attempts += 1
     relay.sent_at_s = clocks.now_s()
-    relay.send_belief = relay.placement.services.find_send_belief(relay.backend_server)
-    report_doubtful_send(
-        relay.placement.services.doubtful_sends,
-        relay.placement.services.counters,
-        relay.request.request_id,
-        relay.backend_server,
-        relay.send_belief,
-        relay.sent_at_s,
-    )
+    _record_send_belief(relay)
     relay.has_output = False
     relay.shown_sound = False
     begin_stream_attempt(relay.pauses)
@@ -158,6 +150,21 @@
     relay.notice = NO_NOTICE
 
 
+def _record_send_belief(relay: Relay) -> None:
+    """Record what is believed of the server to which the request is about to be sent."""
+    services = relay.placement.services
+    relay.send_belief = services.find_send_belief(relay.backend_server)
+    if relay.send_belief is not None:
+        report_doubtful_send(
+            services.doubtful_sends,
+            services.counters,
+            relay.request.request_id,
+            relay.backend_server,
+            relay.send_belief,
+            relay.sent_at_s,
+        )
+
+
 def record_response_head(relay: Relay, response: urllib3.HTTPResponse) -> None:
     """Record a response's status and the notice about its server; report the notice to the core."""
     relay.status = response.status
--- a/packages/router/src/myrtlehook_router/request/send_beliefs.py
+++ b/packages/router/src/myrtlehook_router/request/send_beliefs.py
@@ -42,11 +42,11 @@
     counters: Counters,
     request_id: str,
     backend_server: str,
-    belief: SendBelief | None,
+    belief: SendBelief,
     now_s: float,
 ) -> None:
     """Count and log a request sent to a server that may have left; such lines survive overloads."""
-    if belief is None or not _is_doubtful(belief):
+    if not _is_doubtful(belief):
         return
     counters.add(f"backend.doubtful_sends.{belief.server.state}")
     if now_s >= sends.second_ends_s:
