Keep a server's word that it leaves if its entry goes within the same answer of the store

Cause: the adapter applied a watch's answer key by key, the last change of a key covering the ones before.

Change: what an entry said just before it went in the same answer is posted with the list, and counts as the server's word.

Red test: 'A server whose entry said that it leaves and went within one answer is known to leave', red without the change (the server is used for its time to return after an outage of 5 s).

--- a/packages/core/src/myrtlehook_core/process/events.py
+++ b/packages/core/src/myrtlehook_core/process/events.py
@@ -183,6 +183,9 @@
     """The version of the list at the source; a list older than the known one is ignored."""
     evacuated_zones: frozenset[str] = frozenset()
     """Availability zones whose servers must not get requests."""
+    left_after_notice: tuple[str, ...] = ()
+    """Servers that are not listed any more, and whose last entries, which were in no earlier list,
+    announced that they leave."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/myrtlehook_core/process/source_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/source_handlers.py
@@ -71,6 +71,7 @@
 
 def on_servers(core: "RouterCore", event: events.BackendServersRead, now_s: float) -> None:
     """Apply the source's list of backend servers, and announce changes."""
+    _record_covered_notices(core, event)
     return_deadline_s = find_return_deadline_s(core.source_outages, now_s)
     zones = event.evacuated_zones
     if apply_server_list(
@@ -210,6 +211,12 @@
         announce_news_in_zone(core.probe_context())
 
 
+def _record_covered_notices(core: "RouterCore", event: events.BackendServersRead) -> None:
+    """Record servers that announced that they leave just before their entries went."""
+    for name in event.left_after_notice:
+        record_leaving(core.leaving_servers, LeavingRow(name, 0), compute_news_sends(core.table))
+
+
 def _read_return_time_s(row: ServerRow) -> float:
     """Return how long a server's missing entry may still return."""
     if row.gone_in_ms < 0:
--- a/tests/features/departures.feature
+++ b/tests/features/departures.feature
@@ -40,3 +40,10 @@
     Given a fleet that knows 8 servers, and a source that is away for 5 s
     When 6 entries lapse meanwhile and never return, while routers restart in series
     Then no router sends to them later than 2.2 s after the source's return
+
+  # Guards against: an answer of the store that held both a server's "draining" and the end of its
+  # entry was applied key by key, so that the word was lost and the server waited for its entry.
+  Scenario: A server whose entry said that it leaves and went within one answer is known to leave
+    Given a store with entries "a" and "b" that is away for 5 s
+    When it reports that "a" said draining and went, and that "b" went
+    Then "a" gets no requests, and "b" may return
