Have the soak's engines leave by their entries, and check what reaches them afterwards

The soak drained at most one engine, let no entry go, started none, and checked what answers said alone. Now up to n-2 engines leave beside all other faults (draining, gone, both at once, one after the other), each replaced by a new one, and the check is the users' rule by arrivals: none later than 2 s after the store took it. The bound counts from when the store could tell any running router; excused are only routers that were down, stopped or paused in the 3 s before, and links to that server that were faulty then.

--- a/emulator/control.py
+++ b/emulator/control.py
@@ -8,6 +8,7 @@
 from emulator.sites import (
     PLAIN_SERVICE,
     Site,
+    add_engine,
     describe_site,
     end_engine,
     put_engine,
@@ -73,6 +74,8 @@
         _put_entry(site, name, "ready")
     for name in order.get("end", []):
         end_engine(site, site.engines[name])
+    for _ in range(order.get("add_engines", 0)):
+        add_engine(site)
     if order.get("keep_copy"):
         site.store.save_copy()
     if order.get("return_from_copy"):
--- a/emulator/sites.py
+++ b/emulator/sites.py
@@ -51,6 +51,9 @@
     """Zones of the servers that are not in ``ZONE``, by server id."""
     ended_engines: list[str] = field(default_factory=list)
     """Ids of the engines that ended, in order."""
+    ip: str = ""
+    """The address that all parts listen on."""
+    added_numbers: "itertools.count[int]" = field(default_factory=lambda: itertools.count(1))
     restart_numbers: "itertools.count[int]" = field(default_factory=lambda: itertools.count(1))
 
 
@@ -58,12 +61,9 @@
     """Start the store, the engines and the services as tasks of this process."""
     site = Site()
     site.addresses["store"] = serve(ip, site.store.answer)
+    site.ip = ip
     for number in range(1, engines + 1):
-        engine = Engine(f"i-engine-{number}", speed, site.engine_faults)
-        site.engines[engine.identifier] = engine
-        engine.end = _make_end_callback(site, engine)
-        eventlet.spawn(engine.step_forever)
-        _register_engine(site, engine, RestartableServer(ip, engine.answer))
+        _start_engine(site, f"i-engine-{number}", speed)
     for number in range(1, services + 1):
         service = PlainService(f"i-desk-{number}", slots=6)
         site.services[service.identifier] = service
@@ -72,6 +72,20 @@
     return site
 
 
+def add_engine(site: Site) -> None:
+    """Start one more engine, which is like the others."""
+    speed = next(iter(site.engines.values())).speed
+    _start_engine(site, f"i-engine-added-{next(site.added_numbers)}", speed)
+
+
+def _start_engine(site: Site, identifier: str, speed: EngineSpeed) -> None:
+    engine = Engine(identifier, speed, site.engine_faults)
+    site.engines[identifier] = engine
+    engine.end = _make_end_callback(site, engine)
+    eventlet.spawn(engine.step_forever)
+    _register_engine(site, engine, RestartableServer(site.ip, engine.answer))
+
+
 def end_engine(site: Site, engine: Engine) -> None:
     """End an engine's process; it starts again later without its state."""
     identifier = engine.identifier
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -24,13 +24,27 @@
     ),
     paces: bool = typer.Option(True, help="whether engines differ in speed, with slow spells"),
     versions: bool = typer.Option(True, help="whether engines are of two software versions"),
+    departures: bool = typer.Option(
+        True, help="whether engines leave by their entries, and others start"
+    ),
 ) -> None:
     """Run real routers under random faults and check their promises; exits with 1 if one broke."""
     first = seed if seed >= 0 else random.SystemRandom().randrange(1_000_000_000)
     failed_runs = 0
     for number in range(first, first + runs):
         result = execute_run(
-            RunOptions(number, seconds, routers, engines, endings, notices, copies, paces, versions)
+            RunOptions(
+                number,
+                seconds,
+                routers,
+                engines,
+                endings,
+                notices,
+                copies,
+                paces,
+                versions,
+                departures,
+            )
         )
         failed_runs += bool(result.violations)
         _print(result)
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -19,10 +19,12 @@
     check_runs,
     check_versions,
 )
+from soak.departure_checks import Departure, check_departures
 from soak.notice_checks import BACKOFF_S, InjectedFaults, check_notices
 from soak.pause_checks import check_logged_pauses, check_unbroken_streams
 from soak.schedules import (
     Fault,
+    draw_departures,
     draw_endings,
     draw_notices,
     draw_paces,
@@ -78,6 +80,8 @@
     """Whether engines are of unequal speed, and have slow spells."""
     versions: bool = False
     """Whether engines are of two software versions, which change when one starts again."""
+    departures: bool = False
+    """Whether engines leave by their entries, and others start."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,6 +109,7 @@
     """The number of engines ended by the schedule, not by a request."""
     violations: list[Violation] = field(default_factory=list)
     slower_engines: set[str] = field(default_factory=set)
+    departures: list[Departure] = field(default_factory=list)
 
     def execute(self) -> RunResult:
         """Execute the whole run."""
@@ -164,6 +169,9 @@
             faults += draw_notices(options.seed, options.seconds, self._list_servers(), engines)
         if options.copies:
             faults += draw_store_restorations(options.seed, options.seconds)
+        if options.departures:
+            engines = [name for name in self._list_servers() if _is_engine(name)]
+            faults += draw_departures(options.seed, options.seconds, engines)
         paces = []
         if options.paces:
             engines = [name for name in self._list_servers() if _is_engine(name)]
@@ -189,6 +197,9 @@
         site = self.fleet.describe()
         injected = InjectedFaults(tuple(faults), start_s)
         self.violations += check_notices(attempts, site, injected, routers)
+        self.violations += check_departures(
+            attempts, site, self.departures, faults, start_s, routers
+        )
         self.violations += self._check_recovery()
         self.violations += check_runs(attempts, self._count_runs(attempts))
         self.violations += self._check_ends(faults)
@@ -251,6 +262,8 @@
             self._set_notice_fault(fault, begins)
         elif fault.kind == "ending":
             self._end_engines(fault, begins)
+        elif fault.kind == "departure":
+            self._let_leave(fault, begins)
         elif fault.kind == "pace":
             self._set_pace(fault, begins)
         elif begins:
@@ -265,6 +278,21 @@
         not_refusing = {"refuse_every": 0, "retry_after": ""}
         self.fleet.order(faults={fault.target: refusing if begins else not_refusing})
 
+    def _let_leave(self, fault: Fault, begins: bool) -> None:
+        if not begins:
+            if fault.how == "says_then_goes":
+                self.fleet.order(servers={fault.target: "gone"})
+            return
+        if fault.target not in self.fleet.describe()["servers"]:
+            # The engine has ended and started again under another id.
+            return
+        if fault.how != "goes":
+            self.fleet.order(servers={fault.target: "draining"})
+        if fault.how in ("goes", "says_and_goes"):
+            self.fleet.order(servers={fault.target: "gone"})
+        self.departures.append(Departure(fault.target, time.monotonic()))
+        self.fleet.order(add_engines=1)
+
     def _end_engines(self, fault: Fault, begins: bool) -> None:
         if fault.how == "end":
             if begins:
--- a/soak/schedules.py
+++ b/soak/schedules.py
@@ -17,6 +17,13 @@
 ``tells_leaving``: an engine announces in all answers that it leaves, while its store entry
 stays as it is."""
 
+DEPARTURES = ("says", "goes", "says_and_goes", "says_then_goes")
+"""How an engine leaves: its entry says so, or goes, or both at once, or one after the other. It
+serves on, and another engine starts."""
+
+MAX_SAYING_S = 1.5
+"""How long an entry says that its engine leaves before it goes."""
+
 PACES = ("slower", "slow_spell")
 """``slower``: an engine is slower than the others for the whole run. ``slow_spell``: one turns slow
 for a moment. Neither excuses a broken promise."""
@@ -87,6 +94,21 @@
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
+def draw_departures(seed: int, seconds: float, engines: list[str]) -> list[Fault]:
+    """Draw which engines leave, in addition to the other faults of the same seed.
+
+    Several may leave at once, but two always stay.
+    """
+    draw = random.Random(f"departures/{seed}")
+    departures = []
+    for target in draw.sample(engines, draw.randint(1, max(len(engines) - 2, 1))):
+        at_s = draw.uniform(FIRST_FAULT_S, seconds * 0.7)
+        until_s = at_s + draw.uniform(MIN_FAULT_S, MAX_SAYING_S)
+        how = draw.choice(DEPARTURES)
+        departures.append(Fault(round(at_s, 3), round(until_s, 3), "departure", how, target))
+    return sorted(departures, key=lambda fault: fault.at_s)
+
+
 def draw_paces(seed: int, seconds: float, engines: list[str]) -> list[Fault]:
     """Draw which engine is slower than the others, and slow spells of all of them."""
     draw = random.Random(f"paces/{seed}")
--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -62,6 +62,20 @@
       | 7049 | 9       |
       | 9305 | 10      |
 
+  Scenario Outline: The promises are kept while engines leave and others start
+    When the soak plays seed <seed> for <seconds> s under all its faults, and engines leave
+    Then no promise was broken, and clients were served
+
+    Examples:
+      | seed | seconds |
+      | 6100 | 9       |
+      | 6101 | 9       |
+
+  Scenario: The checks find requests that reached a server after it had left
+    Then a request 2 s after a server has left is found
+    And the bound counts from when the store can be reached again
+    And a request of a router that was paused shortly before is not found
+
   Scenario: The checks find requests that reached a server during its back-off or after its notice
     Then 3 requests within a server's back-off are found, and 2 are not
     And a request 2 s after its router forwarded that the server leaves is found
--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -10,6 +10,7 @@
 
 from soak.callers import LAST_EVENT_NUMBER, AttemptRecord
 from soak.checks import Violation, check_answers, check_deadlines, check_runs, make_seal
+from soak.departure_checks import Departure, check_departures
 from soak.notice_checks import InjectedFaults, check_notices
 from soak.pause_checks import check_logged_pauses, check_unbroken_streams
 from soak.runs import RunOptions, execute_run
@@ -54,6 +55,11 @@
     context.result = execute_run(RunOptions(seed, seconds, endings=True, notices=True, copies=True))
 
 
+@when("the soak plays seed {seed:d} for {seconds:g} s under all its faults, and engines leave")
+def play_departures(context: Any, seed: int, seconds: float) -> None:
+    context.result = execute_run(RunOptions(seed, seconds, 4, 5, True, True, True, departures=True))
+
+
 @then("no promise was broken, and clients were served")
 def check_result(context: Any) -> None:
     assert not context.result.violations, context.result
@@ -162,6 +168,37 @@
         assert not _check_arrivals(AFTER_NOTICE, ["a"], excuse)
 
 
+def _check_departed(at_s: float, *faults: Fault) -> list[Violation]:
+    """Check a request that reached the server at a time; the server had left at 1.0 s."""
+    seen = [AttemptRecord("a", "/summary/a", ROUTER, at_s, at_s)]
+    site = {"ended": [], "servers": {SERVER: {"arrivals": [("a", at_s)], "runs": {}}}}
+    departures = [Departure(SERVER, 1.0)]
+    return check_departures(seen, site, departures, faults, 0.0, {ROUTER: "edge-1"})
+
+
+@then("a request 2 s after a server has left is found")
+def check_found_departure(context: Any) -> None:
+    assert len(_check_departed(3.1)) == 1
+    assert not _check_departed(2.9)
+
+
+@then("the bound counts from when the store can be reached again")
+def check_departure_in_outage(context: Any) -> None:
+    refusal = Fault(0.5, 2.0, "store", "refuses", "store")
+    assert not _check_departed(3.9, refusal)
+    assert len(_check_departed(4.1, refusal)) == 1
+    link_cut = Fault(0.5, 2.0, "store_link", "silent", "edge-1")
+    assert not _check_departed(3.9, link_cut)
+    other_cut = Fault(0.5, 2.0, "store_link", "silent", "edge-2")
+    assert len(_check_departed(3.1, other_cut)) == 1
+
+
+@then("a request of a router that was paused shortly before is not found")
+def check_excused_departure(context: Any) -> None:
+    assert not _check_departed(3.1, Fault(0.2, 0.4, "router", "pause", "edge-1"))
+    assert len(_check_departed(4.1, Fault(0.2, 0.4, "router", "pause", "edge-1"))) == 1
+
+
 BROKEN_STREAM = AttemptRecord("x1", "/summary/a", ROUTER, 1.0, 3.0, 200, broken=True)
 
 
