Tell routers that did not know of a removal which servers a restored store lists again

What callers saw: a server that had gone got requests up to 2.6 s later, from a router that had started after it went and before the store came back from a copy that still listed it.

Cause: the hold-off of such servers (6 s, in which the entry of a dead one lapses again) is kept by routers that remember the removal. A router that has started since remembers none, and what a new list shows is the same to it as to the others.

Change: hold-offs ride on probes as news, and are all told to a router that joins.

Red test: copied_store.feature, 'Routers that started after a removal hold off a server that a copy brings back', red without the change (both routers that had started use it).

--- a/packages/core/src/myrtlehook_core/process/actions.py
+++ b/packages/core/src/myrtlehook_core/process/actions.py
@@ -187,6 +187,16 @@
     count: int
 
 
+@dataclass(frozen=True, slots=True)
+class ServerHeldOff:
+    """A server gets no requests for a time, since a restored source lists it again."""
+
+    backend_server: str
+    until_s: float
+    source: str
+    """The platform, or the router that reported it."""
+
+
 @dataclass(frozen=True, slots=True)
 class ServerBackoffReported:
     """A backend server has asked this router to back off until a given time."""
@@ -441,6 +451,7 @@
     | ServerLeavingReported
     | ServerBeliefChanged
     | ServerBeliefsOmitted
+    | ServerHeldOff
     | ServerBackoffReported
     | ReadSource
     | AdmissionDecided
--- a/packages/core/src/myrtlehook_core/process/membership_messages.py
+++ b/packages/core/src/myrtlehook_core/process/membership_messages.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from myrtlehook_core.process.quarantine_messages import QuarantineRow
-from myrtlehook_core.process.source_messages import ReaderRow, SourceProof
+from myrtlehook_core.process.source_messages import HeldOffRow, ReaderRow, SourceProof
 from myrtlehook_core.version.source_orders import NO_ORDER, SourceOrder
 
 
@@ -48,6 +48,8 @@
     """Requests that are quarantined because servers ended while running them, or just released."""
     proof: SourceProof | None = None
     """The latest proof that the configuration source was reachable."""
+    held_off: tuple[HeldOffRow, ...] = ()
+    """Servers that get no requests for a time, since a restored source lists them again."""
 
 
 class Probe(msgspec.Struct, frozen=True, array_like=True, tag=9):
--- a/packages/core/src/myrtlehook_core/process/probing.py
+++ b/packages/core/src/myrtlehook_core/process/probing.py
@@ -44,7 +44,7 @@
     update_suspected_zones,
 )
 from myrtlehook_core.process.quarantine_messages import QuarantineRow
-from myrtlehook_core.process.source_messages import ReaderRow, SourceProof
+from myrtlehook_core.process.source_messages import HeldOffRow, ReaderRow, SourceProof
 from myrtlehook_core.version.configurations import ConfigurationVersion
 from myrtlehook_core.version.source_orders import SourceOrder
 
@@ -108,6 +108,8 @@
     """Returns the routers that read the configuration source."""
     collect_quarantine_rows: Callable[[], tuple[QuarantineRow, ...]]
     """Returns the quarantine rows to send with the next message."""
+    collect_holdoff_rows: Callable[[bool], tuple[HeldOffRow, ...]]
+    """Returns the hold-offs to send with the next message, or all of them for a starting router."""
     make_source_proof: Callable[[], SourceProof | None]
     """Returns the latest proof that the configuration source was reachable."""
     actions: ActionList
@@ -184,7 +186,12 @@
         for member in context.table.members.values()
         if not member.unconfirmed
     ]
-    news = _make_news(context, tuple(rows), list_leaving_rows(context.leaving))
+    news = _make_news(
+        context,
+        tuple(rows),
+        list_leaving_rows(context.leaving),
+        context.collect_holdoff_rows(True),
+    )
     _send(context, sender, MembersReply(news))
 
 
@@ -319,11 +326,15 @@
 
 def _collect_news(context: ProbeContext, receiver: str) -> News:
     members = collect_member_news(context.table, receiver)
-    return _make_news(context, members, collect_leaving_rows(context.leaving))
+    leaving = collect_leaving_rows(context.leaving)
+    return _make_news(context, members, leaving, context.collect_holdoff_rows(False))
 
 
 def _make_news(
-    context: ProbeContext, members: tuple[MemberRow, ...], leaving: tuple[LeavingRow, ...]
+    context: ProbeContext,
+    members: tuple[MemberRow, ...],
+    leaving: tuple[LeavingRow, ...],
+    held_off: tuple[HeldOffRow, ...],
 ) -> News:
     return News(
         members=members,
@@ -334,6 +345,7 @@
         readers=context.collect_reader_rows(),
         quarantine=context.collect_quarantine_rows(),
         proof=context.make_source_proof(),
+        held_off=held_off,
     )
 
 
--- a/packages/core/src/myrtlehook_core/process/routers.py
+++ b/packages/core/src/myrtlehook_core/process/routers.py
@@ -34,6 +34,7 @@
 )
 from myrtlehook_core.process.engine_queues import clear_queues, set_owned_engines
 from myrtlehook_core.process.event_handlers import EVENT_HANDLERS
+from myrtlehook_core.process.held_off_servers import HoldoffNews, collect_holdoff_rows
 from myrtlehook_core.process.ingress import (
     IngressContext,
     IngressState,
@@ -131,6 +132,7 @@
         self.part_quarantine = Quarantine(first_serial=identity.incarnation)
         self.stream_origins = StreamOrigins()
         self.ended_servers: EndedServers = {}
+        self.holdoff_news = HoldoffNews()
         self.source_outages = SourceOutages()
         self.server_beliefs = ServerBeliefs()
         self.source_readers = SourceReaders(reading=options.first_read_delay_s == 0.0)
@@ -269,6 +271,9 @@
             version=self.configuration.version,
             servers_order=self.discovery.source_order,
             collect_reader_rows=self._collect_reader_rows,
+            collect_holdoff_rows=lambda is_complete: collect_holdoff_rows(
+                self, is_complete, self._now_s
+            ),
             make_source_proof=lambda: make_proof(self.source_outages, self._now_s),
             collect_quarantine_rows=self._collect_quarantine_rows,
             actions=self.actions,
--- a/packages/core/src/myrtlehook_core/process/source_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/source_handlers.py
@@ -11,6 +11,7 @@
     FetchPart,
     ReadSource,
 )
+from myrtlehook_core.process.held_off_servers import announce_new_holdoffs, apply_holdoff_rows
 from myrtlehook_core.process.leaving_servers import record_leaving
 from myrtlehook_core.process.members import compute_news_sends
 from myrtlehook_core.process.membership_messages import LeavingRow, News
@@ -78,6 +79,7 @@
         core.discovery, event.servers, return_deadline_s, now_s, event.source_order, zones
     ):
         report_servers(core, PLATFORM)
+        announce_new_holdoffs(core, PLATFORM)
         _announce_source_news(core)
     update_beliefs(core, LearnedBy.ENTRY, PLATFORM, now_s)
 
@@ -121,6 +123,7 @@
             current_number = core.exchange.current.version.number
             core.actions.add(ConfigurationHeard(version, sender, current_number))
         query_missing_documents(core, now_s)
+    apply_holdoff_rows(core, sender, news.held_off, now_s)
     apply_proof(core.source_outages, news.proof, core.options.lapse_after_s, now_s)
     apply_reader_rows(core.source_readers, core.identity.router_id, news.readers, now_s)
     lacking = news.servers_order > core.discovery.source_order
@@ -161,6 +164,7 @@
     return_deadline_s = find_return_deadline_s(core.source_outages, now_s)
     if apply_server_changes(core.discovery, changes, return_deadline_s, now_s):
         report_servers(core, sender)
+        announce_new_holdoffs(core, sender)
         _relay_source_news(core, sender)
     update_beliefs(core, LearnedBy.PEER, sender, now_s)
 
--- a/packages/core/src/myrtlehook_core/process/source_messages.py
+++ b/packages/core/src/myrtlehook_core/process/source_messages.py
@@ -44,6 +44,13 @@
     """How much of its time to return is left if its entry is missing; -1 if not stated."""
 
 
+class HeldOffRow(msgspec.Struct, frozen=True, array_like=True):
+    """A server that gets no requests for a time, since a restored source lists it again."""
+
+    name: str
+    left_ms: int
+
+
 class ServersQuery(msgspec.Struct, frozen=True, array_like=True, tag=25):
     """Asks a peer for the changes of backend servers since ``known_order``."""
 
--- a/packages/core/src/myrtlehook_core/version/discovery.py
+++ b/packages/core/src/myrtlehook_core/version/discovery.py
@@ -176,6 +176,14 @@
     return _replace_known(discovery, listed, changes.evacuated_zones) or lapse_changed
 
 
+def hold_off_server(discovery: Discovery, name: str, left_s: float, now_s: float) -> None:
+    """Start the hold-off of a server of which a peer has reported how much is left."""
+    left_s = min(left_s, RESTORED_HOLDOFF_S)
+    if left_s > 0.0 and name not in discovery.holdoff_deadlines_s:
+        discovery.holdoff_deadlines_s[name] = now_s + left_s
+        discovery.revision += 1
+
+
 def expire_deadlines(discovery: Discovery, now_s: float) -> bool:
     """Drop servers that did not return in time, and end hold-offs; return whether any was due."""
     ended = [name for name, end_s in discovery.holdoff_deadlines_s.items() if now_s >= end_s]
--- a/packages/router/src/myrtlehook_router/process/core_tasks.py
+++ b/packages/router/src/myrtlehook_router/process/core_tasks.py
@@ -284,6 +284,15 @@
         self._counters.add("backend.believed.omitted", action.count)
         _belief_log.info("backend servers believed, omitted", count=action.count)
 
+    def _record_holdoff(self, action: actions.ServerHeldOff) -> None:
+        self._counters.add("backend.held_off")
+        _belief_log.info(
+            "backend server held off",
+            backend_server=action.backend_server,
+            for_s=round(action.until_s - clocks.now_s(), 3),
+            source=action.source,
+        )
+
     def _record_backoff(self, action: actions.ServerBackoffReported) -> None:
         self._counters.add("backend.backoff")
         left_s = action.until_s - clocks.now_s()
@@ -503,6 +512,7 @@
     actions.ServerLeavingReported: CoreTask._record_leaving_server,
     actions.ServerBeliefChanged: CoreTask._record_server_belief,
     actions.ServerBeliefsOmitted: CoreTask._record_omitted_beliefs,
+    actions.ServerHeldOff: CoreTask._record_holdoff,
     actions.ServerBackoffReported: CoreTask._record_backoff,
     actions.ReadSource: CoreTask._switch_source_reading,
     actions.ConfigurationRejected: CoreTask._record_rejected_configuration,
--- a/tests/features/copied_store.feature
+++ b/tests/features/copied_store.feature
@@ -47,3 +47,11 @@
     Then lists of an earlier era are refused, however high their revision
     And a peer of an earlier era is sent the whole list
     And a range answer of an earlier era than a watch has reported is refused
+
+  # Guards against: only routers that had known of a removal held off a server that a copy brought
+  # back. A router that had started since then sent requests to it until its entry lapsed again.
+  Scenario: Routers that started after a removal hold off a server that a copy brings back
+    Given a fleet that knows 4 servers, of which one goes, and a router that starts afterwards
+    When the source is restored from a copy that holds it, and another router starts
+    Then no router uses that server, except for 0.5 s after a start
+    And all routers use it again if it is still listed after the hold-off
--- a/tests/steps/copied_store_property_steps.py
+++ b/tests/steps/copied_store_property_steps.py
@@ -279,3 +279,56 @@
     store.era = 2
     assert isinstance(store._read_or_watch(followed, loaded=False), Ok)
     assert followed.order.era == 2
+
+
+@given("a fleet that knows 4 servers, of which one goes, and a router that starts afterwards")
+def start_after_removal(context: Any) -> None:
+    context.source = Source()
+    for number in range(4):
+        context.source.put(f"e{number}")
+    context.history = history = History(1, 4, 0, Network(), OPTIONS, context.source)
+    history.run_until(2.0)
+    context.source.keep_copy()
+    context.source.drop("e0")
+    history.run_until(3.0)
+    _restart(history, sorted(history.alive)[0])
+    history.run_until(5.0)
+
+
+@when("the source is restored from a copy that holds it, and another router starts")
+def restore_removed(context: Any) -> None:
+    context.source.return_from_copy()
+    context.restored_at_s = context.history.now_s
+    context.history.run_until(5.5)
+    _restart(context.history, sorted(context.history.alive)[1])
+
+
+@then("no router uses that server, except for {settle_s:g} s after a start")
+def check_held_off(context: Any, settle_s: float) -> None:
+    history = context.history
+    history.run_until(history.now_s + settle_s)
+    while history.now_s < context.restored_at_s + RESTORED_HOLDOFF_S - 0.2:
+        history.run_until(history.now_s + 0.1)
+        users = _find_users(history, "e0")
+        assert not users, f"at {history.now_s:.1f} s, {users} use a server that had gone"
+
+
+@then("all routers use it again if it is still listed after the hold-off")
+def check_used_again(context: Any) -> None:
+    history = context.history
+    history.run_until(context.restored_at_s + RESTORED_HOLDOFF_S + 1.0)
+    assert len(_find_users(history, "e0")) == len(history.alive)
+
+
+def _restart(history: History, name: str) -> None:
+    history.kill_router(name)
+    history.start_router(name)
+
+
+def _find_users(history: History, server: str) -> list[str]:
+    """Return the routers that send requests to a server."""
+    return [
+        name
+        for name, core in history.alive.items()
+        if (found := core.configuration.backend_servers.get(server)) and not found.leaving
+    ]
