Let the emulator's servers that have left write nothing after a store's restoration

Trace: the store was restored just before the departure, and the emulator wrote back, 1 s later, every entry as of the restoration, so that the server that had left in between was listed as ready again. Routers used it rightly. Servers that have left, or say so, are passed over now; the check is unchanged.

--- a/emulator/control.py
+++ b/emulator/control.py
@@ -65,6 +65,10 @@
     for zone in order.get("take_back", []):
         site.store.drop(f"op/evacuate/{zone}")
     for name, state in order.get("servers", {}).items():
+        if state == "ready":
+            site.left_servers.discard(name)
+        else:
+            site.left_servers.add(name)
         if state == "gone":
             site.store.drop(f"servers/{name}")
             continue
--- a/emulator/sites.py
+++ b/emulator/sites.py
@@ -49,6 +49,8 @@
     """Start time of each engine as Unix time in ms, by engine id."""
     zones: dict[str, str] = field(default_factory=dict)
     """Zones of the servers that are not in ``ZONE``, by server id."""
+    left_servers: set[str] = field(default_factory=set)
+    """Ids of servers that a test has let leave, or announce that they leave."""
     ended_engines: list[str] = field(default_factory=list)
     """Ids of the engines that ended, in order."""
     ip: str = ""
@@ -115,6 +117,9 @@
 
 def _rewrite_items(site: Site, before: dict[str, dict[str, Any]]) -> None:
     for key, item in before.items():
+        if key.removeprefix("servers/") in site.left_servers:
+            # It has left since the restoration, or is leaving, and writes nothing else.
+            continue
         if site.store.items.get(key, {}).get("Value") != item["Value"]:
             site.store.put(key, base64.b64decode(item["Value"]).decode())
 
@@ -141,6 +146,7 @@
 
 def _register_engine(site: Site, engine: Engine, process: RestartableServer) -> None:
     identifier = engine.identifier
+    site.left_servers.discard(identifier)
     site.processes[identifier] = process
     site.addresses[identifier] = process.address
     if site.engine_faults.states_start:
