Notice the end of a server that ran nothing by refused and by closed connections

Cause: a router learned that a server had ended from an answer that broke off, and from nothing else. An engine that ran nothing when it ended, as more of them do beside load, was still relied on when it was back 1.5 s later.

Change: a refused connection shows that a server has ended, and so does one that is idle and closed before it expires, if a new one to the server is refused. Either makes the listed version unreliable for 5 s, as an end under a request did; its owner is told, and both are logged ('software version unconfirmed'). Nothing is counted against requests. The scan looks at one connection an address every 0.25 s.

--- a/packages/core/src/myrtlehook_core/process/actions.py
+++ b/packages/core/src/myrtlehook_core/process/actions.py
@@ -394,6 +394,16 @@
     router_id: str
 
 
+@dataclass(frozen=True, slots=True)
+class VersionUnconfirmed:
+    """A backend server has ended, so its listed software version is not relied on for a time."""
+
+    backend_server: str
+    until_s: float
+    source: str
+    """The router that noticed the end."""
+
+
 @dataclass(frozen=True, slots=True)
 class StreamOriginFound:
     """The software version that began a resumed stream was looked up."""
@@ -467,6 +477,7 @@
     | ServerEjected
     | ServerEndCounted
     | RestartNoticed
+    | VersionUnconfirmed
     | StreamOriginFound
     | QuarantineChanged
     | PauseDetected
--- a/packages/core/src/myrtlehook_core/process/ended_servers.py
+++ b/packages/core/src/myrtlehook_core/process/ended_servers.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from myrtlehook_core.process import events
+from myrtlehook_core.process.actions import VersionUnconfirmed
 from myrtlehook_core.process.ended_server_messages import ServerEndedNotice
 
 if TYPE_CHECKING:
@@ -42,24 +43,42 @@
     return until_s is None or now_s >= until_s
 
 
-def note_server_end(core: "RouterCore", event: events.ServerEndedInRun, now_s: float) -> None:
+def note_server_end(core: "RouterCore", backend_server: str, ended_s: float, now_s: float) -> None:
     """Record the end of a server that this router has seen, and tell the server's owner.
 
     One end breaks off many runs; the owner is told once.
     """
-    is_known = not is_version_confirmed(core.ended_servers, event.backend_server, now_s)
-    record_ended(core.ended_servers, event.backend_server, event.ended_s)
-    owner = core.placement.server_owners.get(event.backend_server)
+    is_known = not is_version_confirmed(core.ended_servers, backend_server, now_s)
+    _record_and_report(core, backend_server, ended_s, core.identity.router_id, now_s)
+    owner = core.placement.server_owners.get(backend_server)
     if owner is not None and owner != core.identity.router_id and not is_known:
-        age_ms = round((now_s - event.ended_s) * 1000.0)
-        core.outbox.add(owner, ServerEndedNotice(event.backend_server, age_ms))
+        age_ms = round((now_s - ended_s) * 1000.0)
+        core.outbox.add(owner, ServerEndedNotice(backend_server, age_ms))
+
+
+def on_server_found_ended(core: "RouterCore", event: events.ServerFoundEnded, now_s: float) -> None:
+    """Record the end of a server that is not about to leave."""
+    server = core.configuration.backend_servers.get(event.backend_server)
+    if server is not None and not server.leaving:
+        note_server_end(core, event.backend_server, event.ended_s, now_s)
 
 
 def handle_ended_notice(
     core: "RouterCore", sender: str, message: ServerEndedNotice, now_s: float
 ) -> None:
     """Record, as a server's owner, an end that another router has seen."""
-    record_ended(core.ended_servers, message.backend_server, now_s - message.age_ms / 1000.0)
+    ended_s = now_s - message.age_ms / 1000.0
+    _record_and_report(core, message.backend_server, ended_s, sender, now_s)
+
+
+def _record_and_report(
+    core: "RouterCore", backend_server: str, ended_s: float, source: str, now_s: float
+) -> None:
+    was_confirmed = is_version_confirmed(core.ended_servers, backend_server, now_s)
+    record_ended(core.ended_servers, backend_server, ended_s)
+    if was_confirmed and not is_version_confirmed(core.ended_servers, backend_server, now_s):
+        until_s = core.ended_servers[backend_server]
+        core.actions.add(VersionUnconfirmed(backend_server, until_s, source))
 
 
 def drop_expired_ends(ended: EndedServers, now_s: float) -> None:
--- a/packages/core/src/myrtlehook_core/process/event_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/event_handlers.py
@@ -20,7 +20,11 @@
     send_hold_summaries,
     send_reports,
 )
-from myrtlehook_core.process.ended_servers import drop_expired_ends, note_server_end
+from myrtlehook_core.process.ended_servers import (
+    drop_expired_ends,
+    note_server_end,
+    on_server_found_ended,
+)
 from myrtlehook_core.process.engine_grants import grant_due
 from myrtlehook_core.process.engine_queues import tick_queues
 from myrtlehook_core.process.ingress import (
@@ -148,7 +152,7 @@
 
 
 def _on_server_ended(core: "RouterCore", event: events.ServerEndedInRun, now_s: float) -> None:
-    note_server_end(core, event, now_s)
+    note_server_end(core, event.backend_server, event.ended_s, now_s)
     on_server_ended(core, event, now_s)
 
 
@@ -314,6 +318,7 @@
     events.RunEnded: _on_ended,
     events.StreamPaused: _on_stream_paused,
     events.ServerEndedInRun: _on_server_ended,
+    events.ServerFoundEnded: on_server_found_ended,
     events.PartsShownSound: _on_parts_sound,
     events.ServerNoticed: on_server_noticed,
     events.RunNotStarted: _on_not_started,
--- a/packages/core/src/myrtlehook_core/process/events.py
+++ b/packages/core/src/myrtlehook_core/process/events.py
@@ -93,6 +93,18 @@
     """Whether the server had written on its prompt for some time."""
 
 
+@dataclass(frozen=True, slots=True)
+class ServerFoundEnded:
+    """A backend server's process has ended, but not certainly while it ran a request.
+
+    Connections to its address were refused.
+    """
+
+    backend_server: str
+    ended_s: float
+    """When it was found to have ended."""
+
+
 @dataclass(frozen=True, slots=True)
 class PartsShownSound:
     """A server has written on a request's prompt for long enough that no part of it is harmful."""
@@ -234,6 +246,7 @@
     | RunEnded
     | StreamPaused
     | ServerEndedInRun
+    | ServerFoundEnded
     | PartsShownSound
     | ServerNoticed
     | RunNotStarted
--- a/packages/router/src/myrtlehook_router/connection/backends.py
+++ b/packages/router/src/myrtlehook_router/connection/backends.py
@@ -22,6 +22,8 @@
 
     NOT_SENT = "not_sent"
     """No connection was established, so no byte was sent."""
+    REFUSED = "refused"
+    """The same, because nothing listens at the address."""
     BROKEN = "broken"
     TIMED_OUT = "timed_out"
 
--- a/packages/router/src/myrtlehook_router/connection/server_connections.py
+++ b/packages/router/src/myrtlehook_router/connection/server_connections.py
@@ -40,6 +40,7 @@
 """Shortest time-out of a call after its deadline; 0 would make the socket non-blocking."""
 
 _select = patcher.original("select")
+_CLOSING_EVENTS = _select.POLLIN | _select.POLLRDHUP | _select.POLLERR
 _CONNECTION_ERRORS = (HTTPError, HTTPException, OSError, EOFError, ValueError)
 """What urllib3, http.client and sockets raise for broken connections and responses."""
 
@@ -141,8 +142,11 @@
             else _acquire_idle_connection(self._connection_pool, self._request.address)
         )
         if connection is None:
-            connection = _open_connection(self._connection_pool, self._request.address, deadline_s)
-            if connection is None or self.aborted:
+            opened = _open_connection(self._connection_pool, self._request.address, deadline_s)
+            if isinstance(opened, Err):
+                return opened
+            connection = opened.ok_value
+            if self.aborted:
                 return Err(SendFailure.NOT_SENT)
         self._connection = connection
         self._socket = connection.sock
@@ -239,6 +243,30 @@
             del connection_pool.idle_by_address[address]
 
 
+def find_closing_servers(connection_pool: ConnectionPool) -> list[str]:
+    """Return the addresses whose servers have closed an idle connection before it expired.
+
+    Looks at the most recently used connection of each address.
+    """
+    poller = _select.poll()
+    addresses: dict[int, str] = {}
+    now_s = clocks.now_s()
+    for address, idle in connection_pool.idle_by_address.items():
+        if not idle or now_s >= idle[-1].deadline_s:
+            continue
+        sock: Any = idle[-1].connection.sock
+        if sock is not None and sock.fileno() >= 0:
+            addresses[sock.fileno()] = address
+            poller.register(sock.fileno(), _CLOSING_EVENTS)
+    return [addresses[descriptor] for descriptor, _ in poller.poll(0)]
+
+
+def drop_idle_connections(connection_pool: ConnectionPool, address: str) -> None:
+    """Close all idle connections to an address."""
+    for idle in connection_pool.idle_by_address.pop(address, ()):
+        idle.connection.close()
+
+
 def _acquire_idle_connection(
     connection_pool: ConnectionPool, address: str
 ) -> HTTPConnection | None:
@@ -255,7 +283,7 @@
 
 def _open_connection(
     connection_pool: ConnectionPool, address: str, deadline_s: float
-) -> HTTPConnection | None:
+) -> Result[HTTPConnection, SendFailure]:
     host, _, port = address.rpartition(":")
     timeout_s = max(min(CONNECT_TIMEOUT_S, deadline_s - clocks.now_s()), MIN_TIMEOUT_S)
     connection = ServerConnection(
@@ -263,11 +291,12 @@
     )
     try:
         connection.connect()
-    except _CONNECTION_ERRORS:
+    except _CONNECTION_ERRORS as error:
         connection.close()
-        return None
+        is_refused = isinstance(error.__cause__, ConnectionRefusedError)
+        return Err(SendFailure.REFUSED if is_refused else SendFailure.NOT_SENT)
     connection_pool.opened_count += 1
-    return connection
+    return Ok(connection)
 
 
 def _send_request(connection: HTTPConnection, request: OutgoingRequest) -> None:
@@ -299,7 +328,7 @@
     if sock is None:
         return True
     poller = _select.poll()
-    poller.register(sock.fileno(), _select.POLLIN | _select.POLLRDHUP | _select.POLLERR)
+    poller.register(sock.fileno(), _CLOSING_EVENTS)
     return bool(poller.poll(0))
 
 
--- a/packages/router/src/myrtlehook_router/process/core_tasks.py
+++ b/packages/router/src/myrtlehook_router/process/core_tasks.py
@@ -452,6 +452,15 @@
             age_s=round(action.age_s, 3),
         )
 
+    def _record_unconfirmed_version(self, action: actions.VersionUnconfirmed) -> None:
+        self._counters.add("backend.version_unconfirmed")
+        _belief_log.info(
+            "software version unconfirmed",
+            backend_server=action.backend_server,
+            for_s=round(action.until_s - clocks.now_s(), 3),
+            source=action.source,
+        )
+
     def _record_stream_origin(self, action: actions.StreamOriginFound) -> None:
         found = action.software_version is not None
         self._counters.add("stream.origin_found" if found else "stream.origin_unknown")
@@ -529,6 +538,7 @@
     actions.ServerEjected: CoreTask._record_ejection,
     actions.ServerEndCounted: CoreTask._record_server_end,
     actions.RestartNoticed: CoreTask._record_restart,
+    actions.VersionUnconfirmed: CoreTask._record_unconfirmed_version,
     actions.StreamOriginFound: CoreTask._record_stream_origin,
     actions.QuarantineChanged: CoreTask._record_quarantine,
     actions.PauseDetected: CoreTask._record_pause,
--- a/packages/router/src/myrtlehook_router/process/gateway_daemons.py
+++ b/packages/router/src/myrtlehook_router/process/gateway_daemons.py
@@ -24,9 +24,12 @@
 )
 from myrtlehook_router.connection.listeners import adopt_listener, get_silent_logger, open_listener
 from myrtlehook_router.connection.passing import ConnectionPasser, PassingConfig
+from myrtlehook_router.connection.server_checks import ServerChecks, ServerState
 from myrtlehook_router.connection.server_connections import (
     ConnectionPool,
     close_expired_connections,
+    drop_idle_connections,
+    find_closing_servers,
 )
 from myrtlehook_router.process import clocks
 from myrtlehook_router.process.caller_servers import CallerServer, CallerServices
@@ -58,6 +61,9 @@
 """Time for responses that are already in the kernel's buffers to be sent."""
 
 IDLE_CONNECTION_CHECK_INTERVAL_S = 1.0
+CLOSING_CHECK_INTERVAL_S = 0.25
+"""Interval of the check for idle connections that servers have closed early."""
+
 RELOAD_INTERVAL_S = 2.0
 """Settings may change without a signal, so their file is also read again at this interval."""
 
@@ -99,6 +105,7 @@
         self._refusing = False
         """True once the drain notice has passed, so that the load balancer should have noticed."""
         self._counters = Counters(None)
+        self._server_checks = ServerChecks()
         self._tallies = RequestTallies(settings.options.tallies_requests)
         self._metrics = Metrics(
             self._counters,
@@ -190,6 +197,7 @@
             self._core_task.run_forever,
             self._log_stream.write_forever,
             self._close_idle_connections_forever,
+            self._find_ended_servers_forever,
             self._log_sums_forever,
             self._reload_forever,
             lambda: self._peers.receive_forever(self._mailbox),
@@ -224,6 +232,7 @@
             shares=self._core_task.core.shares,
             refusal_sums=self._refusal_sums,
             tallies=self._tallies,
+            server_checks=self._server_checks,
             find_send_belief=lambda backend_server: self._core_task.core.find_send_belief(
                 backend_server, clocks.now_s()
             ),
@@ -327,6 +336,26 @@
             addresses = {server.address for server in servers}
             close_expired_connections(self._connection_pool, addresses.__contains__)
 
+    def _find_ended_servers_forever(self) -> None:
+        """Check servers that close idle connections early; the main loop of a task.
+
+        Otherwise the end of a server that runs no request might go unnoticed until it is back.
+        """
+        while True:
+            eventlet.sleep(CLOSING_CHECK_INTERVAL_S)
+            for address in find_closing_servers(self._connection_pool):
+                drop_idle_connections(self._connection_pool, address)
+                eventlet.spawn_n(self._check_closing_server, address)
+
+    def _check_closing_server(self, address: str) -> None:
+        found_s = clocks.now_s()
+        if self._server_checks.check(address) is not ServerState.ENDED:
+            return
+        self._counters.add("backend.found_ended")
+        for server in self._core_task.configuration.backend_servers.values():
+            if server.address == address:
+                self._mailbox.post(events.ServerFoundEnded(server.name, found_s))
+
     def _on_stop(self, number: int, frame: object) -> None:
         self._draining = True
         self._stop_signal.set()
--- a/packages/router/src/myrtlehook_router/request/attempts.py
+++ b/packages/router/src/myrtlehook_router/request/attempts.py
@@ -18,6 +18,7 @@
     begin_attempt,
     check_server_after_failure,
     record_response_head,
+    report_refused_connection,
 )
 from myrtlehook_router.request.server_notices import find_retry_reason
 
@@ -53,7 +54,9 @@
         compute_read_deadline_s(relay, first_byte_timeout_s), fresh_connection=False
     )
     if isinstance(sent, Err):
-        if sent.err_value is SendFailure.NOT_SENT:
+        if sent.err_value is SendFailure.REFUSED:
+            report_refused_connection(relay)
+        if sent.err_value in (SendFailure.NOT_SENT, SendFailure.REFUSED):
             return Err(RetryReason.CONNECT_FAILED)
         relay.maybe_run = True
         check_server_after_failure(relay, sent.err_value)
--- a/packages/router/src/myrtlehook_router/request/relays.py
+++ b/packages/router/src/myrtlehook_router/request/relays.py
@@ -12,6 +12,7 @@
     RetryReason,
     SendBelief,
     actions,
+    events,
     find_share_tokens,
 )
 from myrtlehook_router.connection.backends import SendFailure
@@ -121,6 +122,13 @@
         )
 
 
+def report_refused_connection(relay: Relay) -> None:
+    """Report to the core that nothing listens at a server's address, so its process has ended."""
+    services = relay.placement.services
+    services.counters.add("backend.refused_connections")
+    services.mailbox.post(events.ServerFoundEnded(relay.backend_server, relay.sent_at_s))
+
+
 def take_dispatch(relay: Relay, dispatch: actions.Dispatch) -> Result[BackendServer, RetryReason]:
     """Return the server that a dispatch names, as it is listed now.
 
