Keep a connection to each idle engine where several software versions serve

Change: where servers of several versions serve a pool, the owner of an engine that runs nothing keeps one connection to it, which shows the engine's end as any idle connection does. Weighed: streams go on only over connections that have been open for a while (a router of a large fleet rarely has one to a given engine).

The emulator's ended engines now break connections that carry no request yet as well, as a killed process does.

--- a/emulator/endings.py
+++ b/emulator/endings.py
@@ -39,8 +39,8 @@
         self._port = self._listener.getsockname()[1]
         eventlet.spawn(
             wsgi.server,
-            self._listener,
-            self._answer,
+            RecordingListener(self._listener, self._record_connection),
+            self._application,
             log=NullLog(),
             log_output=False,
             debug=False,
@@ -61,10 +61,26 @@
                 # The client has closed the connection already.
                 continue
 
-    def _answer(self, environ: dict[str, Any], start_response: StartResponse) -> Any:
+    def _record_connection(self, connection: Any) -> None:
         self._connections = {known for known in self._connections if known.fileno() >= 0}
-        self._connections.add(environ["wsgi.input"].get_socket())
-        return self._application(environ, start_response)
+        self._connections.add(connection)
+
+
+class RecordingListener:
+    """A listening socket that reports each connection, also such as carry no request yet."""
+
+    def __init__(self, listener: Any, on_accept: Callable[[Any], None]) -> None:
+        self._listener = listener
+        self._on_accept = on_accept
+
+    def accept(self) -> tuple[Any, Any]:
+        """Accept a connection; returns it with the client's address."""
+        connection, address = self._listener.accept()
+        self._on_accept(connection)
+        return connection, address
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._listener, name)
 
 
 def send_answer_head(connection: Any, attempt_id: str, seal: str) -> None:
--- a/packages/core/src/myrtlehook_core/process/ended_servers.py
+++ b/packages/core/src/myrtlehook_core/process/ended_servers.py
@@ -15,6 +15,7 @@
 
 if TYPE_CHECKING:
     from myrtlehook_core.process.routers import RouterCore
+    from myrtlehook_core.version.configurations import BackendServer
 
 UNCONFIRMED_S = 5.0
 """How long a version is not relied on after its server has ended. A server writes its entry as it
@@ -81,6 +82,25 @@
         core.actions.add(VersionUnconfirmed(backend_server, until_s, source))
 
 
+def find_unobserved_servers(core: "RouterCore") -> "list[BackendServer]":
+    """Return this router's own engines whose end would show in no run, and would matter.
+
+    It matters where servers of several software versions serve one pool.
+    """
+    servers = core.configuration.backend_servers
+    versions: dict[str, set[str]] = {}
+    for server in servers.values():
+        versions.setdefault(server.pool, set()).add(server.software_version)
+    return [
+        servers[name]
+        for name, load in core.engine_queues.loads.items()
+        if name in servers
+        and not servers[name].leaving
+        and not load.granted
+        and len(versions[servers[name].pool]) > 1
+    ]
+
+
 def drop_expired_ends(ended: EndedServers, now_s: float) -> None:
     """Drop servers whose listed version may be relied on again."""
     for name in [name for name, until_s in ended.items() if now_s >= until_s]:
--- a/packages/core/src/myrtlehook_core/process/routers.py
+++ b/packages/core/src/myrtlehook_core/process/routers.py
@@ -23,7 +23,7 @@
 from myrtlehook_core.process.choosers import Draw
 from myrtlehook_core.process.cold_engines import ColdEngines
 from myrtlehook_core.process.cold_handlers import mark_cold_engines
-from myrtlehook_core.process.ended_servers import EndedServers
+from myrtlehook_core.process.ended_servers import EndedServers, find_unobserved_servers
 from myrtlehook_core.process.engine_grants import find_next_grant_s
 from myrtlehook_core.process.engine_loads import (
     EngineFigures,
@@ -89,7 +89,7 @@
 from myrtlehook_core.process.stream_origin_handlers import hand_over_origins
 from myrtlehook_core.process.stream_origins import StreamOrigins
 from myrtlehook_core.process.stream_pauses import count_recent_pauses
-from myrtlehook_core.version.configurations import Configuration
+from myrtlehook_core.version.configurations import BackendServer, Configuration
 from myrtlehook_core.version.discovery import Discovery, apply_discovery
 from myrtlehook_core.version.exchange import (
     ConfigurationExchange,
@@ -202,6 +202,10 @@
             for name, load in sorted(self.engine_queues.loads.items())
         ]
 
+    def find_unobserved_servers(self) -> list[BackendServer]:
+        """Return this router's own engines whose end would show in no run, and would matter."""
+        return find_unobserved_servers(self)
+
     def find_send_belief(self, backend_server: str, now_s: float) -> SendBelief | None:
         """Return what is believed of a server to which a request is sent now, for logs."""
         return find_send_belief(self, backend_server, now_s)
--- a/packages/router/src/myrtlehook_router/connection/server_connections.py
+++ b/packages/router/src/myrtlehook_router/connection/server_connections.py
@@ -261,6 +261,22 @@
     return [addresses[descriptor] for descriptor, _ in poller.poll(0)]
 
 
+def open_idle_connection(connection_pool: ConnectionPool, address: str) -> SendFailure | None:
+    """Open a connection for later requests, unless one is idle; return why that failed, if it did.
+
+    While it is idle, it shows whether the server's process lives.
+    """
+    if connection_pool.idle_by_address.get(address):
+        return None
+    now_s = clocks.now_s()
+    opened = _open_connection(connection_pool, address, now_s + CONNECT_TIMEOUT_S)
+    if isinstance(opened, Err):
+        return opened.err_value
+    idle = connection_pool.idle_by_address.setdefault(address, deque())
+    idle.append(_IdleConnection(opened.ok_value, now_s + IDLE_TIMEOUT_S))
+    return None
+
+
 def drop_idle_connections(connection_pool: ConnectionPool, address: str) -> None:
     """Close all idle connections to an address."""
     for idle in connection_pool.idle_by_address.pop(address, ()):
--- a/packages/router/src/myrtlehook_router/process/gateway_daemons.py
+++ b/packages/router/src/myrtlehook_router/process/gateway_daemons.py
@@ -22,6 +22,7 @@
     count_quarantined,
     events,
 )
+from myrtlehook_router.connection.backends import SendFailure
 from myrtlehook_router.connection.listeners import adopt_listener, get_silent_logger, open_listener
 from myrtlehook_router.connection.passing import ConnectionPasser, PassingConfig
 from myrtlehook_router.connection.server_checks import ServerChecks, ServerState
@@ -30,6 +31,7 @@
     close_expired_connections,
     drop_idle_connections,
     find_closing_servers,
+    open_idle_connection,
 )
 from myrtlehook_router.process import clocks
 from myrtlehook_router.process.caller_servers import CallerServer, CallerServices
@@ -346,11 +348,21 @@
             for address in find_closing_servers(self._connection_pool):
                 drop_idle_connections(self._connection_pool, address)
                 eventlet.spawn_n(self._check_closing_server, address)
+            for server in self._core_task.core.find_unobserved_servers():
+                eventlet.spawn_n(self._observe_server, server.address)
 
     def _check_closing_server(self, address: str) -> None:
         found_s = clocks.now_s()
-        if self._server_checks.check(address) is not ServerState.ENDED:
-            return
+        if self._server_checks.check(address) is ServerState.ENDED:
+            self._report_ended_server(address, found_s)
+
+    def _observe_server(self, address: str) -> None:
+        """Keep a connection to an idle server, by which its end is noticed."""
+        now_s = clocks.now_s()
+        if open_idle_connection(self._connection_pool, address) is SendFailure.REFUSED:
+            self._report_ended_server(address, now_s)
+
+    def _report_ended_server(self, address: str, found_s: float) -> None:
         self._counters.add("backend.found_ended")
         for server in self._core_task.configuration.backend_servers.values():
             if server.address == address:
--- a/tests/features/ended_servers.feature
+++ b/tests/features/ended_servers.feature
@@ -9,6 +9,12 @@
     When an idle engine ends
     Then within 1 s a router no longer relies on its listed software version
 
+  @nodes.2
+  Scenario: The end of an engine that nobody has used is noticed where several versions serve
+    Given the engines are of two software versions
+    When an idle engine ends
+    Then within 1 s a router no longer relies on its listed software version
+
   @nodes.2
   Scenario: A refused connection shows that an engine has ended
     When an idle engine ends
--- a/tests/steps/ended_server_steps.py
+++ b/tests/steps/ended_server_steps.py
@@ -1,6 +1,7 @@
 """Steps of engines that end while they run nothing."""
 
 import json
+import time
 from typing import Any
 
 from behave import given, then, when
@@ -12,6 +13,8 @@
 BACK_AFTER_S = 4.0
 MAX_REQUESTS = 60
 NOTICE_S = 1.0
+SETTLE_S = 1.0
+"""For owners to read the entries, and to connect to their engines."""
 
 
 def _send(node: Node) -> None:
@@ -37,6 +40,14 @@
         )
 
 
+@given("the engines are of two software versions")
+def set_versions(context: Any) -> None:
+    engines = context.nodes.describe()["running_engines"]
+    versions = {name: f"v{number}" for number, name in enumerate(engines, start=1)}
+    context.nodes.order(software_versions=versions)
+    time.sleep(SETTLE_S)
+
+
 @when("an idle engine ends")
 def end_idle_engine(context: Any) -> None:
     context.engine = context.nodes.describe()["running_engines"][0]
