--- a/packages/core/src/myrtlehook_core/process/ended_servers.py
+++ b/packages/core/src/myrtlehook_core/process/ended_servers.py
@@ -7,15 +7,20 @@
 grants.
 """
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from myrtlehook_core.process import events
 from myrtlehook_core.process.actions import VersionUnconfirmed
 from myrtlehook_core.process.ended_server_messages import ServerEndedNotice
+from myrtlehook_core.version.configurations import (
+    EMPTY_CONFIGURATION,
+    BackendServer,
+    Configuration,
+)
 
 if TYPE_CHECKING:
     from myrtlehook_core.process.routers import RouterCore
-    from myrtlehook_core.version.configurations import BackendServer
 
 UNCONFIRMED_S = 5.0
 """How long a version is not relied on after its server has ended. A server writes its entry as it
@@ -24,6 +29,15 @@
 UNKNOWN_VERSION = "\0unknown"
 """Stands for the version of a server whose listed version is not relied on; no server has it."""
 
+
+@dataclass(frozen=True, slots=True)
+class MixedPools:
+    """The pools whose servers are of several software versions, as of one configuration."""
+
+    configuration: Configuration = EMPTY_CONFIGURATION
+    pools: frozenset[str] = frozenset()
+
+
 EndedServers = dict[str, float]
 """By server that has ended, until when its listed version is not relied on."""
 
@@ -82,25 +96,35 @@
         core.actions.add(VersionUnconfirmed(backend_server, until_s, source))
 
 
-def find_unobserved_servers(core: "RouterCore") -> "list[BackendServer]":
+def find_unobserved_servers(core: "RouterCore") -> list[BackendServer]:
     """Return this router's own engines whose end would show in no run, and would matter.
 
     It matters where servers of several software versions serve one pool.
     """
     servers = core.configuration.backend_servers
-    versions: dict[str, set[str]] = {}
-    for server in servers.values():
-        versions.setdefault(server.pool, set()).add(server.software_version)
+    mixed_pools = _find_mixed_pools(core)
     return [
         servers[name]
         for name, load in core.engine_queues.loads.items()
         if name in servers
         and not servers[name].leaving
         and not load.granted
-        and len(versions[servers[name].pool]) > 1
+        and servers[name].pool in mixed_pools
     ]
 
 
+def _find_mixed_pools(core: "RouterCore") -> frozenset[str]:
+    """Return the pools whose servers are of several software versions."""
+    configuration = core.configuration
+    if core.mixed_pools.configuration is not configuration:
+        versions: dict[str, set[str]] = {}
+        for server in configuration.backend_servers.values():
+            versions.setdefault(server.pool, set()).add(server.software_version)
+        pools = frozenset(pool for pool, found in versions.items() if len(found) > 1)
+        core.mixed_pools = MixedPools(configuration, pools)
+    return core.mixed_pools.pools
+
+
 def drop_expired_ends(ended: EndedServers, now_s: float) -> None:
     """Drop servers whose listed version may be relied on again."""
     for name in [name for name, until_s in ended.items() if now_s >= until_s]:
--- a/packages/core/src/myrtlehook_core/process/routers.py
+++ b/packages/core/src/myrtlehook_core/process/routers.py
@@ -23,7 +23,11 @@
 from myrtlehook_core.process.choosers import Draw
 from myrtlehook_core.process.cold_engines import ColdEngines
 from myrtlehook_core.process.cold_handlers import mark_cold_engines
-from myrtlehook_core.process.ended_servers import EndedServers, find_unobserved_servers
+from myrtlehook_core.process.ended_servers import (
+    EndedServers,
+    MixedPools,
+    find_unobserved_servers,
+)
 from myrtlehook_core.process.engine_grants import find_next_grant_s
 from myrtlehook_core.process.engine_loads import (
     EngineFigures,
@@ -132,6 +136,7 @@
         self.part_quarantine = Quarantine(first_serial=identity.incarnation)
         self.stream_origins = StreamOrigins()
         self.ended_servers: EndedServers = {}
+        self.mixed_pools = MixedPools()
         self.holdoff_news = HoldoffNews()
         self.source_outages = SourceOutages()
         self.server_beliefs = ServerBeliefs()
--- a/packages/core/src/myrtlehook_core/process/source_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/source_handlers.py
@@ -81,7 +81,7 @@
         report_servers(core, PLATFORM)
         announce_new_holdoffs(core, PLATFORM)
         _announce_source_news(core)
-    update_beliefs(core, LearnedBy.ENTRY, PLATFORM, now_s)
+        update_beliefs(core, LearnedBy.ENTRY, PLATFORM, now_s)
 
 
 def on_source_answered(core: "RouterCore", event: events.SourceAnswered, now_s: float) -> None:
@@ -156,7 +156,7 @@
         whole=message.whole,
         servers=tuple(_parse_server_row(row) for row in message.rows),
         lapsed_deadlines_s={
-            row.name: now_s + _read_return_time_s(row) for row in message.rows if row.lapsed
+            row.name: now_s + _find_time_to_return_s(row) for row in message.rows if row.lapsed
         },
         gone=message.gone,
         evacuated_zones=frozenset(message.evacuated_zones),
@@ -166,7 +166,7 @@
         report_servers(core, sender)
         announce_new_holdoffs(core, sender)
         _relay_source_news(core, sender)
-    update_beliefs(core, LearnedBy.PEER, sender, now_s)
+        update_beliefs(core, LearnedBy.PEER, sender, now_s)
 
 
 def report_servers(core: "RouterCore", source: str) -> None:
@@ -221,7 +221,7 @@
         record_leaving(core.leaving_servers, LeavingRow(name, 0), compute_news_sends(core.table))
 
 
-def _read_return_time_s(row: ServerRow) -> float:
+def _find_time_to_return_s(row: ServerRow) -> float:
     """Return how long a server's missing entry may still return."""
     if row.gone_in_ms < 0:
         return RETURN_GRACE_S
