Judge the soak's departures by when its faults really began, and where a restoration lost them

Trace: the store refused reads from before the departure until after it had been restored from a copy that still listed the server, so that no router could read it; afterwards the soak drained the departed server once more, which wrote its entry back, and the emulator kept the restored 'ready'. Now: servers that say draining say it again after a restoration; no departed engine is drained; faults count from when they were injected (a client that ends engines holds up the schedule by seconds); and where a restoration lost a departure that no router could have read, the bound counts from the expiry of the restored entry. The check finds the same departures as before otherwise (soak.feature, 'The checks find requests that reached a server after it had left').

--- a/emulator/sites.py
+++ b/emulator/sites.py
@@ -30,6 +30,7 @@
 ENTRY_EXPIRY_S = 1.0
 """Delay from a server's end until its entry expires."""
 
+LEAVING_STATE = '"State": "draining"'
 KEYS = {"planners": "key-planners", "dispatch": "key-dispatch"}
 
 
@@ -117,11 +118,12 @@
 
 def _rewrite_items(site: Site, before: dict[str, dict[str, Any]]) -> None:
     for key, item in before.items():
-        if key.removeprefix("servers/") in site.left_servers:
-            # It has left since the restoration, or is leaving, and writes nothing else.
+        text = base64.b64decode(item["Value"]).decode()
+        if key.removeprefix("servers/") in site.left_servers and LEAVING_STATE not in text:
+            # It has left since the restoration, and says nothing else.
             continue
         if site.store.items.get(key, {}).get("Value") != item["Value"]:
-            site.store.put(key, base64.b64decode(item["Value"]).decode())
+            site.store.put(key, text)
 
 
 def _drop_expired_entries(site: Site, before: dict[str, dict[str, Any]]) -> None:
--- a/soak/departure_checks.py
+++ b/soak/departure_checks.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from emulator.sites import RESTORED_ENTRY_EXPIRY_S
 from soak.callers import AttemptRecord
 from soak.checks import Violation
 from soak.schedules import Fault
@@ -68,6 +69,12 @@
     reported_s = left_at_s
     while _is_store_out_of_reach(reported_s - start_s, faults, names):
         reported_s += STEP_S
+    for fault in faults:
+        restored_s = fault.until_s + start_s
+        if fault.kind == "copy" and left_at_s <= restored_s <= reported_s:
+            # The departure was lost before any router could read it. Only the restored entry's
+            # expiry tells of it.
+            return max(reported_s, restored_s + RESTORED_ENTRY_EXPIRY_S)
     return reported_s
 
 
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -6,7 +6,7 @@
 import subprocess
 import sys
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
 
@@ -110,6 +110,9 @@
     violations: list[Violation] = field(default_factory=list)
     slower_engines: set[str] = field(default_factory=set)
     departures: list[Departure] = field(default_factory=list)
+    injected: list[Fault] = field(default_factory=list)
+    """The faults with the times at which they began and ended, which may be later than scheduled:
+    a client whose requests end engines holds up the others."""
 
     def execute(self) -> RunResult:
         """Execute the whole run."""
@@ -198,7 +201,7 @@
         injected = InjectedFaults(tuple(faults), start_s)
         self.violations += check_notices(attempts, site, injected, routers)
         self.violations += check_departures(
-            attempts, site, self.departures, faults, start_s, routers
+            attempts, site, self.departures, self.injected, start_s, routers
         )
         self.violations += self._check_recovery()
         self.violations += check_runs(attempts, self._count_runs(attempts))
@@ -235,9 +238,16 @@
         """Begin and end each fault at its scheduled times."""
         moments = [(fault.at_s, True, fault) for fault in faults]
         moments += [(fault.until_s, False, fault) for fault in faults]
+        begun_s: dict[int, float] = {}
         for moment_s, begins, fault in sorted(moments, key=lambda moment: moment[0]):
             self._sleep_until(start_s + moment_s)
+            if begins:
+                begun_s[id(fault)] = time.monotonic() - start_s
             self._set_fault(fault, begins)
+            if not begins:
+                until_s = time.monotonic() - start_s
+                begun = begun_s[id(fault)]
+                self.injected.append(replace(fault, at_s=begun, until_s=until_s))
 
     def _sleep_until(self, moment_s: float) -> None:
         while (left_s := moment_s - time.monotonic()) > 0:
@@ -340,12 +350,16 @@
             self._publish_configuration()
         elif fault.how == "break_stream":
             self.fleet.order(faults={"engines": {"break_after_events": 4}})
-        elif not self.engine_drained and fault.target.startswith("i-engine"):
+        elif not self.engine_drained and fault.target in self._list_staying_engines():
             # Only one engine is drained per run, because a server that has left never comes
             # back under its name.
             self.engine_drained = True
             self.fleet.order(servers={fault.target: "draining"})
 
+    def _list_staying_engines(self) -> set[str]:
+        departed = {departure.server for departure in self.departures}
+        return {name for name in self._list_servers() if _is_engine(name)} - departed
+
     def _publish_configuration(self) -> None:
         self.configuration_version += 1
         configuration = make_configuration(self.configuration_version)
--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -202,6 +202,10 @@
     assert len(_check_departed(4.1, refusal)) == 1
     link_cut = Fault(0.5, 2.0, "store_link", "silent", "edge-1")
     assert not _check_departed(3.9, link_cut)
+    restoration = Fault(0.5, 1.8, "copy", "returns", "store")
+    assert not _check_departed(6.7, refusal, restoration)
+    assert len(_check_departed(6.9, refusal, restoration)) == 1
+    assert len(_check_departed(3.1, restoration)) == 1
     other_cut = Fault(0.5, 2.0, "store_link", "silent", "edge-2")
     assert len(_check_departed(3.1, other_cut)) == 1
 
