--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -9,6 +9,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "tests"))
 
 from soak.runs import RunOptions, RunResult, execute_run  # noqa: E402
+from standins.processes import end_processes_at_exit  # noqa: E402
 
 
 def main(
@@ -29,6 +30,7 @@
     ),
 ) -> None:
     """Run real routers under random faults and check their promises; exits with 1 if one broke."""
+    end_processes_at_exit()
     first = seed if seed >= 0 else random.SystemRandom().randrange(1_000_000_000)
     failed_runs = 0
     for number in range(first, first + runs):
