--- a/tests/standins/departures.py
+++ b/tests/standins/departures.py
@@ -3,6 +3,7 @@
 Counts what each server received after the store had taken that it leaves.
 """
 
+import json
 import signal
 import subprocess
 import sys
@@ -84,26 +85,28 @@
 
 
 class DepartureRun:
-    """A fleet whose servers leave one after another, each beside one trouble."""
+    """A fleet of which one server leaves beside a trouble."""
 
-    def __init__(self, nodes: NodeFleet, path_proxy: "subprocess.Popen[bytes] | None") -> None:
+    def __init__(self, nodes: NodeFleet, path_proxy: "subprocess.Popen[bytes]") -> None:
+        """Prepare a run.
+
+        :param path_proxy: carries the connections of all routers to the store.
+        """
         self.nodes = nodes
         self.path_proxy = path_proxy
-        self.departed: set[str] = set()
 
     def find_server(self) -> str:
-        """Return the engine that has received the most requests and has not left."""
+        """Return the engine that has received the most requests."""
         described = self.nodes.describe()
         servers = {
             name: len(found["arrivals"])
             for name, found in described["servers"].items()
-            if name.startswith("i-engine") and name not in self.departed
+            if name.startswith("i-engine")
         }
         return max(servers, key=lambda name: servers[name])
 
     def leave(self, server: str, way: str) -> float:
         """Let a server leave in one way; returns when the store took it."""
-        self.departed.add(server)
         if way == "entry":
             self.nodes.order(servers={server: "draining"})
         elif way == "gone":
@@ -128,7 +131,7 @@
         TROUBLES[trouble](self, lambda: left_at_s.append(self.leave(server, way)))
         time.sleep(max(left_at_s[0] + AFTER_S - time.monotonic(), 0.0))
         callers.stop()
-        self._restore(server)
+        self.nodes.order(heal=True)
         return self._count(server, left_at_s[0], callers)
 
     def _count(self, server: str, left_at_s: float, callers: Callers) -> Departure:
@@ -144,10 +147,6 @@
             sent=len(sent),
         )
 
-    def _restore(self, server: str) -> None:
-        """Clear the trouble. Another engine is started in place of the one that left."""
-        self.nodes.order(heal=True)
-
     def set_store(self, **faults: Any) -> None:
         """Set faults of the store."""
         self.nodes.order(faults={"store": faults})
@@ -161,7 +160,7 @@
 
     def set_path(self, routers: list[str], mode: str, delay_s: float = 0.0) -> None:
         """Set the fault of some routers' paths to the store."""
-        assert self.path_proxy is not None and self.path_proxy.stdin is not None
+        assert self.path_proxy.stdin is not None
         for name in routers:
             order = {"name": name, "mode": mode, "delay_s": delay_s}
             self.path_proxy.stdin.write(_encode(order))
@@ -169,15 +168,11 @@
 
 
 def _encode(order: dict[str, Any]) -> bytes:
-    import json
-
     return json.dumps(order).encode() + b"\n"
 
 
 def start_run(routers: int, engines: int) -> DepartureRun:
     """Start a fleet whose routers reach the store through proxies."""
-    import json
-
     nodes = NodeFleet()
     nodes.addresses = nodes.start_emulator(["--engines", str(engines), "--services", "1"])
     names = [f"edge-{number}" for number in range(1, routers + 1)]
@@ -199,7 +194,7 @@
 Leave = Callable[[], None]
 
 
-def _none(run: DepartureRun, leave: Leave) -> None:
+def _play_no_trouble(run: DepartureRun, leave: Leave) -> None:
     leave()
 
 
@@ -215,7 +210,7 @@
     return play
 
 
-def _down_before(run: DepartureRun, leave: Leave) -> None:
+def _return_before(run: DepartureRun, leave: Leave) -> None:
     """The store is away for 2 s, and the server leaves 0.3 s after its return."""
     run.set_path(list(run.nodes.stores), "reset")
     time.sleep(2.0)
@@ -224,7 +219,7 @@
     leave()
 
 
-def _slow(run: DepartureRun, leave: Leave) -> None:
+def _slow_down(run: DepartureRun, leave: Leave) -> None:
     """Answers take 1.8 s for a moment, and the server leaves in that."""
     run.set_store(slow_ms=1800)
     run.nodes.order(servers={PLAIN_SERVER: "ready"})
@@ -246,14 +241,15 @@
     return play
 
 
-def _silent_paths(run: DepartureRun, leave: Leave) -> None:
+def _silence_paths(run: DepartureRun, leave: Leave) -> None:
+    """All paths to the store are silent for 0.5 s, and the server leaves in that."""
     run.set_path(list(run.nodes.stores), "silent")
     leave()
     time.sleep(0.5)
     run.set_path(list(run.nodes.stores), "pass")
 
 
-def _one_path(mode: str) -> Callable[[DepartureRun, Leave], None]:
+def _break_one_path(mode: str) -> Callable[[DepartureRun, Leave], None]:
     """One router's path to the store fails for 3 s; the server leaves after 2 s of it."""
 
     def play(run: DepartureRun, leave: Leave) -> None:
@@ -266,7 +262,7 @@
     return play
 
 
-def _forget(run: DepartureRun, leave: Leave) -> None:
+def _forget_history(run: DepartureRun, leave: Leave) -> None:
     """The watches are held up, the server leaves, and the store forgets its history."""
     run.set_path(list(run.nodes.stores), "silent")
     time.sleep(0.3)
@@ -312,16 +308,16 @@
 
 
 TROUBLES: dict[str, Callable[[DepartureRun, Leave], None]] = {
-    "nothing else": _none,
+    "nothing else": _play_no_trouble,
     "the store refuses calls for 0.15 s": _refuse(0.15),
     "the store refuses calls for 1 s": _refuse(1.0),
-    "the store returns from 2 s away 0.3 s before": _down_before,
-    "the store's answers take 1.8 s for a moment": _slow,
+    "the store returns from 2 s away 0.3 s before": _return_before,
+    "the store's answers take 1.8 s for a moment": _slow_down,
     "all paths to the store are reset for 0.3 s": _reset_paths(0.3),
-    "all paths to the store are silent for 0.5 s": _silent_paths,
-    "one router's path to the store is reset": _one_path("reset"),
-    "one router's path to the store is silent": _one_path("silent"),
-    "the store forgets its history meanwhile": _forget,
+    "all paths to the store are silent for 0.5 s": _silence_paths,
+    "one router's path to the store is reset": _break_one_path("reset"),
+    "one router's path to the store is silent": _break_one_path("silent"),
+    "the store forgets its history meanwhile": _forget_history,
     "routers restart after the store refused calls": _restart_routers,
     "a router is frozen while the store refuses calls": _freeze_router,
     "all routers but one are frozen for 1.2 s": _freeze_most,
