Send no request whose caller's connection has ended before the event loop comes to that

What callers saw (GONE, listed as open): engines ran requests whose callers had left over half a second before.

Cause: the end of a caller's connection was noticed by the task that watches it. A busy event loop resumes the task that has been granted a slot first, and that sent the request without a look at the connection, whose end lay in the kernel.

Change: the connection is asked (one poll that does not wait) when a slot has been granted, before each attempt and each resumption. The core is told as for a caller that was noticed in time, so that the slot is released.

Red test: "A request that is granted a slot before the end of its caller is noticed is not sent" ("sent to e-1" on the code before).

Why it works: the kernel knows of the end as soon as it has arrived, however late the loop is. Left: the end of a connection that a neighbour passes on arrives when that neighbour's loop comes to it, and one that arrives while the connection to the server is being opened.

--- a/packages/router/src/myrtlehook_router/request/placements.py
+++ b/packages/router/src/myrtlehook_router/request/placements.py
@@ -140,18 +140,22 @@
 
 
 def wait_for_slot(placement: Placement) -> Result[actions.Dispatch, Refusal]:
-    """Wait until the core dispatches the request to a backend server or refuses it."""
+    """Wait until the core dispatches the request to a backend server or refuses it.
+
+    A busy event loop may bring a slot before the end of the client's connection, which has arrived
+    earlier. So the connection is checked here as well, and nothing is sent for clients that left.
+    """
     while True:
         decision = placement.ticket.wait(CALLER_CHECK_INTERVAL_S)
-        if decision is None or isinstance(decision, CallerDisconnected):
-            if decision is not None or has_caller_disconnected(placement.environ):
-                placement.services.mailbox.post(
-                    events.RequestAbandoned(placement.specification.request_id)
-                )
-                return Err(_refusal(RefusalReason.CALLER_GONE, 1.0))
-            continue
         if isinstance(decision, actions.Refuse):
             return Err(_refusal(decision.reason, decision.retry_after_s))
+        if isinstance(decision, CallerDisconnected) or has_caller_disconnected(placement.environ):
+            placement.services.mailbox.post(
+                events.RequestAbandoned(placement.specification.request_id)
+            )
+            return Err(_refusal(RefusalReason.CALLER_GONE, 1.0))
+        if decision is None:
+            continue
         if clocks.now_s() < decision.lease_deadline_s:
             return Ok(decision)
         # This process was delayed between the decision and now, so the slot's lease has expired.
--- a/tests/features/leaving_callers.feature
+++ b/tests/features/leaving_callers.feature
@@ -6,3 +6,15 @@
     Given 3 routers and a plain service
     When 40 callers leave just after their calls were given slots, before these are sent
     Then within 1 s another 8 calls are given slots
+
+  # Guards against: a busy router sent requests to engines up to 1.1 s after their callers had left. A
+  # slot was granted before the event loop came to the end of the connection, and nobody looked.
+  Scenario: A request that is granted a slot before the end of its caller is noticed is not sent
+    Given a caller whose connection has ended while its request waits
+    When the request is granted a slot
+    Then the request is given up because its caller is gone, and the core is told so
+
+  @nodes.1
+  Scenario: Requests whose callers left while their router was late reach no engine
+    When the router is frozen, and 300 callers send a request and leave in that
+    Then none of these requests reaches an engine within 3 s
