Have readers that the store no longer answers take their reports back, so that others read in time

What callers saw: requests at servers that had left, up to 2.9 s after the store had taken that (2.0 s may be), from routers whose own paths to the store were sound; the same for configurations.

Cause: a few routers read the store for all. A reader whose watch was not answered went on reporting for 1.5 s that the store answers it, and all others counted it for another 1.5 s after its last report.

Change: a reader reports for 1.25 s after an answer. Then it sends a row that takes its reports back, to its own zone and to some routers of each other one, as it does with what it reads; relayed rows from before count for nothing. It reports again with the next answer, at once. Logged: each reader that withdraws or returns, and from whom it was heard ("source reader changed"); counted by both.

Why it works: the time from the loss to the first read elsewhere is the watch's second, its margin, and two decisions of 0.1 s, all under 2 s. Weighed: shorter watches (each call has a price), ages of answers in the reports (a fleet hears of an answer later than its age allows), a failed call as a reason to withdraw (a refused call for too many reads would draw more of them).

--- a/packages/core/src/myrtlehook_core/process/actions.py
+++ b/packages/core/src/myrtlehook_core/process/actions.py
@@ -217,6 +217,17 @@
     """The routers that read the source and precede this one in the order of readers."""
 
 
+@dataclass(frozen=True, slots=True)
+class SourceReaderChanged:
+    """Report that the source no longer answers a router that reads it, or answers it again."""
+
+    router_id: str
+    """The reader: this router or another one."""
+    source: str
+    """The router that told this one."""
+    is_answered: bool
+
+
 @dataclass(frozen=True, slots=True)
 class ConfigurationRejected:
     """A published configuration is invalid and was rejected; the previous one stays active."""
@@ -464,6 +475,7 @@
     | ServerHeldOff
     | ServerBackoffReported
     | ReadSource
+    | SourceReaderChanged
     | AdmissionDecided
     | EarlyBeginningRefused
     | EngineWeightsChanged
--- a/packages/core/src/myrtlehook_core/process/options.py
+++ b/packages/core/src/myrtlehook_core/process/options.py
@@ -132,8 +132,9 @@
     begin to read the source; 0 if a starting router reads it at once."""
     reader_age_limit_s: float = 1.5
     """A reader that has not reported for this long that the source answers it is not counted."""
-    source_silence_s: float = 1.4
-    """How long after an answer of the source a reader may report that the source still answers."""
+    source_silence_s: float = 1.25
+    """How long after an answer of the source a reader may report that the source still answers.
+    It is longer than the source takes to answer a reader for which it has no news."""
     lapse_after_s: float = 2.1
     """The shortest outage of the source in which the entry of a live server can lapse."""
     exchange_totals: bool = True
--- a/packages/core/src/myrtlehook_core/process/source_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/source_handlers.py
@@ -10,6 +10,7 @@
     ConfigurationRejected,
     FetchPart,
     ReadSource,
+    SourceReaderChanged,
 )
 from myrtlehook_core.process.held_off_servers import announce_new_holdoffs, apply_holdoff_rows
 from myrtlehook_core.process.leaving_servers import record_leaving
@@ -29,8 +30,8 @@
     apply_reader_rows,
     find_readers_before,
     record_answer,
-    record_failure,
     update_reading,
+    withdraw_if_silent,
 )
 from myrtlehook_core.version.configurations import BackendServer, ConfigurationVersion
 from myrtlehook_core.version.discovery import (
@@ -85,22 +86,24 @@
 
 
 def on_source_answered(core: "RouterCore", event: events.SourceAnswered, now_s: float) -> None:
-    """Record that the source answers this router."""
-    record_answer(core.source_readers, now_s)
+    """Record that the source answers this router; announce that if it has not done so before."""
+    if record_answer(core.source_readers, now_s):
+        _announce_own_reading(core, is_answered=True)
     asked_at_s = now_s if event.asked_at_s is None else event.asked_at_s
     record_own_proof(core.source_outages, asked_at_s, core.options.lapse_after_s)
 
 
 def on_source_failed(core: "RouterCore", event: events.SourceFailed, now_s: float) -> None:
     """Record that the source does not answer this router."""
-    record_failure(core.source_readers)
     if event.asked_at_s is None or event.asked_at_s >= core.resumed_at_s:
         # A call from before a pause of this process may have failed because of the pause.
         record_failed_call(core.source_outages)
 
 
 def tick_source(core: "RouterCore", now_s: float) -> None:
-    """Decide whether this router reads the source."""
+    """Announce a silent source, and decide whether this router reads the source."""
+    if withdraw_if_silent(core.source_readers, core.options, now_s):
+        _announce_own_reading(core, is_answered=False)
     if update_reading(core.source_readers, core.table, core.options, now_s):
         before = find_readers_before(core.source_readers, core.table, core.options, now_s)
         core.actions.add(ReadSource(core.source_readers.reading, before))
@@ -125,7 +128,9 @@
         query_missing_documents(core, now_s)
     apply_holdoff_rows(core, sender, news.held_off, now_s)
     apply_proof(core.source_outages, news.proof, core.options.lapse_after_s, now_s)
-    apply_reader_rows(core.source_readers, core.identity.router_id, news.readers, now_s)
+    own_id = core.identity.router_id
+    for reader in apply_reader_rows(core.source_readers, own_id, sender, news.readers, now_s):
+        core.actions.add(SourceReaderChanged(reader, sender, is_answered=False))
     lacking = news.servers_order > core.discovery.source_order
     if lacking and now_s >= core.source_readers.next_query_s:
         core.source_readers.next_query_s = now_s + SERVERS_QUERY_INTERVAL_S
@@ -209,6 +214,13 @@
         announce_news(core.probe_context())
 
 
+def _announce_own_reading(core: "RouterCore", is_answered: bool) -> None:
+    """Announce whether the source answers this router."""
+    own_id = core.identity.router_id
+    core.actions.add(SourceReaderChanged(own_id, own_id, is_answered))
+    _announce_source_news(core)
+
+
 def _relay_source_news(core: "RouterCore", source: str) -> None:
     """Announce news from another zone to the own one, where only a few received it."""
     if core.options.source_readers and not core.is_in_own_zone(source):
--- a/packages/router/src/myrtlehook_router/process/core_tasks.py
+++ b/packages/router/src/myrtlehook_router/process/core_tasks.py
@@ -308,6 +308,15 @@
         self._read_switch.set(action.wanted)
         _log.info("reading the source", wanted=action.wanted, readers_before=action.readers_before)
 
+    def _record_source_reader(self, action: actions.SourceReaderChanged) -> None:
+        self._counters.add(f"source.reader_{'returned' if action.is_answered else 'withdrew'}")
+        _log.info(
+            "source reader changed",
+            reader=action.router_id,
+            answered=action.is_answered,
+            source=action.source,
+        )
+
     def _record_rejected_configuration(self, action: actions.ConfigurationRejected) -> None:
         self._counters.add("configuration.rejected")
         _log.error(
@@ -524,6 +533,7 @@
     actions.ServerHeldOff: CoreTask._record_holdoff,
     actions.ServerBackoffReported: CoreTask._record_backoff,
     actions.ReadSource: CoreTask._switch_source_reading,
+    actions.SourceReaderChanged: CoreTask._record_source_reader,
     actions.ConfigurationRejected: CoreTask._record_rejected_configuration,
     actions.AdmissionDecided: CoreTask._record_admission,
     actions.EarlyBeginningRefused: CoreTask._record_early_refusal,
