Pass nothing on for callers that left while their connections waited at a busy router

By b-6's log it arrived there at 9.73 s: b-4, whose loop was more than a second behind, accepted the connection only after its client had left, passed it on with the bytes that lay there, and came to the end of the connection one turn of its loop later. b-6 cannot know of that end.

Change: a connection that has ended is closed when it is accepted, which also spares the busy router the request; and a splice asks the caller's connection before it forwards what it has read. The check is a module of its own now, used by four places.

Left: the end of a connection that comes while its request is already at a neighbour is seen when the busy router's loop comes to it.

--- a/packages/router/src/myrtlehook_router/connection/ingress_listeners.py
+++ b/packages/router/src/myrtlehook_router/connection/ingress_listeners.py
@@ -6,7 +6,9 @@
 import eventlet
 from eventlet.queue import Full, LightQueue
 
+from myrtlehook_router.connection.closed_connections import is_connection_closed
 from myrtlehook_router.connection.passing import Accepted, ConnectionPasser
+from myrtlehook_router.process.counters import Counters
 
 MAX_READY_CONNECTIONS = 64
 """The number of accepted connections that wait to be served; the kernel queues the others."""
@@ -24,6 +26,7 @@
         passer: ConnectionPasser | None,
         should_pass_on: Callable[[], bool],
         has_free_descriptors: Callable[[], bool],
+        counters: Counters,
     ) -> None:
         """Wrap a listening socket.
 
@@ -37,6 +40,7 @@
         self._passer = passer
         self._should_pass_on = should_pass_on
         self._has_free_descriptors = has_free_descriptors
+        self._counters = counters
         self._ready: LightQueue = LightQueue(MAX_READY_CONNECTIONS)
 
     def accept_forever(self) -> None:
@@ -50,6 +54,11 @@
             except OSError:
                 eventlet.sleep(ACCEPT_PAUSE_S)
                 continue
+            if is_connection_closed(accepted[0]):
+                # The client left while it waited in the kernel's queue.
+                self._counters.add("connections.left_in_queue")
+                accepted[0].close()
+                continue
             passer = self._passer
             if (
                 passer is not None
--- a/packages/router/src/myrtlehook_router/connection/splices.py
+++ b/packages/router/src/myrtlehook_router/connection/splices.py
@@ -12,6 +12,8 @@
 
 from eventlet import hubs, patcher
 
+from myrtlehook_router.connection.closed_connections import is_connection_closed
+
 READ_BYTES = 64 * 1024
 _socket = patcher.original("socket")
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -102,7 +104,8 @@
         except OSError:
             self.abort()
             return
-        if not piece:
+        if not piece or (end is self._caller and is_connection_closed(end.connection)):
+            # Nothing is forwarded for a client that left just after it had sent its request.
             self._close()
             return
         if end is self._neighbour:
--- a/packages/router/src/myrtlehook_router/connection/watches.py
+++ b/packages/router/src/myrtlehook_router/connection/watches.py
@@ -7,7 +7,7 @@
 import eventlet
 from eventlet.hubs import trampoline
 
-from myrtlehook_router.request.callers import is_connection_closed
+from myrtlehook_router.connection.closed_connections import is_connection_closed
 
 RECHECK_INTERVAL_S = 0.05
 """The interval between checks of a connection that holds bytes of the client's next request."""
--- a/packages/router/src/myrtlehook_router/process/caller_servers.py
+++ b/packages/router/src/myrtlehook_router/process/caller_servers.py
@@ -63,7 +63,11 @@
         """Serve clients on a listening socket; the main loop of a task."""
         self.busy_meter.watch(hubs.get_hub())
         ingress_listener = IngressListener(
-            PacedListener(listener), self._passer, self._should_pass_on, self._has_free_descriptors
+            PacedListener(listener),
+            self._passer,
+            self._should_pass_on,
+            self._has_free_descriptors,
+            self._services.counters,
         )
         eventlet.spawn(run_or_exit, ingress_listener.accept_forever)
         protocol = make_strict_protocol(
--- a/packages/router/src/myrtlehook_router/request/callers.py
+++ b/packages/router/src/myrtlehook_router/request/callers.py
@@ -6,10 +6,10 @@
 from dataclasses import dataclass
 from typing import Any
 
-from eventlet import patcher
 from result import Err, Ok, Result
 
 from myrtlehook_core import RefusalReason
+from myrtlehook_router.connection.closed_connections import is_connection_closed
 from myrtlehook_router.request.answers import Refusal
 
 REQUEST_ID_PATTERN = re.compile(r"^[A-Za-z0-9._-]{1,128}$")
@@ -18,12 +18,6 @@
 READ_BYTES = 64 * 1024
 MAX_TIMEOUT_MS = 24 * 3600 * 1000
 
-_select = patcher.original("select")
-"""The original module: eventlet's patched one has no ``poll``. A ``poll`` that does not wait does
-not block the event loop, and so needs no patching."""
-
-_CLOSED_EVENTS = _select.POLLRDHUP | _select.POLLHUP | _select.POLLERR
-
 
 @dataclass(frozen=True, slots=True)
 class CallerRequest:
@@ -103,19 +97,6 @@
     return connection is not None and is_connection_closed(connection)
 
 
-def is_connection_closed(connection: Any) -> bool:
-    """Return whether the other side has closed a connection."""
-    try:
-        descriptor = connection.fileno()
-        if descriptor < 0:
-            return True
-        poller = _select.poll()
-        poller.register(descriptor, _CLOSED_EVENTS)
-        return bool(poller.poll(0))
-    except OSError:
-        return True
-
-
 def _read_chunks(stream: Any) -> Iterator[bytes]:
     while chunk := stream.read(READ_BYTES):
         yield chunk
--- a/tests/features/leaving_callers.feature
+++ b/tests/features/leaving_callers.feature
@@ -16,5 +16,17 @@
 
   @nodes.1
   Scenario: Requests whose callers left while their router was late reach no engine
-    When the router is frozen, and 300 callers send a request and leave in that
+    When router 1 is frozen, and 300 callers send a request and leave in that
+    Then none of these requests reaches an engine within 3 s
+
+  # Guards against: a busy router passed connections on whose callers had left while they waited to be
+  # accepted, and its neighbours sent their requests to engines.
+  Scenario: Nothing is passed on of a request that arrived together with the end of its caller
+    Given a caller has sent a request and left before its connection is joined to a neighbour's
+    Then the neighbour receives nothing but the end
+
+  @nodes.3.busy
+  Scenario: Requests whose callers left are not passed on to neighbours
+    Given router 1 knows its neighbours
+    When router 1 is frozen, and 300 callers send a request and leave in that
     Then none of these requests reaches an engine within 3 s
--- a/tests/steps/entrance_steps.py
+++ b/tests/steps/entrance_steps.py
@@ -10,6 +10,7 @@
 from myrtlehook_router.connection.ingress_listeners import IngressListener
 from myrtlehook_router.connection.listeners import BACKLOG, PacedListener
 from myrtlehook_router.connection.passing import Accepted
+from myrtlehook_router.process.counters import Counters
 
 WAIT_S = 10.0
 """Far longer than a connection over loopback takes."""
@@ -40,7 +41,13 @@
     passer = AcceptingPasser()
     clock = itertools.count(0.0, CLOCK_STEP_S)
     paced = PacedListener(listener, lambda: next(clock))
-    ingress_listener: Any = IngressListener(paced, passer, lambda: True, lambda: True)  # type: ignore[arg-type]
+    ingress_listener: Any = IngressListener(
+        paced,  # type: ignore[arg-type]
+        passer,
+        lambda: True,
+        lambda: True,
+        Counters(None),
+    )
     context.accepted_at_turns = [0]
 
     def record_turns() -> None:
--- a/tests/steps/leaving_caller_steps.py
+++ b/tests/steps/leaving_caller_steps.py
@@ -150,9 +150,9 @@
         connection.sendall(f"POST /diagnosis/a HTTP/1.1\r\n{head}\r\n{attempt_id}".encode())
 
 
-@when("the router is frozen, and {count:d} callers send a request and leave in that")
-def leave_frozen_router(context: Any, count: int) -> None:
-    node = context.nodes.nodes[0]
+@when("router {number:d} is frozen, and {count:d} callers send a request and leave in that")
+def leave_frozen_router(context: Any, number: int, count: int) -> None:
+    node = context.nodes.nodes[number - 1]
     context.left_attempts = {new_id() for _ in range(count)}
     node.process.send_signal(signal.SIGSTOP)
     for attempt_id in context.left_attempts:
--- a/tests/steps/passing_steps.py
+++ b/tests/steps/passing_steps.py
@@ -187,6 +187,22 @@
     return GreenSocket(plain), inner
 
 
+@given("a caller has sent a request and left before its connection is joined to a neighbour's")
+def join_left_caller(context: Any) -> None:
+    near_outer, near_inner = _connected_pair()
+    context.far_outer, far_inner = _connected_pair()
+    near_outer.sendall(b"a request")
+    near_outer.close()
+    Splice(near_inner, far_inner, lambda: None).start()
+
+
+@then("the neighbour receives nothing but the end")
+def check_nothing_passed_on(context: Any) -> None:
+    with eventlet.Timeout(SPLICE_TIMEOUT_S):
+        received = context.far_outer.recv(4096)
+    assert received == b"", received
+
+
 @when("a {slow} takes {kilobytes:d} KB through two connections that are joined")
 def send_through_splice(context: Any, slow: str, kilobytes: int) -> None:
     content = random.Random(1).randbytes(kilobytes * 1024)
