--- a/packages/router/src/myrtlehook_router/process/core_tasks.py
+++ b/packages/router/src/myrtlehook_router/process/core_tasks.py
@@ -310,7 +310,7 @@
 
     def _record_source_reader(self, action: actions.SourceReaderChanged) -> None:
         self._counters.add(f"source.reader_{'returned' if action.is_answered else 'withdrew'}")
-        _log.info(
+        _belief_log.info(
             "source reader changed",
             reader=action.router_id,
             answered=action.is_answered,
