Print what failed steps saw at the end of a test run

The end of a run now has, before the count, each failed step with its report (500 characters at most).

--- a/tests/environment.py
+++ b/tests/environment.py
@@ -46,17 +46,24 @@
 }
 """The options of the other routers while the first one considers itself busy, by fleet option."""
 
+MAX_REPORTED_CHARACTERS = 500
+"""The part of a failed step's report that is printed again at the end."""
+
 JOIN_TIMEOUT_S = 30.0
 """The time limit for a scenario's client threads to end after it."""
 
 
 class CountReporter(Reporter):  # type: ignore[misc]
-    """Prints ``N passed, N failed`` over all scenarios as the very last line."""
+    """Prints ``N passed, N failed`` over all scenarios as the very last line.
+
+    Before it, what each failed step reported: of a long run often only the end is kept.
+    """
 
     def __init__(self, config: Any) -> None:
         super().__init__(config)
         self.passed = 0
         self.failed = 0
+        self.failures: list[str] = []
 
     def feature(self, feature: Any) -> None:
         """Count one feature's passed and failed scenarios."""
@@ -65,9 +72,16 @@
                 self.passed += 1
             elif scenario.status not in (Status.skipped, Status.untested):
                 self.failed += 1
+                self.failures += [
+                    f"{scenario.name}: {step.name}: {str(step.exception)[:MAX_REPORTED_CHARACTERS]}"
+                    for step in scenario.all_steps
+                    if step.exception is not None
+                ]
 
     def end(self) -> None:
-        """Print the count."""
+        """Print the failures and the count."""
+        for failure in self.failures:
+            print(failure, flush=True)
         print(f"{self.passed} passed, {self.failed} failed", flush=True)
 
 
