Test that readers are replaced in time in several zones as well

60 routers in 3 zones, the source silent to all readers: red on (a router that does not know after 2.0 s), green now.

--- a/tests/features/source.feature
+++ b/tests/features/source.feature
@@ -20,6 +20,12 @@
       | refuses      | 2.0  |
       | is silent to | 2.0  |
 
+  Scenario: Readers in several zones that the source is silent to are replaced in time
+    Given a fleet of 60 routers in 3 zones that has run for 4 s
+    When the source is silent to every reader
+    And a server is published and a new configuration too
+    Then after 2.0 s every router knows both
+
   Scenario: Readers that end are replaced, and a router that starts knows all at once
     Given a fleet of 12 routers that has run for 3 s
     When every reader ends
--- a/tests/steps/source_steps.py
+++ b/tests/steps/source_steps.py
@@ -23,10 +23,10 @@
 SETTLE_S = 6.0
 
 
-def _start_history(routers: int, network: Network, seed: int) -> History:
+def _start_history(routers: int, network: Network, seed: int, zones: int = 1) -> History:
     source = Source()
     source.put("first")
-    return History(seed, routers, 0, network, OPTIONS, source)
+    return History(seed, routers, 0, network, OPTIONS, source, zones)
 
 
 def _find_readers(context: Any) -> list[str]:
@@ -40,8 +40,9 @@
 
 
 @given("a fleet of {routers:d} routers that has run for {seconds:g} s")
-def start_fleet(context: Any, routers: int, seconds: float) -> None:
-    context.history = _start_history(routers, Network(), seed=1)
+@given("a fleet of {routers:d} routers in {zones:d} zones that has run for {seconds:g} s")
+def start_fleet(context: Any, routers: int, seconds: float, zones: int = 1) -> None:
+    context.history = _start_history(routers, Network(), seed=1, zones=zones)
     context.history.run_until(seconds)
     context.readers = _find_readers(context)
 
