Withdraw no reports where each router reads the source for itself, and say it plainer

Found by reading the change again: with source_readers 0 nobody counts reports, but a slow source would have been logged as a withdrawn reader.

--- a/packages/core/src/myrtlehook_core/process/source_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/source_handlers.py
@@ -86,7 +86,7 @@
 
 
 def on_source_answered(core: "RouterCore", event: events.SourceAnswered, now_s: float) -> None:
-    """Record that the source answers this router; announce that if it has not done so before."""
+    """Record that the source answers this router; announce it after reports were withdrawn."""
     if record_answer(core.source_readers, now_s):
         _announce_own_reading(core, is_answered=True)
     asked_at_s = now_s if event.asked_at_s is None else event.asked_at_s
@@ -101,7 +101,7 @@
 
 
 def tick_source(core: "RouterCore", now_s: float) -> None:
-    """Announce a silent source, and decide whether this router reads the source."""
+    """Withdraw reports if the source is silent, and decide whether this router reads it."""
     if withdraw_if_silent(core.source_readers, core.options, now_s):
         _announce_own_reading(core, is_answered=False)
     if update_reading(core.source_readers, core.table, core.options, now_s):
--- a/packages/core/src/myrtlehook_core/process/source_readers.py
+++ b/packages/core/src/myrtlehook_core/process/source_readers.py
@@ -5,8 +5,8 @@
 once, and probes carry it as well. Probes also carry how long ago each reader reported that the
 source answers it. A router reads the source itself while fewer than the wanted number of routers
 before it in that order have reported so recently; thus readers that failed or were cut off are
-replaced. A reader that the source has stopped to answer says so to all at once, so that they need
-not wait until its last report is old.
+replaced. A reader that the source no longer answers withdraws its reports, which tells all at once
+that they need not wait until the last one is old.
 """
 
 import math
@@ -87,7 +87,9 @@
 
 def withdraw_if_silent(readers: SourceReaders, options: CoreOptions, now_s: float) -> bool:
     """Withdraw this router's reports if the source has become silent; return whether it has."""
-    if not readers.is_reporting or _is_answered(readers, options, now_s):
+    if not options.source_readers or not readers.is_reporting:
+        return False
+    if _is_answered(readers, options, now_s):
         return False
     readers.is_reporting = False
     readers.withdrew_at_s = now_s
