--- a/tests/standins/departures.py
+++ b/tests/standins/departures.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from myrtlehook_platform.settings import SOURCE_READERS
 from standins.attempts import make_headers, new_id, send
 from standins.network import wait_for
 from standins.nodes import ROOT, Node, NodeFleet
@@ -326,9 +327,6 @@
 }
 
 
-READERS = 4
-"""The number of routers that read the store for all."""
-
 READ_ORDER = '"event": "reading the source"'
 
 
@@ -341,7 +339,7 @@
 def _find_readers(run: DepartureRun) -> list[str]:
     """Return the names of the readers; empty while more or fewer than wanted read the store."""
     names = [node.name for node in run.nodes.nodes if _is_reader(node)]
-    return names if len(names) == READERS else []
+    return names if len(names) == SOURCE_READERS else []
 
 
 def play_without_readers(run: DepartureRun, way: str, fault: str) -> Departure:
@@ -349,7 +347,7 @@
 
     Only the other routers have clients.
     """
-    readers = wait_for(lambda: _find_readers(run), f"{READERS} routers to read the store")
+    readers = wait_for(lambda: _find_readers(run), f"{SOURCE_READERS} routers to read the store")
     others = [node for node in run.nodes.nodes if node.name not in readers]
     callers = Callers(lambda: others)
     callers.start(len(others))
