Tell of each answer how it was framed, how its end was seen and what showed it whole

Each exchange now records its framing, the sign of its end, the proof, and of up to 8 other connections to that server how many were open and how many had ended then. 'request ended' and 'attempt failed' carry the first three; ends that the framing does not mark have a line of their own, at most 20 a second, kept in overloads; counters have all. No decision is changed.

--- a/packages/router/src/myrtlehook_router/connection/server_connections.py
+++ b/packages/router/src/myrtlehook_router/connection/server_connections.py
@@ -23,7 +23,15 @@
 from urllib3.exceptions import HTTPError, ReadTimeoutError
 from urllib3.util import SKIP_HEADER
 
+from myrtlehook_router.connection.answer_ends import (
+    AnswerEnd,
+    EndSign,
+    Framing,
+    Proof,
+    find_framing,
+)
 from myrtlehook_router.connection.backends import SendFailure
+from myrtlehook_router.connection.closed_connections import is_connection_closed
 from myrtlehook_router.process import clocks
 
 CONNECT_TIMEOUT_S = 1.0
@@ -36,6 +44,9 @@
 UNACKNOWLEDGED_TIMEOUT_MS = 4000
 """A connection fails once sent bytes have been unacknowledged for this long."""
 
+MAX_CONNECTIONS_BESIDE = 8
+"""The number of other connections to a server that are looked at when a response ends."""
+
 MIN_TIMEOUT_S = 0.001
 """Shortest time-out of a call after its deadline; 0 would make the socket non-blocking."""
 
@@ -73,6 +84,8 @@
     """The idle connections of one process, by server address."""
 
     idle_by_address: dict[str, deque[_IdleConnection]] = field(default_factory=dict)
+    exchanges_by_address: dict[str, set["Exchange"]] = field(default_factory=dict)
+    """The exchanges under way, by server address."""
     opened_count: int = 0
     """The number of connections opened so far."""
 
@@ -86,6 +99,7 @@
     """
 
     deadline_s = math.inf
+    was_reset = False
 
     def gettimeout(self) -> float | None:
         """Return the time left until the deadline; called by eventlet before each wait."""
@@ -99,6 +113,7 @@
             try:
                 return recv_method(*given)
             except ConnectionError as error:
+                self.was_reset = True
                 # Not an OSError: eventlet would treat that as the end of the stream.
                 raise IncompleteRead(b"") from error
 
@@ -127,6 +142,9 @@
         self._response: urllib3.HTTPResponse | None = None
         self._done = False
         self._reading = False
+        self._framing: Framing | None = None
+        self.end: AnswerEnd | None = None
+        """How the response ended; None until then."""
         self.aborted = False
 
     def send(
@@ -150,10 +168,14 @@
                 return Err(SendFailure.NOT_SENT)
         self._connection = connection
         self._socket = connection.sock
+        self._connection_pool.exchanges_by_address.setdefault(self._request.address, set()).add(
+            self
+        )
         answered = self._run_guarded(lambda: self._send_and_read_head(connection, deadline_s))
         if isinstance(answered, Err):
             return answered
         self._response = answered.ok_value
+        self._framing = find_framing(self._request.method, answered.ok_value)
         return answered
 
     def read_some(self, size_bytes: int, deadline_s: float) -> Result[bytes, SendFailure]:
@@ -164,9 +186,38 @@
             return Ok(b"")
         read = self._run_guarded(lambda: self._read_piece(size_bytes, deadline_s))
         if isinstance(read, Ok) and not read.ok_value:
-            self._release_connection()
+            self._finish()
         return read
 
+    def _finish(self) -> None:
+        if self._framing is Framing.CONNECTION:
+            self._record_end(EndSign.CLOSED, Proof.CONNECTION_END)
+        else:
+            self._record_end(EndSign.FRAMING, Proof.FRAMING)
+        self._release_connection()
+
+    def _record_end(self, sign: EndSign, proof: Proof) -> None:
+        """Record how the response ended; the first record counts."""
+        if self.end is not None:
+            return
+        open_beside = ended_beside = 0
+        if sign not in (EndSign.FRAMING, EndSign.ABORTED):
+            for sock in self._list_sockets_beside():
+                is_closed = is_connection_closed(sock)
+                ended_beside += is_closed
+                open_beside += not is_closed
+        self.end = AnswerEnd(self._framing, sign, proof, open_beside, ended_beside)
+
+    def _list_sockets_beside(self) -> list[Any]:
+        """Return the sockets of other connections to the server, the newest idle ones first."""
+        pool = self._connection_pool
+        address = self._request.address
+        idle = [one.connection.sock for one in reversed(pool.idle_by_address.get(address, ()))]
+        used = [
+            one._socket for one in pool.exchanges_by_address.get(address, ()) if one is not self
+        ]
+        return [sock for sock in (*idle, *used) if sock is not None][:MAX_CONNECTIONS_BESIDE]
+
     def _send_and_read_head(
         self, connection: HTTPConnection, deadline_s: float
     ) -> urllib3.HTTPResponse:
@@ -193,10 +244,18 @@
             pass
         finally:
             self._reading = False
+        self._record_end(self._find_failure_sign(failure), Proof.NONE)
         self.abort()
         self._close()
         return Err(failure)
 
+    def _find_failure_sign(self, failure: SendFailure) -> EndSign:
+        if self.aborted:
+            return EndSign.ABORTED
+        if failure is SendFailure.TIMED_OUT:
+            return EndSign.TIMED_OUT
+        return EndSign.RESET if getattr(self._socket, "was_reset", False) else EndSign.CLOSED
+
     def abort(self) -> None:
         """End the exchange; a task that is reading from it fails at once.
 
@@ -205,6 +264,7 @@
         """
         if self._done:
             return
+        self._record_end(EndSign.ABORTED, Proof.NONE)
         self.aborted = True
         self._done = True
         if self._socket is not None:
@@ -214,14 +274,23 @@
             self._close()
 
     def _close(self) -> None:
+        self._leave_pool()
         if self._connection is not None:
             self._connection.close()
         if self._response is not None:
             self._response.close()
 
+    def _leave_pool(self) -> None:
+        exchanges = self._connection_pool.exchanges_by_address
+        under_way = exchanges.get(self._request.address, set())
+        under_way.discard(self)
+        if not under_way:
+            exchanges.pop(self._request.address, None)
+
     def _release_connection(self) -> None:
         """Keep the connection for the next request if it is reusable."""
         self._done = True
+        self._leave_pool()
         assert self._connection is not None and self._response is not None
         idle_timeout_s = _compute_idle_timeout_s(self._response)
         if idle_timeout_s <= 0 or self._connection.sock is None or _is_readable(self._connection):
--- /dev/null
+++ b/packages/router/src/myrtlehook_router/request/answer_end_logs.py
@@ -0,0 +1,59 @@
+"""Logs and counts how responses of backend servers ended."""
+
+from dataclasses import dataclass
+
+from myrtlehook_router.connection.answer_ends import AnswerEnd, EndSign
+from myrtlehook_router.process.counters import Counters
+from myrtlehook_router.process.logs import get_logger
+
+MAX_LINES_PER_SECOND = 20
+"""The number of ends that are logged in one second; the others are only counted."""
+
+_log = get_logger("requests", is_kept=True)
+
+
+@dataclass(slots=True)
+class AnswerEndLog:
+    """Limits the rate of log lines about ends that the framing does not mark."""
+
+    second_ends_s: float = 0.0
+    lines: int = 0
+    """Logged within the current second."""
+
+
+def describe_answer_end(end: AnswerEnd | None) -> dict[str, object]:
+    """Return the log fields of a response's end; none without one."""
+    if end is None:
+        return {}
+    return {"framing": end.framing, "end_sign": end.sign, "end_proof": end.proof}
+
+
+def report_answer_end(
+    log: AnswerEndLog,
+    counters: Counters,
+    request_id: str,
+    backend_server: str,
+    end: AnswerEnd,
+    now_s: float,
+) -> None:
+    """Count how a response ended; log it if its framing does not mark that end.
+
+    Such lines survive overloads.
+    """
+    counters.add(f"answer_end.{end.framing or 'no_head'}.{end.sign}.{end.proof}")
+    if end.sign in (EndSign.FRAMING, EndSign.ABORTED):
+        return
+    if now_s >= log.second_ends_s:
+        log.second_ends_s = now_s + 1.0
+        log.lines = 0
+    log.lines += 1
+    if log.lines > MAX_LINES_PER_SECOND:
+        return
+    _log.info(
+        "answer end",
+        request_id=request_id,
+        backend_server=backend_server,
+        **describe_answer_end(end),
+        open_beside=end.open_beside,
+        ended_beside=end.ended_beside,
+    )
--- a/packages/router/src/myrtlehook_router/request/relays.py
+++ b/packages/router/src/myrtlehook_router/request/relays.py
@@ -15,10 +15,12 @@
     events,
     find_share_tokens,
 )
+from myrtlehook_router.connection.answer_ends import AnswerEnd
 from myrtlehook_router.connection.backends import SendFailure
 from myrtlehook_router.connection.server_connections import ConnectionPool, Exchange
 from myrtlehook_router.process import clocks
 from myrtlehook_router.process.logs import get_logger
+from myrtlehook_router.request.answer_end_logs import describe_answer_end, report_answer_end
 from myrtlehook_router.request.broken_runs import check_server_after_broken_run
 from myrtlehook_router.request.headers import HeaderNames, find_header
 from myrtlehook_router.request.placements import (
@@ -73,6 +75,8 @@
     event_tokens: int = 1
     output_tokens: int = 0
     exchange: Exchange | None = None
+    reported_end: AnswerEnd | None = None
+    """The latest end of a response that was counted and logged."""
     caller_disconnected: bool = False
     maybe_run: bool = False
     """Whether one of the attempts so far may have run."""
@@ -204,6 +208,24 @@
     )
 
 
+def _report_answer_end(relay: Relay) -> dict[str, object]:
+    """Count and log how the current response ended; returns its log fields."""
+    end = None if relay.exchange is None else relay.exchange.end
+    if end is None or end is relay.reported_end:
+        return describe_answer_end(end)
+    relay.reported_end = end
+    services = relay.placement.services
+    report_answer_end(
+        services.answer_end_log,
+        services.counters,
+        relay.request.request_id,
+        relay.backend_server,
+        end,
+        clocks.now_s(),
+    )
+    return describe_answer_end(end)
+
+
 def report_failed_attempt(relay: Relay, reason: RetryReason) -> None:
     """Log a failed attempt and report it to the core, which then decides on the request again."""
     _log.info(
@@ -215,6 +237,7 @@
         status=relay.status or None,
         leaving=relay.notice.leaving,
         backoff_s=relay.notice.backoff_s,
+        **_report_answer_end(relay),
         **describe_send_belief(relay.send_belief, relay.sent_at_s),
     )
     report_not_started(relay.placement, reason)
@@ -285,6 +308,7 @@
         end_placement(placement, compute_cost_units(relay), outcome, failed, longest_pause_s)
         _observe_stream(relay)
     close_placement(placement, outcome)
+    answer_end = _report_answer_end(relay)
     if not is_logged:
         return
     now_s = clocks.now_s()
@@ -301,6 +325,7 @@
         backend_server=relay.backend_server,
         software_version=relay.software_version,
         **describe_send_belief(relay.send_belief, relay.sent_at_s),
+        **answer_end,
         attempts=relay.attempts,
         outcome=outcome,
         detail=detail,
