Show that answers that broke off look complete (red)

Real processes: 3 routers, 4 engines and 3 plain servers as processes, which frame each answer as its request says (no length, chunks, padded sizes, trailers, length) and end it at a byte (their process, at once back or 0.4 s later; one connection; a reset; just after the last byte), for clients of HTTP/1.1 and 1.0. Judged by what clients hold beside what was written.

What one connection's regular end cuts where an unframed answer might end, at a server that lives, is left out: it is the protocol's own sign of a whole answer.

--- a/emulator/control.py
+++ b/emulator/control.py
@@ -60,6 +60,10 @@
     for name, zone in order.get("zones", {}).items():
         site.zones[name] = zone
         _put_entry(site, name, "ready")
+    for name, server in order.get("external", {}).items():
+        # A server that runs as a process of its own.
+        site.addresses[name] = server["address"]
+        put_server(site, name, server["service"], server["slots"])
     for zone in order.get("evacuate", []):
         site.store.put(f"op/evacuate/{zone}", "{}")
     for zone in order.get("take_back", []):
--- a/tests/environment.py
+++ b/tests/environment.py
@@ -13,6 +13,7 @@
 sys.path.insert(0, str(Path(__file__).parent))
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
+from standins.cut_answers import AT_ONCE_S, BACK_LATE_S, start_raw_servers  # noqa: E402
 from standins.fleets import Fleet  # noqa: E402
 from standins.nodes import NodeFleet  # noqa: E402
 from standins.processes import end_processes_at_exit  # noqa: E402
@@ -108,8 +109,12 @@
     nodes.options = {f"edge-{number}": BUSY_OPTIONS.get(option, {}) for number in range(1, 10)}
     nodes.options["edge-1"] = ALWAYS_PASSING if option in BUSY_OPTIONS else {}
     try:
-        engines = {"many": MANY_ENGINES, "versions": VERSIONED_ENGINES}.get(option, 2)
-        nodes.start(routers=routers, engines=engines, empty=option == "empty")
+        if option == "raw":
+            start_raw_servers(nodes, (AT_ONCE_S, BACK_LATE_S))
+            nodes.start_nodes(routers)
+        else:
+            engines = {"many": MANY_ENGINES, "versions": VERSIONED_ENGINES}.get(option, 2)
+            nodes.start(routers=routers, engines=engines, empty=option == "empty")
         context.nodes = nodes
         yield nodes
     finally:
