Take no line that the end of a connection cuts for a whole one

Callers saw a 200 with the server's signature that was framed as complete and lacked events, or all of them, where the server's connection ended inside its answer's head, inside the digits of a chunk's size, or before the blank line after the last chunk. Cause: http.client takes a line that the end of the stream cuts as it is. A cut head then names neither length nor chunks, so its body seems to be empty and to end with its connection; a '0' of a padded size is the last chunk; the end of the stream passes for the blank line. A length that is no number, several lengths and unknown codings are read to the connection's end as well.

--- a/packages/router/src/myrtlehook_router/connection/answer_ends.py
+++ b/packages/router/src/myrtlehook_router/connection/answer_ends.py
@@ -1,11 +1,14 @@
 """How a response was framed, how its end was seen, and what shows that it is whole."""
 
+import re
 from dataclasses import dataclass
 from enum import StrEnum
 
 import urllib3
+from result import Err, Ok, Result
 
 BODYLESS_STATUSES = (204, 304)
+_LENGTH = re.compile("[0-9]{1,18}")
 
 
 class Framing(StrEnum):
@@ -18,6 +21,14 @@
     """Nothing but the end of its connection."""
 
 
+class FramingError(StrEnum):
+    """Why a head does not tell how its body is framed."""
+
+    UNKNOWN_CODING = "unknown_coding"
+    INVALID_LENGTH = "invalid_length"
+    """A length that is no number, or several lengths."""
+
+
 class EndSign(StrEnum):
     """How the end of a response was seen."""
 
@@ -27,6 +38,8 @@
     """The server closed the connection."""
     RESET = "reset"
     TIMED_OUT = "timed_out"
+    MALFORMED = "malformed"
+    """Its head does not tell how the body is framed."""
     ABORTED = "aborted"
     """This router ended it."""
 
@@ -54,12 +67,17 @@
     """The number of them that the server had ended."""
 
 
-def find_framing(method: str, response: urllib3.HTTPResponse) -> Framing:
+def find_framing(method: str, response: urllib3.HTTPResponse) -> Result[Framing, FramingError]:
     """Return what marks the end of a response's body, by its head."""
     if method == "HEAD" or response.status in BODYLESS_STATUSES:
-        return Framing.NO_BODY
-    if "Transfer-Encoding" in response.headers:
-        return Framing.CHUNKS
-    if "Content-Length" in response.headers:
-        return Framing.LENGTH
-    return Framing.CONNECTION
+        return Ok(Framing.NO_BODY)
+    codings = response.headers.getlist("Transfer-Encoding")
+    if codings:
+        # Anything else would be read as a body without length or chunks.
+        is_chunked = len(codings) == 1 and codings[0].lower() == "chunked"
+        return Ok(Framing.CHUNKS) if is_chunked else Err(FramingError.UNKNOWN_CODING)
+    lengths = set(response.headers.getlist("Content-Length"))
+    if not lengths:
+        return Ok(Framing.CONNECTION)
+    is_length = len(lengths) == 1 and _LENGTH.fullmatch(lengths.pop())
+    return Ok(Framing.LENGTH) if is_length else Err(FramingError.INVALID_LENGTH)
--- a/packages/router/src/myrtlehook_router/connection/server_connections.py
+++ b/packages/router/src/myrtlehook_router/connection/server_connections.py
@@ -32,6 +32,7 @@
 )
 from myrtlehook_router.connection.backends import SendFailure
 from myrtlehook_router.connection.closed_connections import is_connection_closed
+from myrtlehook_router.connection.strict_responses import StrictResponse
 from myrtlehook_router.process import clocks
 
 CONNECT_TIMEOUT_S = 1.0
@@ -123,6 +124,8 @@
 class ServerConnection(HTTPConnection):
     """A connection to a backend server."""
 
+    response_class = StrictResponse
+
     def _new_conn(self) -> socket.socket:
         opened = super()._new_conn()
         if isinstance(opened, GreenSocket):
@@ -175,7 +178,12 @@
         if isinstance(answered, Err):
             return answered
         self._response = answered.ok_value
-        self._framing = find_framing(self._request.method, answered.ok_value)
+        framing = find_framing(self._request.method, answered.ok_value)
+        if isinstance(framing, Err):
+            self._record_end(EndSign.MALFORMED, Proof.NONE)
+            self.abort()
+            return Err(SendFailure.BROKEN)
+        self._framing = framing.ok_value
         return answered
 
     def read_some(self, size_bytes: int, deadline_s: float) -> Result[bytes, SendFailure]:
