Take the end of a connection for the end of an answer only while its server's process lives

Callers saw a 200 with the server's signature that was framed as complete and lacked events: the server's process had ended in the middle of an answer without length or chunks. Cause: the end of the connection is the only mark of such an answer's end, and the end of a process gives the same one; it was taken for it at once, without a check or another try, which is what the users' record shows (2 ms, no second engine). The fix: one place, answer_ends.find_proof, says whether an answer is whole and by what proof. Without proof the answer has broken off, which each kind of route handles already. A stream that may not be resumed and whose server ends just after its last byte is cut for its caller: a caller can ask again after a cut, and cannot after a false end.

--- a/packages/router/src/myrtlehook_router/connection/answer_ends.py
+++ b/packages/router/src/myrtlehook_router/connection/answer_ends.py
@@ -1,6 +1,10 @@
-"""How a response was framed, how its end was seen, and what shows that it is whole."""
+"""How a response was framed, how its end was seen, and what shows that it is whole.
+
+Nothing else decides whether a response is whole.
+"""
 
 import re
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -48,11 +52,22 @@
     """What shows that a response is whole."""
 
     FRAMING = "framing"
-    CONNECTION_END = "connection_end"
-    """Its connection ended regularly."""
+    CONTENT = "content"
+    """Its content ends where it says."""
+    SERVER_LIVES = "server_lives"
+    """The server closed its connection, and its process lives. The end of the process would have
+    closed it too."""
     NONE = "none"
 
 
+class ContentEnd(StrEnum):
+    """What a response's content tells of its end."""
+
+    WHOLE = "whole"
+    CUT = "cut"
+    UNKNOWN = "unknown"
+
+
 @dataclass(frozen=True, slots=True)
 class AnswerEnd:
     """How one response ended."""
@@ -67,6 +82,23 @@
     """The number of them that the server had ended."""
 
 
+def find_proof(
+    framing: Framing, content_end: ContentEnd, outlives_response: Callable[[], bool]
+) -> Proof:
+    """Return what shows that a response is whole, once the end of its framing has been reached.
+
+    :param outlives_response: waits, and returns whether the server's process has outlived the
+        response's connection; called only if nothing else decides.
+    """
+    if content_end is ContentEnd.CUT:
+        return Proof.NONE
+    if framing is not Framing.CONNECTION:
+        return Proof.FRAMING
+    if content_end is ContentEnd.WHOLE:
+        return Proof.CONTENT
+    return Proof.SERVER_LIVES if outlives_response() else Proof.NONE
+
+
 def find_framing(method: str, response: urllib3.HTTPResponse) -> Result[Framing, FramingError]:
     """Return what marks the end of a response's body, by its head."""
     if method == "HEAD" or response.status in BODYLESS_STATUSES:
--- a/packages/router/src/myrtlehook_router/process/gateway_daemons.py
+++ b/packages/router/src/myrtlehook_router/process/gateway_daemons.py
@@ -23,16 +23,16 @@
     events,
 )
 from myrtlehook_router.connection.backends import SendFailure
-from myrtlehook_router.connection.listeners import adopt_listener, get_silent_logger, open_listener
-from myrtlehook_router.connection.passing import ConnectionPasser, PassingConfig
-from myrtlehook_router.connection.server_checks import ServerChecks, ServerState
-from myrtlehook_router.connection.server_connections import (
+from myrtlehook_router.connection.connection_pools import (
     ConnectionPool,
     close_expired_connections,
     drop_idle_connections,
     find_closing_servers,
     open_idle_connection,
 )
+from myrtlehook_router.connection.listeners import adopt_listener, get_silent_logger, open_listener
+from myrtlehook_router.connection.passing import ConnectionPasser, PassingConfig
+from myrtlehook_router.connection.server_checks import ServerChecks, ServerState
 from myrtlehook_router.process import clocks
 from myrtlehook_router.process.caller_servers import CallerServer, CallerServices
 from myrtlehook_router.process.core_tasks import CoreTask
--- a/packages/router/src/myrtlehook_router/request/answer_streams.py
+++ b/packages/router/src/myrtlehook_router/request/answer_streams.py
@@ -10,12 +10,13 @@
 from result import Err
 
 from myrtlehook_core import Outcome, RetryReason, actions
+from myrtlehook_router.connection.answer_ends import ContentEnd, Framing
 from myrtlehook_router.connection.backends import SendFailure
 from myrtlehook_router.request.attempts import READ_BYTES, compute_read_deadline_s, send_once
 from myrtlehook_router.request.event_streams import (
     EVENT_END_BYTES,
     EventSplitter,
-    ends_inside_event,
+    judge_event_end,
     split_events,
 )
 from myrtlehook_router.request.headers import find_header
@@ -42,7 +43,7 @@
         """Begin to forward a response.
 
         :param has_events: whether the body consists of events; it is incomplete if it ends inside
-            one. Nothing else tells so of a response without a length or chunks.
+            one.
         :param first: what was read of the body before.
         """
         self._relay = relay
@@ -59,12 +60,12 @@
             return piece
         relay = self._relay
         assert relay.exchange is not None
-        read = relay.exchange.read_some(READ_BYTES, relay.request.deadline_s)
+        read = relay.exchange.read_some(
+            READ_BYTES, relay.request.deadline_s, lambda _: judge_event_end(self._tail)
+        )
         if isinstance(read, Err):
             raise self._break_off(read.err_value)
         if not read.ok_value:
-            if ends_inside_event(self._tail):
-                raise self._break_off(SendFailure.BROKEN)
             end_relay(relay, Outcome.COMPLETED, "streamed")
             raise StopIteration
         if self._has_events:
@@ -121,18 +122,14 @@
         while True:
             assert relay.exchange is not None
             read = relay.exchange.read_some(
-                READ_BYTES, compute_read_deadline_s(relay, STALL_TIMEOUT_S)
+                READ_BYTES, compute_read_deadline_s(relay, STALL_TIMEOUT_S), self._judge_content
             )
             if isinstance(read, Err):
                 check_server_after_failure(relay, read.err_value)
                 self._resume()
                 continue
             if not read.ok_value:
-                if not self._ends_inside_event():
-                    return self._finish()
-                check_server_after_failure(relay, SendFailure.BROKEN)
-                self._resume()
-                continue
+                return self._finish()
             whole = self._collect_new_events(read.ok_value)
             if whole:
                 return whole
@@ -171,8 +168,10 @@
             return True
         return int(event_id) > int(self._last_event_id)
 
-    def _ends_inside_event(self) -> bool:
-        return self._has_events and ends_inside_event(self._splitter.incomplete_event)
+    def _judge_content(self, framing: Framing) -> ContentEnd:
+        if not self._has_events:
+            return ContentEnd.UNKNOWN
+        return judge_event_end(self._splitter.incomplete_event)
 
     def _finish(self) -> bytes:
         rest = self._splitter.incomplete_event
--- a/packages/router/src/myrtlehook_router/request/event_streams.py
+++ b/packages/router/src/myrtlehook_router/request/event_streams.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass, field
 
+from myrtlehook_router.connection.answer_ends import ContentEnd
+
 EVENT_END = b"\n\n"
 EVENT_END_BYTES = 4
 """Length of the longest end of an event."""
@@ -39,12 +41,13 @@
     return found
 
 
-def ends_inside_event(tail: bytes) -> bool:
-    """Return whether a stream that ends here ends inside an event.
+def judge_event_end(tail: bytes) -> ContentEnd:
+    """Return whether a stream that ends here is cut inside an event.
 
     :param tail: its last bytes, at least the ``EVENT_END_BYTES`` last ones if it has so many.
     """
-    return bool(tail.strip()) and not tail.endswith((EVENT_END, b"\n\r\n"))
+    ends_inside_event = bool(tail.strip()) and not tail.endswith((EVENT_END, b"\n\r\n"))
+    return ContentEnd.CUT if ends_inside_event else ContentEnd.UNKNOWN
 
 
 def _find_end(content: bytes) -> int:
--- a/packages/router/src/myrtlehook_router/request/gateways.py
+++ b/packages/router/src/myrtlehook_router/request/gateways.py
@@ -23,7 +23,7 @@
     schedule_retry,
     should_shed,
 )
-from myrtlehook_router.connection.server_connections import ConnectionPool
+from myrtlehook_router.connection.connection_pools import ConnectionPool
 from myrtlehook_router.connection.watches import CallerWatch
 from myrtlehook_router.process import clocks
 from myrtlehook_router.process.logs import get_logger
--- a/packages/router/src/myrtlehook_router/request/relays.py
+++ b/packages/router/src/myrtlehook_router/request/relays.py
@@ -17,7 +17,8 @@
 )
 from myrtlehook_router.connection.answer_ends import AnswerEnd
 from myrtlehook_router.connection.backends import SendFailure
-from myrtlehook_router.connection.server_connections import ConnectionPool, Exchange
+from myrtlehook_router.connection.connection_pools import ConnectionPool
+from myrtlehook_router.connection.server_connections import Exchange
 from myrtlehook_router.process import clocks
 from myrtlehook_router.process.logs import get_logger
 from myrtlehook_router.request.answer_end_logs import describe_answer_end, report_answer_end
--- a/tests/features/answer_ends.feature
+++ b/tests/features/answer_ends.feature
@@ -1,5 +1,11 @@
 @nodes.3.raw
 Feature: An answer that broke off never looks complete, however it was framed
+  # Guards against: a stream whose server's process ended was closed as complete and not resumed.
+  Scenario: A resumable stream without length or chunks goes on after its server's end
+    Given resumable streams without length or chunks that a process's end cuts after 4 events
+    When clients send these requests on each route one after another
+    Then every answer is whole and complete
+
   # Guards against: a server's process ended between two events of an answer without length or
   # chunks, and its clients received what had arrived as the whole answer.
   Scenario: An answer without length or chunks that its server's end cuts never looks complete
@@ -7,11 +13,6 @@
     When clients send these requests on each route one after another
     Then no answer looks complete that is not its server's whole answer
 
-  Scenario: A resumable stream without length or chunks goes on after its server's end
-    Given resumable streams without length or chunks that a process's end cuts after 4 events
-    When clients send these requests on each route one after another
-    Then every answer is whole and complete
-
   # Guards against: an engine ended just after a whole answer, and streams that it was writing to
   # others at that time looked complete.
   Scenario: Answers that are under way when their server ends after another one never look complete
--- a/tests/standins/raw_engines.py
+++ b/tests/standins/raw_engines.py
@@ -91,6 +91,8 @@
         is_first = self._record_run(attempt_id)
         ends_early = is_first and plan.cut != NOT_CUT
         _write_pieces(connection, wire, plan, plan.cut if ends_early else sum(map(len, wire)))
+        if is_first:
+            (self._folder / attempt_id).write_text(f"{plan.end} by {os.getpid()} {time.time()}")
         if is_first and plan.end.startswith("process"):
             os.kill(os.getpid(), signal.SIGKILL)
         if is_first and plan.end == "reset":
