Reset the connection of a client of HTTP/1.0 whose answer breaks off

Cause: an answer of unknown length has no framing for them, so the regular end of the connection is its end, and the WSGI server ends connections regularly after an exception as well. Fix: the protocol class resets the connection after a body that broke off, if the request was of HTTP/1.0; clients of HTTP/1.1 see the missing last chunk as before. The reset of a passed connection uses the same function.

--- a/packages/router/src/myrtlehook_router/connection/heads.py
+++ b/packages/router/src/myrtlehook_router/connection/heads.py
@@ -10,11 +10,15 @@
 from eventlet import wsgi
 
 from myrtlehook_core import IngressLimits
+from myrtlehook_router.connection.closed_connections import reset_connection
 from myrtlehook_router.process.counters import Counters
 
 TARGET_KEY = "myrtlehook.target"
 """Environ key of the request target as it was sent; ``PATH_INFO`` holds the decoded path."""
 
+BREAK_OFF_KEY = "myrtlehook.break_off"
+"""Environ key of a function to call when a response breaks off, before its body is closed."""
+
 WAITED_KEY = "myrtlehook.waited_s"
 """Environ key of the time that a request had waited at the router that passed it on."""
 
@@ -45,7 +49,9 @@
         """A client's connection."""
 
         rfile: Any
+        request_version: str
         _head: bytes
+        _breaks_off = False
 
         def _read_request_line(self) -> bytes:
             """Wait for a request up to the idle timeout; returns the first line of its head."""
@@ -85,8 +91,19 @@
         def get_environ(self) -> dict[str, Any]:
             environ = super().get_environ()
             environ[TARGET_KEY] = self.requestline.split()[1]
+            environ[BREAK_OFF_KEY] = self._break_off
             return environ
 
+        def _break_off(self) -> None:
+            # To a client of HTTP/1.0 the regular end of the connection is the end of the response.
+            self._breaks_off = self.request_version == "HTTP/1.0"
+
+        def finish(self) -> None:
+            """Close the connection, by a reset if its response broke off and has no framing."""
+            if self._breaks_off:
+                reset_connection(self.connection)
+            super().finish()
+
         def _refuse(self, error: HeadError) -> None:
             counters.add(f"refusal.{error.reason}")
             text = responses.get(error.status, "Error")
--- a/packages/router/src/myrtlehook_router/connection/splices.py
+++ b/packages/router/src/myrtlehook_router/connection/splices.py
@@ -5,18 +5,15 @@
 """
 
 import contextlib
-import struct
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
-from eventlet import hubs, patcher
+from eventlet import hubs
 
-from myrtlehook_router.connection.closed_connections import is_connection_closed
+from myrtlehook_router.connection.closed_connections import is_connection_closed, reset_connection
 
 READ_BYTES = 64 * 1024
-_socket = patcher.original("socket")
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 @dataclass(slots=True)
@@ -65,10 +62,7 @@
         """Close both connections, the client's by a reset: no response must look complete."""
         if self._ended:
             return
-        option = (_socket.SOL_SOCKET, _socket.SO_LINGER, _RESET_ON_CLOSE)
-        with contextlib.suppress(OSError):
-            self._caller.connection.setsockopt(*option)
-        self._close()
+        self._close(resets_caller=True)
 
     def end_late(self, response: bytes) -> None:
         """End a request whose deadline has passed.
@@ -151,13 +145,16 @@
     def _get_other_end(self, end: SpliceEnd) -> SpliceEnd:
         return self._neighbour if end is self._caller else self._caller
 
-    def _close(self) -> None:
+    def _close(self, resets_caller: bool = False) -> None:
         self._ended = True
         for end in (self._caller, self._neighbour):
             for listener in (end.reader, end.writer):
                 if listener is not None:
                     hubs.get_hub().remove(listener)
-            end.connection.close()
+            if resets_caller and end is self._caller:
+                reset_connection(end.connection)
+            else:
+                end.connection.close()
         self._on_end()
 
 
--- a/packages/router/src/myrtlehook_router/request/gateways.py
+++ b/packages/router/src/myrtlehook_router/request/gateways.py
@@ -1,7 +1,7 @@
 """The WSGI application of the routed interface, which relays requests to backend servers."""
 
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 from http.client import responses
 from typing import Any
@@ -24,6 +24,7 @@
     should_shed,
 )
 from myrtlehook_router.connection.connection_pools import ConnectionPool
+from myrtlehook_router.connection.heads import BREAK_OFF_KEY
 from myrtlehook_router.connection.watches import CallerWatch
 from myrtlehook_router.process import clocks
 from myrtlehook_router.process.logs import get_logger
@@ -71,12 +72,23 @@
 class WatchedBody:
     """The body of a response; the client's connection is watched until it is closed."""
 
-    def __init__(self, body: Iterable[bytes], watch: CallerWatch) -> None:
+    def __init__(
+        self, body: Iterable[bytes], watch: CallerWatch, break_off: Callable[[], None]
+    ) -> None:
+        """Begin to forward a body.
+
+        :param break_off: called if the body breaks off.
+        """
         self._body = body
         self._watch = watch
+        self._break_off = break_off
 
-    def __iter__(self) -> Any:
-        return iter(self._body)
+    def __iter__(self) -> Iterator[bytes]:
+        try:
+            yield from self._body
+        except Exception:
+            self._break_off()
+            raise
 
     def close(self) -> None:
         """Stop the watch and close the body, which releases the request's resources."""
@@ -182,7 +194,8 @@
     if isinstance(answer.body, list):
         watch.stop()
         return answer
-    return Answer(answer.status, WatchedBody(answer.body, watch), answer.headers)
+    watched = WatchedBody(answer.body, watch, request.environ[BREAK_OFF_KEY])
+    return Answer(answer.status, watched, answer.headers)
 
 
 def _should_shed_request(
