Let the soak's engines frame their answers in different ways

Each engine of a run frames its answers in chunks, in chunks of padded sizes, or not at all, drawn by the run's seed; one at least not at all. Judged as before by what callers hold beside what engines write: a stream that looks complete has all its events.

--- a/emulator/engines.py
+++ b/emulator/engines.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import socket
+import struct
 import time
 from collections import Counter, OrderedDict, deque
 from collections.abc import Callable, Iterator
@@ -24,6 +25,7 @@
 """System headers that name state which the engine must have; it refuses a forged one."""
 
 MAX_ARRIVALS = 3000
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 _select = patcher.original("select")
 
@@ -61,6 +63,9 @@
     """Refuses one request in every N; 0 refuses none."""
     retry_after: str = ""
     """The ``Retry-After`` value of refusals, in seconds; empty to send none."""
+    framing: str = "chunks"
+    """How answers are framed: ``chunks``, ``padded`` (their sizes have leading zeros) or ``none``
+    (answers end with their connection)."""
     slowness: float = 1.0
     """How many times longer than usual a step takes. Each step that reads delays the events of all
     streams, so their pauses grow with what is read and with this."""
@@ -187,8 +192,9 @@
             headers.append(("Connection", "close"))
         connection = environ["wsgi.input"].get_socket()
         stream = Stream(self, run, connection)
-        if self.shared.unframed:
-            send_unframed(connection, headers, stream)
+        framing = "none" if self.shared.unframed else self.faults.framing
+        if framing != "chunks":
+            send_raw_answer(connection, headers, stream, framing)
         start_response("200 OK", headers)
         return stream
 
@@ -339,21 +345,36 @@
     raise ConnectionResetError("connection closed without an answer")
 
 
-def send_unframed(connection: Any, headers: list[tuple[str, str]], stream: "Stream") -> None:
-    """Send an answer that ends with its connection, without a reset."""
+def send_raw_answer(
+    connection: Any, headers: list[tuple[str, str]], stream: "Stream", framing: str
+) -> None:
+    """Send an answer that is framed as given, and end its connection.
+
+    It ends by a reset if the stream breaks off.
+    """
     head = "".join(f"{name}: {value}\r\n" for name, value in headers)
-    connection.sendall(f"HTTP/1.1 200 OK\r\n{head}Connection: close\r\n\r\n".encode())
-    while (cut := stream.read_cut_event()) is None:
-        event = next(stream, None)
-        if event is None:
-            break
-        connection.sendall(event)
-    connection.sendall(cut or b"")
+    coding = "Transfer-Encoding: chunked\r\n" if framing == "padded" else ""
+    connection.sendall(f"HTTP/1.1 200 OK\r\n{head}{coding}Connection: close\r\n\r\n".encode())
+    try:
+        while (cut := stream.read_cut_event()) is None:
+            event = next(stream, None)
+            if event is None:
+                break
+            connection.sendall(_frame_event(event, framing))
+    except ConnectionResetError:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        connection.fd.close()
+        raise
+    connection.sendall(cut or (b"0\r\n\r\n" if framing == "padded" else b""))
     stream.close()
     connection.shutdown(socket.SHUT_RDWR)
     raise ConnectionResetError("the answer ends with its connection")
 
 
+def _frame_event(event: bytes, framing: str) -> bytes:
+    return b"%08x\r\n%s\r\n" % (len(event), event) if framing == "padded" else event
+
+
 class Stream:
     """The events of one run. Closing the stream early cancels the run."""
 
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -28,6 +28,7 @@
     departures: bool = typer.Option(
         True, help="whether engines leave by their entries, and others start"
     ),
+    framings: bool = typer.Option(True, help="whether engines frame their answers differently"),
 ) -> None:
     """Run real routers under random faults and check their promises; exits with 1 if one broke."""
     end_processes_at_exit()
@@ -46,6 +47,7 @@
                 paces,
                 versions,
                 departures,
+                framings,
             )
         )
         failed_runs += bool(result.violations)
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -26,6 +26,7 @@
     Fault,
     draw_departures,
     draw_endings,
+    draw_framings,
     draw_notices,
     draw_paces,
     draw_schedule,
@@ -82,6 +83,8 @@
     """Whether engines are of two software versions, which change when one starts again."""
     departures: bool = False
     """Whether engines leave by their entries, and others start."""
+    framings: bool = False
+    """Whether engines frame their answers in different ways."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -175,6 +178,10 @@
         if options.departures:
             engines = [name for name in self._list_servers() if _is_engine(name)]
             faults += draw_departures(options.seed, options.seconds, engines)
+        if options.framings:
+            engines = [name for name in self._list_servers() if _is_engine(name)]
+            framings = draw_framings(options.seed, engines)
+            self.fleet.order(faults={name: {"framing": one} for name, one in framings.items()})
         paces = []
         if options.paces:
             engines = [name for name in self._list_servers() if _is_engine(name)]
--- a/soak/schedules.py
+++ b/soak/schedules.py
@@ -28,6 +28,9 @@
 """``slower``: an engine is slower than the others for the whole run. ``slow_spell``: one turns slow
 for a moment. Neither excuses a broken promise."""
 
+FRAMINGS = ("chunks", "padded", "none")
+"""How an engine frames its answers, for the whole run."""
+
 MIN_SPELL_S = 0.3
 MAX_SPELL_S = 1.0
 
@@ -50,6 +53,14 @@
     target: str
 
 
+def draw_framings(seed: int, engines: list[str]) -> dict[str, str]:
+    """Draw how each engine frames its answers; one at least marks their end by nothing else."""
+    draw = random.Random(f"framings {seed}")
+    framings = {engine: draw.choice(FRAMINGS) for engine in engines}
+    framings[draw.choice(engines)] = "none"
+    return framings
+
+
 def draw_schedule(seed: int, seconds: float, routers: list[str], servers: list[str]) -> list[Fault]:
     """Draw the faults of one run, ordered by their begin."""
     draw = random.Random(seed)
--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -27,6 +27,17 @@
       | 3009 | 8       |
       | 3048 | 8       |
 
+  # Guards against: a stream whose engine ended was closed as complete, because its engine had marked
+  # its end by nothing but the end of its connection.
+  Scenario Outline: The promises are kept while engines that frame answers differently end
+    When the soak plays seed <seed> for <seconds> s, engines end, and frame answers differently
+    Then no promise was broken, and clients were served
+
+    Examples:
+      | seed | seconds |
+      | 6400 | 8       |
+      | 6401 | 8       |
+
   Scenario Outline: The promises are kept while engines of two software versions end
     When the soak plays seed <seed> for <seconds> s, and engines of two software versions end
     Then no promise was broken, and clients were served
--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -50,6 +50,11 @@
     context.result = execute_run(RunOptions(seed, seconds, notices=True, copies=True))
 
 
+@when("the soak plays seed {seed:d} for {seconds:g} s, engines end, and frame answers differently")
+def play_framings(context: Any, seed: int, seconds: float) -> None:
+    context.result = execute_run(RunOptions(seed, seconds, endings=True, framings=True))
+
+
 @when("the soak plays seed {seed:d} for {seconds:g} s under all its faults")
 def play_all(context: Any, seed: int, seconds: float) -> None:
     context.result = execute_run(RunOptions(seed, seconds, endings=True, notices=True, copies=True))
