Read what goes over urllib3's pools as strictly as routed answers

The same cause elsewhere: plain calls of the built-in interface took a reset for the regular end of an answer without length (eventlet's sockets read it so), and they, load reports and configurations took cut heads and size lines for whole ones. A caller of such a call held half an answer as a whole one. Fix: the pools open the same strict connections. SendFailure has a module of its own now, since the pools use the connections that report it. Open: a regular end of an answer without length is still taken for whole by the built-in interface's plain calls, whose server is not shown to live.

--- a/packages/router/src/myrtlehook_router/connection/backends.py
+++ b/packages/router/src/myrtlehook_router/connection/backends.py
@@ -1,7 +1,6 @@
 """HTTP requests through urllib3's pools, with failures classified by how far a request got."""
 
 from dataclasses import dataclass
-from enum import StrEnum
 
 import urllib3
 from result import Err, Ok, Result
@@ -12,22 +11,14 @@
     ReadTimeoutError,
 )
 
+from myrtlehook_router.connection.send_failures import SendFailure
+from myrtlehook_router.connection.server_sockets import ServerConnection
+
 CONNECT_TIMEOUT_S = 1.0
 MAX_CONNECTIONS_PER_SERVER = 512
 MAX_POOLED_SERVERS = 4096
 
 
-class SendFailure(StrEnum):
-    """Why a request has no response, by how far it got."""
-
-    NOT_SENT = "not_sent"
-    """No connection was established, so no byte was sent."""
-    REFUSED = "refused"
-    """The same, because nothing listens at the address."""
-    BROKEN = "broken"
-    TIMED_OUT = "timed_out"
-
-
 @dataclass(frozen=True, slots=True)
 class BackendRequest:
     """One HTTP request to a backend server; ``address`` is an IP address and a port."""
@@ -42,9 +33,17 @@
     """Never reuse a connection: the server may be closing it at this moment."""
 
 
-_POOL_MANAGER = urllib3.PoolManager(
-    num_pools=MAX_POOLED_SERVERS, maxsize=MAX_CONNECTIONS_PER_SERVER, retries=False, block=False
-)
+class _ServerConnectionPool(urllib3.HTTPConnectionPool):
+    ConnectionCls = ServerConnection
+
+
+def _make_pool_manager(num_pools: int, maxsize: int) -> urllib3.PoolManager:
+    manager = urllib3.PoolManager(num_pools=num_pools, maxsize=maxsize, retries=False, block=False)
+    manager.pool_classes_by_scheme = {"http": _ServerConnectionPool}
+    return manager
+
+
+_POOL_MANAGER = _make_pool_manager(MAX_POOLED_SERVERS, MAX_CONNECTIONS_PER_SERVER)
 
 
 def send_request(request: BackendRequest) -> Result[urllib3.BaseHTTPResponse, SendFailure]:
@@ -93,4 +92,4 @@
 
 
 def _make_single_use_pool() -> urllib3.PoolManager:
-    return urllib3.PoolManager(num_pools=1, maxsize=1, retries=False)
+    return _make_pool_manager(1, 1)
--- a/packages/router/src/myrtlehook_router/connection/connection_pools.py
+++ b/packages/router/src/myrtlehook_router/connection/connection_pools.py
@@ -19,8 +19,8 @@
 from result import Err, Ok, Result
 from urllib3.connection import HTTPConnection
 
-from myrtlehook_router.connection.backends import SendFailure
 from myrtlehook_router.connection.closed_connections import is_connection_closed
+from myrtlehook_router.connection.send_failures import SendFailure
 from myrtlehook_router.connection.server_sockets import CONNECT_TIMEOUT_S, open_connection
 from myrtlehook_router.process import clocks
 
--- a/packages/router/src/myrtlehook_router/connection/engines.py
+++ b/packages/router/src/myrtlehook_router/connection/engines.py
@@ -13,12 +13,8 @@
 from urllib3.exceptions import HTTPError
 
 from myrtlehook_core import actions, events
-from myrtlehook_router.connection.backends import (
-    BackendRequest,
-    SendFailure,
-    read_response_body,
-    send_request,
-)
+from myrtlehook_router.connection.backends import BackendRequest, read_response_body, send_request
+from myrtlehook_router.connection.send_failures import SendFailure
 
 LOAD_TIMEOUT_S = 1.0
 ORDER_TIMEOUT_S = 5.0
--- a/packages/router/src/myrtlehook_router/connection/server_connections.py
+++ b/packages/router/src/myrtlehook_router/connection/server_connections.py
@@ -23,7 +23,6 @@
     find_framing,
     find_proof,
 )
-from myrtlehook_router.connection.backends import SendFailure
 from myrtlehook_router.connection.closed_connections import is_connection_closed
 from myrtlehook_router.connection.connection_pools import (
     IDLE_TIMEOUT_S,
@@ -35,6 +34,7 @@
     list_sockets_beside,
     return_connection,
 )
+from myrtlehook_router.connection.send_failures import SendFailure
 from myrtlehook_router.connection.server_checks import CHECK_DELAY_S
 from myrtlehook_router.connection.server_sockets import CONNECTION_ERRORS, set_deadline
 
--- a/packages/router/src/myrtlehook_router/connection/server_sockets.py
+++ b/packages/router/src/myrtlehook_router/connection/server_sockets.py
@@ -10,7 +10,7 @@
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 
-from myrtlehook_router.connection.backends import SendFailure
+from myrtlehook_router.connection.send_failures import SendFailure
 from myrtlehook_router.connection.strict_responses import StrictResponse
 from myrtlehook_router.process import clocks
 
--- a/packages/router/src/myrtlehook_router/process/gateway_daemons.py
+++ b/packages/router/src/myrtlehook_router/process/gateway_daemons.py
@@ -22,7 +22,6 @@
     count_quarantined,
     events,
 )
-from myrtlehook_router.connection.backends import SendFailure
 from myrtlehook_router.connection.connection_pools import (
     ConnectionPool,
     close_expired_connections,
@@ -32,6 +31,7 @@
 )
 from myrtlehook_router.connection.listeners import adopt_listener, get_silent_logger, open_listener
 from myrtlehook_router.connection.passing import ConnectionPasser, PassingConfig
+from myrtlehook_router.connection.send_failures import SendFailure
 from myrtlehook_router.connection.server_checks import ServerChecks, ServerState
 from myrtlehook_router.process import clocks
 from myrtlehook_router.process.caller_servers import CallerServer, CallerServices
--- a/packages/router/src/myrtlehook_router/request/answer_streams.py
+++ b/packages/router/src/myrtlehook_router/request/answer_streams.py
@@ -11,7 +11,7 @@
 
 from myrtlehook_core import Outcome, RetryReason, actions
 from myrtlehook_router.connection.answer_ends import ContentEnd, Framing
-from myrtlehook_router.connection.backends import SendFailure
+from myrtlehook_router.connection.send_failures import SendFailure
 from myrtlehook_router.request.attempts import READ_BYTES, compute_read_deadline_s, send_once
 from myrtlehook_router.request.event_streams import (
     EVENT_END_BYTES,
--- a/packages/router/src/myrtlehook_router/request/attempts.py
+++ b/packages/router/src/myrtlehook_router/request/attempts.py
@@ -4,7 +4,7 @@
 from result import Err, Ok, Result
 
 from myrtlehook_core import BackendServer, RetryReason
-from myrtlehook_router.connection.backends import SendFailure
+from myrtlehook_router.connection.send_failures import SendFailure
 from myrtlehook_router.connection.server_connections import Exchange, OutgoingRequest
 from myrtlehook_router.process import clocks
 from myrtlehook_router.request.headers import (
--- a/packages/router/src/myrtlehook_router/request/calls.py
+++ b/packages/router/src/myrtlehook_router/request/calls.py
@@ -15,11 +15,8 @@
     Workspace,
     actions,
 )
-from myrtlehook_router.connection.backends import (
-    BackendRequest,
-    SendFailure,
-    send_request,
-)
+from myrtlehook_router.connection.backends import BackendRequest, send_request
+from myrtlehook_router.connection.send_failures import SendFailure
 from myrtlehook_router.process import clocks
 from myrtlehook_router.request.answers import (
     OUTCOME_HEADER,
--- a/packages/router/src/myrtlehook_router/request/relays.py
+++ b/packages/router/src/myrtlehook_router/request/relays.py
@@ -16,8 +16,8 @@
     find_share_tokens,
 )
 from myrtlehook_router.connection.answer_ends import AnswerEnd
-from myrtlehook_router.connection.backends import SendFailure
 from myrtlehook_router.connection.connection_pools import ConnectionPool
+from myrtlehook_router.connection.send_failures import SendFailure
 from myrtlehook_router.connection.server_connections import Exchange
 from myrtlehook_router.process import clocks
 from myrtlehook_router.process.logs import get_logger
--- a/tests/steps/passed_deadline_steps.py
+++ b/tests/steps/passed_deadline_steps.py
@@ -13,13 +13,13 @@
 from emulator.sites import PLAIN_SERVICE, make_configuration, make_route
 from environment import ALWAYS_PASSING
 from myrtlehook_platform.settings import FLEET_KEY
-from myrtlehook_router.connection.backends import SendFailure
 from myrtlehook_router.connection.connection_pools import ConnectionPool
 from myrtlehook_router.connection.introductions import (
     VERDICT_ACCEPTED,
     Introduction,
     write_introduction,
 )
+from myrtlehook_router.connection.send_failures import SendFailure
 from myrtlehook_router.connection.server_connections import Exchange, OutgoingRequest
 from myrtlehook_router.process import clocks
 from myrtlehook_router.process.peers import MAXIMUM_MESSAGE_BYTES
