Renew the connections that show that a server lives before it closes them

Found reading the change: a server closes idle connections after a time, the router closes its own after 8 s, and a whole stream without framing that outlasted them would have been taken for a broken one, cut or taken up for nothing. Fix: while such a stream goes on, a witness is opened at once when one has ended, and from then on after half the time for which that server keeps them; the older one stays until then, so that one that counts is open at any time. Witnesses are kept apart from idle connections. A connection that carries a request is called active, not leased: a lease is the right to use a slot.

--- a/packages/router/src/myrtlehook_router/connection/connection_pools.py
+++ b/packages/router/src/myrtlehook_router/connection/connection_pools.py
@@ -1,4 +1,4 @@
-"""The connections of one process to backend servers: idle ones, leased ones and witnesses.
+"""The connections of one process to backend servers: idle ones, active ones and witnesses.
 
 A connection carries one request at a time. It is kept only after a complete response that
 nothing followed. It is not reused if bytes arrive while it is idle, because they belong to
@@ -9,6 +9,7 @@
 it: a supervisor's listening socket outlives the process, and with it what was not accepted yet.
 """
 
+import math
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -21,7 +22,11 @@
 
 from myrtlehook_router.connection.closed_connections import is_connection_closed
 from myrtlehook_router.connection.send_failures import SendFailure
-from myrtlehook_router.connection.server_sockets import CONNECT_TIMEOUT_S, open_connection
+from myrtlehook_router.connection.server_sockets import (
+    CONNECT_TIMEOUT_S,
+    ServerConnection,
+    open_connection,
+)
 from myrtlehook_router.process import clocks
 
 IDLE_TIMEOUT_S = 8.0
@@ -36,6 +41,12 @@
 WITNESS_WAIT_S = 0.05
 """A request waits at most this long for a witness to be opened; then it is sent without one."""
 
+MAX_WITNESSES = 2
+"""The number of witnesses to one server."""
+
+RENEWAL_FRACTION = 0.5
+"""The part of the time for which a server keeps witnesses after which a new one is opened."""
+
 MAX_CONNECTIONS_BESIDE = 8
 """The number of other connections to a server that are looked at when a response ends."""
 
@@ -45,28 +56,25 @@
 
 @dataclass(slots=True)
 class _KeptConnection:
-    connection: HTTPConnection
-    opened_number: int
-    opened_at_s: float
+    """A connection without a request, until it expires."""
+
+    connection: ServerConnection
     deadline_s: float
-    has_answered: bool = False
-    """Whether it has carried a response, so that a process has accepted it."""
 
 
 @dataclass(slots=True, eq=False)
-class Lease:
+class ActiveConnection:
     """A connection that carries a request."""
 
     address: str
-    connection: HTTPConnection
+    connection: ServerConnection
     sock: Any
     """Kept separately: the connection drops it when the response has ``Connection: close``."""
-    opened_number: int
-    opened_at_s: float
     newest_beside: int
     """The number of the newest connection to the server that was opened while this one was known
     to be open."""
-    has_answered: bool = False
+    is_unframed: bool = False
+    """Whether only the end of the connection will mark the end of its response."""
 
 
 @dataclass(slots=True)
@@ -74,8 +82,10 @@
     """The connections of one process, by server address."""
 
     idle_by_address: dict[str, deque[_KeptConnection]] = field(default_factory=dict)
-    leases_by_address: dict[str, set[Lease]] = field(default_factory=dict)
-    witnesses: dict[str, _KeptConnection] = field(default_factory=dict)
+    active_by_address: dict[str, set[ActiveConnection]] = field(default_factory=dict)
+    witnesses: dict[str, deque[_KeptConnection]] = field(default_factory=dict)
+    witness_lifetimes_s: dict[str, float] = field(default_factory=dict)
+    """The shortest time after which a server has closed a witness."""
     opening_witnesses: set[str] = field(default_factory=set)
     unframed_until_s: dict[str, float] = field(default_factory=dict)
     """Until when a server gets witnesses, because it has sent a response without framing."""
@@ -83,81 +93,78 @@
     """The number of connections opened so far."""
 
 
-def lease_connection(
+def acquire_connection(
     pool: ConnectionPool, address: str, deadline_s: float, fresh_connection: bool
-) -> Result[Lease, SendFailure]:
+) -> Result[ActiveConnection, SendFailure]:
     """Take an idle connection, or open one, for a request.
 
     :param fresh_connection: open a new connection, as the server may be closing an idle one.
     """
-    kept = None if fresh_connection else _take_idle_connection(pool, address)
-    if clocks.now_s() < pool.unframed_until_s.get(address, 0.0):
+    connection = None if fresh_connection else _take_idle_connection(pool, address)
+    is_unframed = clocks.now_s() < pool.unframed_until_s.get(address, 0.0)
+    if is_unframed and not pool.idle_by_address.get(address):
         # Connections are accepted in the order of their opening, so a witness comes first.
         _wait_for_witness(pool, address)
-    if kept is None:
+    if connection is None:
         opened = _open_connection(pool, address, deadline_s)
         if isinstance(opened, Err):
             return opened
-        kept = opened.ok_value
-    lease = Lease(
-        address,
-        kept.connection,
-        kept.connection.sock,
-        kept.opened_number,
-        kept.opened_at_s,
-        pool.opened_count,
-        kept.has_answered,
-    )
-    pool.leases_by_address.setdefault(address, set()).add(lease)
-    return Ok(lease)
+        connection = opened.ok_value
+    active = ActiveConnection(address, connection, connection.sock, pool.opened_count)
+    pool.active_by_address.setdefault(address, set()).add(active)
+    return Ok(active)
 
 
-def close_lease(pool: ConnectionPool, lease: Lease) -> None:
-    """Close a leased connection; safe to call again."""
-    _end_lease(pool, lease)
-    lease.connection.close()
+def close_connection(pool: ConnectionPool, active: ActiveConnection) -> None:
+    """Close an active connection; safe to call again."""
+    _deactivate(pool, active)
+    active.connection.close()
 
 
-def return_connection(pool: ConnectionPool, lease: Lease, idle_timeout_s: float) -> None:
-    """Keep a leased connection for the next request if it is reusable.
+def release_connection(
+    pool: ConnectionPool, active: ActiveConnection, idle_timeout_s: float
+) -> None:
+    """Keep an active connection for the next request if it is reusable.
 
     :param idle_timeout_s: how long it may be idle; 0 if it must close.
     """
-    if idle_timeout_s <= 0 or lease.connection.sock is None or _is_readable(lease.connection):
-        close_lease(pool, lease)
+    if idle_timeout_s <= 0 or active.connection.sock is None or _is_readable(active.connection):
+        close_connection(pool, active)
         return
-    _end_lease(pool, lease)
-    idle = pool.idle_by_address.setdefault(lease.address, deque())
-    deadline_s = clocks.now_s() + idle_timeout_s
-    idle.append(
-        _KeptConnection(
-            lease.connection, lease.opened_number, lease.opened_at_s, deadline_s, has_answered=True
-        )
-    )
+    _deactivate(pool, active)
+    idle = pool.idle_by_address.setdefault(active.address, deque())
+    idle.append(_KeptConnection(active.connection, clocks.now_s() + idle_timeout_s))
 
 
-def expect_unframed_end(pool: ConnectionPool, address: str) -> None:
+def expect_unframed_end(pool: ConnectionPool, active: ActiveConnection) -> None:
     """Open a witness for a response whose end only the end of its connection will mark."""
-    pool.unframed_until_s[address] = clocks.now_s() + UNFRAMED_MEMORY_S
-    eventlet.spawn_n(_ensure_witness, pool, address)
+    active.is_unframed = True
+    pool.unframed_until_s[active.address] = clocks.now_s() + UNFRAMED_MEMORY_S
+    eventlet.spawn_n(_ensure_witness, pool, active.address)
+
+
+def renew_witnesses(pool: ConnectionPool) -> None:
+    """Open new witnesses before servers close them, as they do with idle connections."""
+    for address, connections in pool.active_by_address.items():
+        if any(active.is_unframed for active in connections):
+            eventlet.spawn_n(_ensure_witness, pool, address)
 
 
-def list_sockets_beside(pool: ConnectionPool, lease: Lease) -> list[Any]:
+def list_sockets_beside(pool: ConnectionPool, active: ActiveConnection) -> list[Any]:
     """Return sockets of other connections that a process at the server's address has accepted.
 
-    Of those that are open, it is the process that has accepted the leased one.
+    Of those that are open, it is the process that has accepted the active one.
 
-    Witnesses come first, then idle connections, the newest first, then leased ones.
+    Witnesses come first, then idle connections, the newest first, then active ones.
     """
-    address = lease.address
+    address = active.address
     now_s = clocks.now_s()
-    kept = [pool.witnesses[address]] if address in pool.witnesses else []
-    kept += reversed(pool.idle_by_address.get(address, ()))
-    sockets = [one.connection.sock for one in kept if _is_accepted(one, lease, now_s)]
+    kept = [*pool.witnesses.get(address, ()), *reversed(pool.idle_by_address.get(address, ()))]
+    sockets = [one.connection.sock for one in kept if _is_accepted(one.connection, active, now_s)]
     sockets += [
         other.sock
-        for other in pool.leases_by_address.get(address, ())
-        if other is not lease and _is_accepted(other, lease, now_s)
+        for other in pool.active_by_address.get(address, ())
+        if other is not active and _is_accepted(other.connection, active, now_s)
     ]
     return [sock for sock in sockets if sock is not None][:MAX_CONNECTIONS_BESIDE]
 
@@ -170,21 +177,22 @@
     now_s = clocks.now_s()
 
     def is_wanted(address: str) -> bool:
-        return is_configured(address) or address in pool.leases_by_address
+        return is_configured(address) or address in pool.active_by_address
 
     for address, idle in list(pool.idle_by_address.items()):
         while idle and (now_s >= idle[0].deadline_s or not is_wanted(address)):
             idle.popleft().connection.close()
         if not idle:
             del pool.idle_by_address[address]
-    for address, witness in list(pool.witnesses.items()):
-        if (now_s >= witness.deadline_s and address not in pool.leases_by_address) or not is_wanted(
-            address
-        ):
-            pool.witnesses.pop(address).connection.close()
+    for address, witnesses in list(pool.witnesses.items()):
+        is_expired = now_s >= witnesses[-1].deadline_s and address not in pool.active_by_address
+        if is_expired or not is_wanted(address):
+            for witness in pool.witnesses.pop(address):
+                witness.connection.close()
     for address, until_s in list(pool.unframed_until_s.items()):
         if now_s >= until_s:
             del pool.unframed_until_s[address]
+            pool.witness_lifetimes_s.pop(address, None)
 
 
 def find_closing_servers(pool: ConnectionPool) -> list[str]:
@@ -212,10 +220,12 @@
     """
     if pool.idle_by_address.get(address):
         return None
-    opened = _open_connection(pool, address, clocks.now_s() + CONNECT_TIMEOUT_S)
+    now_s = clocks.now_s()
+    opened = _open_connection(pool, address, now_s + CONNECT_TIMEOUT_S)
     if isinstance(opened, Err):
         return opened.err_value
-    pool.idle_by_address.setdefault(address, deque()).append(opened.ok_value)
+    kept = _KeptConnection(opened.ok_value, now_s + IDLE_TIMEOUT_S)
+    pool.idle_by_address.setdefault(address, deque()).append(kept)
     return None
 
 
@@ -233,64 +243,84 @@
 
 
 def _ensure_witness(pool: ConnectionPool, address: str) -> None:
-    """Keep a witness to a server, unless an idle connection serves as one."""
+    """Open a witness to a server, unless there is one that its server will keep for some time."""
     now_s = clocks.now_s()
+    _drop_ended_witnesses(pool, address, now_s)
     known = pool.witnesses.get(address)
-    if known is not None and not is_connection_closed(known.connection.sock):
-        known.deadline_s = now_s + IDLE_TIMEOUT_S
+    renewal_age_s = RENEWAL_FRACTION * pool.witness_lifetimes_s.get(address, math.inf)
+    if known and now_s < known[-1].connection.opened_at_s + renewal_age_s:
+        known[-1].deadline_s = now_s + IDLE_TIMEOUT_S
         return
-    if pool.idle_by_address.get(address) or address in pool.opening_witnesses:
+    if address in pool.opening_witnesses:
         return
     pool.opening_witnesses.add(address)
     opened = _open_connection(pool, address, now_s + CONNECT_TIMEOUT_S)
     pool.opening_witnesses.discard(address)
     if isinstance(opened, Err):
         return
-    if known is not None:
-        known.connection.close()
-    pool.witnesses[address] = opened.ok_value
+    # The older one is kept: it shows that the server lives until the new one is accepted.
+    known = pool.witnesses.setdefault(address, deque())
+    known.append(_KeptConnection(opened.ok_value, now_s + IDLE_TIMEOUT_S))
+    while len(known) > MAX_WITNESSES:
+        known.popleft().connection.close()
+
+
+def _drop_ended_witnesses(pool: ConnectionPool, address: str, now_s: float) -> None:
+    """Drop the witnesses that a server has closed, and record how long it kept them."""
+    known = pool.witnesses.get(address, deque())
+    for witness in list(known):
+        if not is_connection_closed(witness.connection.sock):
+            continue
+        known.remove(witness)
+        lifetime_s = now_s - witness.connection.opened_at_s
+        shortest_s = pool.witness_lifetimes_s.get(address, math.inf)
+        pool.witness_lifetimes_s[address] = min(lifetime_s, shortest_s)
+        witness.connection.close()
+    if not known:
+        pool.witnesses.pop(address, None)
 
 
 def _open_connection(
     pool: ConnectionPool, address: str, deadline_s: float
-) -> Result[_KeptConnection, SendFailure]:
+) -> Result[ServerConnection, SendFailure]:
     opened = open_connection(address, deadline_s)
     if isinstance(opened, Err):
         return opened
+    connection = opened.ok_value
     pool.opened_count += 1
-    number = pool.opened_count
-    for lease in pool.leases_by_address.get(address, ()):
-        if not is_connection_closed(lease.sock):
-            lease.newest_beside = number
-    now_s = clocks.now_s()
-    return Ok(_KeptConnection(opened.ok_value, number, now_s, now_s + IDLE_TIMEOUT_S))
+    connection.opened_number = pool.opened_count
+    connection.opened_at_s = clocks.now_s()
+    for active in pool.active_by_address.get(address, ()):
+        if not is_connection_closed(active.sock):
+            active.newest_beside = connection.opened_number
+    return opened
 
 
-def _take_idle_connection(pool: ConnectionPool, address: str) -> _KeptConnection | None:
+def _take_idle_connection(pool: ConnectionPool, address: str) -> ServerConnection | None:
     idle = pool.idle_by_address.get(address)
     while idle:
         # The most recently used one is the least likely to be closed by its server.
         candidate = idle.pop()
         usable = candidate.connection.sock is not None and clocks.now_s() < candidate.deadline_s
         if usable and not _is_readable(candidate.connection):
-            return candidate
+            return candidate.connection
         candidate.connection.close()
     return None
 
 
-def _is_accepted(other: _KeptConnection | Lease, lease: Lease, now_s: float) -> bool:
-    """Return whether a process has accepted another connection by now, before the lease's end."""
-    if other.has_answered or other.opened_number < lease.opened_number:
+def _is_accepted(other: ServerConnection, active: ActiveConnection, now_s: float) -> bool:
+    """Return whether the process behind an active connection had accepted another open one."""
+    if other.has_answered or other.opened_number < active.connection.opened_number:
         return True
     had_time = now_s >= other.opened_at_s + ACCEPT_TIME_S
-    return other.opened_number <= lease.newest_beside and had_time
+    return other.opened_number <= active.newest_beside and had_time
 
 
-def _end_lease(pool: ConnectionPool, lease: Lease) -> None:
-    leases = pool.leases_by_address.get(lease.address, set())
-    leases.discard(lease)
-    if not leases:
-        pool.leases_by_address.pop(lease.address, None)
+def _deactivate(pool: ConnectionPool, active: ActiveConnection) -> None:
+    connections = pool.active_by_address.get(active.address, set())
+    connections.discard(active)
+    if not connections:
+        pool.active_by_address.pop(active.address, None)
 
 
 def _is_readable(connection: HTTPConnection) -> bool:
--- a/packages/router/src/myrtlehook_router/connection/server_connections.py
+++ b/packages/router/src/myrtlehook_router/connection/server_connections.py
@@ -26,13 +26,13 @@
 from myrtlehook_router.connection.closed_connections import is_connection_closed
 from myrtlehook_router.connection.connection_pools import (
     IDLE_TIMEOUT_S,
+    ActiveConnection,
     ConnectionPool,
-    Lease,
-    close_lease,
+    acquire_connection,
+    close_connection,
     expect_unframed_end,
-    lease_connection,
     list_sockets_beside,
-    return_connection,
+    release_connection,
 )
 from myrtlehook_router.connection.send_failures import SendFailure
 from myrtlehook_router.connection.server_checks import CHECK_DELAY_S
@@ -66,7 +66,7 @@
     def __init__(self, connection_pool: ConnectionPool, request: OutgoingRequest) -> None:
         self._connection_pool = connection_pool
         self._request = request
-        self._lease: Lease | None = None
+        self._active: ActiveConnection | None = None
         self._response: urllib3.HTTPResponse | None = None
         self._framing: Framing | None = None
         self._done = False
@@ -82,26 +82,26 @@
 
         :param fresh_connection: open a new connection, as the server may be closing an idle one.
         """
-        leased = lease_connection(
+        acquired = acquire_connection(
             self._connection_pool, self._request.address, deadline_s, fresh_connection
         )
-        if isinstance(leased, Err):
-            return leased
-        lease = self._lease = leased.ok_value
+        if isinstance(acquired, Err):
+            return acquired
+        active = self._active = acquired.ok_value
         if self.aborted:
             self._close()
             return Err(SendFailure.NOT_SENT)
-        answered = self._run_guarded(lambda: self._send_and_read_head(lease, deadline_s))
+        answered = self._run_guarded(lambda: self._send_and_read_head(active, deadline_s))
         if isinstance(answered, Err):
             return answered
         self._response = answered.ok_value
-        lease.has_answered = True
+        active.connection.has_answered = True
         framing = find_framing(self._request.method, answered.ok_value)
         if isinstance(framing, Err):
             return self._fail(EndSign.MALFORMED)
         self._framing = framing.ok_value
         if self._framing is Framing.CONNECTION:
-            expect_unframed_end(self._connection_pool, self._request.address)
+            expect_unframed_end(self._connection_pool, active)
         return answered
 
     def read_some(
@@ -123,14 +123,16 @@
             return self._finish(judge_content)
         return read
 
-    def _send_and_read_head(self, lease: Lease, deadline_s: float) -> urllib3.HTTPResponse:
-        set_deadline(lease.connection, lease.sock, deadline_s)
-        _send_request(lease.connection, self._request)
-        return lease.connection.getresponse()
+    def _send_and_read_head(
+        self, active: ActiveConnection, deadline_s: float
+    ) -> urllib3.HTTPResponse:
+        set_deadline(active.connection, active.sock, deadline_s)
+        _send_request(active.connection, self._request)
+        return active.connection.getresponse()
 
     def _read_piece(self, size_bytes: int, deadline_s: float) -> bytes:
-        assert self._response is not None and self._lease is not None
-        set_deadline(self._lease.connection, self._lease.sock, deadline_s)
+        assert self._response is not None and self._active is not None
+        set_deadline(self._active.connection, self._active.sock, deadline_s)
         return self._response.read1(size_bytes)
 
     def _run_guarded(self, work: Callable[[], Answered]) -> Result[Answered, SendFailure]:
@@ -154,8 +156,8 @@
             return EndSign.ABORTED
         if failure is SendFailure.TIMED_OUT:
             return EndSign.TIMED_OUT
-        assert self._lease is not None
-        return EndSign.RESET if getattr(self._lease.sock, "was_reset", False) else EndSign.CLOSED
+        assert self._active is not None
+        return EndSign.RESET if getattr(self._active.sock, "was_reset", False) else EndSign.CLOSED
 
     def _finish(self, judge_content: JudgeContent) -> Result[bytes, SendFailure]:
         """End the exchange after the last byte of its response that arrived."""
@@ -175,8 +177,8 @@
 
         The end of a process ends all of its connections, in any order.
         """
-        assert self._lease is not None
-        beside = list_sockets_beside(self._connection_pool, self._lease)
+        assert self._active is not None
+        beside = list_sockets_beside(self._connection_pool, self._active)
         still_open = [sock for sock in beside if not is_connection_closed(sock)]
         if not still_open:
             return False
@@ -194,8 +196,8 @@
         if self.end is not None:
             return
         open_beside = ended_beside = 0
-        if sign not in (EndSign.FRAMING, EndSign.ABORTED) and self._lease is not None:
-            for sock in list_sockets_beside(self._connection_pool, self._lease):
+        if sign not in (EndSign.FRAMING, EndSign.ABORTED) and self._active is not None:
+            for sock in list_sockets_beside(self._connection_pool, self._active):
                 is_closed = is_connection_closed(sock)
                 ended_beside += is_closed
                 open_beside += not is_closed
@@ -212,24 +214,24 @@
         self._record_end(EndSign.ABORTED, Proof.NONE)
         self.aborted = True
         self._done = True
-        if self._lease is not None:
+        if self._active is not None:
             with contextlib.suppress(OSError):
-                self._lease.sock.shutdown(socket.SHUT_RDWR)
+                self._active.sock.shutdown(socket.SHUT_RDWR)
         if not self._reading:
             self._close()
 
     def _close(self) -> None:
-        if self._lease is not None:
-            close_lease(self._connection_pool, self._lease)
+        if self._active is not None:
+            close_connection(self._connection_pool, self._active)
         if self._response is not None:
             self._response.close()
 
     def _release_connection(self) -> None:
         """Keep the connection for the next request if it is reusable."""
         self._done = True
-        assert self._lease is not None and self._response is not None
-        return_connection(
-            self._connection_pool, self._lease, _compute_idle_timeout_s(self._response)
+        assert self._active is not None and self._response is not None
+        release_connection(
+            self._connection_pool, self._active, _compute_idle_timeout_s(self._response)
         )
 
 
--- a/packages/router/src/myrtlehook_router/connection/server_sockets.py
+++ b/packages/router/src/myrtlehook_router/connection/server_sockets.py
@@ -65,6 +65,11 @@
     """A connection to a backend server."""
 
     response_class = StrictResponse
+    opened_number = 0
+    """How many connections its pool had opened by then, this one included."""
+    opened_at_s = 0.0
+    has_answered = False
+    """Whether it has carried a response, so that a process has accepted it."""
 
     def _new_conn(self) -> socket.socket:
         opened = super()._new_conn()
--- a/packages/router/src/myrtlehook_router/process/gateway_daemons.py
+++ b/packages/router/src/myrtlehook_router/process/gateway_daemons.py
@@ -28,6 +28,7 @@
     drop_idle_connections,
     find_closing_servers,
     open_idle_connection,
+    renew_witnesses,
 )
 from myrtlehook_router.connection.listeners import adopt_listener, get_silent_logger, open_listener
 from myrtlehook_router.connection.passing import ConnectionPasser, PassingConfig
@@ -345,6 +346,7 @@
         """
         while True:
             eventlet.sleep(CLOSING_CHECK_INTERVAL_S)
+            renew_witnesses(self._connection_pool)
             for address in find_closing_servers(self._connection_pool):
                 drop_idle_connections(self._connection_pool, address)
                 eventlet.spawn_n(self._check_closing_server, address)
--- a/tests/features/answer_ends.feature
+++ b/tests/features/answer_ends.feature
@@ -75,6 +75,13 @@
     When clients send these requests on each route one after another
     Then every answer is whole and complete
 
+  # Guards against: a server closes idle connections while a stream without framing goes on, and the
+  # whole stream is taken for a broken one because none of them is left to show that the server lives.
+  Scenario: A stream that outlasts its server's idle connections reaches its client whole
+    Given whole streams without length or chunks that outlast the idle timeout of their servers
+    When clients send these requests on each route one after another
+    Then every answer is whole and complete
+
   # Guards against: the last event of a stream waits until the stream is known to be whole.
   Scenario: The last event of a stream does not wait for its end
     Given whole streams whose connections stay open for a time after the last event
--- a/tests/standins/raw_engines.py
+++ b/tests/standins/raw_engines.py
@@ -19,6 +19,9 @@
 HELD_S = 1.0
 """How long an answer's connection stays open after its last byte, if its plan says so."""
 
+IDLE_S = 0.8
+"""How long a connection may wait for a request."""
+
 READ_S = 0.05
 """Time for what was sent to be read before a reset discards it."""
 
@@ -126,6 +129,7 @@
 def _read_request(connection: socket.socket) -> tuple[dict[str, str], bytes]:
     """Read one request; returns its header fields and its body, nothing once the router leaves."""
     received = b""
+    connection.settimeout(IDLE_S)
     while b"\r\n\r\n" not in received:
         piece = connection.recv(65536)
         if not piece:
@@ -134,6 +138,7 @@
     head, _, body = received.partition(b"\r\n\r\n")
     lines = head.decode("latin-1").split("\r\n")[1:]
     fields = {name.lower(): value.strip() for name, _, value in (x.partition(":") for x in lines)}
+    connection.settimeout(None)
     while len(body) < int(fields.get("content-length", "0")):
         body += connection.recv(65536)
     return fields, body
--- a/tests/steps/answer_end_steps.py
+++ b/tests/steps/answer_end_steps.py
@@ -37,6 +37,7 @@
 LONG_PAUSE_MS = 40.0
 """With it a stream outlasts the time that its server has for accepting another connection."""
 
+OUTLASTING_PAUSE_MS = 300.0
 MAX_SHOWN = 8
 WARM_UP_ROUNDS = 12
 
@@ -162,6 +163,13 @@
     ]
 
 
+@given("whole streams without length or chunks that outlast the idle timeout of their servers")
+def outlast_idle_connections(context: Any) -> None:
+    context.cases = [
+        _make_case(path, "none", "whole", pause_ms=OUTLASTING_PAUSE_MS) for path in STREAMED
+    ]
+
+
 @given("whole streams whose connections stay open for a time after the last event")
 def hold_ends(context: Any) -> None:
     context.cases = [_make_case(path, "none", "whole", holds_end=True) for path in STREAMED]
