Read the change as a newcomer: one limit for lines of a kind, and what would stop a reader said plainer

Lines about doubtful sends and about ends of answers share one rate limit. Comments of connections and proofs, constants of the harness and the cases it leaves out are explained.

--- a/packages/router/src/myrtlehook_router/connection/answer_ends.py
+++ b/packages/router/src/myrtlehook_router/connection/answer_ends.py
@@ -1,6 +1,7 @@
 """How a response was framed, how its end was seen, and what shows that it is whole.
 
-Nothing else decides whether a response is whole.
+For routed requests and for reads of the platform's store, nothing else decides whether a response
+is whole.
 """
 
 import re
@@ -12,6 +13,8 @@
 from result import Err, Ok, Result
 
 BODYLESS_STATUSES = (204, 304)
+"""Statuses of responses without a body, whatever their head says."""
+
 _LENGTH = re.compile("[0-9]{1,18}")
 
 
@@ -53,7 +56,7 @@
 
     FRAMING = "framing"
     CONTENT = "content"
-    """Its content ends where it says."""
+    """Its content shows its own end, as a JSON object does."""
     SERVER_LIVES = "server_lives"
     """The server closed its connection, and its process lives. The end of the process would have
     closed it too."""
--- a/packages/router/src/myrtlehook_router/connection/connection_pools.py
+++ b/packages/router/src/myrtlehook_router/connection/connection_pools.py
@@ -4,9 +4,10 @@
 nothing followed. It is not reused if bytes arrive while it is idle, because they belong to
 no request.
 
-A connection shows that its server's process has not ended: the end of a process ends all of its
-connections. A witness is one that is kept for this only. It counts once that process has accepted
-it: a supervisor's listening socket outlives the process, and with it what was not accepted yet.
+An open connection shows that the process that accepted it has not ended, because the end of a
+process ends all of its connections. A witness is a connection that is kept for this only. One that
+was not accepted yet shows nothing: it waits at the listening socket, which may belong to a
+supervisor that outlives the process.
 """
 
 import math
@@ -153,9 +154,8 @@
 def list_sockets_beside(pool: ConnectionPool, active: ActiveConnection) -> list[Any]:
     """Return sockets of other connections that a process at the server's address has accepted.
 
-    Of those that are open, it is the process that has accepted the active one.
-
-    Witnesses come first, then idle connections, the newest first, then active ones.
+    Those that are open were accepted by the same process as the active one. Witnesses come first,
+    then idle connections, the newest first, then active ones.
     """
     address = active.address
     now_s = clocks.now_s()
--- a/packages/router/src/myrtlehook_router/process/gateway_daemons.py
+++ b/packages/router/src/myrtlehook_router/process/gateway_daemons.py
@@ -340,7 +340,9 @@
             close_expired_connections(self._connection_pool, addresses.__contains__)
 
     def _find_ended_servers_forever(self) -> None:
-        """Check servers that close idle connections early; the main loop of a task.
+        """Check servers that close idle connections early, and renew witnesses.
+
+        The main loop of a task.
 
         Otherwise the end of a server that runs no request might go unnoticed until it is back.
         """
--- a/packages/router/src/myrtlehook_router/request/answer_end_logs.py
+++ b/packages/router/src/myrtlehook_router/request/answer_end_logs.py
@@ -1,26 +1,13 @@
 """Logs and counts how responses of backend servers ended."""
 
-from dataclasses import dataclass
-
 from myrtlehook_router.connection.answer_ends import AnswerEnd, EndSign
 from myrtlehook_router.process.counters import Counters
+from myrtlehook_router.process.line_limits import LineLimit, may_log
 from myrtlehook_router.process.logs import get_logger
 
-MAX_LINES_PER_SECOND = 20
-"""The number of ends that are logged in one second; the others are only counted."""
-
 _log = get_logger("requests", is_kept=True)
 
 
-@dataclass(slots=True)
-class AnswerEndLog:
-    """Limits the rate of log lines about ends that the framing does not mark."""
-
-    second_ends_s: float = 0.0
-    lines: int = 0
-    """Logged within the current second."""
-
-
 def describe_answer_end(end: AnswerEnd | None) -> dict[str, object]:
     """Return the log fields of a response's end; none without one."""
     if end is None:
@@ -29,7 +16,7 @@
 
 
 def report_answer_end(
-    log: AnswerEndLog,
+    limit: LineLimit,
     counters: Counters,
     request_id: str,
     backend_server: str,
@@ -43,11 +30,7 @@
     counters.add(f"answer_end.{end.framing or 'no_head'}.{end.sign}.{end.proof}")
     if end.sign in (EndSign.FRAMING, EndSign.ABORTED):
         return
-    if now_s >= log.second_ends_s:
-        log.second_ends_s = now_s + 1.0
-        log.lines = 0
-    log.lines += 1
-    if log.lines > MAX_LINES_PER_SECOND:
+    if not may_log(limit, now_s):
         return
     _log.info(
         "answer end",
--- a/packages/router/src/myrtlehook_router/request/relays.py
+++ b/packages/router/src/myrtlehook_router/request/relays.py
@@ -169,7 +169,7 @@
     relay.send_belief = services.find_send_belief(relay.backend_server)
     if relay.send_belief is not None:
         report_doubtful_send(
-            services.doubtful_sends,
+            services.doubtful_send_lines,
             services.counters,
             relay.request.request_id,
             relay.backend_server,
@@ -217,7 +217,7 @@
     relay.reported_end = end
     services = relay.placement.services
     report_answer_end(
-        services.answer_end_log,
+        services.answer_end_lines,
         services.counters,
         relay.request.request_id,
         relay.backend_server,
--- a/packages/router/src/myrtlehook_router/request/send_beliefs.py
+++ b/packages/router/src/myrtlehook_router/request/send_beliefs.py
@@ -1,29 +1,16 @@
 """Logs what was believed of a backend server when a request was sent to it."""
 
-from dataclasses import dataclass
-
 from myrtlehook_core import SendBelief, ServerState
 from myrtlehook_router.process.counters import Counters
+from myrtlehook_router.process.line_limits import LineLimit, may_log
 from myrtlehook_router.process.logs import get_logger
 
 DOUBTFUL_SOURCE_AGE_S = 2.0
 """A belief is doubtful once the source has not answered any router for this long."""
 
-MAX_LINES_PER_SECOND = 20
-"""The number of doubtful sends that are logged in one second; the others are only counted."""
-
 _log = get_logger("requests", is_kept=True)
 
 
-@dataclass(slots=True)
-class DoubtfulSends:
-    """Limits the rate of log lines about doubtful sends."""
-
-    second_ends_s: float = 0.0
-    lines: int = 0
-    """Logged within the current second."""
-
-
 def describe_send_belief(belief: SendBelief | None, sent_at_s: float) -> dict[str, object]:
     """Return the log fields of a belief on which a request was sent; none without a belief."""
     if belief is None:
@@ -38,7 +25,7 @@
 
 
 def report_doubtful_send(
-    sends: DoubtfulSends,
+    limit: LineLimit,
     counters: Counters,
     request_id: str,
     backend_server: str,
@@ -49,11 +36,7 @@
     if not _is_doubtful(belief):
         return
     counters.add(f"backend.doubtful_sends.{belief.server.state}")
-    if now_s >= sends.second_ends_s:
-        sends.second_ends_s = now_s + 1.0
-        sends.lines = 0
-    sends.lines += 1
-    if sends.lines > MAX_LINES_PER_SECOND:
+    if not may_log(limit, now_s):
         return
     until_s = belief.server.until_s
     _log.info(
--- a/packages/router/src/myrtlehook_router/request/services.py
+++ b/packages/router/src/myrtlehook_router/request/services.py
@@ -6,11 +6,10 @@
 from myrtlehook_core import Configuration, SendBelief, Shares, Shedding
 from myrtlehook_router.connection.server_checks import ServerChecks
 from myrtlehook_router.process.counters import Counters
+from myrtlehook_router.process.line_limits import LineLimit
 from myrtlehook_router.process.mailboxes import Mailbox
-from myrtlehook_router.request.answer_end_logs import AnswerEndLog
 from myrtlehook_router.request.refusal_sums import RefusalSums
 from myrtlehook_router.request.request_tallies import RequestTallies
-from myrtlehook_router.request.send_beliefs import DoubtfulSends
 from myrtlehook_router.request.tickets import TicketRegistry
 
 
@@ -33,8 +32,8 @@
     tallies: RequestTallies = field(default_factory=RequestTallies)
     find_send_belief: Callable[[str], SendBelief | None] = lambda backend_server: None
     """What is believed of a backend server to which a request is sent now, for logs."""
-    doubtful_sends: DoubtfulSends = field(default_factory=DoubtfulSends)
-    answer_end_log: AnswerEndLog = field(default_factory=AnswerEndLog)
+    doubtful_send_lines: LineLimit = field(default_factory=LineLimit)
+    answer_end_lines: LineLimit = field(default_factory=LineLimit)
     server_checks: ServerChecks = field(default_factory=ServerChecks)
     logged_unreadable_servers: set[str] = field(default_factory=set)
     """Backend servers whose unreadable headers have been logged."""
--- a/tests/standins/cut_answers.py
+++ b/tests/standins/cut_answers.py
@@ -34,8 +34,6 @@
 BACK_LATE_S = 0.4
 TIMEOUT_S = 8.0
 VERSIONS = ("1.1", "1.0")
-UNDETECTABLE = "one connection ends regularly where an unframed answer might"
-"""The protocol's own sign of a whole answer, from a server that lives: nothing tells it apart."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -227,7 +225,11 @@
 
 
 def is_detectable(case: Case) -> bool:
-    """Return whether anything tells that the answer was cut; see ``UNDETECTABLE``."""
+    """Return whether anything tells that the answer was cut.
+
+    Where a server that lives ends one connection regularly, at a byte at which an answer without
+    length or chunks might end, nothing does: this is the protocol's own sign of a whole answer.
+    """
     plan = case.plan
     if plan.framing != "none" or plan.end != "close":
         return True
--- a/tests/steps/answer_end_steps.py
+++ b/tests/steps/answer_end_steps.py
@@ -32,14 +32,22 @@
 CHUNKED = ("chunks", "padded", "trailers")
 SHORT_PIECES = 3
 MAX_SIZE_LINE_BYTES = 10
+"""Length of a padded size with its line end; answers are cut at each byte of it."""
+
 CONTENT_STEP_BYTES = 8
 HEAD_STEP_BYTES = 5
+"""Contents and heads are cut at every so many bytes, which keeps the run short."""
+
 LONG_PAUSE_MS = 40.0
 """With it a stream outlasts the time that its server has for accepting another connection."""
 
 OUTLASTING_PAUSE_MS = 300.0
-MAX_SHOWN = 8
+"""With it a stream outlasts several connections that its server closes because they are idle."""
+
 WARM_UP_ROUNDS = 12
+"""Enough that each server has answered each router, whichever it chooses."""
+
+MAX_SHOWN = 8
 
 
 def _make_case(
