Renew the connections that show that a server lives every second, whatever the server does with idle ones

Fix of the first: no time is learned any more; while answers without framing come, a new witness is opened once the last one is 1 s old, and the older one is kept. A request waits up to 0.2 s, not 0.05 s, for one to be opened, as a busy machine takes longer. Cost: at most one connection a second for each pair of router and server, only while such answers come.

--- a/packages/router/src/myrtlehook_router/connection/connection_pools.py
+++ b/packages/router/src/myrtlehook_router/connection/connection_pools.py
@@ -10,7 +10,6 @@
 supervisor that outlives the process.
 """
 
-import math
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -39,14 +38,14 @@
 ACCEPT_TIME_S = 0.1
 """A process that answers requests accepts a connection within this time."""
 
-WITNESS_WAIT_S = 0.05
+WITNESS_WAIT_S = 0.2
 """A request waits at most this long for a witness to be opened; then it is sent without one."""
 
 MAX_WITNESSES = 2
 """The number of witnesses to one server."""
 
-RENEWAL_FRACTION = 0.5
-"""The part of the time for which a server keeps witnesses after which a new one is opened."""
+RENEWAL_AGE_S = 1.0
+"""A new witness is opened once the last one is this old. Servers close idle connections later."""
 
 MAX_CONNECTIONS_BESIDE = 8
 """The number of other connections to a server that are looked at when a response ends."""
@@ -85,8 +84,6 @@
     idle_by_address: dict[str, deque[_KeptConnection]] = field(default_factory=dict)
     active_by_address: dict[str, set[ActiveConnection]] = field(default_factory=dict)
     witnesses: dict[str, deque[_KeptConnection]] = field(default_factory=dict)
-    witness_lifetimes_s: dict[str, float] = field(default_factory=dict)
-    """The shortest time after which a server has closed a witness."""
     opening_witnesses: set[str] = field(default_factory=set)
     unframed_until_s: dict[str, float] = field(default_factory=dict)
     """Until when a server gets witnesses, because it has sent a response without framing."""
@@ -192,7 +189,6 @@
     for address, until_s in list(pool.unframed_until_s.items()):
         if now_s >= until_s:
             del pool.unframed_until_s[address]
-            pool.witness_lifetimes_s.pop(address, None)
 
 
 def find_closing_servers(pool: ConnectionPool) -> list[str]:
@@ -245,10 +241,8 @@
 def _ensure_witness(pool: ConnectionPool, address: str) -> None:
     """Open a witness to a server, unless there is one that its server will keep for some time."""
     now_s = clocks.now_s()
-    _drop_ended_witnesses(pool, address, now_s)
     known = pool.witnesses.get(address)
-    renewal_age_s = RENEWAL_FRACTION * pool.witness_lifetimes_s.get(address, math.inf)
-    if known and now_s < known[-1].connection.opened_at_s + renewal_age_s:
+    if known and _is_lasting(known[-1], now_s):
         known[-1].deadline_s = now_s + IDLE_TIMEOUT_S
         return
     if address in pool.opening_witnesses:
@@ -265,19 +259,11 @@
         known.popleft().connection.close()
 
 
-def _drop_ended_witnesses(pool: ConnectionPool, address: str, now_s: float) -> None:
-    """Drop the witnesses that a server has closed, and record how long it kept them."""
-    known = pool.witnesses.get(address, deque())
-    for witness in list(known):
-        if not is_connection_closed(witness.connection.sock):
-            continue
-        known.remove(witness)
-        lifetime_s = now_s - witness.connection.opened_at_s
-        shortest_s = pool.witness_lifetimes_s.get(address, math.inf)
-        pool.witness_lifetimes_s[address] = min(lifetime_s, shortest_s)
-        witness.connection.close()
-    if not known:
-        pool.witnesses.pop(address, None)
+def _is_lasting(witness: _KeptConnection, now_s: float) -> bool:
+    """Return whether a witness is open and its server will keep it for some time."""
+    connection = witness.connection
+    is_recent = now_s < connection.opened_at_s + RENEWAL_AGE_S
+    return is_recent and not is_connection_closed(connection.sock)
 
 
 def _open_connection(
