--- a/tests/features/answer_ends.feature
+++ b/tests/features/answer_ends.feature
@@ -55,12 +55,14 @@
     Then no answer looks complete that is not its server's whole answer
 
   # Guards against: whole answers are taken for broken ones.
+  @nodes.3.raw
   Scenario: Whole answers of each framing reach their clients whole
     Given whole answers of each framing on each route to clients of each version
     When clients send these requests on each route one after another
     Then every answer is whole and complete, but for a server's first one to a router
 
   # Guards against: whole answers are taken for broken ones where no other connection is idle.
+  @nodes.3.raw
   Scenario: Whole answers without length or chunks reach their clients whole in numbers
     Given 200 whole answers without length or chunks
     When 8 clients send these requests at once
