Show that streams whose servers fall silent and go on are cut (red)

What callers saw: a 200 whose body breaks off some seconds before their deadline, while the server goes on writing it.

--- a/emulator/control.py
+++ b/emulator/control.py
@@ -63,7 +63,13 @@
     for name, server in order.get("external", {}).items():
         # A server that runs as a process of its own.
         site.addresses[name] = server["address"]
-        put_server(site, name, server["service"], server["slots"])
+        put_server(
+            site,
+            name,
+            server["service"],
+            server["slots"],
+            software_version=server.get("software_version", "v1"),
+        )
     for zone in order.get("evacuate", []):
         site.store.put(f"op/evacuate/{zone}", "{}")
     for zone in order.get("take_back", []):
--- a/tests/environment.py
+++ b/tests/environment.py
@@ -37,6 +37,9 @@
 VERSIONED_ENGINES = 8
 """The number of engines with which several of each software version serve."""
 
+RAW_SOFTWARE_VERSIONS = {"raw": 1, "raw-versions": 7}
+"""How many software versions the servers that run as processes of their own have, by option."""
+
 ALWAYS_PASSING = {"passing_starts_part": -2.0, "passing_all_part": -1.0}
 """Thresholds at which a router considers itself busy, however low its load is."""
 
@@ -109,8 +112,9 @@
     nodes.options = {f"edge-{number}": BUSY_OPTIONS.get(option, {}) for number in range(1, 10)}
     nodes.options["edge-1"] = ALWAYS_PASSING if option in BUSY_OPTIONS else {}
     try:
-        if option == "raw":
-            start_raw_servers(nodes, (AT_ONCE_S, BACK_LATE_S))
+        if option.startswith("raw"):
+            versions = RAW_SOFTWARE_VERSIONS[option]
+            start_raw_servers(nodes, (AT_ONCE_S, BACK_LATE_S), versions)
             nodes.start_nodes(routers)
         else:
             engines = {"many": MANY_ENGINES, "versions": VERSIONED_ENGINES}.get(option, 2)
--- a/tests/standins/cut_answers.py
+++ b/tests/standins/cut_answers.py
@@ -76,10 +76,13 @@
         return f"{self.case}: status {self.status}, {self.content_bytes} bytes, {end}"
 
 
-def start_raw_servers(nodes: NodeFleet, back_after_s: Sequence[float]) -> None:
+def start_raw_servers(
+    nodes: NodeFleet, back_after_s: Sequence[float], software_versions: int = 1
+) -> None:
     """Start an emulated store and servers as processes of their own, which the store lists.
 
     :param back_after_s: how long after its end each process starts again, in turn.
+    :param software_versions: how many versions the servers have, in turn.
     """
     nodes.addresses = nodes.start_emulator(["--engines", "0", "--services", "0"])
     external = {}
@@ -90,6 +93,7 @@
             "service": service,
             "address": _start_server(nodes, delay_s),
             "slots": SLOTS[service],
+            "software_version": f"v{number % software_versions}",
         }
     nodes.order(external=external)
 
--- a/tests/standins/raw_engines.py
+++ b/tests/standins/raw_engines.py
@@ -13,7 +13,7 @@
 import time
 from pathlib import Path
 
-from standins.wire_answers import NOT_CUT, Plan, decode_plan, make_wire_pieces
+from standins.wire_answers import NOT_CUT, SILENT, Plan, decode_plan, make_wire_pieces
 
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 HELD_S = 1.0
@@ -39,6 +39,7 @@
     while True:
         child = os.fork()
         if child == 0:
+            signal.signal(signal.SIGCHLD, signal.SIG_IGN)
             _die_with_parent(os.getppid())
             RawEngine(listener, Path(arguments.folder)).serve_forever()
         if arguments.back_after_s:
@@ -92,7 +93,11 @@
         attempt_id = fields["attempt-id"]
         wire = make_wire_pieces(plan, attempt_id, int(fields.get("last-event-id", "0")))
         is_first = self._record_run(attempt_id)
-        ends_early = is_first and plan.cut != NOT_CUT
+        is_silent = plan.end == SILENT and (is_first or plan.silent_again)
+        ends_early = is_first and plan.cut != NOT_CUT and plan.end != SILENT
+        if is_silent:
+            wire = _write_first_pieces(connection, wire, plan)
+            _stand_still(plan.silent_ms / 1000.0)
         _write_pieces(connection, wire, plan, plan.cut if ends_early else sum(map(len, wire)))
         if is_first:
             (self._folder / attempt_id).write_text(f"{plan.end} by {os.getpid()} {time.time()}")
@@ -115,6 +120,28 @@
         return True
 
 
+def _write_first_pieces(connection: socket.socket, wire: list[bytes], plan: Plan) -> list[bytes]:
+    """Write an answer up to its cut; returns what is left of it."""
+    _write_pieces(connection, wire, plan, plan.cut)
+    written, left = 0, []
+    for piece in wire:
+        rest = piece[max(plan.cut - written, 0) :]
+        written += len(piece)
+        if rest:
+            left.append(rest)
+    return left
+
+
+def _stand_still(seconds: float) -> None:
+    """Stop this process, with all of its threads, for some time."""
+    server = os.getpid()
+    if os.fork() == 0:
+        time.sleep(seconds)
+        os.kill(server, signal.SIGCONT)
+        os._exit(0)
+    os.kill(server, signal.SIGSTOP)
+
+
 def _write_pieces(connection: socket.socket, wire: list[bytes], plan: Plan, limit: int) -> None:
     """Write an answer piece by piece, up to a number of bytes."""
     for piece in wire:
--- a/tests/standins/wire_answers.py
+++ b/tests/standins/wire_answers.py
@@ -16,6 +16,9 @@
 """How the first run of a request ends: as it should; by the end of the server's process at the cut,
 or just after the last byte; by the regular end of its connection, or by a reset, at the cut."""
 
+SILENT = "silent"
+"""A run ends as it should, but at the cut its server's process stands still for some time."""
+
 STREAM, PLAIN, LARGE = "stream", "plain", "large"
 PATHS = {
     "/diagnosis/a": STREAM,
@@ -45,6 +48,10 @@
     """Whether the connection stays open for some time after the last byte."""
     label: str = ""
     """Distinguishes requests that are alike otherwise."""
+    silent_ms: float = 0.0
+    """For how long the server's process stands still at the cut, if the answer's end is SILENT."""
+    silent_again: bool = False
+    """Whether later runs of the request make their servers stand still too."""
 
     def encode(self) -> bytes:
         """Return the plan as the body of a request."""
