Keep a silent server's run until a successor has it in hand

What callers saw: streams whose server was silent for over 1.2 s and went on were cut (a 200 whose body breaks off, seconds before the deadline); requests that may be repeated got 502 or 503 while they were running.

Cause: silence was taken for loss. A resumable stream that was silent for 1.2 s, and a repeatable request without a first byte within three times its objective, gave their exchange up first and asked for a slot elsewhere afterwards; what was refused there ended the answer, though the server went on.

Change: request/silences alone says what silence is a sign of (nothing) and what it may end (nothing). After the same times as before a successor is sought: a second request to the core, for a slot at a server that is neither the silent one nor known to be silent. The first keeps its slot, its exchange and its charge. The run is handed over once the successor's head has arrived, or once it has not declined for 0.3 s; then the first is cancelled at once, so no two servers run one request for longer. If the first one is heard from before, the successor is dropped and its slot released; if the successor declines or fails, the first goes on. A retry is spent only when a successor is sent. If the first breaks while its successor is sought, the search is waited for. A router that is late itself (bytes are pending) takes nobody for silent.

Why it works: nothing that holds is let go before its successor is in hand, so a refusal elsewhere has nothing to end.

--- a/packages/core/src/myrtlehook_core/process/admission_ends.py
+++ b/packages/core/src/myrtlehook_core/process/admission_ends.py
@@ -78,7 +78,8 @@
     context.ingress.attempts.pop(request_id, None)
     if not admission.granted:
         update_queue_counts(context.ingress, admission.request, -1)
-    if not ran:
+    if not ran and not admission.request.excluded_servers:
+        # The request whose successor was sought has been granted, and is counted so.
         count_refused_request(
             context.shares, admission.request, admission.tier, admission.counted_at_s
         )
--- a/packages/core/src/myrtlehook_core/process/eligible_servers.py
+++ b/packages/core/src/myrtlehook_core/process/eligible_servers.py
@@ -7,7 +7,9 @@
 
 
 def may_serve(regions: Regions, request: RequestSpecification, server: BackendServer) -> bool:
-    """Return whether a backend server has a region and a version that the request allows."""
+    """Return whether the request allows a backend server, its region and its version."""
+    if server.name in request.excluded_servers:
+        return False
     if request.software_version not in (None, server.software_version):
         return False
     return is_region_allowed(regions, request, server)
@@ -18,7 +20,8 @@
 ) -> RefusalReason | None:
     """Return why no server may serve a request from here, or None if one may."""
     region_reason = find_region_refusal(regions, configuration, request)
-    if region_reason is not None or request.software_version is None:
+    is_limited = request.software_version is not None or request.excluded_servers
+    if region_reason is not None or not is_limited:
         return region_reason
     servers = configuration.backend_servers.values()
     if any(
@@ -26,4 +29,6 @@
         for server in servers
     ):
         return None
+    if request.software_version is None:
+        return RefusalReason.NO_BACKEND_SERVER
     return RefusalReason.NO_SERVER_OF_VERSION
--- a/packages/core/src/myrtlehook_core/process/event_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/event_handlers.py
@@ -97,6 +97,11 @@
     tick_lookups,
 )
 from myrtlehook_core.process.stream_origins import ResumedRequest, drop_expired_origins
+from myrtlehook_core.process.successors import (
+    on_run_handed_over,
+    on_successor_dropped,
+    on_successor_sought,
+)
 from myrtlehook_core.request.requests import RequestSpecification
 from myrtlehook_core.version.exchange import (
     handle_document,
@@ -322,6 +327,9 @@
     events.PartsShownSound: _on_parts_sound,
     events.ServerNoticed: on_server_noticed,
     events.RunNotStarted: _on_not_started,
+    events.SuccessorSought: on_successor_sought,
+    events.RunHandedOver: on_run_handed_over,
+    events.SuccessorDropped: on_successor_dropped,
     events.MessageReceived: _on_message,
     events.LoadReported: _on_load,
     events.VmListRead: _on_vm_list,
--- a/packages/core/src/myrtlehook_core/process/events.py
+++ b/packages/core/src/myrtlehook_core/process/events.py
@@ -134,6 +134,37 @@
     reason: RetryReason
 
 
+@dataclass(frozen=True, slots=True)
+class SuccessorSought:
+    """The server of a running request is silent; a slot at another one is wanted for it."""
+
+    request_id: str
+    successor_id: str
+    """The id of the request that asks for this slot."""
+    silent_servers: frozenset[str] = frozenset()
+    """Other backend servers that are silent too."""
+
+
+@dataclass(frozen=True, slots=True)
+class RunHandedOver:
+    """A successor runs a request from now on; the run at the first server was cancelled."""
+
+    request_id: str
+    successor_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class SuccessorDropped:
+    """A successor is no longer wanted, or did not run the request."""
+
+    request_id: str
+    successor_id: str
+    was_sent: bool
+    """Whether it was sent to a server."""
+    failed: bool = False
+    """Whether that server failed."""
+
+
 @dataclass(frozen=True, slots=True)
 class MessageReceived:
     """An authenticated message from another router."""
@@ -250,6 +281,9 @@
     | PartsShownSound
     | ServerNoticed
     | RunNotStarted
+    | SuccessorSought
+    | RunHandedOver
+    | SuccessorDropped
     | MessageReceived
     | LoadReported
     | VmListRead
--- a/packages/core/src/myrtlehook_core/process/runs.py
+++ b/packages/core/src/myrtlehook_core/process/runs.py
@@ -47,6 +47,9 @@
 """Retry reasons that do not count as a failure of the server. A server that requests a back-off
 has not failed; ejecting it would also keep away routers that it has not asked to back off."""
 
+RUN_RETRY_REASONS = frozenset({RetryReason.ANSWER_BROKEN, RetryReason.SERVER_SILENT})
+"""Retry reasons after which the request may have run."""
+
 MIN_UNSENT_ATTEMPTS = 4
 """A request with a smaller attempts limit of its own may still be retried up to this many
 dispatches in all, if the last one ended before any byte was sent to a server."""
@@ -203,7 +206,7 @@
     if key in ingress.queues:
         record_run(ingress.queues[key], now_s - running.started_at_s)
     account.last_active_s = now_s
-    return running, _release_running(ingress, key, running, now_s, failed)
+    return running, release_run(ingress, key, running, now_s, failed)
 
 
 def retry_run(
@@ -229,7 +232,7 @@
         refusal = choose_last_refusal(context, request, now_s)
         refuse_request(ingress, context, request, refusal, now_s)
     failed = reason not in BLAMELESS_RETRY_REASONS
-    return running, _release_running(ingress, key, running, now_s, failed)
+    return running, release_run(ingress, key, running, now_s, failed)
 
 
 def _start_run(
@@ -285,7 +288,7 @@
     """Spend a retry from the budget if kind, deadline, attempts and budget allow it."""
     if request.no_repeat and reason not in UNSENT_RETRY_REASONS:
         return False
-    if reason is RetryReason.ANSWER_BROKEN and not request.repeatable:
+    if reason in RUN_RETRY_REASONS and not request.repeatable:
         return False
     if request.deadline_s <= now_s:
         return False
@@ -317,9 +320,10 @@
     return DropReason.GRANT_CLOSED if closed else DropReason.GRANT_UNUSED
 
 
-def _release_running(
+def release_run(
     ingress: IngressState, key: PoolKey, running: RunningRequest, now_s: float, failed: bool
 ) -> Release:
+    """Return the release of a run's slot; it is sent again until it is confirmed."""
     row = make_bid_row(ingress, key, now_s)
     release = Release(running.grant_id, running.backend_server, True, now_s, row, failed)
     ingress.unconfirmed_releases.append(release)
--- a/packages/core/src/myrtlehook_core/request/outcomes.py
+++ b/packages/core/src/myrtlehook_core/request/outcomes.py
@@ -74,6 +74,9 @@
     ANSWER_BROKEN = "answer_broken"
     """The answer broke off or was not valid; the request may have run, so only a repeatable one is
     queued again."""
+    SERVER_SILENT = "server_silent"
+    """The server has been silent for some time and keeps the request, which may be run elsewhere
+    if it may be repeated."""
 
 
 class DropReason(StrEnum):
--- a/packages/core/src/myrtlehook_core/request/requests.py
+++ b/packages/core/src/myrtlehook_core/request/requests.py
@@ -58,6 +58,9 @@
     software_version: str | None = None
     """The only software version of backend servers at which its stream may go on; None while any
     may run it."""
+    excluded_servers: frozenset[str] = frozenset()
+    """Backend servers that may not run it, as they run it already or are silent. Only a request for
+    the successor of a silent server has any."""
 
 
 def count_share_tokens(prompt_tokens: int, output_tokens: int) -> int:
--- a/packages/router/src/myrtlehook_router/connection/connection_pools.py
+++ b/packages/router/src/myrtlehook_router/connection/connection_pools.py
@@ -311,8 +311,12 @@
 
 def _is_readable(connection: HTTPConnection) -> bool:
     """Return whether bytes or an end of stream have arrived on an idle connection."""
-    sock: Any = connection.sock
-    if sock is None:
+    return connection.sock is None or is_readable(connection.sock)
+
+
+def is_readable(sock: Any) -> bool:
+    """Return whether bytes or an end of stream have arrived on a connection."""
+    if sock.fileno() < 0:
         return True
     poller = _select.poll()
     poller.register(sock.fileno(), _CLOSING_EVENTS)
--- a/packages/router/src/myrtlehook_router/connection/server_connections.py
+++ b/packages/router/src/myrtlehook_router/connection/server_connections.py
@@ -31,6 +31,7 @@
     acquire_connection,
     close_connection,
     expect_unframed_end,
+    is_readable,
     list_sockets_beside,
     release_connection,
 )
@@ -75,6 +76,11 @@
         """How the response ended; None until then."""
         self.aborted = False
 
+    @property
+    def was_aborted(self) -> bool:
+        """Whether this router ended the exchange before its response had ended."""
+        return self.end is not None and self.end.sign is EndSign.ABORTED
+
     def send(
         self, deadline_s: float, fresh_connection: bool
     ) -> Result[urllib3.HTTPResponse, SendFailure]:
@@ -123,6 +129,13 @@
             return self._finish(judge_content)
         return read
 
+    def has_pending_bytes(self) -> bool:
+        """Return whether bytes, or the end of the connection, have arrived and were not read."""
+        active = self._active
+        if active is None or self._done:
+            return False
+        return is_readable(active.sock)
+
     def _send_and_read_head(
         self, active: ActiveConnection, deadline_s: float
     ) -> urllib3.HTTPResponse:
--- a/packages/router/src/myrtlehook_router/request/answer_streams.py
+++ b/packages/router/src/myrtlehook_router/request/answer_streams.py
@@ -7,21 +7,22 @@
 from collections.abc import Iterator
 from itertools import chain
 
-from result import Err
+import urllib3
+from result import Err, Result
 
 from myrtlehook_core import Outcome, RetryReason, actions
 from myrtlehook_router.connection.answer_ends import ContentEnd, Framing
 from myrtlehook_router.connection.send_failures import SendFailure
-from myrtlehook_router.request.attempts import READ_BYTES, compute_read_deadline_s, send_once
+from myrtlehook_router.request.attempts import READ_BYTES
 from myrtlehook_router.request.event_streams import (
     EVENT_END_BYTES,
     EventSplitter,
     judge_event_end,
     split_events,
 )
-from myrtlehook_router.request.headers import find_header
 from myrtlehook_router.request.placements import report_stream_begun, wait_for_slot
 from myrtlehook_router.request.relays import (
+    STREAM_STATUS,
     Relay,
     check_server_after_failure,
     close_relay,
@@ -34,9 +35,7 @@
     take_dispatch,
 )
 from myrtlehook_router.request.request_ends import RequestEnd
-
-STALL_TIMEOUT_S = 1.2
-"""A resumable stream that has been silent for this long is resumed at another server."""
+from myrtlehook_router.request.silences import is_handed_over, send_watched, take_over
 
 
 class PassThroughStream:
@@ -114,8 +113,6 @@
         self._relay = relay
         self._has_events = has_events
         self._splitter = EventSplitter()
-        given = find_header(relay.request.headers, relay.names.last_event_id)
-        self._last_event_id = given or ""
         self._begun = False
         """Whether an event of the current attempt was forwarded."""
 
@@ -125,13 +122,17 @@
     def __next__(self) -> bytes:
         relay = self._relay
         while True:
+            if relay.successor is not None:
+                self._go_on(take_over(relay))
+                continue
             assert relay.exchange is not None
             read = relay.exchange.read_some(
-                READ_BYTES, compute_read_deadline_s(relay, STALL_TIMEOUT_S), self._judge_content
+                READ_BYTES, relay.request.deadline_s, self._judge_content
             )
             if isinstance(read, Err):
-                check_server_after_failure(relay, read.err_value)
-                self._resume()
+                if not is_handed_over(relay):
+                    check_server_after_failure(relay, read.err_value)
+                    self._resume()
                 continue
             if not read.ok_value:
                 return self._finish()
@@ -153,7 +154,7 @@
             if not self._begun:
                 self._begin_attempt(event_id)
             if event_id:
-                self._last_event_id = event_id
+                self._relay.last_event_id = event_id
             kept.append(content)
         record_output(self._relay, len(kept))
         return b"".join(kept)
@@ -162,17 +163,17 @@
         """Report and log the first event of an attempt, before it is forwarded."""
         self._begun = True
         report_stream_begun(self._relay.placement, self._relay.software_version)
-        event = "stream goes on" if self._last_event_id else "stream began"
-        log_stream(self._relay, event, self._last_event_id, next_event_id=event_id)
+        event = "stream goes on" if self._relay.last_event_id else "stream began"
+        log_stream(self._relay, event, self._relay.last_event_id, next_event_id=event_id)
 
     def _is_new(self, event_id: str) -> bool:
         """Return whether an event comes after the last one that was forwarded.
 
         A resumed stream may repeat earlier events. An event without a numeric id is always new.
         """
-        if not event_id.isdigit() or not self._last_event_id.isdigit():
+        if not event_id.isdigit() or not self._relay.last_event_id.isdigit():
             return True
-        return int(event_id) > int(self._last_event_id)
+        return int(event_id) > int(self._relay.last_event_id)
 
     def _judge_content(self, framing: Framing) -> ContentEnd:
         if not self._has_events:
@@ -188,40 +189,57 @@
         end_relay(self._relay, Outcome.COMPLETED, RequestEnd.COMPLETED, "streamed")
         raise StopIteration
 
-    def _resume(self) -> None:
+    def _go_on(self, sent: Result[urllib3.HTTPResponse, RetryReason]) -> None:
+        """Go on with the response of another server, or resume the stream at a further one."""
+        self._splitter.incomplete_event = b""
+        self._begun = False
+        reason = self._find_failure(sent)
+        if reason is None:
+            self._relay.placement.services.counters.add("stream.resumed")
+        else:
+            self._resume(reason)
+
+    def _resume(self, failure: RetryReason = RetryReason.ANSWER_BROKEN) -> None:
+        """Resume a stream that broke off.
+
+        :param failure: why its last attempt brings no more of it.
+        """
         relay = self._relay
         self._splitter.incomplete_event = b""
         self._begun = False
         if relay.caller_disconnected:
             raise ConnectionError("the client closed its connection")
-        log_stream(relay, "stream broke off", self._last_event_id)
-        report_failed_attempt(relay, RetryReason.ANSWER_BROKEN)
+        log_stream(relay, "stream broke off", relay.last_event_id)
+        report_failed_attempt(relay, failure)
         while True:
             slot = wait_for_slot(relay.placement)
             if isinstance(slot, Err):
                 reason = slot.err_value.reason
                 relay.search_refusal = reason
-                log_stream(relay, "stream not resumed", self._last_event_id, reason=reason)
+                log_stream(relay, "stream not resumed", relay.last_event_id, reason=reason)
                 cause = find_break_cause(relay)
                 end_relay(relay, Outcome.UNKNOWN, cause, f"not resumed: {reason}")
                 raise ConnectionError("the stream could not be resumed")
-            if self._resume_at(slot.ok_value):
+            next_failure = self._resume_at(slot.ok_value)
+            if next_failure is None:
                 relay.placement.services.counters.add("stream.resumed")
                 return
+            report_failed_attempt(relay, next_failure)
 
-    def _resume_at(self, dispatch: actions.Dispatch) -> bool:
+    def _resume_at(self, dispatch: actions.Dispatch) -> RetryReason | None:
+        """Resume a stream at a server; returns why that failed, if it did."""
         relay = self._relay
         server = take_dispatch(relay, dispatch)
         if isinstance(server, Err):
-            report_failed_attempt(relay, server.err_value)
-            return False
-        sent = send_once(relay, server.ok_value, self._last_event_id or None)
+            return server.err_value
+        return self._find_failure(send_watched(relay, server.ok_value, relay.last_event_id or None))
+
+    def _find_failure(self, sent: Result[urllib3.HTTPResponse, RetryReason]) -> RetryReason | None:
+        """Return why a stream cannot go on with a response; None if it can."""
         if isinstance(sent, Err):
-            report_failed_attempt(relay, sent.err_value)
-            return False
-        if sent.ok_value.status != 200:
-            assert relay.exchange is not None
-            relay.exchange.abort()
-            report_failed_attempt(relay, RetryReason.ANSWER_BROKEN)
-            return False
-        return True
+            return sent.err_value
+        if sent.ok_value.status == STREAM_STATUS:
+            return None
+        assert self._relay.exchange is not None
+        self._relay.exchange.abort()
+        return RetryReason.ANSWER_BROKEN
--- a/packages/router/src/myrtlehook_router/request/answering.py
+++ b/packages/router/src/myrtlehook_router/request/answering.py
@@ -14,7 +14,7 @@
     ResumableStream,
 )
 from myrtlehook_router.request.answers import Answer, Refusal, encode_error
-from myrtlehook_router.request.attempts import READ_BYTES, send_once
+from myrtlehook_router.request.attempts import READ_BYTES
 from myrtlehook_router.request.headers import find_header, select_end_to_end_headers
 from myrtlehook_router.request.placements import wait_for_slot
 from myrtlehook_router.request.refusals import make_routed_refusal
@@ -29,6 +29,7 @@
     take_dispatch,
 )
 from myrtlehook_router.request.request_ends import RequestEnd
+from myrtlehook_router.request.silences import send_watched
 
 MAX_BUFFERED_BYTES = 1024 * 1024
 """A response up to this size is read completely before any of it is sent to the client, so that
@@ -78,7 +79,8 @@
     if isinstance(server, Err):
         return server
     last_event_id = find_header(relay.request.headers, relay.names.last_event_id)
-    sent = send_once(relay, server.ok_value, last_event_id)
+    relay.last_event_id = last_event_id or ""
+    sent = send_watched(relay, server.ok_value, last_event_id)
     if isinstance(sent, Err):
         return sent
     response = sent.ok_value
--- a/packages/router/src/myrtlehook_router/request/attempts.py
+++ b/packages/router/src/myrtlehook_router/request/attempts.py
@@ -28,13 +28,6 @@
 """A response that is not forwarded is read to its end, so that its connection can be reused, but
 in at most this many reads."""
 
-FIRST_BYTE_TARGET_FACTOR = 3.0
-"""A repeatable request is sent to another server if no response begins within this many times its
-first-token target."""
-
-MIN_FIRST_BYTE_TIMEOUT_S = 0.5
-"""Lower bound of that time-out."""
-
 
 def send_once(
     relay: Relay, server: BackendServer, last_event_id: str | None
@@ -49,18 +42,15 @@
     relay.exchange = exchange
     if relay.caller_disconnected:
         return Err(RetryReason.CONNECT_FAILED)
-    route = relay.request.route
-    first_byte_timeout_s = max(FIRST_BYTE_TARGET_FACTOR * route.aim_s, MIN_FIRST_BYTE_TIMEOUT_S)
-    sent = exchange.send(
-        compute_read_deadline_s(relay, first_byte_timeout_s), fresh_connection=False
-    )
+    sent = exchange.send(relay.request.deadline_s, fresh_connection=False)
     if isinstance(sent, Err):
         if sent.err_value is SendFailure.REFUSED:
             report_refused_connection(relay)
         if sent.err_value in (SendFailure.NOT_SENT, SendFailure.REFUSED):
             return Err(RetryReason.CONNECT_FAILED)
         relay.maybe_run = True
-        check_server_after_failure(relay, sent.err_value)
+        if not exchange.was_aborted:
+            check_server_after_failure(relay, sent.err_value)
         return Err(RetryReason.ANSWER_BROKEN)
     record_heard(relay)
     response = sent.ok_value
@@ -83,18 +73,6 @@
     return find_retry_reason(relay.notice)
 
 
-def compute_read_deadline_s(relay: Relay, silence_timeout_s: float) -> float:
-    """Return until when to wait for a silent server.
-
-    :param silence_timeout_s: the limit while the route allows another attempt; otherwise only the
-        deadline of the request counts.
-    """
-    route = relay.request.route
-    if route.repeatable and relay.attempts < route.attempts:
-        return min(relay.request.deadline_s, clocks.now_s() + silence_timeout_s)
-    return relay.request.deadline_s
-
-
 def _reject_answer(relay: Relay, exchange: Exchange, wrong_part: str) -> Err[RetryReason]:
     """Abort an exchange whose response does not belong to this request.
 
--- a/packages/router/src/myrtlehook_router/request/placements.py
+++ b/packages/router/src/myrtlehook_router/request/placements.py
@@ -28,7 +28,7 @@
     tally_refusal,
 )
 from myrtlehook_router.request.services import RequestServices
-from myrtlehook_router.request.tickets import CallerDisconnected, Ticket
+from myrtlehook_router.request.tickets import CallerDisconnected, SearchCancelled, Ticket
 
 CALLER_CHECK_INTERVAL_S = 0.5
 """How often the task of a waiting request checks that its client is still connected."""
@@ -78,6 +78,9 @@
     closed: bool = False
     figure: Figure | None = None
     """What it is counted as, where its outcome does not tell: a whole answer may be late."""
+    earlier_ids: tuple[str, ...] = ()
+    """Ids under which the request was submitted before it was handed over to another server; their
+    tickets stay open until its end."""
 
 
 def queue_caller_request(
@@ -154,7 +157,7 @@
                 events.RequestAbandoned(placement.specification.request_id)
             )
             return Err(_refusal(RefusalReason.CALLER_GONE, 1.0))
-        if decision is None:
+        if decision is None or isinstance(decision, SearchCancelled):
             continue
         if clocks.now_s() < decision.lease_deadline_s:
             return Ok(decision)
@@ -224,7 +227,8 @@
     if placement.closed:
         return
     placement.closed = True
-    placement.services.tickets.close(placement.specification.request_id)
+    for request_id in (*placement.earlier_ids, placement.specification.request_id):
+        placement.services.tickets.close(request_id)
     placement.services.counters.add(f"outcome.{outcome}")
     _tally_end(placement, outcome)
     elapsed_s = clocks.now_s() - placement.specification.arrived_at_s
--- a/packages/router/src/myrtlehook_router/request/relays.py
+++ b/packages/router/src/myrtlehook_router/request/relays.py
@@ -1,6 +1,7 @@
 """State of one routed request, and how its attempts and its end are reported and logged."""
 
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
 
 import urllib3
 from result import Err, Ok, Result
@@ -9,6 +10,7 @@
     BackendServer,
     Outcome,
     RefusalReason,
+    RequestKind,
     RetryReason,
     SendBelief,
     actions,
@@ -46,6 +48,9 @@
 )
 from myrtlehook_router.request.tickets import CallerDisconnected
 
+if TYPE_CHECKING:
+    from myrtlehook_router.request.silences import Search
+
 SERVER_REPLACED_STATUS = 421
 """The address now belongs to another server than the expected one, and that server declined."""
 
@@ -64,6 +69,30 @@
 """For lines that tell which software version wrote which events of a stream."""
 
 
+STREAM_STATUS = 200
+"""A streaming route forwards a response event by event only with this status."""
+
+ATTEMPT_FIELDS = (
+    "placement",
+    "exchange",
+    "reported_end",
+    "backend_server",
+    "software_version",
+    "memory_source",
+    "attempts",
+    "sent_at_s",
+    "send_belief",
+    "heard_at_s",
+    "first_byte_at_s",
+    "has_output",
+    "output_since_s",
+    "shown_sound",
+    "status",
+    "notice",
+)
+"""The fields of a relay that describe its current attempt."""
+
+
 @dataclass(slots=True)
 class Relay:
     """One routed request, from its arrival to the end of its response."""
@@ -91,6 +120,9 @@
     sent_at_s: float = 0.0
     send_belief: SendBelief | None = None
     """What was believed of that server when the request was sent there."""
+    last_event_id: str = ""
+    """The last event of a resumable stream that was forwarded, in this or an earlier attempt of its
+    client."""
     heard_at_s: float = 0.0
     """When the server of the current attempt was last heard from, or was sent the request."""
     searches: int = 0
@@ -109,16 +141,44 @@
     pauses: StreamPauses = field(default_factory=StreamPauses)
     notice: ServerNotice = NO_NOTICE
     """What that response reports of the server: whether it is leaving or asks for a back-off."""
+    silence_timer: Any = None
+    """The timer after which the silence of the server is looked at."""
+    search: "Search | None" = None
+    """The search for a successor of a silent server, if one is under way."""
+    successor: "Search | None" = None
+    """The search whose successor the request was handed over to, until its response is read."""
 
 
 def handle_caller_disconnect(relay: Relay) -> None:
     """Stop all work for a client that has closed its connection."""
     relay.caller_disconnected = True
     relay.placement.ticket.add_decision(CallerDisconnected())
+    _cancel_search(relay)
+    if relay.successor is not None:
+        relay.successor.successor.caller_disconnected = True
     if relay.exchange is not None:
         relay.exchange.abort()
 
 
+def adopt_attempt(relay: Relay, successor: Relay) -> None:
+    """Make the attempt of a successor the request's own."""
+    for name in ATTEMPT_FIELDS:
+        setattr(relay, name, getattr(successor, name))
+    relay.maybe_run = relay.maybe_run or successor.maybe_run
+    begin_stream_attempt(relay.pauses)
+
+
+def is_stream_begun(relay: Relay) -> bool:
+    """Return whether the current attempt's response is a stream that has begun."""
+    is_streaming = relay.request.route.kind is RequestKind.STREAMING
+    return is_streaming and relay.status == STREAM_STATUS
+
+
+def _cancel_search(relay: Relay) -> None:
+    if relay.search is not None and not relay.search.is_cancelled:
+        relay.search.cancel()
+
+
 def check_server_after_failure(relay: Relay, failure: SendFailure) -> None:
     """Check whether the server has ended, if its response broke off.
 
@@ -237,6 +297,13 @@
 
 def report_failed_attempt(relay: Relay, reason: RetryReason) -> None:
     """Log a failed attempt and report it to the core, which then decides on the request again."""
+    log_failed_attempt(relay, reason)
+    relay.searches += 1
+    report_not_started(relay.placement, reason)
+
+
+def log_failed_attempt(relay: Relay, reason: RetryReason) -> None:
+    """Log an attempt that did not bring the answer."""
     _log.info(
         "attempt failed",
         request_id=relay.request.request_id,
@@ -249,13 +316,19 @@
         **_report_answer_end(relay),
         **describe_send_belief(relay.send_belief, relay.sent_at_s),
     )
-    relay.searches += 1
-    report_not_started(relay.placement, reason)
 
 
 def record_heard(relay: Relay) -> None:
-    """Record that bytes of the current attempt's response have arrived."""
-    relay.heard_at_s = clocks.now_s()
+    """Record that bytes of the current attempt's response have arrived, which ends a silence."""
+    now_s = clocks.now_s()
+    services = relay.placement.services
+    if services.silent_servers:
+        services.silent_servers.discard(relay.backend_server)
+    if relay.search is not None and not relay.search.is_cancelled:
+        services.counters.add("silence.went_on")
+        services.counters.time("silence", now_s - relay.heard_at_s)
+        relay.search.cancel()
+    relay.heard_at_s = now_s
 
 
 def record_output(relay: Relay, events_seen: int) -> None:
@@ -318,6 +391,9 @@
     placement = relay.placement
     if placement.closed:
         return
+    _cancel_search(relay)
+    if relay.silence_timer is not None:
+        relay.silence_timer.cancel()
     if outcome is Outcome.COMPLETED:
         placement.figure = _find_figure(relay)
     is_success = outcome is Outcome.COMPLETED and relay.status < MIN_FAILURE_STATUS
--- a/packages/router/src/myrtlehook_router/request/services.py
+++ b/packages/router/src/myrtlehook_router/request/services.py
@@ -34,6 +34,9 @@
     """What is believed of a backend server to which a request is sent now, for logs."""
     doubtful_send_lines: LineLimit = field(default_factory=LineLimit)
     answer_end_lines: LineLimit = field(default_factory=LineLimit)
+    silence_lines: LineLimit = field(default_factory=LineLimit)
+    silent_servers: set[str] = field(default_factory=set)
+    """Backend servers for whose silence a successor was sought, until they are heard from."""
     server_checks: ServerChecks = field(default_factory=ServerChecks)
     logged_unreadable_servers: set[str] = field(default_factory=set)
     """Backend servers whose unreadable headers have been logged."""
--- a/packages/router/src/myrtlehook_router/request/tickets.py
+++ b/packages/router/src/myrtlehook_router/request/tickets.py
@@ -12,7 +12,12 @@
     """The client has closed its connection; work on its request stops."""
 
 
-Decision = actions.Dispatch | actions.Refuse | CallerDisconnected
+@dataclass(frozen=True, slots=True)
+class SearchCancelled:
+    """The slot that the ticket waits for is no longer wanted."""
+
+
+Decision = actions.Dispatch | actions.Refuse | CallerDisconnected | SearchCancelled
 
 
 class Ticket:
