Answer every request on a connection that a stopping router accepts

What callers saw: resets of new connections at the end of a planned stop, without an answer.

Cause: once a router had drained, the task of its server was ended, while the listener's own task went on accepting connections into a queue that nobody read any more; connections in the kernel's queue, and those whose request was being read or refused just then, ended with the process too.

Change: after the last request the router takes what waits, closes the listening socket (later clients are refused by the kernel and use another router), and ends once no connection has a request that is being read or answered. The line `stopped` tells how many had none (unanswered_requests).

--- a/packages/router/src/myrtlehook_router/connection/closed_connections.py
+++ b/packages/router/src/myrtlehook_router/connection/closed_connections.py
@@ -14,6 +14,7 @@
 _socket = patcher.original("socket")
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 _CLOSED_EVENTS = _select.POLLRDHUP | _select.POLLHUP | _select.POLLERR
+_READABLE_EVENTS = _select.POLLIN | _select.POLLRDHUP | _select.POLLERR
 
 
 def is_connection_closed(connection: Any) -> bool:
@@ -29,6 +30,16 @@
         return True
 
 
+def is_readable(connection: Any) -> bool:
+    """Return whether bytes, an end of stream or a client's connection wait on a socket."""
+    descriptor = connection.fileno()
+    if descriptor < 0:
+        return True
+    poller = _select.poll()
+    poller.register(descriptor, _READABLE_EVENTS)
+    return bool(poller.poll(0))
+
+
 def reset_connection(connection: Any) -> None:
     """Close a connection by a reset, which no client can take for the end of a response.
 
--- a/packages/router/src/myrtlehook_router/connection/connection_pools.py
+++ b/packages/router/src/myrtlehook_router/connection/connection_pools.py
@@ -20,7 +20,7 @@
 from result import Err, Ok, Result
 from urllib3.connection import HTTPConnection
 
-from myrtlehook_router.connection.closed_connections import is_connection_closed
+from myrtlehook_router.connection.closed_connections import is_connection_closed, is_readable
 from myrtlehook_router.connection.send_failures import SendFailure
 from myrtlehook_router.connection.server_sockets import (
     CONNECT_TIMEOUT_S,
@@ -312,12 +312,3 @@
 def _is_readable(connection: HTTPConnection) -> bool:
     """Return whether bytes or an end of stream have arrived on an idle connection."""
     return connection.sock is None or is_readable(connection.sock)
-
-
-def is_readable(sock: Any) -> bool:
-    """Return whether bytes or an end of stream have arrived on a connection."""
-    if sock.fileno() < 0:
-        return True
-    poller = _select.poll()
-    poller.register(sock.fileno(), _CLOSING_EVENTS)
-    return bool(poller.poll(0))
--- a/packages/router/src/myrtlehook_router/connection/heads.py
+++ b/packages/router/src/myrtlehook_router/connection/heads.py
@@ -38,11 +38,16 @@
 
 
 def make_strict_protocol(
-    limits: Callable[[], IngressLimits], must_close: Callable[[], bool], counters: Counters
+    limits: Callable[[], IngressLimits],
+    must_close: Callable[[], bool],
+    counters: Counters,
+    busy_connections: set[object],
 ) -> type:
     """Make the protocol class for the listener of the routed interface.
 
     :param must_close: returns whether connections must close after their current response.
+    :param busy_connections: holds each connection while it has a request that is being read or
+        answered.
     """
 
     class StrictProtocol(wsgi.HttpProtocol):
@@ -55,10 +60,12 @@
 
         def _read_request_line(self) -> bytes:
             """Wait for a request up to the idle timeout; returns the first line of its head."""
+            busy_connections.discard(self)
             self.connection.settimeout(limits().idle_timeout_s)
             try:
                 if not self.rfile.peek(1):
                     return b""
+                busy_connections.add(self)
                 self._head = self._read_head()
             except HeadError as error:
                 self._refuse(error)
@@ -102,7 +109,10 @@
             """Close the connection, by a reset if its response broke off and has no framing."""
             if self._breaks_off:
                 reset_connection(self.connection)
-            super().finish()
+            try:
+                super().finish()
+            finally:
+                busy_connections.discard(self)
 
         def _refuse(self, error: HeadError) -> None:
             counters.add(f"refusal.{error.reason}")
--- a/packages/router/src/myrtlehook_router/connection/ingress_listeners.py
+++ b/packages/router/src/myrtlehook_router/connection/ingress_listeners.py
@@ -68,6 +68,10 @@
                 continue
             self._ready.put(accepted)
 
+    def has_waiting_connections(self) -> bool:
+        """Return whether clients have connected whose connections are not served yet."""
+        return self._listener.has_pending() or not self._ready.empty()
+
     def accept(self) -> Accepted:
         """Wait for the next connection that is to be served here."""
         accepted: Accepted = self._ready.get()
@@ -78,7 +82,7 @@
         return self._listener.getsockname()
 
     def close(self) -> None:
-        """Stop accepting connections."""
+        """Stop accepting connections; clients that connect later are refused by the kernel."""
         self._listener.close()
 
     def _serve_here(self, accepted: Accepted) -> None:
--- a/packages/router/src/myrtlehook_router/connection/listeners.py
+++ b/packages/router/src/myrtlehook_router/connection/listeners.py
@@ -10,6 +10,7 @@
 from eventlet.greenio import GreenSocket
 
 from myrtlehook_core import Listener
+from myrtlehook_router.connection.closed_connections import is_readable
 from myrtlehook_router.process import clocks
 from myrtlehook_router.process.counters import Counters
 
@@ -77,6 +78,10 @@
             self._burst_began_s = self._clock()
         return self._listener.accept()
 
+    def has_pending(self) -> bool:
+        """Return whether clients have connected that were not accepted yet."""
+        return is_readable(self._listener)
+
     def getsockname(self) -> Any:
         """Return the address that clients connect to."""
         return self._listener.getsockname()
--- a/packages/router/src/myrtlehook_router/connection/server_connections.py
+++ b/packages/router/src/myrtlehook_router/connection/server_connections.py
@@ -23,7 +23,7 @@
     find_framing,
     find_proof,
 )
-from myrtlehook_router.connection.closed_connections import is_connection_closed
+from myrtlehook_router.connection.closed_connections import is_connection_closed, is_readable
 from myrtlehook_router.connection.connection_pools import (
     IDLE_TIMEOUT_S,
     ActiveConnection,
@@ -31,7 +31,6 @@
     acquire_connection,
     close_connection,
     expect_unframed_end,
-    is_readable,
     list_sockets_beside,
     release_connection,
 )
--- a/packages/router/src/myrtlehook_router/process/caller_servers.py
+++ b/packages/router/src/myrtlehook_router/process/caller_servers.py
@@ -13,6 +13,7 @@
 from myrtlehook_router.connection.listeners import PacedListener, get_silent_logger, open_listener
 from myrtlehook_router.connection.neighbour_protocols import make_neighbour_protocol
 from myrtlehook_router.connection.passing import ConnectionPasser
+from myrtlehook_router.process import clocks
 from myrtlehook_router.process.busy_meters import BusyMeter
 from myrtlehook_router.process.counters import Counters
 from myrtlehook_router.process.tasks import run_or_exit
@@ -20,6 +21,9 @@
 CROWDED_FRACTION = 0.5
 """Above this fraction of the connection limit, connections close after each response."""
 
+ACCEPT_CHECK_INTERVAL_S = 0.001
+"""Interval of the check that no client waits, before the listening socket is closed."""
+
 DESCRIPTORS_PER_PASSED_CONNECTION = 2
 """Descriptors of a connection that a neighbour serves: the client's and the neighbour's."""
 
@@ -58,6 +62,9 @@
         self._passer = passer
         self._task_pool = eventlet.GreenPool(services.max_connections)
         self.busy_meter = BusyMeter()
+        self._busy_connections: set[object] = set()
+        self._listener: IngressListener | None = None
+        self._accepting: Any = None
 
     def serve(self, listener: Any) -> None:
         """Serve clients on a listening socket; the main loop of a task."""
@@ -69,16 +76,22 @@
             self._has_free_descriptors,
             self._services.counters,
         )
-        eventlet.spawn(run_or_exit, ingress_listener.accept_forever)
+        self._listener = ingress_listener
+        self._accepting = eventlet.spawn(run_or_exit, ingress_listener.accept_forever)
         protocol = make_strict_protocol(
-            self._services.limits, self._should_close_connections, self._services.counters
+            self._services.limits,
+            self._should_close_connections,
+            self._services.counters,
+            self._busy_connections,
         )
         self._run_server(ingress_listener, protocol)
 
     def serve_neighbours(self, listener: Listener) -> None:
         """Serve clients whose connections neighbours pass on; the main loop of a task."""
         services = self._services
-        single_request = make_strict_protocol(services.limits, lambda: True, services.counters)
+        single_request = make_strict_protocol(
+            services.limits, lambda: True, services.counters, self._busy_connections
+        )
         protocol = make_neighbour_protocol(
             single_request,
             services.router_id,
@@ -89,6 +102,24 @@
         )
         self._run_server(PacedListener(open_listener(listener)), protocol)
 
+    def stop_accepting(self, limit_s: float) -> None:
+        """Take the connections that wait, and have the kernel refuse later ones.
+
+        :param limit_s: when to stop even if clients still wait.
+        """
+        listener = self._listener
+        if listener is None:
+            return
+        while listener.has_waiting_connections() and clocks.now_s() < limit_s:
+            eventlet.sleep(ACCEPT_CHECK_INTERVAL_S)
+        # Nothing runs between the last check and the close, so no client's connection is dropped.
+        listener.close()
+        self._accepting.kill()
+
+    def count_busy_connections(self) -> int:
+        """Return the number of connections with a request that is being read or answered."""
+        return len(self._busy_connections)
+
     def _run_server(self, listener: Any, protocol: type) -> None:
         wsgi.server(
             listener,
--- a/packages/router/src/myrtlehook_router/process/gateway_daemons.py
+++ b/packages/router/src/myrtlehook_router/process/gateway_daemons.py
@@ -151,6 +151,7 @@
         _log.info(
             "stopped",
             open_requests=len(self._tickets),
+            unanswered_requests=self._count_unanswered(),
             counters=dict(self._counters.values),
         )
         self._log_stream.write_queued()
@@ -406,6 +407,10 @@
         passed = 0 if self._passer is None else self._passer.count_requests()
         return len(self._tickets) + passed
 
+    def _count_unanswered(self) -> int:
+        """Return the number of requests that clients have begun to send and that have no answer."""
+        return self._count_open_requests() + self._caller_server.count_busy_connections()
+
     def _wait_until_drained(self, listener: Any) -> None:
         self._stop_signal.wait(None)
         stopped_at_s = clocks.now_s()
@@ -418,8 +423,11 @@
         limit_s = stopped_at_s + self._settings.drain_limit_s
         while self._count_open_requests() > 0 and clocks.now_s() < limit_s:
             eventlet.sleep(DRAIN_CHECK_INTERVAL_S)
+        self._caller_server.stop_accepting(limit_s)
+        # Requests that are on their way are read, and refused, before their connections end.
         eventlet.sleep(DRAIN_LINGER_S)
-        # Killing the server task closes its idle connections and accepts no new ones.
+        while self._count_unanswered() > 0 and clocks.now_s() < limit_s:
+            eventlet.sleep(DRAIN_CHECK_INTERVAL_S)
         listener.kill()
 
 
--- a/tests/features/stopping.feature
+++ b/tests/features/stopping.feature
@@ -28,3 +28,17 @@
     When router 1 receives SIGTERM
     Then every answer is the caller's own and completed
     And router 1 has exited with 0
+
+  # Guards against: a router that had drained still accepted connections while it ended, and their
+  # requests got a reset instead of an answer or a refusal.
+  @nodes.3
+  Scenario Outline: A stopping router answers every request on a connection that it accepts
+    Given 24 clients that send each request to router 1 on a connection of its own
+    When the platform stops router 1, and it ends
+    Then no connection that was accepted ended without an answer
+
+    Examples: plays
+      | play |
+      | 1    |
+      | 2    |
+      | 3    |
--- a/tests/steps/start_stop_steps.py
+++ b/tests/steps/start_stop_steps.py
@@ -1,15 +1,17 @@
 """Steps that start and stop routers on the emulated platform while clients connect."""
 
 import json
+import signal
 import subprocess
 import sys
 from typing import Any
 
-from behave import then, when
+from behave import given, then, when
 from platform_steps import node
 
 from standins.attempts import Attempt, make_headers, new_id, send
 from standins.network import wait_for
+from standins.stopped_routers import ConnectionLoad
 
 COUNT_MODULES = """
 import json, sys
@@ -68,3 +70,24 @@
     packages = {name.partition(".")[0] for name in modules}
     assert not packages.intersection(names.split(", ")), packages.intersection(names.split(", "))
     assert len(modules) <= limit, len(modules)
+
+
+@given("{clients:d} clients that send each request to router 1 on a connection of its own")
+def start_connection_load(context: Any, clients: int) -> None:
+    context.connection_load = ConnectionLoad(context.nodes.nodes[0], clients)
+    context.connection_load.start()
+    wait_for(lambda: context.connection_load.outcomes["200"] > clients, "answers")
+
+
+@when("the platform stops router 1, and it ends")
+def stop_under_connections(context: Any) -> None:
+    process = context.nodes.nodes[0].process
+    process.send_signal(signal.SIGTERM)
+    wait_for(lambda: process.poll() is not None, "router 1 to end")
+    context.connection_load.stop()
+
+
+@then("no connection that was accepted ended without an answer")
+def check_no_reset(context: Any) -> None:
+    outcomes = context.connection_load.outcomes
+    assert outcomes["unanswered"] == 0, dict(outcomes)
