Look at the silence of a stream that has begun as early as before

The stand-in's servers now stop before the thread that asks for it goes on: in two of three plays a head had slipped out after the point at which it was to stand still.

--- a/packages/router/src/myrtlehook_router/request/silences.py
+++ b/packages/router/src/myrtlehook_router/request/silences.py
@@ -89,7 +89,7 @@
 ) -> Result[urllib3.HTTPResponse, RetryReason]:
     """Send the request once, and seek a successor if the server is silent for some time."""
     if relay.silence_timer is None and _may_seek(relay):
-        _look_again_in(relay, _find_limit_s(relay) or 0.0)
+        _look_again_in(relay, _find_limit_s(relay) or STREAM_SILENCE_S)
     sent = send_once(relay, server, last_event_id)
     if isinstance(sent, Err) and is_handed_over(relay):
         return take_over(relay)
@@ -136,7 +136,9 @@
 
 
 def _look_again_in(relay: Relay, delay_s: float) -> None:
-    delay_s = max(delay_s, MIN_RECHECK_S)
+    # A stream that begins meanwhile has the shorter limit.
+    longest_s = STREAM_SILENCE_S if relay.request.route.resumable else delay_s
+    delay_s = max(min(delay_s, longest_s), MIN_RECHECK_S)
     relay.silence_timer = hubs.get_hub().schedule_call_global(delay_s, _check_silence, relay)
 
 
--- a/tests/standins/raw_engines.py
+++ b/tests/standins/raw_engines.py
@@ -22,6 +22,9 @@
 IDLE_S = 2.0
 """How long a connection may wait for a request."""
 
+STOP_S = 0.02
+"""Time for a signal that stops a process to reach all of its threads."""
+
 READ_S = 0.05
 """Time for what was sent to be read before a reset discards it."""
 
@@ -140,6 +143,8 @@
         os.kill(server, signal.SIGCONT)
         os._exit(0)
     os.kill(server, signal.SIGSTOP)
+    # The signal may stop this thread last.
+    time.sleep(STOP_S)
 
 
 def _write_pieces(connection: socket.socket, wire: list[bytes], plan: Plan, limit: int) -> None:
