Show that a successor that answers loses its request to a further search (red)

Cause: a further search is not ended by the answer of the successor that has the request; after 0.3 s it takes the request over, and the answer that is being read is given up. Change: a scenario with three attempts, servers silent for 1 s and slow bodies. Before: nothing covers a second search.

--- a/tests/features/silences.feature
+++ b/tests/features/silences.feature
@@ -59,3 +59,11 @@
     Given resumable streams whose first server is silent for 1.2 to 1.6 s after 4 events
     When 3 clients send these requests at once
     Then every answer is whole and complete
+
+  # Guards against: a second search goes on though the first successor has answered, and takes its run
+  # from it; what the client gets is an error, though two servers would have answered.
+  @nodes.3.raw
+  Scenario: A successor that answers while a further one is being sought keeps its request
+    Given plain requests with 3 attempts each server of which is silent for 1 s and then slow
+    When 1 clients send these requests at once
+    Then every answer is whole and complete
--- a/tests/steps/silence_steps.py
+++ b/tests/steps/silence_steps.py
@@ -4,6 +4,7 @@
 import signal
 import threading
 import time
+from dataclasses import replace
 from functools import partial
 from typing import Any
 
@@ -67,6 +68,19 @@
     ]
 
 
+@given("plain requests with 3 attempts each server of which is silent for 1 s and then slow")
+def silence_successors(context: Any) -> None:
+    objective = {"TargetLatencyMs": SHORT_OBJECTIVE_MS, "MaxAttempts": 3}
+    routes = [make_route("setpoint", "idempotent", PLAIN_SERVICE, **objective)]
+    context.nodes.order(configuration=make_configuration(SHORT_VERSION, Routes=routes))
+    for node in context.nodes.nodes:
+        accepted = f'"number": {SHORT_VERSION}, "digest"'
+        wait_for(partial(_is_logged, node, accepted), "the configuration to be in force")
+    case = make_silent_case(PLAIN_REPEATABLE, "chunks", BEFORE_HEAD, 1000.0, again=True)
+    slow_case = replace(case, plan=replace(case.plan, pause_ms=400.0, pieces=4))
+    context.cases = [slow_case] * len(context.nodes.nodes)
+
+
 def _is_logged(node: Any, text: str) -> bool:
     return text in node.log_path.read_text()
 
