Keep what a successor has when the search for another one overtakes it

The core now knows which successors a retry was claimed for. - A server found silent was left out until it was heard from, which an idle one never is (5 searches refused in 10 s of rest). The belief lasts 2 s. - The limit of silence ran for requests that waited for a slot, and while a client took its answer slowly. It now runs only while a task waits for the server and nothing has arrived. - A successor whose server asks for a back-off counted as a failure of that server. - After a hand-over the first server could not be asked again. - A fault in a search leaves the request where it is.

--- a/packages/core/src/myrtlehook_core/process/events.py
+++ b/packages/core/src/myrtlehook_core/process/events.py
@@ -161,8 +161,8 @@
     successor_id: str
     was_sent: bool
     """Whether it was sent to a server."""
-    failed: bool = False
-    """Whether that server failed."""
+    failure: RetryReason | None = None
+    """Why that server did not run it, if it did not take it."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/myrtlehook_core/process/ingress.py
+++ b/packages/core/src/myrtlehook_core/process/ingress.py
@@ -61,6 +61,8 @@
     running: dict[str, RunningRequest] = field(default_factory=dict)
     attempts: dict[str, int] = field(default_factory=dict)
     """Number of dispatches so far of each queued or running request."""
+    unsent_successors: set[str] = field(default_factory=set)
+    """Successors of running requests for which a retry was claimed and that were not sent yet."""
     totals: dict[PoolKey, KnownTotal] = field(default_factory=dict)
     floors_units: dict[str, int] = field(default_factory=dict)
     first_owners: dict[PoolKey, str] = field(default_factory=dict)
--- a/packages/core/src/myrtlehook_core/process/successors.py
+++ b/packages/core/src/myrtlehook_core/process/successors.py
@@ -19,7 +19,12 @@
 from myrtlehook_core.process.engine_rankings import rank_engines
 from myrtlehook_core.process.ingress import RunningRequest, make_pool_key, update_queue_counts
 from myrtlehook_core.process.refusals import choose_last_refusal
-from myrtlehook_core.process.runs import abandon_request, claim_retry, release_run
+from myrtlehook_core.process.runs import (
+    BLAMELESS_RETRY_REASONS,
+    abandon_request,
+    claim_retry,
+    release_run,
+)
 from myrtlehook_core.request.charges import cancel_charge
 from myrtlehook_core.request.outcomes import RefusalReason, RetryReason
 from myrtlehook_core.request.queues import WorkspaceQueue, push_request_first
@@ -52,6 +57,7 @@
     if reason is not None:
         _refuse(core, event.successor_id, reason)
         return
+    core.ingress.unsent_successors.add(event.successor_id)
     core.ingress.attempts[event.successor_id] = core.ingress.attempts[event.request_id]
     update_queue_counts(core.ingress, successor, 1)
     if isinstance(running, Admission):
@@ -66,23 +72,30 @@
     if running is not None:
         _release(core, running, failed=True, now_s=now_s)
         core.ingress.attempts.pop(event.request_id, None)
+    core.ingress.unsent_successors.discard(event.successor_id)
     successor = _find_running(core, event.successor_id)
+    if isinstance(successor, Admission):
+        # The first server may be asked again once it is heard from.
+        successor.tried = {successor.backend_server}
     if successor is not None:
         successor.request = replace(successor.request, excluded_servers=frozenset())
 
 
 def on_successor_dropped(core: "RouterCore", event: events.SuccessorDropped, now_s: float) -> None:
-    """Withdraw a successor, as its request goes on where it was; a retry that was unused counts."""
+    """Withdraw a successor, as its request goes on where it was; an unused retry is given back."""
     ingress = core.ingress
     running = _find_running(core, event.successor_id)
     if running is not None:
-        _release(core, running, event.failed, now_s)
+        failed = event.failure is not None and event.failure not in BLAMELESS_RETRY_REASONS
+        _release(core, running, failed, now_s)
     else:
         _withdraw(core, event.successor_id)
     attempts = ingress.attempts.pop(event.successor_id, 0)
-    if not event.was_sent:
+    is_paid = event.successor_id in ingress.unsent_successors
+    ingress.unsent_successors.discard(event.successor_id)
+    if is_paid and not event.was_sent:
         ingress.retry_budget = min(ingress.retry_budget + 1.0, core.options.retry_burst)
-    elif event.request_id in ingress.attempts:
+    if event.was_sent and event.request_id in ingress.attempts:
         ingress.attempts[event.request_id] = max(attempts, ingress.attempts[event.request_id])
 
 
--- a/packages/router/src/myrtlehook_router/connection/server_connections.py
+++ b/packages/router/src/myrtlehook_router/connection/server_connections.py
@@ -37,6 +37,7 @@
 from myrtlehook_router.connection.send_failures import SendFailure
 from myrtlehook_router.connection.server_checks import CHECK_DELAY_S
 from myrtlehook_router.connection.server_sockets import CONNECTION_ERRORS, set_deadline
+from myrtlehook_router.process import clocks
 
 IDLE_MARGIN_S = 1.0
 """Connections expire this long before the Keep-Alive timeout that their server announces."""
@@ -71,6 +72,8 @@
         self._framing: Framing | None = None
         self._done = False
         self._reading = False
+        self.read_since_s = 0.0
+        """When the present or the last wait for the server began."""
         self.end: AnswerEnd | None = None
         """How the response ended; None until then."""
         self.aborted = False
@@ -128,12 +131,17 @@
             return self._finish(judge_content)
         return read
 
-    def has_pending_bytes(self) -> bool:
-        """Return whether bytes, or the end of the connection, have arrived and were not read."""
+    @property
+    def is_waiting(self) -> bool:
+        """Whether a task waits for the server, and nothing has arrived that it has not read yet."""
+        return self._reading and self._active is not None and not is_readable(self._active.sock)
+
+    def has_gone_on(self) -> bool:
+        """Return whether bytes of the response have arrived that were not read yet."""
         active = self._active
         if active is None or self._done:
             return False
-        return is_readable(active.sock)
+        return is_readable(active.sock) and not is_connection_closed(active.sock)
 
     def _send_and_read_head(
         self, active: ActiveConnection, deadline_s: float
@@ -150,6 +158,7 @@
     def _run_guarded(self, work: Callable[[], Answered]) -> Result[Answered, SendFailure]:
         """Run ``work`` on the connection; any connection error ends the exchange."""
         self._reading = True
+        self.read_since_s = clocks.now_s()
         failure = SendFailure.BROKEN
         try:
             answered = work()
--- a/packages/router/src/myrtlehook_router/request/relays.py
+++ b/packages/router/src/myrtlehook_router/request/relays.py
@@ -322,8 +322,8 @@
     """Record that bytes of the current attempt's response have arrived, which ends a silence."""
     now_s = clocks.now_s()
     services = relay.placement.services
-    if services.silent_servers:
-        services.silent_servers.discard(relay.backend_server)
+    if services.silent_until_s:
+        services.silent_until_s.pop(relay.backend_server, None)
     if relay.search is not None and not relay.search.is_cancelled:
         services.counters.add("silence.went_on")
         services.counters.time("silence", now_s - relay.heard_at_s)
--- a/packages/router/src/myrtlehook_router/request/services.py
+++ b/packages/router/src/myrtlehook_router/request/services.py
@@ -35,8 +35,9 @@
     doubtful_send_lines: LineLimit = field(default_factory=LineLimit)
     answer_end_lines: LineLimit = field(default_factory=LineLimit)
     silence_lines: LineLimit = field(default_factory=LineLimit)
-    silent_servers: set[str] = field(default_factory=set)
-    """Backend servers for whose silence a successor was sought, until they are heard from."""
+    silent_until_s: dict[str, float] = field(default_factory=dict)
+    """Backend servers for whose silence a successor was sought, until they are heard from or, at
+    the latest, until this time."""
     server_checks: ServerChecks = field(default_factory=ServerChecks)
     logged_unreadable_servers: set[str] = field(default_factory=set)
     """Backend servers whose unreadable headers have been logged."""
--- a/packages/router/src/myrtlehook_router/request/silences.py
+++ b/packages/router/src/myrtlehook_router/request/silences.py
@@ -7,6 +7,7 @@
 end an exchange that has no successor.
 """
 
+import contextlib
 from dataclasses import dataclass, field, replace
 
 import eventlet
@@ -28,8 +29,10 @@
     adopt_attempt,
     is_stream_begun,
     log_failed_attempt,
+    record_heard,
     take_dispatch,
 )
+from myrtlehook_router.request.services import RequestServices
 from myrtlehook_router.request.tickets import SearchCancelled, Ticket
 
 STREAM_SILENCE_S = 1.2
@@ -51,8 +54,8 @@
 
 MAX_SEARCH_INTERVAL_S = 2.0
 
-PENDING_BYTES_RECHECK_S = 0.05
-"""When a silence is looked at again whose end this router has not read yet."""
+SILENT_SERVER_MEMORY_S = 2.0
+"""For this long after a server was found silent it gets no successor, unless it is heard from."""
 
 MIN_RECHECK_S = 0.001
 
@@ -101,9 +104,7 @@
 
     A search that is under way is waited for.
     """
-    search = relay.search
-    if search is not None and not search.is_cancelled:
-        search.done.wait()
+    _wait_for_search(relay)
     return relay.successor is not None
 
 
@@ -114,6 +115,8 @@
         assert search is not None
         while search.sent is None:
             search.signals.get()
+        if isinstance(search.sent, Err):
+            _wait_for_search(relay)
         if relay.successor is not search:
             # It has been silent too, and its own successor has the request.
             continue
@@ -122,6 +125,12 @@
         return search.sent
 
 
+def _wait_for_search(relay: Relay) -> None:
+    search = relay.search
+    if search is not None and not search.is_cancelled:
+        search.done.wait()
+
+
 def _may_seek(relay: Relay) -> bool:
     route = relay.request.route
     return route.repeatable and relay.attempts < route.attempts
@@ -150,12 +159,14 @@
     limit_s = _find_limit_s(relay)
     if limit_s is None:
         return
-    left_s = relay.heard_at_s + limit_s - clocks.now_s()
+    exchange = relay.exchange
+    if exchange is None or not exchange.is_waiting:
+        # The request waits for a slot, for its client or for this router, not for the server.
+        _look_again_in(relay, limit_s)
+        return
+    left_s = max(relay.heard_at_s, exchange.read_since_s) + limit_s - clocks.now_s()
     if left_s > 0.0:
         _look_again_in(relay, left_s)
-    elif relay.exchange is None or relay.exchange.has_pending_bytes():
-        # This router is late, not the server.
-        _look_again_in(relay, PENDING_BYTES_RECHECK_S)
     else:
         eventlet.spawn_n(_seek, relay)
 
@@ -163,9 +174,7 @@
 def _seek(relay: Relay) -> None:
     """Seek a successor, and look at the silence again afterwards."""
     services = relay.placement.services
-    # Its successors are not sent to a server that is silent for another request.
-    services.silent_servers.intersection_update(services.configuration().backend_servers)
-    services.silent_servers.add(relay.backend_server)
+    services.silent_until_s[relay.backend_server] = clocks.now_s() + SILENT_SERVER_MEMORY_S
     search = _open_search(relay)
     pause_s = SEARCH_INTERVAL_S
     if search is not None:
@@ -174,6 +183,11 @@
         relay.search = search
         try:
             pause_s = max(pause_s, _run_search(relay, search))
+        except Exception:
+            # A fault in a search must not end the request, which its server still runs.
+            _log.exception("search fault", request_id=relay.request.request_id)
+            search.cancel()
+            _drop(relay, search, was_sent=True)
         finally:
             relay.search = None
             search.done.send()
@@ -214,46 +228,67 @@
 
 def _run_search(relay: Relay, search: Search) -> float:
     """Run a search to its end; returns when the next one may begin, at the earliest."""
-    first_id = relay.placement.specification.request_id
-    successor_id = search.ticket.request_id
-    mailbox = relay.placement.services.mailbox
-    silent_servers = frozenset(relay.placement.services.silent_servers)
-    mailbox.post(events.SuccessorSought(first_id, successor_id, silent_servers))
+    placement = relay.placement
+    silent_servers = frozenset(_list_silent_servers(placement.services))
+    placement.services.mailbox.post(
+        events.SuccessorSought(
+            placement.specification.request_id, search.ticket.request_id, silent_servers
+        )
+    )
     decision = search.ticket.wait(max(relay.request.deadline_s - clocks.now_s(), MIN_RECHECK_S))
     if isinstance(decision, actions.Refuse):
         _report_refusal(relay, decision)
-        mailbox.post(events.SuccessorDropped(first_id, successor_id, was_sent=False))
+        _drop(relay, search, was_sent=False)
         return decision.retry_after_s
     server = _find_server(search, decision)
     if server is None:
-        mailbox.post(events.SuccessorDropped(first_id, successor_id, was_sent=False))
+        _drop(relay, search, was_sent=False)
         _log_silence(relay, "successor not sent")
         return 0.0
-    eventlet.spawn_n(_send, search, server, relay.last_event_id or None)
+    eventlet.spawn_n(_send, relay, search, server, relay.last_event_id or None)
     if _is_in_hand(relay, search):
         _hand_over(relay, search)
         return 0.0
-    failed = not search.is_cancelled
+    failure = None if search.is_cancelled or search.sent is None else search.sent.err()
     search.cancel()
     relay.attempts = max(relay.attempts, search.successor.attempts)
     relay.maybe_run = relay.maybe_run or search.successor.maybe_run
-    mailbox.post(events.SuccessorDropped(first_id, successor_id, was_sent=True, failed=failed))
+    _drop(relay, search, was_sent=True, failure=failure)
     return 0.0
 
 
+def _drop(relay: Relay, search: Search, was_sent: bool, failure: RetryReason | None = None) -> None:
+    """Report to the core that the request goes on where it is."""
+    placement = relay.placement
+    placement.services.mailbox.post(
+        events.SuccessorDropped(
+            placement.specification.request_id, search.ticket.request_id, was_sent, failure
+        )
+    )
+
+
+def _list_silent_servers(services: RequestServices) -> list[str]:
+    """Return the servers that are believed to be silent; forgets old beliefs."""
+    now_s = clocks.now_s()
+    silent_until_s = services.silent_until_s
+    for name in [name for name, until_s in silent_until_s.items() if now_s >= until_s]:
+        del silent_until_s[name]
+    return list(silent_until_s)
+
+
 def _find_server(search: Search, decision: object) -> BackendServer | None:
     """Return the server that a successor may be sent to now; None if it may not be sent."""
     if search.is_cancelled or not isinstance(decision, actions.Dispatch):
         return None
     if clocks.now_s() >= decision.lease_deadline_s:
         return None
-    if decision.backend_server in search.successor.placement.services.silent_servers:
+    if decision.backend_server in _list_silent_servers(search.successor.placement.services):
         return None
     server = take_dispatch(search.successor, decision)
     return None if isinstance(server, Err) else server.ok_value
 
 
-def _send(search: Search, server: BackendServer, last_event_id: str | None) -> None:
+def _send(relay: Relay, search: Search, server: BackendServer, last_event_id: str | None) -> None:
     """Send the successor's attempt; the task of a search."""
     sent: Result[urllib3.HTTPResponse, RetryReason] = Err(RetryReason.ANSWER_BROKEN)
     try:
@@ -261,21 +296,27 @@
     finally:
         search.sent = sent
         search.signals.put_nowait(None)
+    if relay.successor is search and isinstance(sent, Ok):
+        # It has been heard from, so that its own successor is no longer wanted.
+        adopt_attempt(relay, search.successor)
+        record_heard(relay)
 
 
 def _is_in_hand(relay: Relay, search: Search) -> bool:
     """Wait until a successor has the request in hand, or does not take it."""
-    try:
+    with contextlib.suppress(Empty):
         search.signals.get(timeout=OVERLAP_S)
-    except Empty:
-        silent = relay.placement.services.silent_servers
-        return search.successor.backend_server not in silent and not relay.placement.closed
     if search.is_cancelled or relay.placement.closed:
         return False
+    if relay.exchange is not None and relay.exchange.has_gone_on():
+        return False
+    if search.sent is None:
+        silent_servers = _list_silent_servers(relay.placement.services)
+        return search.successor.backend_server not in silent_servers
     if isinstance(search.sent, Err):
         log_failed_attempt(search.successor, search.sent.err_value)
         return False
-    return isinstance(search.sent, Ok) and search.sent.ok_value.status < MIN_FAILURE_STATUS
+    return search.sent.ok_value.status < MIN_FAILURE_STATUS
 
 
 def _hand_over(relay: Relay, search: Search) -> None:
