Check successors of requests at silent servers in drawn histories

Cause: the core's searches for successors were only tested with real processes, which reach few orders of events.

Before: no such test.

Conclusion: nothing is left of successors, their servers, versions and attempts are kept to, calls that may not be repeated get none, and the first slot is kept until the hand-over.

--- /dev/null
+++ b/tests/features/successors.feature
@@ -0,0 +1,80 @@
+Feature: A request at a silent server seeks a slot at another one and keeps its own
+  Hypothesis draws the histories: arrivals, searches, grants, refusals, hand-overs, drops, ends,
+  broken runs, drains, and the removal of servers and of a workspace. Nothing is sent or awaited.
+
+  # Guards against: a successor that was dropped, refused or handed over leaves a charge, a count of
+  # attempts, an entry of a queue or a held slot behind, which fills routers and servers.
+  Scenario Outline: Nothing is left of requests and their successors
+    Given histories of silent <kind>
+    Then once all requests have ended, no router holds anything of them
+
+    Examples:
+      | kind           |
+      | engines        |
+      | plain services |
+
+  # Guards against: a successor is placed at the server that is silent, or at another silent one, so
+  # that its search spends a retry for nothing.
+  Scenario Outline: A successor is placed at no silent server
+    Given histories of silent <kind>
+    Then no successor is dispatched to a server that runs its request or is silent
+
+    Examples:
+      | kind           |
+      | engines        |
+      | plain services |
+
+  # Guards against: a stream goes on at a server of another software version than it began at, whose
+  # output differs, so that its client receives a mix of two answers.
+  Scenario Outline: A stream that has begun keeps to its software version
+    Given histories of silent <kind>
+    Then no stream that has begun is offered a server of another software version
+
+    Examples:
+      | kind           |
+      | engines        |
+      | plain services |
+
+  # Guards against: successors are not counted as attempts of their request, so that it is sent to
+  # more servers than its route allows.
+  Scenario Outline: Successors count as attempts of their request
+    Given histories of silent <kind>
+    Then no request is sent more often than its route allows, its successors included
+
+    Examples:
+      | kind           |
+      | engines        |
+      | plain services |
+
+  # Guards against: a call that must not run twice is run by a second server while the first one is
+  # only slow.
+  Scenario Outline: A request that may not be repeated gets no successor
+    Given histories of silent <kind>
+    Then no request that may not be repeated gets a successor
+
+    Examples:
+      | kind           |
+      | engines        |
+      | plain services |
+
+  # Guards against: the slot of a silent server is released while it still runs the request, so that
+  # the server gets more requests than it has slots, and the request is lost if nobody else takes it.
+  Scenario Outline: A silent server's slot is kept until the hand-over
+    Given histories of silent <kind>
+    Then a running request keeps its slot until it is handed over or ends
+
+    Examples:
+      | kind           |
+      | engines        |
+      | plain services |
+
+  # Guards against: the core dispatches or refuses a successor that was withdrawn, so that a slot is
+  # held for nobody.
+  Scenario Outline: Nothing is decided for a withdrawn successor
+    Given histories of silent <kind>
+    Then nothing is decided for a request that nobody waits for
+
+    Examples:
+      | kind           |
+      | engines        |
+      | plain services |
