Give a retry back only for a search that spent one

Cause: a search that was refused before a retry was claimed for it (no budget, no other server, the run had ended) was reported as dropped like any other, and its drop added a retry to the budget. A router whose servers are all silent so minted a retry for each refused search, and the budget did not limit repeated work in just the case that it is for.

Change: a successor that is refused so is noted with no attempts until its drop is reported, which then gives nothing back.

Conclusion: the budget counts sent successors only.

--- a/packages/core/src/myrtlehook_core/process/successors.py
+++ b/packages/core/src/myrtlehook_core/process/successors.py
@@ -31,12 +31,16 @@
 REFUSED_RETRY_AFTER_S = 1.0
 """When a successor that no server could take may be sought again."""
 
+UNPLACED_ATTEMPTS = 0
+"""The attempts of a successor that was refused without a retry, until its drop is reported; one for
+which a retry was claimed counts at least the attempt of its request."""
+
 
 def on_successor_sought(core: "RouterCore", event: events.SuccessorSought, now_s: float) -> None:
     """Place the successor of a running request at another server, or refuse it."""
     running = _find_running(core, event.request_id)
     if running is None:
-        _refuse(core, event.successor_id, RefusalReason.RETRIES_EXHAUSTED)
+        _refuse_unplaced(core, event.successor_id, RefusalReason.RETRIES_EXHAUSTED)
         return
     successor = replace(
         running.request,
@@ -50,7 +54,7 @@
     ):
         reason = choose_last_refusal(context, successor, now_s)
     if reason is not None:
-        _refuse(core, event.successor_id, reason)
+        _refuse_unplaced(core, event.successor_id, reason)
         return
     core.ingress.attempts[event.successor_id] = core.ingress.attempts[event.request_id]
     update_queue_counts(core.ingress, successor, 1)
@@ -79,10 +83,12 @@
         _release(core, running, event.failed, now_s)
     else:
         _withdraw(core, event.successor_id)
-    attempts = ingress.attempts.pop(event.successor_id, 0)
+    attempts = ingress.attempts.pop(event.successor_id, None)
+    if attempts == UNPLACED_ATTEMPTS:
+        return
     if not event.was_sent:
         ingress.retry_budget = min(ingress.retry_budget + 1.0, core.options.retry_burst)
-    elif event.request_id in ingress.attempts:
+    elif attempts is not None and event.request_id in ingress.attempts:
         ingress.attempts[event.request_id] = max(attempts, ingress.attempts[event.request_id])
 
 
@@ -160,5 +166,7 @@
         notify_owner(core.admission_context(), admission, release)
 
 
-def _refuse(core: "RouterCore", successor_id: str, reason: RefusalReason) -> None:
+def _refuse_unplaced(core: "RouterCore", successor_id: str, reason: RefusalReason) -> None:
+    """Refuse a successor before a retry is claimed for it, so that its drop gives none back."""
+    core.ingress.attempts[successor_id] = UNPLACED_ATTEMPTS
     core.actions.add(Refuse(successor_id, reason, REFUSED_RETRY_AFTER_S))
--- a/tests/features/successors.feature
+++ b/tests/features/successors.feature
@@ -46,6 +46,29 @@
       | engines        |
       | plain services |
 
+  # Guards against: searches that end without a successor use the retries up, or give back ones that
+  # they have not used, so that the retry budget no longer limits repeated work.
+  Scenario Outline: A retry is spent for each successor that is sent
+    Given histories of silent <kind>
+    Then a retry is spent for each successor that is sent or sought, and for no other
+
+    Examples:
+      | kind           |
+      | engines        |
+      | plain services |
+
+  # Guards against: a search that was refused without a retry gives one back, so that a router whose
+  # servers are all silent mints retries: one for each refused search.
+  Scenario Outline: Refused searches do not add to the retry budget
+    Given a request at silent <kind> that may be sent 4 times
+    When 3 searches are refused, as all servers are silent
+    Then the retry budget is as it was
+
+    Examples:
+      | kind           |
+      | engines        |
+      | plain services |
+
   # Guards against: a call that must not run twice is run by a second server while the first one is
   # only slow.
   Scenario Outline: A request that may not be repeated gets no successor
