Withdraw a run that waits again when its request is handed over

Cause: a hand-over released the first run only if it held a slot. One that had broken off meanwhile stayed in its queue: a server was taken for it that nobody used, and its attempts were kept for ever. The present shell waits for its search before it reports a broken run, so that this takes an order of events that it rarely produces.

Change: the hand-over withdraws a first run that waits.

Before: both scenarios fail (dispatched, but nobody waits for it). After: both pass.

Conclusion: after a hand-over nothing of the first run is left, whatever the order of events.

--- a/packages/core/src/myrtlehook_core/process/successors.py
+++ b/packages/core/src/myrtlehook_core/process/successors.py
@@ -65,11 +65,16 @@
 
 
 def on_run_handed_over(core: "RouterCore", event: events.RunHandedOver, now_s: float) -> None:
-    """Release the slot of a server whose run has been handed over to its successor."""
+    """Release the slot of a server whose run has been handed over to its successor.
+
+    A run that broke off meanwhile waits for another server, which is not needed any more.
+    """
     running = _find_running(core, event.request_id)
     if running is not None:
         _release(core, running, failed=True, now_s=now_s)
-        core.ingress.attempts.pop(event.request_id, None)
+    else:
+        _withdraw(core, event.request_id)
+    core.ingress.attempts.pop(event.request_id, None)
     successor = _find_running(core, event.successor_id)
     if successor is not None:
         successor.request = replace(successor.request, excluded_servers=frozenset())
@@ -154,15 +159,15 @@
         core.outbox.add(owner, slot_release)
 
 
-def _withdraw(core: "RouterCore", successor_id: str) -> None:
-    """Withdraw a successor that waits."""
-    admission = core.admissions.open.pop(successor_id, None)
+def _withdraw(core: "RouterCore", request_id: str) -> None:
+    """Withdraw a request that waits."""
+    admission = core.admissions.open.pop(request_id, None)
     if admission is None:
-        abandon_request(core.ingress, successor_id)
+        abandon_request(core.ingress, request_id)
         return
     update_queue_counts(core.ingress, admission.request, -1)
     if admission.backend_server:
-        release = AdmissionRelease(successor_id, admission.backend_server, ran=False)
+        release = AdmissionRelease(request_id, admission.backend_server, ran=False)
         notify_owner(core.admission_context(), admission, release)
 
 
--- a/tests/features/successors.feature
+++ b/tests/features/successors.feature
@@ -101,3 +101,16 @@
       | kind           |
       | engines        |
       | plain services |
+
+  # Guards against: a run breaks off and waits again when its request is handed over. A slot is then
+  # taken for it that nobody uses, and its attempts are kept for ever.
+  Scenario Outline: A run that waits again when its request is handed over is withdrawn
+    Given a request at silent <kind> that may be sent 4 times
+    When its run breaks off while its successor is sent, and no server takes it
+    And it is handed over to its successor, and all requests end
+    Then nothing was dispatched for the first run, and nothing is left of it
+
+    Examples:
+      | kind           |
+      | engines        |
+      | plain services |
--- a/tests/steps/successor_steps.py
+++ b/tests/steps/successor_steps.py
@@ -12,11 +12,12 @@
 from hypothesis import given as drawn
 from hypothesis import strategies as st
 
-from myrtlehook_core import RetryReason, RouterCore
+from myrtlehook_core import RetryReason, RouterCore, events
 from myrtlehook_core.process.admission_messages import HeldAdmissions
 from myrtlehook_core.process.messages import HoldList
-from myrtlehook_router.request.silences import Search, is_handed_over
+from myrtlehook_router.request.silences import OVERLAP_S, Search, _is_in_hand, is_handed_over
 from standins.successor_histories import (
+    INGRESS,
     NO_BUDGET,
     SERVERS,
     SETTLE_S,
@@ -27,6 +28,9 @@
 
 HISTORIES = 150
 MAX_STEPS = 60
+FILLING_REQUESTS = 12
+"""More than a server runs at once."""
+
 BREAKS = (
     RetryReason.ANSWER_BROKEN,
     RetryReason.CONNECT_FAILED,
@@ -318,6 +322,42 @@
     )
 
 
+@when("its run breaks off while its successor is sent, and no server takes it")
+def break_off_unnoticed(context: Any) -> None:
+    history = context.history
+    call = history.calls[0]
+    history.seek(call, frozenset())
+    history.run_for(0.2)
+    history.send(call)
+    history.removed = {f"s{number}" for number in range(SERVERS)} - {call.search.server}
+    history.publish()
+    for _ in range(FILLING_REQUESTS):
+        history.arrive(WORKSPACES[1], 1, repeatable=False, no_repeat=False)
+    history.feed(INGRESS, events.RunNotStarted(call.current_id, RetryReason.ANSWER_BROKEN))
+    # Nobody has answered yet, so that it waits.
+    assert not _runs(history, call.current_id)
+
+
+@when("it is handed over to its successor, and all requests end")
+def hand_over_and_end(context: Any) -> None:
+    context.history.hand_over(context.history.calls[0])
+    context.history.end_all()
+
+
+@then("nothing was dispatched for the first run, and nothing is left of it")
+def check_first_withdrawn(context: Any) -> None:
+    assert not context.history.faults, context.history.faults
+    check_nothing_counted(context)
+
+
+def _runs(history: SuccessorHistory, request_id: str) -> bool:
+    """Return whether a request holds a slot."""
+    admission = history.ingress.admissions.open.get(request_id)
+    if admission is not None:
+        return admission.granted
+    return request_id in history.ingress.ingress.running
+
+
 @given("a request that runs at one of the {kind}")
 def place_at_server(context: Any, kind: str) -> None:
     place_request(context, kind, 2)
@@ -352,3 +392,20 @@
     assert not context.decision.dead, "asked for again before the drop was reported"
     context.search.done.send()
     assert not context.decision.wait()
+
+
+@when("a search is given up while a router is late, after the successor's time is over")
+def cancel_late(context: Any) -> None:
+    search = Search(Mock(backend_server="s1"), Mock())
+    relay: Any = SimpleNamespace(placement=Mock(closed=False))
+    relay.placement.services.silent_servers = set()
+    context.decision = eventlet.spawn(_is_in_hand, relay, search)
+    eventlet.sleep(0)
+    # The event loop stands still, as on a busy router.
+    eventlet.patcher.original("time").sleep(OVERLAP_S + 0.05)
+    search.cancel()
+
+
+@then("the request is not handed over")
+def check_not_handed_over(context: Any) -> None:
+    assert not context.decision.wait(), "handed over to a successor that was cancelled"
