Show three faults beside the core of successors (red)

Cause: found while the drawn histories of successors were written. 1. _is_in_hand takes the end of its time for the successor having the request in hand, even if the search was given up in the same turn of the event loop. 2. is_handed_over does not wait for a search that was given up, so that a broken run is reported before the drop of its sent successor. 3. The new owner of an engine takes a run over that has ended, if the release overtakes the message that names it.

Before: not tested.

Conclusion: 1 and 2 need changes of the router package, 3 one of engine_queues.

--- a/tests/features/successors.feature
+++ b/tests/features/successors.feature
@@ -114,3 +114,28 @@
       | kind           |
       | engines        |
       | plain services |
+
+  # Guards against: a release overtakes the message that tells the new owner of a server what runs
+  # there, so that the owner counts an ended run until its deadline and a second more.
+  Scenario Outline: A release that overtakes the news of its run is not lost
+    Given a request that runs at one of the <kind>
+    When its server gets a new owner, and the request ends at once
+    Then the new owner counts nothing for it
+
+    Examples:
+      | kind           |
+      | engines        |
+      | plain services |
+
+  # Guards against: a server goes on, which gives the search up, and breaks off before the search has
+  # ended. The core claims a retry before it hears that the successor was sent, so that the request is
+  # sent once more than its route allows.
+  Scenario: A broken run waits for the end of a search that was given up
+    When the server of a request is heard from while its successor is sent, and breaks off
+    Then the request is asked for again only after the drop of its successor is reported
+
+  # Guards against: a server goes on just when its successor's time is over and the router is late. The
+  # search has been given up and its exchange aborted, and still the request is handed over to it.
+  Scenario: A search that was given up takes over no request
+    When a search is given up while a router is late, after the successor's time is over
+    Then the request is not handed over
