--- a/packages/router/src/myrtlehook_router/request/silences.py
+++ b/packages/router/src/myrtlehook_router/request/silences.py
@@ -126,9 +126,12 @@
 
 
 def _wait_for_search(relay: Relay) -> None:
-    search = relay.search
-    if search is not None and not search.is_cancelled:
-        search.done.wait()
+    """Wait for a search that is under way, also for one that was given up.
+
+    The core has to hear that its successor was sent before it decides on the request again.
+    """
+    if relay.search is not None:
+        relay.search.done.wait()
 
 
 def _may_seek(relay: Relay) -> bool:
