Draw whole searches too, so that attempts of successors add up

Cause: two wrong changes of successors.py, made on a scratch copy, went unnoticed: a drop that forgets the attempt of its successor, and successors that count from one attempt. Few drawn histories sent one request more than twice.

Change: two more kinds of steps, a search whose successor declines and one that is handed over.

Before: both wrong changes pass "Successors count as attempts of their request". After: both fail it ("sent 3 times, 2 may be"; "sent 4 times, 3 may be"); without them 21 scenarios pass, 3 are known red.

Conclusion: the limit of attempts is checked.

--- a/tests/steps/successor_steps.py
+++ b/tests/steps/successor_steps.py
@@ -28,6 +28,9 @@
 
 HISTORIES = 150
 MAX_STEPS = 60
+SEARCH_S = 0.04
+"""Within this time a free server is found."""
+
 FILLING_REQUESTS = 12
 """More than a server runs at once."""
 
@@ -56,8 +59,8 @@
 
 STEP_KINDS = (
     "arrive", "arrive", "arrive", "seek", "seek", "seek", "send", "send", "send", "hand over",
-    "hand over", "drop", "end", "break", "begin", "begin", "remove server", "restore servers",
-    "remove workspace", "drain", "wait",
+    "hand over", "drop", "failed search", "failed search", "whole search", "end", "break", "begin",
+    "begin", "remove server", "restore servers", "remove workspace", "drain", "wait",
 )  # fmt: skip
 
 STEPS = st.lists(
@@ -132,6 +135,23 @@
     return call.search is not None and call.search.was_sent
 
 
+def _may_seek(call: Call) -> bool:
+    return bool(call.server) and call.search is None
+
+
+def _search_whole(history: SuccessorHistory, call: Call, step: Step) -> None:
+    """Have a successor sent at once; it declines, or has the request in hand."""
+    history.seek(call, frozenset())
+    history.run_for(SEARCH_S)
+    if not _may_be_sent(call):
+        return
+    history.send(call)
+    if step.kind == "failed search":
+        history.drop(call, failed=True)
+    else:
+        history.hand_over(call)
+
+
 def _may_be_sent(call: Call) -> bool:
     return call.search is not None and bool(call.search.server) and not call.search.was_sent
 
@@ -144,7 +164,9 @@
 _CALL_STEPS: dict[
     str, tuple[Callable[[Call], bool], Callable[[SuccessorHistory, Call, Step], None]]
 ] = {
-    "seek": (lambda call: bool(call.server) and call.search is None, _seek),
+    "seek": (_may_seek, _seek),
+    "failed search": (_may_seek, _search_whole),
+    "whole search": (_may_seek, _search_whole),
     "send": (_may_be_sent, lambda history, call, step: history.send(call)),
     "hand over": (_is_sent, lambda history, call, step: history.hand_over(call)),
     "drop": (
