Show that a server lives from its first answer on

Cause: a router's first contact with a server that frames nothing, or the first after 60 s without such an answer, had no other connection that the server's process was known to have accepted, so a whole short answer was taken for a broken one: 502 on routes that send once. Requests at once did not wait for a witness that another one was opening.

Change: before a request whose answer may be unframed, a witness is opened first, and the request goes over a connection that was opened after it; connections are accepted in that order. An answer may be unframed until the server has answered a request of that method and path with a length or chunks. A witness that no request needs any more becomes an idle connection.

--- a/packages/router/src/myrtlehook_router/connection/connection_pools.py
+++ b/packages/router/src/myrtlehook_router/connection/connection_pools.py
@@ -7,7 +7,8 @@
 An open connection shows that the process that accepted it has not ended, because the end of a
 process ends all of its connections. A witness is a connection that is kept for this only. One that
 was not accepted yet shows nothing: it waits at the listening socket, which may belong to a
-supervisor that outlives the process.
+supervisor that outlives the process. Connections are accepted in the order of their opening, so a
+witness that is opened before a request's own connection shows something from the first byte on.
 """
 
 from collections import deque
@@ -17,10 +18,21 @@
 
 import eventlet
 from eventlet import patcher
+from eventlet.event import Event
 from result import Err, Ok, Result
 from urllib3.connection import HTTPConnection
 
 from myrtlehook_router.connection.closed_connections import is_connection_closed, is_readable
+from myrtlehook_router.connection.framing_memories import (
+    FramingMemory,
+    forget_expired,
+    forget_server,
+    has_been_unframed,
+    list_addresses,
+    may_be_unframed,
+    record_framed,
+    record_unframed,
+)
 from myrtlehook_router.connection.send_failures import SendFailure
 from myrtlehook_router.connection.server_sockets import (
     CONNECT_TIMEOUT_S,
@@ -32,9 +44,6 @@
 IDLE_TIMEOUT_S = 8.0
 """An idle connection is closed after this long, or earlier if its server asks for that."""
 
-UNFRAMED_MEMORY_S = 60.0
-"""A server that has sent a response without length or chunks gets witnesses for this long."""
-
 ACCEPT_TIME_S = 0.1
 """A process that answers requests accepts a connection within this time."""
 
@@ -45,7 +54,8 @@
 """The number of witnesses to one server."""
 
 RENEWAL_AGE_S = 1.0
-"""A new witness is opened once the last one is this old. Servers close idle connections later."""
+"""A new witness is opened once the last one is idle for this long. Servers close idle connections
+later."""
 
 MAX_CONNECTIONS_BESIDE = 8
 """The number of other connections to a server that are looked at when a response ends."""
@@ -59,6 +69,8 @@
     """A connection without a request, until it expires."""
 
     connection: ServerConnection
+    kept_at_s: float
+    """When its last response ended, or when it was opened."""
     deadline_s: float
 
 
@@ -73,6 +85,8 @@
     newest_beside: int
     """The number of the newest connection to the server that was opened while this one was known
     to be open."""
+    may_be_unframed: bool = False
+    """Whether its response is not known to be framed."""
     is_unframed: bool = False
     """Whether only the end of the connection will mark the end of its response."""
 
@@ -84,31 +98,37 @@
     idle_by_address: dict[str, deque[_KeptConnection]] = field(default_factory=dict)
     active_by_address: dict[str, set[ActiveConnection]] = field(default_factory=dict)
     witnesses: dict[str, deque[_KeptConnection]] = field(default_factory=dict)
-    opening_witnesses: set[str] = field(default_factory=set)
-    unframed_until_s: dict[str, float] = field(default_factory=dict)
-    """Until when a server gets witnesses, because it has sent a response without framing."""
+    opening_witnesses: dict[str, Event] = field(default_factory=dict)
+    """Sent once the witness to an address is opened, or once that has failed."""
+    framing_memory: FramingMemory = field(default_factory=FramingMemory)
     opened_count: int = 0
     """The number of connections opened so far."""
 
 
 def acquire_connection(
-    pool: ConnectionPool, address: str, deadline_s: float, fresh_connection: bool
+    pool: ConnectionPool, address: str, kind: str, deadline_s: float, fresh_connection: bool
 ) -> Result[ActiveConnection, SendFailure]:
     """Take an idle connection, or open one, for a request.
 
+    If the response may be unframed, another connection that its process has accepted is open then.
+
+    :param kind: the request's method and path.
     :param fresh_connection: open a new connection, as the server may be closing an idle one.
     """
-    connection = None if fresh_connection else _take_idle_connection(pool, address)
-    is_unframed = clocks.now_s() < pool.unframed_until_s.get(address, 0.0)
-    if is_unframed and not pool.idle_by_address.get(address):
-        # Connections are accepted in the order of their opening, so a witness comes first.
-        _wait_for_witness(pool, address)
+    is_doubtful = may_be_unframed(pool.framing_memory, address, kind, clocks.now_s())
+    connection = None
+    if not fresh_connection:
+        take = _take_witnessed_connection if is_doubtful else _take_idle_connection
+        connection = take(pool, address)
     if connection is None:
+        if is_doubtful:
+            _wait_for_witness(pool, address)
         opened = _open_connection(pool, address, deadline_s)
         if isinstance(opened, Err):
             return opened
         connection = opened.ok_value
-    active = ActiveConnection(address, connection, connection.sock, pool.opened_count)
+    active = _make_active(pool, address, connection)
+    active.may_be_unframed = is_doubtful
     pool.active_by_address.setdefault(address, set()).add(active)
     return Ok(active)
 
@@ -131,16 +151,34 @@
         return
     _deactivate(pool, active)
     idle = pool.idle_by_address.setdefault(active.address, deque())
-    idle.append(_KeptConnection(active.connection, clocks.now_s() + idle_timeout_s))
+    now_s = clocks.now_s()
+    idle.append(_KeptConnection(active.connection, now_s, now_s + idle_timeout_s))
 
 
 def expect_unframed_end(pool: ConnectionPool, active: ActiveConnection) -> None:
     """Open a witness for a response whose end only the end of its connection will mark."""
     active.is_unframed = True
-    pool.unframed_until_s[active.address] = clocks.now_s() + UNFRAMED_MEMORY_S
+    record_unframed(pool.framing_memory, active.address, clocks.now_s())
     eventlet.spawn_n(_ensure_witness, pool, active.address)
 
 
+def expect_framed_end(
+    pool: ConnectionPool, active: ActiveConnection, kind: str, is_success: bool
+) -> None:
+    """Remember how a response is framed; later requests may take witnesses that none needs.
+
+    :param is_success: whether others of its kind are expected to be framed alike; errors may not.
+    """
+    active.may_be_unframed = False
+    if is_success:
+        record_framed(pool.framing_memory, active.address, kind)
+    if has_been_unframed(pool.framing_memory, active.address, clocks.now_s()):
+        return
+    if active.address in pool.witnesses and not _needs_witness(pool, active.address):
+        idle = pool.idle_by_address.setdefault(active.address, deque())
+        idle.extendleft(reversed(pool.witnesses.pop(active.address)))
+
+
 def renew_witnesses(pool: ConnectionPool) -> None:
     """Open new witnesses before servers close them, as they do with idle connections."""
     for address, connections in pool.active_by_address.items():
@@ -182,13 +220,14 @@
         if not idle:
             del pool.idle_by_address[address]
     for address, witnesses in list(pool.witnesses.items()):
-        is_expired = now_s >= witnesses[-1].deadline_s and address not in pool.active_by_address
+        is_expired = now_s >= witnesses[-1].deadline_s and not _needs_witness(pool, address)
         if is_expired or not is_wanted(address):
             for witness in pool.witnesses.pop(address):
                 witness.connection.close()
-    for address, until_s in list(pool.unframed_until_s.items()):
-        if now_s >= until_s:
-            del pool.unframed_until_s[address]
+    forget_expired(pool.framing_memory, now_s)
+    for address in list_addresses(pool.framing_memory):
+        if not is_wanted(address):
+            forget_server(pool.framing_memory, address)
 
 
 def find_closing_servers(pool: ConnectionPool) -> list[str]:
@@ -220,7 +259,7 @@
     opened = _open_connection(pool, address, now_s + CONNECT_TIMEOUT_S)
     if isinstance(opened, Err):
         return opened.err_value
-    kept = _KeptConnection(opened.ok_value, now_s + IDLE_TIMEOUT_S)
+    kept = _KeptConnection(opened.ok_value, now_s, now_s + IDLE_TIMEOUT_S)
     pool.idle_by_address.setdefault(address, deque()).append(kept)
     return None
 
@@ -232,7 +271,12 @@
 
 
 def _wait_for_witness(pool: ConnectionPool, address: str) -> None:
-    """Have a witness before a request is sent, as a short response ends before one is opened."""
+    """Have a witness before a connection is opened, as a short response ends before one is."""
+    now_s = clocks.now_s()
+    if any(_is_lasting(idle, now_s) for idle in pool.idle_by_address.get(address, ())):
+        return
+    if _extend_witness(pool, address, now_s):
+        return
     opening = eventlet.spawn(_ensure_witness, pool, address)
     with eventlet.Timeout(WITNESS_WAIT_S, False):
         opening.wait()
@@ -241,29 +285,46 @@
 def _ensure_witness(pool: ConnectionPool, address: str) -> None:
     """Open a witness to a server, unless there is one that its server will keep for some time."""
     now_s = clocks.now_s()
-    known = pool.witnesses.get(address)
-    if known and _is_lasting(known[-1], now_s):
-        known[-1].deadline_s = now_s + IDLE_TIMEOUT_S
+    if _extend_witness(pool, address, now_s):
         return
     if address in pool.opening_witnesses:
+        pool.opening_witnesses[address].wait()
         return
-    pool.opening_witnesses.add(address)
+    done = pool.opening_witnesses[address] = Event()
     opened = _open_connection(pool, address, now_s + CONNECT_TIMEOUT_S)
-    pool.opening_witnesses.discard(address)
-    if isinstance(opened, Err):
-        return
+    if isinstance(opened, Ok):
+        _keep_witness(pool, address, opened.ok_value)
+    del pool.opening_witnesses[address]
+    done.send()
+
+
+def _extend_witness(pool: ConnectionPool, address: str, now_s: float) -> bool:
+    """Keep the last witness for longer; returns whether its server will do so for some time."""
+    known = pool.witnesses.get(address)
+    if not known or not _is_lasting(known[-1], now_s):
+        return False
+    known[-1].deadline_s = now_s + IDLE_TIMEOUT_S
+    return True
+
+
+def _keep_witness(pool: ConnectionPool, address: str, connection: ServerConnection) -> None:
     # The older one is kept: it shows that the server lives until the new one is accepted.
+    now_s = clocks.now_s()
     known = pool.witnesses.setdefault(address, deque())
-    known.append(_KeptConnection(opened.ok_value, now_s + IDLE_TIMEOUT_S))
+    known.append(_KeptConnection(connection, now_s, now_s + IDLE_TIMEOUT_S))
     while len(known) > MAX_WITNESSES:
         known.popleft().connection.close()
 
 
-def _is_lasting(witness: _KeptConnection, now_s: float) -> bool:
-    """Return whether a witness is open and its server will keep it for some time."""
-    connection = witness.connection
-    is_recent = now_s < connection.opened_at_s + RENEWAL_AGE_S
-    return is_recent and not is_connection_closed(connection.sock)
+def _is_lasting(kept: _KeptConnection, now_s: float) -> bool:
+    """Return whether a connection without a request is open, and its server will keep it."""
+    is_recent = now_s < kept.kept_at_s + RENEWAL_AGE_S
+    sock = kept.connection.sock
+    return is_recent and sock is not None and not is_connection_closed(sock)
+
+
+def _needs_witness(pool: ConnectionPool, address: str) -> bool:
+    return any(active.may_be_unframed for active in pool.active_by_address.get(address, ()))
 
 
 def _open_connection(
@@ -283,17 +344,42 @@
 
 
 def _take_idle_connection(pool: ConnectionPool, address: str) -> ServerConnection | None:
+    kept = _take_kept_connection(pool, address)
+    return None if kept is None else kept.connection
+
+
+def _take_kept_connection(pool: ConnectionPool, address: str) -> _KeptConnection | None:
     idle = pool.idle_by_address.get(address)
     while idle:
         # The most recently used one is the least likely to be closed by its server.
         candidate = idle.pop()
         usable = candidate.connection.sock is not None and clocks.now_s() < candidate.deadline_s
         if usable and not _is_readable(candidate.connection):
-            return candidate.connection
+            return candidate
         candidate.connection.close()
     return None
 
 
+def _take_witnessed_connection(pool: ConnectionPool, address: str) -> ServerConnection | None:
+    """Take an idle connection if another one shows already that its process lives."""
+    taken = _take_kept_connection(pool, address)
+    if taken is None:
+        return None
+    active = _make_active(pool, address, taken.connection)
+    now_s = clocks.now_s()
+    kept = [*pool.witnesses.get(address, ()), *pool.idle_by_address.get(address, ())]
+    if any(_is_lasting(one, now_s) and _is_accepted(one.connection, active, now_s) for one in kept):
+        return taken.connection
+    pool.idle_by_address[address].append(taken)
+    return None
+
+
+def _make_active(
+    pool: ConnectionPool, address: str, connection: ServerConnection
+) -> ActiveConnection:
+    return ActiveConnection(address, connection, connection.sock, pool.opened_count)
+
+
 def _is_accepted(other: ServerConnection, active: ActiveConnection, now_s: float) -> bool:
     """Return whether the process behind an active connection had accepted another open one."""
     if other.has_answered or other.opened_number < active.connection.opened_number:
--- a/packages/router/src/myrtlehook_router/connection/server_connections.py
+++ b/packages/router/src/myrtlehook_router/connection/server_connections.py
@@ -30,6 +30,7 @@
     ConnectionPool,
     acquire_connection,
     close_connection,
+    expect_framed_end,
     expect_unframed_end,
     list_sockets_beside,
     release_connection,
@@ -55,6 +56,11 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes
 
+    @property
+    def kind(self) -> str:
+        """The method and path. A server frames its answers to one kind alike, as a rule."""
+        return f"{self.method} {self.target.partition('?')[0]}"
+
 
 def _judge_nothing(framing: Framing) -> ContentEnd:
     return ContentEnd.UNKNOWN
@@ -88,7 +94,11 @@
         :param fresh_connection: open a new connection, as the server may be closing an idle one.
         """
         acquired = acquire_connection(
-            self._connection_pool, self._request.address, deadline_s, fresh_connection
+            self._connection_pool,
+            self._request.address,
+            self._request.kind,
+            deadline_s,
+            fresh_connection,
         )
         if isinstance(acquired, Err):
             return acquired
@@ -107,6 +117,9 @@
         self._framing = framing.ok_value
         if self._framing is Framing.CONNECTION:
             expect_unframed_end(self._connection_pool, active)
+        else:
+            is_success = 200 <= answered.ok_value.status < 300
+            expect_framed_end(self._connection_pool, active, self._request.kind, is_success)
         return answered
 
     def read_some(
