Count only connections that were opened one after the other as evidence of a server's life

Two ways were found by reading: of connections that were opened at once, their numbers do not tell which one waits first in the server's queue; and the single wait of 20 ms may pass while the whole machine stands still.

Change: a connection counts as accepted earlier only if it was open before the opening of the request's own one began; the 20 ms are four waits, with a look after each.

--- a/packages/router/src/myrtlehook_router/connection/connection_pools.py
+++ b/packages/router/src/myrtlehook_router/connection/connection_pools.py
@@ -330,10 +330,12 @@
 def _open_connection(
     pool: ConnectionPool, address: str, deadline_s: float
 ) -> Result[ServerConnection, SendFailure]:
+    opened_before = pool.opened_count
     opened = open_connection(address, deadline_s)
     if isinstance(opened, Err):
         return opened
     connection = opened.ok_value
+    connection.opened_before = opened_before
     pool.opened_count += 1
     connection.opened_number = pool.opened_count
     connection.opened_at_s = clocks.now_s()
@@ -382,7 +384,8 @@
 
 def _is_accepted(other: ServerConnection, active: ActiveConnection, now_s: float) -> bool:
     """Return whether the process behind an active connection had accepted another open one."""
-    if other.has_answered or other.opened_number < active.connection.opened_number:
+    # Of two that were opened at once, it is not known which one waits first in the server's queue.
+    if other.has_answered or other.opened_number <= active.connection.opened_before:
         return True
     had_time = now_s >= other.opened_at_s + ACCEPT_TIME_S
     return other.opened_number <= active.newest_beside and had_time
--- a/packages/router/src/myrtlehook_router/connection/server_connections.py
+++ b/packages/router/src/myrtlehook_router/connection/server_connections.py
@@ -42,6 +42,9 @@
 IDLE_MARGIN_S = 1.0
 """Connections expire this long before the Keep-Alive timeout that their server announces."""
 
+LIFE_LOOKS = 4
+"""How often is looked whether a server's process has outlived a response."""
+
 Answered = TypeVar("Answered")
 JudgeContent = Callable[[Framing], ContentEnd]
 
@@ -207,8 +210,11 @@
         still_open = [sock for sock in beside if not is_connection_closed(sock)]
         if not still_open:
             return False
-        eventlet.sleep(CHECK_DELAY_S)
-        return any(not is_connection_closed(sock) for sock in still_open)
+        # Time in which the whole machine stood still counts for one look at most.
+        for _ in range(LIFE_LOOKS):
+            eventlet.sleep(CHECK_DELAY_S / LIFE_LOOKS)
+            still_open = [sock for sock in still_open if not is_connection_closed(sock)]
+        return bool(still_open)
 
     def _fail(self, sign: EndSign, failure: SendFailure = SendFailure.BROKEN) -> Err[SendFailure]:
         self._record_end(sign, Proof.NONE)
--- a/packages/router/src/myrtlehook_router/connection/server_sockets.py
+++ b/packages/router/src/myrtlehook_router/connection/server_sockets.py
@@ -67,6 +67,8 @@
     response_class = StrictResponse
     opened_number = 0
     """How many connections its pool had opened by then, this one included."""
+    opened_before = 0
+    """How many connections its pool had opened when the opening of this one began."""
     opened_at_s = 0.0
     has_answered = False
     """Whether it has carried a response, so that a process has accepted it."""
