--- a/packages/router/src/myrtlehook_router/connection/server_connections.py
+++ b/packages/router/src/myrtlehook_router/connection/server_connections.py
@@ -30,6 +30,7 @@
     ConnectionPool,
     acquire_connection,
     close_connection,
+    expect_framed_end,
     expect_unframed_end,
     list_sockets_beside,
     release_connection,
@@ -42,6 +43,9 @@
 IDLE_MARGIN_S = 1.0
 """Connections expire this long before the Keep-Alive timeout that their server announces."""
 
+LIFE_LOOKS = 4
+"""How often is looked whether a server's process has outlived a response."""
+
 Answered = TypeVar("Answered")
 JudgeContent = Callable[[Framing], ContentEnd]
 
@@ -56,6 +60,11 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes
 
+    @property
+    def kind(self) -> str:
+        """The method and path. A server frames its answers to one kind alike, as a rule."""
+        return f"{self.method} {self.target.partition('?')[0]}"
+
 
 def _judge_nothing(framing: Framing) -> ContentEnd:
     return ContentEnd.UNKNOWN
@@ -91,7 +100,11 @@
         :param fresh_connection: open a new connection, as the server may be closing an idle one.
         """
         acquired = acquire_connection(
-            self._connection_pool, self._request.address, deadline_s, fresh_connection
+            self._connection_pool,
+            self._request.address,
+            self._request.kind,
+            deadline_s,
+            fresh_connection,
         )
         if isinstance(acquired, Err):
             return acquired
@@ -110,6 +123,9 @@
         self._framing = framing.ok_value
         if self._framing is Framing.CONNECTION:
             expect_unframed_end(self._connection_pool, active)
+        else:
+            is_success = 200 <= answered.ok_value.status < 300
+            expect_framed_end(self._connection_pool, active, self._request.kind, is_success)
         return answered
 
     def read_some(
@@ -203,8 +219,11 @@
         still_open = [sock for sock in beside if not is_connection_closed(sock)]
         if not still_open:
             return False
-        eventlet.sleep(CHECK_DELAY_S)
-        return any(not is_connection_closed(sock) for sock in still_open)
+        # Time in which the whole machine stood still counts for one look at most.
+        for _ in range(LIFE_LOOKS):
+            eventlet.sleep(CHECK_DELAY_S / LIFE_LOOKS)
+            still_open = [sock for sock in still_open if not is_connection_closed(sock)]
+        return bool(still_open)
 
     def _fail(self, sign: EndSign, failure: SendFailure = SendFailure.BROKEN) -> Err[SendFailure]:
         self._record_end(sign, Proof.NONE)
