Let servers fall silent in the soak, and go on

Cause: no server of the soak stood still for a second or so and went on, so it could not see that routers took that for loss.

Change: an emulated server can stand still (it neither reads nor writes, the system accepts its connections). The soak draws silences of 0.5 to 3 s: of one server, several, all together, or one after another at the same one; --no-silences leaves them out.

Before: no such fault was drawn.

--- a/emulator/endings.py
+++ b/emulator/endings.py
@@ -7,6 +7,8 @@
 import eventlet
 from eventlet import wsgi
 
+from emulator.standstills import listen, never
+
 ANSWER_HEAD = (
     "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nAttempt-Id: {attempt_id}\r\n"
     "Response-Seal: {seal}\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -19,9 +21,15 @@
 class RestartableServer:
     """Serves a WSGI application at one address and can break all its connections at once."""
 
-    def __init__(self, ip: str, application: Callable[..., Any]) -> None:
-        """Start serving, on a port that the operating system chooses."""
+    def __init__(
+        self, ip: str, application: Callable[..., Any], is_still: Callable[[], bool] = never
+    ) -> None:
+        """Start serving, on a port that the operating system chooses.
+
+        :param is_still: tells whether the server stands still at present.
+        """
         self._application = application
+        self._is_still = is_still
         self._connections: set[Any] = set()
         self._ip = ip
         self._port = 0
@@ -35,7 +43,7 @@
 
     def start(self) -> None:
         """Listen, and serve until :meth:`end` is called."""
-        self._listener = eventlet.listen((self._ip, self._port))
+        self._listener = listen(self._ip, self._port, self._is_still)
         self._port = self._listener.getsockname()[1]
         eventlet.spawn(
             wsgi.server,
--- a/emulator/engines.py
+++ b/emulator/engines.py
@@ -14,6 +14,7 @@
 from eventlet.queue import Empty, LightQueue
 
 from emulator.endings import send_answer_head
+from emulator.standstills import wait_while
 
 DISCONNECT_CHECK_INTERVAL_S = 0.02
 """How often an engine checks whether the client of a stream has disconnected."""
@@ -69,6 +70,8 @@
     slowness: float = 1.0
     """How many times longer than usual a step takes. Each step that reads delays the events of all
     streams, so their pauses grow with what is read and with this."""
+    still: bool = False
+    """Whether the server stands still: it neither reads nor writes, and no answer goes on."""
 
 
 @dataclass(slots=True)
@@ -143,6 +146,7 @@
         self.waiting.clear()
         self.running.clear()
         self.cache.clear()
+        self.faults.still = False
         # After a restart the engine may have another id, and no request has reached it yet.
         self.arrivals = Arrivals()
 
@@ -152,9 +156,14 @@
             spent_ms = self.speed.step_ms + self._read_prompts() / self.speed.read_tokens_per_ms
             spent_ms *= self.faults.slowness
             eventlet.sleep(spent_ms / 1000.0 if self.running else 0.001)
+            wait_while(self.is_still)
             for run in list(self.running):
                 self._generate_token(run)
 
+    def is_still(self) -> bool:
+        """Return whether the engine stands still at present."""
+        return self.faults.still
+
     def answer(self, environ: dict[str, Any], start_response: StartResponse) -> Any:
         """Serve one request; a WSGI application."""
         attempt_id = environ.get("HTTP_ATTEMPT_ID", "")
@@ -389,6 +398,7 @@
 
     def __next__(self) -> bytes:
         faults = self._engine.shared
+        wait_while(self._engine.is_still)
         if 0 < faults.break_after_events <= self._sent:
             faults.break_after_events = 0
             raise ConnectionResetError("stream broken off by an injected fault")
@@ -415,6 +425,7 @@
                 number: int = self._run.events.get(timeout=DISCONNECT_CHECK_INTERVAL_S)
                 return number
             except Empty:
+                wait_while(self._engine.is_still)
                 if is_disconnected(self._connection):
                     raise ConnectionResetError("client closed the connection") from None
 
--- a/emulator/services.py
+++ b/emulator/services.py
@@ -17,6 +17,7 @@
     make_notice_headers,
     should_refuse,
 )
+from emulator.standstills import wait_while
 
 RESET_DELAY_S = 0.1
 """Long enough for the first half of the answer to be read before the reset."""
@@ -40,6 +41,8 @@
     """Refuses one request in every N; 0 refuses none."""
     retry_after: str = ""
     """The ``Retry-After`` value of refusals, in seconds; empty to send none."""
+    still: bool = False
+    """Whether the server stands still: it neither reads nor writes, and no answer goes on."""
 
 
 class PlainService:
@@ -55,6 +58,10 @@
         self.seen_headers: dict[str, dict[str, str]] = {}
         self.system_headers: list[tuple[str, str]] = []
 
+    def is_still(self) -> bool:
+        """Return whether the server stands still at present."""
+        return self.faults.still
+
     def answer(self, environ: dict[str, Any], start_response: StartResponse) -> list[bytes]:
         """Serve one request; a WSGI application."""
         attempt_id = environ.get("HTTP_ATTEMPT_ID", "")
@@ -75,6 +82,7 @@
         self.busy += 1
         try:
             eventlet.sleep(self.faults.work_ms / 1000.0)
+            wait_while(self.is_still)
         finally:
             self.busy -= 1
         if self.faults.reset_answers > 0:
--- a/emulator/sites.py
+++ b/emulator/sites.py
@@ -14,6 +14,7 @@
 from emulator.endings import NullLog, RestartableServer
 from emulator.engines import Engine, EngineSpeed, SharedFaults
 from emulator.services import PlainService
+from emulator.standstills import listen, never
 from emulator.store import Store
 
 MODEL_SERVICE = "model"
@@ -70,7 +71,7 @@
     for number in range(1, services + 1):
         service = PlainService(f"i-desk-{number}", slots=6)
         site.services[service.identifier] = service
-        site.addresses[service.identifier] = serve(ip, service.answer)
+        site.addresses[service.identifier] = serve(ip, service.answer, service.is_still)
         put_server(site, service.identifier, PLAIN_SERVICE, service.slots)
     return site
 
@@ -86,7 +87,7 @@
     site.engines[identifier] = engine
     engine.end = _make_end_callback(site, engine)
     eventlet.spawn(engine.step_forever)
-    _register_engine(site, engine, RestartableServer(site.ip, engine.answer))
+    _register_engine(site, engine, RestartableServer(site.ip, engine.answer, engine.is_still))
 
 
 def end_engine(site: Site, engine: Engine) -> None:
@@ -240,9 +241,12 @@
     }
 
 
-def serve(ip: str, application: Callable[..., Any]) -> str:
-    """Serve an application on a port that the operating system chooses; returns the address."""
-    listener = eventlet.listen((ip, 0))
+def serve(ip: str, application: Callable[..., Any], is_still: Callable[[], bool] = never) -> str:
+    """Serve an application on a port that the operating system chooses; returns the address.
+
+    :param is_still: tells whether the server stands still at present.
+    """
+    listener = listen(ip, 0, is_still)
     eventlet.spawn(
         wsgi.server,
         listener,
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -8,7 +8,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "tests"))
 
-from soak.runs import RunOptions, RunResult, execute_run  # noqa: E402
+from soak.runs import RunOptions, RunResult, execute_run, leave_out_faults  # noqa: E402
 from standins.processes import end_processes_at_exit  # noqa: E402
 
 
@@ -29,27 +29,33 @@
         True, help="whether engines leave by their entries, and others start"
     ),
     framings: bool = typer.Option(True, help="whether engines frame their answers differently"),
+    silences: bool = typer.Option(True, help="whether servers stand still for a time and go on"),
+    only_silences: bool = typer.Option(
+        False,
+        "--only-silences",
+        help="whether silences and planned work are the only faults, strictly judged",
+    ),
 ) -> None:
     """Run real routers under random faults and check their promises; exits with 1 if one broke."""
     end_processes_at_exit()
     first = seed if seed >= 0 else random.SystemRandom().randrange(1_000_000_000)
     failed_runs = 0
     for number in range(first, first + runs):
-        result = execute_run(
-            RunOptions(
-                number,
-                seconds,
-                routers,
-                engines,
-                endings,
-                notices,
-                copies,
-                paces,
-                versions,
-                departures,
-                framings,
-            )
+        options = RunOptions(
+            number,
+            seconds,
+            routers,
+            engines,
+            endings,
+            notices,
+            copies,
+            paces,
+            versions,
+            departures,
+            framings,
+            silences,
         )
+        result = execute_run(leave_out_faults(options) if only_silences else options)
         failed_runs += bool(result.violations)
         _print(result)
     print(f"{runs} runs, {failed_runs} with a broken promise")
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -62,6 +62,9 @@
     """The last event that had arrived before this attempt."""
     software_versions: list[str] = field(default_factory=list)
     """The software version that wrote each event."""
+    sent_whole: bool = False
+    reused: bool = False
+    """Whether its connection had carried a request before."""
 
 
 class Caller:
@@ -97,6 +100,7 @@
         record = AttemptRecord(
             attempt_id, path, self._router, time.monotonic(), workspace=workspace
         )
+        record.reused = self._connection.sock is not None
         if broken is not None:
             _take_up(record, broken)
         self._records.append(record)
@@ -119,6 +123,7 @@
         method = PATHS[record.path]
         body = None if method == "GET" else record.attempt_id.encode()
         self._connection.request(method, record.path, body, self._make_headers(record))
+        record.sent_whole = True
         response = self._connection.getresponse()
         record.status = response.status
         record.seal = response.headers.get("Response-Seal", "")
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from emulator.sites import HOST
-from soak.callers import LAST_EVENT_NUMBER, STREAMED, AttemptRecord
+from soak.callers import DEADLINE_S, LAST_EVENT_NUMBER, STREAMED, AttemptRecord
 from soak.schedules import Fault
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -77,15 +77,18 @@
     faults: Iterable[Fault],
     routers: Mapping[str, str],
     start_s: float,
+    silences: Iterable[Fault] = (),
 ) -> list[Violation]:
     """Check that requests were answered by their deadlines, and that a planned stop broke none.
 
     A late answer is excused if its router was paused, killed or stopped at that time; an answer
-    broken during a planned stop is excused if another fault was active at that time.
+    broken during a planned stop is excused if another fault was active at that time. A server's
+    silence excuses none, unless the deadline passed beside it.
 
     :param routers: router names by address.
     """
     all_faults = list(faults)
+    all_silences = list(silences)
     violations = []
     for attempt in attempts:
         name = routers[attempt.router]
@@ -101,6 +104,8 @@
             fault for fault in all_faults if fault not in router_faults or fault.how != "stop"
         ]
         disturbed = is_fault_active(attempt, other_faults, start_s, None)
+        if attempt.ended_s - attempt.started_s >= DEADLINE_S:
+            disturbed |= is_fault_active(attempt, all_silences, start_s, None)
         if stopped and not disturbed and attempt.broken:
             violations.append(_make_violation("a planned stop cuts nothing off", attempt))
     return violations
--- a/soak/departure_checks.py
+++ b/soak/departure_checks.py
@@ -8,6 +8,7 @@
 from soak.callers import AttemptRecord
 from soak.checks import Violation
 from soak.schedules import Fault
+from soak.silence_checks import was_read_late
 
 DRAIN_BOUND_S = 2.0
 """From the store's acceptance of a departure until the server receives no more requests."""
@@ -101,4 +102,4 @@
             or (fault.target == server and fault.kind == "server_link")
         )
         for fault in faults
-    )
+    ) or was_read_late(server, at_s, faults, start_s)
--- a/soak/notice_checks.py
+++ b/soak/notice_checks.py
@@ -17,7 +17,8 @@
 EXCUSING_FAULTS = ("pause", "kill", "stop")
 """Faults after which a router may receive a notice late or lose what it knew of it."""
 
-LINK_KINDS = ("server_link",)
+LINK_KINDS = ("server_link", "silence")
+"""A server that stands still reads late what arrived long before."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 from typing import Any
 
-from emulator.sites import make_configuration
+from emulator.sites import PLAIN_SERVICE, make_configuration, make_route
 from soak.callers import PATHS, AttemptRecord
 from soak.checks import (
     Violation,
@@ -29,14 +29,21 @@
     draw_framings,
     draw_notices,
     draw_paces,
+    draw_planned_work,
     draw_schedule,
+    draw_silences,
     draw_store_restorations,
+    draw_version_count,
 )
+from soak.silence_checks import check_kept_requests
 from standins.attempts import make_headers, new_id, send
 from standins.nodes import ROOT, Node, NodeFleet
 from standins.processes import start_process
 
 CALLER_COUNT = 12
+CALLERS_BESIDE_SILENCES = 30
+"""The number of callers in runs whose only faults are silences: more requests are open then."""
+
 MEAN_PAUSE_S = 0.15
 LINK_DELAY_S = 0.25
 SPOILT_BODY = "spoilt"
@@ -58,6 +65,10 @@
 """The longest pause that the routes allow in runs with engines of unequal speed."""
 
 VERSIONS = ("v1", "v2")
+SERVICES_BESIDE_SILENCES = 2
+"""The number of plain servers in runs whose only faults are silences."""
+
+MORE_ROUTES = 50
 RECOVERY_S = 12.0
 FIRST_VERSION = 1
 STOP_STATUS = 0
@@ -85,6 +96,11 @@
     """Whether engines leave by their entries, and others start."""
     framings: bool = False
     """Whether engines frame their answers in different ways."""
+    silences: bool = False
+    """Whether servers stand still for a time and go on."""
+    only_silences: bool = False
+    """Whether silences and planned work are the only faults. Nothing excuses a lost request
+    then."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,6 +143,8 @@
 
     def _start(self) -> None:
         options = ["--engines", str(self.options.engines)]
+        if self.options.only_silences:
+            options += ["--services", str(SERVICES_BESIDE_SILENCES)]
         self.fleet.addresses = self.fleet.start_emulator(options)
         names = [f"edge-{number}" for number in range(1, self.options.routers + 1)]
         targets = {name: self.fleet.addresses["store"] for name in names}
@@ -143,18 +161,25 @@
         self.fleet.stores = {name: addresses[name] for name in names}
         # Engines that may end are not proxied: the proxy would accept connections for a server
         # that has ended, which no network does.
-        proxied = [
-            name for name in self._list_servers() if not (self.options.endings and _is_engine(name))
-        ]
+        proxied = [name for name in self._list_servers() if self._is_proxied(name)]
         self.fleet.order(addresses={name: addresses[name] for name in proxied})
         if self.options.paces:
             self._publish_configuration()
         if self.options.versions:
             engines = [name for name in self._list_servers() if _is_engine(name)]
-            versions = {name: VERSIONS[number % 2] for number, name in enumerate(engines)}
+            count = len(VERSIONS)
+            if self.options.only_silences:
+                count = draw_version_count(self.options.seed, len(engines))
+            versions = {name: f"v{number % count + 1}" for number, name in enumerate(engines)}
             self.fleet.order(software_versions=versions)
         self.fleet.start_nodes(self.options.routers)
 
+    def _is_proxied(self, server: str) -> bool:
+        if self.options.only_silences:
+            # No fault of a link is drawn, and the system's own acceptance of connections shows.
+            return False
+        return not (self.options.endings and _is_engine(server))
+
     def _list_servers(self) -> list[str]:
         return sorted(name for name in self.fleet.addresses if name.startswith("i-"))
 
@@ -165,7 +190,11 @@
     def _inject_and_check(self) -> RunResult:
         options = self.options
         names = [node.name for node in self.fleet.nodes]
-        faults = draw_schedule(options.seed, options.seconds, names, self._list_servers())
+        engines = [name for name in self._list_servers() if _is_engine(name)]
+        if options.only_silences:
+            faults = draw_planned_work(options.seed, options.seconds, names, engines)
+        else:
+            faults = draw_schedule(options.seed, options.seconds, names, self._list_servers())
         if options.endings:
             engines = [name for name in self._list_servers() if _is_engine(name)]
             faults += draw_endings(options.seed, options.seconds, engines)
@@ -186,9 +215,12 @@
         if options.paces:
             engines = [name for name in self._list_servers() if _is_engine(name)]
             paces = draw_paces(options.seed, options.seconds, engines)
+        silences = []
+        if options.silences:
+            silences = draw_silences(options.seed, options.seconds, self._list_servers())
         callers = self._start_callers()
         start_s = time.monotonic()
-        self._inject_faults([*faults, *paces], start_s)
+        self._inject_faults([*faults, *paces, *silences], start_s)
         self._sleep_until(start_s + options.seconds)
         self._clear_faults()
         output, _ = callers.communicate()
@@ -198,15 +230,17 @@
         # again under another id.
         sealing = {*self._list_servers(), *self.fleet.describe()["servers"]}
         self.violations += check_answers(attempts, sealing)
-        self.violations += check_deadlines(attempts, faults, routers, start_s)
-        breaking = [fault for fault in self.injected if fault.kind != "pace"]
+        self.violations += check_deadlines(attempts, faults, routers, start_s, silences)
+        breaking = [fault for fault in self.injected if fault.kind not in ("pace", "silence")]
         self.violations += check_unbroken_streams(attempts, breaking, start_s)
         self.violations += check_versions(attempts)
+        if options.only_silences:
+            self.violations += check_kept_requests(attempts)
         if options.paces:
             logs = [node.log_path.read_text() for node in self.fleet.nodes]
             self.violations += check_logged_pauses(attempts, logs)
         site = self.fleet.describe()
-        injected = InjectedFaults(tuple(faults), start_s)
+        injected = InjectedFaults((*faults, *silences), start_s)
         self.violations += check_notices(attempts, site, injected, routers)
         self.violations += check_departures(
             attempts, site, self.departures, self.injected, start_s, routers
@@ -218,7 +252,12 @@
         for attempt in attempts:
             statuses[attempt.status] = statuses.get(attempt.status, 0) + 1
         return RunResult(
-            options, [*faults, *paces], len(attempts), statuses, self.violations, self.fleet.folder
+            options,
+            [*faults, *paces, *silences],
+            len(attempts),
+            statuses,
+            self.violations,
+            self.fleet.folder,
         )
 
     def _start_callers(self) -> subprocess.Popen[bytes]:
@@ -233,7 +272,7 @@
             "routers": [f"{node.ip}:{node.front_port}" for node in self.fleet.nodes],
             "seconds": self.options.seconds,
             "seed": self.options.seed,
-            "callers": CALLER_COUNT,
+            "callers": CALLERS_BESIDE_SILENCES if self.options.only_silences else CALLER_COUNT,
             "pause_s": MEAN_PAUSE_S,
         }
         assert process.stdin is not None
@@ -284,6 +323,8 @@
             self._let_leave(fault, begins)
         elif fault.kind == "pace":
             self._set_pace(fault, begins)
+        elif fault.kind == "silence":
+            self._set_silence(fault, begins)
         elif begins:
             self._apply_site_change(fault)
 
@@ -355,7 +396,7 @@
 
     def _apply_site_change(self, fault: Fault) -> None:
         if fault.how == "configuration":
-            self._publish_configuration()
+            self._publish_configuration(fault.target)
         elif fault.how == "break_stream":
             self.fleet.order(faults={"engines": {"break_after_events": 4}})
         elif not self.engine_drained and fault.target in self._list_staying_engines():
@@ -368,9 +409,10 @@
         departed = {departure.server for departure in self.departures}
         return {name for name in self._list_servers() if _is_engine(name)} - departed
 
-    def _publish_configuration(self) -> None:
+    def _publish_configuration(self, change: str = "") -> None:
         self.configuration_version += 1
         configuration = make_configuration(self.configuration_version)
+        _change_configuration(configuration, change)
         if self.options.paces:
             for route in configuration["Routes"]:
                 if route["Kind"] == "streaming":
@@ -386,6 +428,11 @@
             # An engine that has ended may have started again under another id.
             self.fleet.order(faults={fault.target: {"slowness": slowness}})
 
+    def _set_silence(self, fault: Fault, begins: bool) -> None:
+        if fault.target in self.fleet.describe()["servers"]:
+            # An engine that has ended may have started again under another id.
+            self.fleet.order(faults={fault.target: {"still": begins}})
+
     def _set_router_fault(self, fault: Fault, begins: bool) -> None:
         node = self._find_node(fault.target)
         if fault.how == "pause":
@@ -456,6 +503,36 @@
     return server.startswith("i-engine")
 
 
+def _change_configuration(configuration: dict[str, Any], change: str) -> None:
+    """Apply one of the changes that planned work draws; none of them concerns open requests."""
+    if change == "limits":
+        configuration["Limits"] |= {"IdleTimeoutMs": 9000, "TokensPerS": 90000}
+    elif change == "attempts":
+        for route in configuration["Routes"]:
+            route["MaxAttempts"] += route["MaxAttempts"] > 1
+    elif change == "connections":
+        for service in configuration["Services"]:
+            service["MaxConnections"] += 50
+    elif change == "routes":
+        configuration["Routes"] += [
+            make_route(f"more-{number}", "idempotent", PLAIN_SERVICE)
+            for number in range(MORE_ROUTES)
+        ]
+
+
+def leave_out_faults(options: RunOptions) -> RunOptions:
+    """Return options whose only faults are silences and planned work."""
+    return replace(
+        options,
+        endings=False,
+        notices=False,
+        copies=False,
+        paces=False,
+        silences=True,
+        only_silences=True,
+    )
+
+
 def execute_run(options: RunOptions) -> RunResult:
     """Execute one run; its logs are removed if no promise was broken."""
     result = Run(options).execute()
--- a/soak/schedules.py
+++ b/soak/schedules.py
@@ -24,6 +24,24 @@
 MAX_SAYING_S = 1.5
 """How long an entry says that its engine leaves before it goes."""
 
+SILENCES = ("one", "several", "all", "in_turn")
+"""How many servers stand still at once; ``in_turn``: one does so several times."""
+
+MIN_SILENCE_S = 0.5
+MAX_SILENCE_S = 3.0
+MAX_SILENCE_IN_TURN_S = 1.6
+MIN_GAP_S = 0.05
+MAX_GAP_S = 0.5
+
+PLANNED_WORK = (
+    ("router", "stop"),
+    ("router", "reload"),
+    ("change", "configuration"),
+    ("change", "drain"),
+)
+CONFIGURATION_CHANGES = ("version", "limits", "attempts", "connections", "routes")
+"""What a new configuration changes; ``version``: nothing else."""
+
 PACES = ("slower", "slow_spell")
 """``slower``: an engine is slower than the others for the whole run. ``slow_spell``: one turns slow
 for a moment. Neither excuses a broken promise."""
@@ -132,6 +150,70 @@
     return sorted(paces, key=lambda fault: fault.at_s)
 
 
+def draw_silences(seed: int, seconds: float, servers: list[str]) -> list[Fault]:
+    """Draw which servers stand still, in addition to the other faults of the same seed.
+
+    No two silences of one server overlap.
+    """
+    draw = random.Random(f"silences/{seed}")
+    silences: list[Fault] = []
+    for _ in range(draw.randint(2, 4)):
+        at_s = draw.uniform(FIRST_FAULT_S, seconds * 0.8)
+        for silence in _draw_spell(draw, at_s, servers):
+            if not any(_overlaps(silence, other) for other in silences):
+                silences.append(silence)
+    return sorted(silences, key=lambda fault: fault.at_s)
+
+
+def _draw_spell(draw: random.Random, at_s: float, servers: list[str]) -> list[Fault]:
+    """Draw silences that begin together, or follow one another at one server."""
+    how = draw.choice(SILENCES)
+    if how == "in_turn":
+        return _draw_silences_in_turn(draw, at_s, draw.choice(servers))
+    counts = {"one": 1, "several": draw.randint(2, max(len(servers) - 1, 2)), "all": len(servers)}
+    silences = []
+    for target in draw.sample(servers, min(counts[how], len(servers))):
+        until_s = at_s + draw.uniform(MIN_SILENCE_S, MAX_SILENCE_S)
+        silences.append(Fault(round(at_s, 3), round(until_s, 3), "silence", how, target))
+    return silences
+
+
+def _draw_silences_in_turn(draw: random.Random, at_s: float, target: str) -> list[Fault]:
+    silences = []
+    for _ in range(draw.randint(2, 3)):
+        until_s = at_s + draw.uniform(MIN_SILENCE_S, MAX_SILENCE_IN_TURN_S)
+        silences.append(Fault(round(at_s, 3), round(until_s, 3), "silence", "in_turn", target))
+        at_s = until_s + draw.uniform(MIN_GAP_S, MAX_GAP_S)
+    return silences
+
+
+def _overlaps(one: Fault, other: Fault) -> bool:
+    is_apart = one.until_s < other.at_s or other.until_s < one.at_s
+    return one.target == other.target and not is_apart
+
+
+def draw_planned_work(
+    seed: int, seconds: float, routers: list[str], engines: list[str]
+) -> list[Fault]:
+    """Draw planned work only: stops and reloads of routers, configurations, a drain."""
+    draw = random.Random(f"planned work/{seed}")
+    faults = []
+    for _ in range(draw.randint(3, 6)):
+        at_s = draw.uniform(FIRST_FAULT_S, seconds * 0.8)
+        until_s = min(at_s + draw.uniform(MIN_FAULT_S, MAX_FAULT_S), seconds)
+        kind, how = draw.choice(PLANNED_WORK)
+        choices = routers if kind == "router" else engines
+        choices = list(CONFIGURATION_CHANGES) if how == "configuration" else choices
+        target = draw.choice(choices)
+        faults.append(Fault(round(at_s, 3), round(until_s, 3), kind, how, target))
+    return sorted(faults, key=lambda fault: fault.at_s)
+
+
+def draw_version_count(seed: int, engines: int) -> int:
+    """Draw how many software versions the engines are of: one, two, or each its own."""
+    return random.Random(f"versions/{seed}").choice((1, 2, engines))
+
+
 def draw_store_restorations(seed: int, seconds: float) -> list[Fault]:
     """Draw when the store saves a copy, and when it is restored from it."""
     draw = random.Random(f"copies/{seed}")
--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -83,6 +83,34 @@
       | 6104 | 10      |
       | 7112 | 10      |
 
+  # Guards against: a stream whose server fell silent for a second or so and went on was cut, seconds
+  # before its deadline.
+  Scenario Outline: Nothing is lost while servers fall silent and go on beside planned work
+    When the soak plays seed <seed> for <seconds> s, with silences and planned work only
+    Then no promise was broken, and clients were served
+
+    Examples:
+      | seed | seconds |
+      | 100  | 7       |
+
+  Scenario Outline: The promises are kept under all kinds of faults while servers fall silent
+    When the soak plays seed <seed> for <seconds> s under all its faults, and servers fall silent
+    Then no promise was broken, and clients were served
+
+    Examples:
+      | seed | seconds |
+      | 7300 | 7       |
+
+  Scenario: The checks find requests that are lost beside silences
+    Then an answer that breaks off before its deadline is found beside a silence
+    And a request that was sent whole and got no answer is found beside a silence
+    And a request without an answer by its deadline is found beside a silence
+    And an answer that ends at its deadline, or a request that was not sent whole, is not found
+
+  Scenario: The checks of departures know that a silent server reads late
+    Then a request that a server read as it went on after a silence is not found
+    And a request 0.5 s after a silence is found
+
   Scenario: The checks find requests that reached a server after it had left
     Then a request 2 s after a server has left is found
     And the bound counts from when the store can be reached again
--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -13,8 +13,9 @@
 from soak.departure_checks import Departure, check_departures
 from soak.notice_checks import InjectedFaults, check_notices
 from soak.pause_checks import check_logged_pauses, check_unbroken_streams
-from soak.runs import RunOptions, execute_run
+from soak.runs import RunOptions, execute_run, leave_out_faults
 from soak.schedules import Fault
+from soak.silence_checks import check_kept_requests
 
 SERVER = "i-engine-1"
 ROUTER = "127.0.0.1:80"
@@ -78,6 +79,32 @@
     )
 
 
+@when("the soak plays seed {seed:d} for {seconds:g} s, with silences and planned work only")
+def play_only_silences(context: Any, seed: int, seconds: float) -> None:
+    options = RunOptions(seed, seconds, versions=True, departures=True, framings=True)
+    context.result = execute_run(leave_out_faults(options))
+
+
+@when(
+    "the soak plays seed {seed:d} for {seconds:g} s under all its faults, and servers fall silent"
+)
+def play_silences(context: Any, seed: int, seconds: float) -> None:
+    context.result = execute_run(
+        RunOptions(
+            seed,
+            seconds,
+            endings=True,
+            notices=True,
+            copies=True,
+            paces=True,
+            versions=True,
+            departures=True,
+            framings=True,
+            silences=True,
+        )
+    )
+
+
 @then("no promise was broken, and clients were served")
 def check_result(context: Any) -> None:
     assert not context.result.violations, context.result
@@ -266,3 +293,47 @@
 def check_right_pauses(context: Any) -> None:
     assert not _check_pauses([0.35] * 20)
     assert not _check_pauses([0.3] * 19 + [0.0])
+
+
+SILENCE = Fault(2.0, 4.0, "silence", "one", SERVER)
+SENT_REQUEST = AttemptRecord("x1", "/summary/a", ROUTER, 1.0, 4.9, sent_whole=True)
+
+
+@then("an answer that breaks off before its deadline is found beside a silence")
+def check_cut_answer(context: Any) -> None:
+    cut = replace(SENT_REQUEST, status=200, broken=True)
+    assert len(check_kept_requests([cut])) == 1
+    stop = Fault(2.0, 4.0, "router", "stop", "edge-1")
+    assert len(check_deadlines([cut], [stop], {ROUTER: "edge-1"}, 0.0, [SILENCE])) == 1
+
+
+@then("a request that was sent whole and got no answer is found beside a silence")
+def check_lost_request(context: Any) -> None:
+    assert len(check_kept_requests([SENT_REQUEST])) == 1
+
+
+@then("a request without an answer by its deadline is found beside a silence")
+def check_unanswered_request(context: Any) -> None:
+    unanswered = replace(SENT_REQUEST, ended_s=7.0, timed_out=True)
+    assert len(check_kept_requests([unanswered])) == 1
+    assert len(check_deadlines([unanswered], [], {ROUTER: "edge-1"}, 0.0, [SILENCE])) == 1
+
+
+@then("an answer that ends at its deadline, or a request that was not sent whole, is not found")
+def check_kept(context: Any) -> None:
+    late = replace(SENT_REQUEST, ended_s=5.0, status=200, broken=True)
+    assert not check_kept_requests([late, replace(SENT_REQUEST, sent_whole=False)])
+    stop = Fault(2.0, 4.0, "router", "stop", "edge-1")
+    assert not check_deadlines([late], [stop], {ROUTER: "edge-1"}, 0.0, [SILENCE])
+    assert len(check_deadlines([late], [stop], {ROUTER: "edge-1"}, 0.0)) == 1
+
+
+@then("a request that a server read as it went on after a silence is not found")
+def check_late_reading(context: Any) -> None:
+    assert not _check_departed(4.1, SILENCE)
+    assert len(_check_departed(4.1, replace(SILENCE, target="i-engine-2"))) == 1
+
+
+@then("a request 0.5 s after a silence is found")
+def check_after_silence(context: Any) -> None:
+    assert len(_check_departed(4.5, SILENCE)) == 1
