--- a/packages/core/src/myrtlehook_core/process/routers.py
+++ b/packages/core/src/myrtlehook_core/process/routers.py
@@ -45,6 +45,7 @@
 )
 from myrtlehook_core.process.leaving_servers import LeavingServers, mark_leaving
 from myrtlehook_core.process.ledgers import Ledger
+from myrtlehook_core.process.link_renewals import forget_misses
 from myrtlehook_core.process.members import (
     MemberState,
     MemberTable,
@@ -390,7 +391,7 @@
         clear_queues(self.engine_queues, now_s)
         self.ingress.advertised_requests.clear()
         self.prober.pending.clear()
-        self.prober.consecutive_misses.clear()
+        forget_misses(self.prober.links)
         for member in self.table.members.values():
             if member.state is MemberState.SUSPECT:
                 member.suspect_deadline_s = now_s + self.options.suspicion_s
