Take a few members that end for no silence of a router's own connections

A router reopened all of its connections also where three of its members had ended and all others answered, which loses what waits on them.

--- a/packages/core/src/myrtlehook_core/process/link_renewals.py
+++ b/packages/core/src/myrtlehook_core/process/link_renewals.py
@@ -19,8 +19,9 @@
 
 SILENT_MEMBERS = 3
 """When this many members that are not considered dead have missed direct probes within
-``SILENCE_WINDOW_S``, this router's own connections are in doubt, and all of them are reopened:
-probes go to one member at a time, so that they would find the other silent ones too late."""
+``SILENCE_WINDOW_S``, and no more have answered, this router's own connections are in doubt, and all
+of them are reopened: probes go to one member at a time, so that they would find the other silent
+ones too late. Where a few members have ended, most others answer."""
 
 SILENCE_WINDOW_S = 1.0
 
@@ -47,6 +48,8 @@
     """By member, the number of consecutive direct probes that it did not answer itself."""
     missed_at_s: dict[str, float] = field(default_factory=dict)
     """By member that was not considered dead, when it last missed a direct probe."""
+    answered_at_s: dict[str, float] = field(default_factory=dict)
+    """By member, when it last answered a direct probe itself."""
     renewed_at_s: dict[str, float] = field(default_factory=dict)
     """By member, when the connection to it was last reopened."""
     waiting: list[str] = field(default_factory=list)
@@ -56,8 +59,9 @@
     """From ``all_renewed_at_s`` until all connections may be reopened again."""
 
 
-def record_answer(renewals: LinkRenewals, router_id: str) -> None:
+def record_answer(renewals: LinkRenewals, router_id: str, now_s: float) -> None:
     """Record that a member has answered a probe itself."""
+    renewals.answered_at_s[router_id] = now_s
     renewals.consecutive_misses.pop(router_id, None)
     missed_at_s = renewals.missed_at_s.get(router_id, -math.inf)
     if renewals.renewed_at_s.get(router_id, -math.inf) < missed_at_s:
@@ -110,6 +114,7 @@
     """Forget all unanswered probes: this router was paused and may have missed the answers."""
     renewals.consecutive_misses.clear()
     renewals.missed_at_s.clear()
+    renewals.answered_at_s.clear()
     renewals.waiting.clear()
 
 
@@ -117,6 +122,7 @@
     """Forget a member that was removed from the table."""
     renewals.consecutive_misses.pop(router_id, None)
     renewals.missed_at_s.pop(router_id, None)
+    renewals.answered_at_s.pop(router_id, None)
     renewals.renewed_at_s.pop(router_id, None)
 
 
@@ -127,7 +133,13 @@
 
 
 def _are_many_silent(renewals: LinkRenewals, now_s: float) -> bool:
-    for router_id, missed_at_s in list(renewals.missed_at_s.items()):
-        if now_s - missed_at_s > SILENCE_WINDOW_S:
-            del renewals.missed_at_s[router_id]
-    return len(renewals.missed_at_s) >= SILENT_MEMBERS
+    _forget_before(renewals.missed_at_s, now_s - SILENCE_WINDOW_S)
+    _forget_before(renewals.answered_at_s, now_s - SILENCE_WINDOW_S)
+    missed = len(renewals.missed_at_s)
+    return missed >= SILENT_MEMBERS and missed >= len(renewals.answered_at_s)
+
+
+def _forget_before(seen_at_s: dict[str, float], since_s: float) -> None:
+    for router_id, at_s in list(seen_at_s.items()):
+        if at_s < since_s:
+            del seen_at_s[router_id]
--- a/packages/core/src/myrtlehook_core/process/probing.py
+++ b/packages/core/src/myrtlehook_core/process/probing.py
@@ -154,7 +154,7 @@
     """Apply an acknowledgement, and pass it on if the probe was sent for another router."""
     apply_news(context, sender, ack.news, now_s)
     if sender == ack.target:
-        record_answer(prober.links, sender)
+        record_answer(prober.links, sender, now_s)
     pending = prober.pending.pop(ack.probe_id, None)
     if pending is None or pending.target != ack.target:
         return
