--- a/packages/router/src/myrtlehook_router/connection/framing_memories.py
+++ b/packages/router/src/myrtlehook_router/connection/framing_memories.py
@@ -5,7 +5,7 @@
 UNFRAMED_MEMORY_S = 60.0
 """A server that has sent an answer without length or chunks is expected to do so for this long."""
 
-MAX_KINDS = 32
+MAX_KINDS = 2
 """A server whose answers to so many kinds of requests were framed is taken to frame all of them."""
 
 
