--- a/packages/core/src/myrtlehook_core/process/message_handlers.py
+++ b/packages/core/src/myrtlehook_core/process/message_handlers.py
@@ -174,7 +174,7 @@
 
 
 def _handle_probe(core: "RouterCore", sender: str, message: Probe, now_s: float) -> None:
-    handle_probe(core.prober, core.probe_context(), sender, message, now_s)
+    handle_probe(core.probe_context(), sender, message, now_s)
     apply_source_news(core, sender, message.news, now_s)
     apply_quarantine_news(core, sender, message.news, now_s)
 
--- a/packages/core/src/myrtlehook_core/process/probing.py
+++ b/packages/core/src/myrtlehook_core/process/probing.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from myrtlehook_core.process.actions import ActionList, Send, ServerLeavingReported
+from myrtlehook_core.process.actions import ActionList, RenewLink, Send, ServerLeavingReported
 from myrtlehook_core.process.choosers import Draw
 from myrtlehook_core.process.leaving_servers import (
     LeavingServers,
@@ -11,14 +11,6 @@
     list_leaving_rows,
     record_leaving,
 )
-from myrtlehook_core.process.link_renewals import (
-    LinkRenewals,
-    forget_link,
-    record_answer,
-    record_miss,
-    renew_doubtful_link,
-    tick_renewals,
-)
 from myrtlehook_core.process.members import (
     Member,
     MemberState,
@@ -60,6 +52,13 @@
 """The number of members in each other zone that receive an announcement directly. With fewer, a
 failed and a slow one could keep it from the zone."""
 
+MISSES_BEFORE_RECONNECT = 2
+"""After this many consecutive direct probes without an answer, the connection to a member is
+reopened, even while indirect probes show that it is alive. A connection that went silent without
+a reset would otherwise stay so for as long as the operating system retransmits, many minutes, and
+the indirect probes would hide it. A single late answer is common where a router is busy, and
+reopening a connection loses the messages queued on the old one."""
+
 JOIN_QUERIES = 3
 """The number of candidates that a starting router asks for the member table at once."""
 
@@ -87,7 +86,8 @@
 
     pending: dict[int, PendingProbe] = field(default_factory=dict)
     targets: ProbeTargets = field(default_factory=ProbeTargets)
-    links: LinkRenewals = field(default_factory=LinkRenewals)
+    consecutive_misses: dict[str, int] = field(default_factory=dict)
+    """By member, the number of consecutive direct probes that it did not answer itself."""
     last_probe_id: int = 0
     next_probe_s: float = 0.0
     next_join_s: float = 0.0
@@ -118,7 +118,6 @@
 def tick_prober(prober: Prober, context: ProbeContext, now_s: float) -> None:
     """Expire unanswered probes, suspects and old members, and send the next probe if it is due."""
     _expire_probes(prober, context, now_s)
-    tick_renewals(prober.links, context.table, context.actions, now_s)
     _expire_suspects(context, now_s)
     _forget_gone(prober, context, now_s)
     if now_s < prober.next_probe_s:
@@ -137,11 +136,8 @@
         _send_probe(prober, context, target, now_s + context.options.probe_timeout_s)
 
 
-def handle_probe(
-    prober: Prober, context: ProbeContext, sender: str, probe: Probe, now_s: float
-) -> None:
+def handle_probe(context: ProbeContext, sender: str, probe: Probe, now_s: float) -> None:
     """Apply the news of a probe, and acknowledge it."""
-    _renew_link_of_doubter(prober, context, sender, probe, now_s)
     apply_news(context, sender, probe.news, now_s)
     _send(
         context,
@@ -154,7 +150,7 @@
     """Apply an acknowledgement, and pass it on if the probe was sent for another router."""
     apply_news(context, sender, ack.news, now_s)
     if sender == ack.target:
-        record_answer(prober.links, sender, now_s)
+        prober.consecutive_misses.pop(sender, None)
     pending = prober.pending.pop(ack.probe_id, None)
     if pending is None or pending.target != ack.target:
         return
@@ -245,24 +241,10 @@
 
 
 def _send_probe(prober: Prober, context: ProbeContext, target: Member, deadline_s: float) -> int:
-    rows = collect_member_news(context.table, target.router_id)
-    return _send_probe_with(prober, context, target, deadline_s, rows)
-
-
-def _send_probe_with(
-    prober: Prober,
-    context: ProbeContext,
-    target: Member,
-    deadline_s: float,
-    rows: tuple[MemberRow, ...],
-) -> int:
-    """Send a probe with these rows, and return its id."""
     prober.last_probe_id += 1
     probe_id = prober.last_probe_id
     prober.pending[probe_id] = PendingProbe(target.router_id, deadline_s)
-    leaving = collect_leaving_rows(context.leaving)
-    news = _make_news(context, rows, leaving, context.collect_holdoff_rows(False))
-    _send(context, target.router_id, Probe(probe_id, news))
+    _send(context, target.router_id, Probe(probe_id, _collect_news(context, target.router_id)))
     return probe_id
 
 
@@ -274,14 +256,22 @@
         if member is None or pending.requester:
             continue
         if not pending.indirect:
-            record_miss(prober.links, context.table, context.actions, member, now_s)
+            _record_miss(prober, context, member)
         if member.state is MemberState.LEAVING:
             member.has_left = True
         if member.state is not MemberState.ALIVE:
             continue
         helpers = _pick_helpers(context, pending.target)
         if pending.indirect or not helpers:
-            _suspect(prober, context, member, now_s)
+            options = context.options
+            change_state(
+                context.table,
+                member,
+                MemberState.SUSPECT,
+                StateCause.UNANSWERED,
+                now_s,
+                options.suspicion_s,
+            )
             continue
         pending.indirect = True
         pending.deadline_s = now_s + context.options.indirect_timeout_s
@@ -290,38 +280,13 @@
             _send(context, helper, IndirectProbe(probe_id, pending.target))
 
 
-def _suspect(prober: Prober, context: ProbeContext, member: Member, now_s: float) -> None:
-    """Suspect a member, and tell it so on a new connection, so that it can refute that in time."""
-    options = context.options
-    change_state(
-        context.table,
-        member,
-        MemberState.SUSPECT,
-        StateCause.UNANSWERED,
-        now_s,
-        options.suspicion_s,
-    )
-    renew_doubtful_link(prober.links, context.actions, member, now_s)
-    # It is likely dead, and news that is sent to it would be lost.
-    rows = (make_own_row(context.table), make_member_row(member))
-    _send_probe_with(prober, context, member, now_s + options.probe_timeout_s, rows)
-
-
-def _renew_link_of_doubter(
-    prober: Prober, context: ProbeContext, sender: str, probe: Probe, now_s: float
-) -> None:
-    """Reopen the connection to a router that considers this one suspect or dead.
-
-    It may have got no answer because the connection that carries the answers is silent.
-    """
-    own_id = context.table.identity.router_id
-    member = context.table.members.get(sender)
-    doubts = any(
-        row.router_id == own_id and row.state in (MemberState.SUSPECT, MemberState.DEAD)
-        for row in probe.news.members
-    )
-    if doubts and member is not None:
-        renew_doubtful_link(prober.links, context.actions, member, now_s)
+def _record_miss(prober: Prober, context: ProbeContext, member: Member) -> None:
+    """Count a direct probe that was not answered in time, and reopen a silent connection."""
+    missed = prober.consecutive_misses.get(member.router_id, 0) + 1
+    prober.consecutive_misses[member.router_id] = missed
+    if missed >= MISSES_BEFORE_RECONNECT:
+        del prober.consecutive_misses[member.router_id]
+        context.actions.add(RenewLink(member.router_id, member.address))
 
 
 def _pick_helpers(context: ProbeContext, target: str) -> list[str]:
@@ -356,7 +321,7 @@
         gone = member.state in (MemberState.DEAD, MemberState.LEAVING) and not member.listed
         if gone and now_s - member.changed_at_s > FORGET_GONE_AFTER_S:
             forget_member(context.table, member.router_id)
-            forget_link(prober.links, member.router_id)
+            prober.consecutive_misses.pop(member.router_id, None)
 
 
 def _collect_news(context: ProbeContext, receiver: str) -> News:
--- a/packages/core/src/myrtlehook_core/process/routers.py
+++ b/packages/core/src/myrtlehook_core/process/routers.py
@@ -45,7 +45,6 @@
 )
 from myrtlehook_core.process.leaving_servers import LeavingServers, mark_leaving
 from myrtlehook_core.process.ledgers import Ledger
-from myrtlehook_core.process.link_renewals import forget_misses
 from myrtlehook_core.process.members import (
     MemberState,
     MemberTable,
@@ -391,7 +390,7 @@
         clear_queues(self.engine_queues, now_s)
         self.ingress.advertised_requests.clear()
         self.prober.pending.clear()
-        forget_misses(self.prober.links)
+        self.prober.consecutive_misses.clear()
         for member in self.table.members.values():
             if member.state is MemberState.SUSPECT:
                 member.suspect_deadline_s = now_s + self.options.suspicion_s
