--- a/packages/router/src/myrtlehook_router/request/silences.py
+++ b/packages/router/src/myrtlehook_router/request/silences.py
@@ -53,11 +53,13 @@
 """The shortest time between two searches for a successor of one request."""
 
 MAX_SEARCH_INTERVAL_S = 2.0
+"""The longest time, whatever a refusal says: servers that were silent may be back by then."""
 
 SILENT_SERVER_MEMORY_S = 2.0
 """For this long after a server was found silent it gets no successor, unless it is heard from."""
 
 MIN_RECHECK_S = 0.001
+"""Shortest wait, for times that have just passed."""
 
 _log = get_logger("requests", is_kept=True)
 
@@ -136,6 +138,7 @@
 
 
 def _may_seek(relay: Relay) -> bool:
+    """Return whether the request may be sent to one more server while it may be running."""
     route = relay.request.route
     return route.repeatable and relay.attempts < route.attempts
 
@@ -176,7 +179,7 @@
 
 
 def _seek(relay: Relay) -> None:
-    """Seek a successor, and look at the silence again afterwards."""
+    """Seek a successor, and look at the silence again afterwards; the task of a search."""
     services = relay.placement.services
     services.silent_until_s[relay.backend_server] = clocks.now_s() + SILENT_SERVER_MEMORY_S
     search = _open_search(relay)
@@ -293,7 +296,7 @@
 
 
 def _send(relay: Relay, search: Search, server: BackendServer, last_event_id: str | None) -> None:
-    """Send the successor's attempt; the task of a search."""
+    """Send the successor's attempt, in a task of its own, as the search stops waiting earlier."""
     sent: Result[urllib3.HTTPResponse, RetryReason] = Err(RetryReason.ANSWER_BROKEN)
     try:
         sent = send_once(search.successor, server, last_event_id)
