review: case 2, no router starts with empty settings keys of matters not open

An empty Bounds.ColdOvershoot is rejected and ends each start with status 2, so that a rolling restart leaves no router.

--- a/review/standins/fleets.py
+++ b/review/standins/fleets.py
@@ -56,7 +56,7 @@
         self.routers = [self._make_router(number) for number in range(1, count + 1)]
         self.left_machines = [self._make_router(number) for number in range(50, 53)]
         """Machines that have left before the case begins; nothing listens at their addresses."""
-        self.bounds: dict[str, float] = {}
+        self.bounds: dict[str, float | str] = {}
         """Bounds in the settings besides those that each deployment has."""
 
     def _make_router(self, number: int) -> Router:
