--- a/review/2/run.py
+++ b/review/2/run.py
@@ -26,6 +26,9 @@
 ENTRY_INTERVAL_S = 7.0
 """The servers of the other writer start one after the other."""
 
+EXCUSED_S = 1.0
+"""Rule Own ends: an end within a second of a disruption, such as a start, isn't counted."""
+
 RESTART_DELAY_S = 1.0
 """The platform starts a process that has ended again after a short delay."""
 
@@ -92,7 +95,7 @@
             store.put(f"servers/i-other-{written}", FOREIGN_ENTRY)
             record.add("entry of another writer", number=written, entry=FOREIGN_ENTRY)
         for router in fleet.routers:
-            if fleet.note_own_end(router):
+            if fleet.note_own_end(router, EXCUSED_S):
                 restarts[router.name] = record.now_s() + RESTART_DELAY_S
             elif router.process is None and record.now_s() >= restarts[router.name]:
                 fleet.start(router)
--- a/review/standins/fleets.py
+++ b/review/standins/fleets.py
@@ -40,6 +40,7 @@
     zone: str
     settings: Path
     process: subprocess.Popen[bytes] | None = None
+    started_s: float = 0.0
     own_ends: list[int] = field(default_factory=list)
     """The exit statuses with which its processes ended by themselves."""
 
@@ -136,6 +137,7 @@
                 stdout=log,
                 stderr=subprocess.STDOUT,
             )
+        router.started_s = time.monotonic()
         self._record.add("start", router=router.name, pid=router.process.pid)
 
     def start_all(self) -> None:
@@ -151,15 +153,20 @@
             waiting = [router for router in waiting if not is_ready(router)]
         self._record.add("ready", routers=len(self.routers))
 
-    def note_own_end(self, router: Router) -> bool:
-        """Return whether a router's process has ended by itself since the last start."""
+    def note_own_end(self, router: Router, excused_s: float = 0.0) -> bool:
+        """Return whether a router's process has ended by itself since the last start.
+
+        :param excused_s: an end so soon after the start isn't counted.
+        """
         if router.process is None:
             return False
         status = router.process.poll()
         if status is None:
             return False
-        router.own_ends.append(status)
-        self._record.add("ended by itself", router=router.name, status=status)
+        age_s = time.monotonic() - router.started_s
+        if age_s > excused_s:
+            router.own_ends.append(status)
+        self._record.add("ended by itself", router=router.name, status=status, age_s=age_s)
         router.process = None
         return True
 
