A configuration that is accepted can be carried by all that it meets

Cause: fields were checked for their type and least value only. JSON with 1e400 or NaN is read, a name may hold half of a character pair; later a deadline is put into a message, a limit into readline() and settimeout(), a name into a message or a header.

A tenant's name beyond Latin-1 is accepted and can now be carried, in UTF-8; keys beyond ASCII authenticate in either encoding.

--- a/packages/router/src/myrtlehook_router/request/attempts.py
+++ b/packages/router/src/myrtlehook_router/request/attempts.py
@@ -8,6 +8,7 @@
 from myrtlehook_router.connection.server_connections import Exchange, OutgoingRequest
 from myrtlehook_router.process import clocks
 from myrtlehook_router.request.headers import (
+    encode_header_value,
     find_header,
     list_router_only_headers,
     select_end_to_end_headers,
@@ -105,7 +106,7 @@
     if server.instance:
         headers.append((names.expected_instance, server.instance))
     if relay.request.authenticated:
-        headers.append((names.workspace, relay.request.workspace.name))
+        headers.append((names.workspace, encode_header_value(relay.request.workspace.name)))
     if last_event_id is not None:
         headers.append((names.last_event_id, last_event_id))
     source = relay.placement.services.configuration().backend_servers.get(relay.memory_source)
--- a/packages/router/src/myrtlehook_router/request/headers.py
+++ b/packages/router/src/myrtlehook_router/request/headers.py
@@ -116,6 +116,19 @@
     return [(key, value) for key, value in kept if _normalize_name(key) not in excluded]
 
 
+def read_whole_number(text: str, limit: int) -> int | None:
+    """Return a whole number in a header, at most ``limit``; None if the text is no such number."""
+    if not (text.isascii() and text.isdigit()):
+        return None
+    digits = text.lstrip("0")
+    return limit if len(digits) > len(str(limit)) else min(int(digits or "0"), limit)
+
+
+def encode_header_value(text: str) -> str:
+    """Return a text as a header value that is sent in UTF-8; headers are encoded as Latin-1."""
+    return text.encode().decode("latin-1")
+
+
 def _normalize_name(name: str) -> str:
     """Return a header's name in lower case with underscores as hyphens.
 
--- a/packages/router/src/myrtlehook_router/version/keys.py
+++ b/packages/router/src/myrtlehook_router/version/keys.py
@@ -12,10 +12,26 @@
 
 
 def authenticate(configuration: Configuration, authorization: str) -> Workspace | None:
-    """Return the workspace whose key the Authorization header holds, or None."""
+    """Return the workspace whose key the Authorization header holds, or None.
+
+    A key beyond ASCII may be sent in Latin-1 or in UTF-8.
+    """
     if not authorization.startswith(BEARER):
         return None
-    digest = hashlib.sha256(authorization[len(BEARER) :].strip().encode()).hexdigest()
+    key = authorization[len(BEARER) :].strip()
+    found = _find_by_key(configuration, key.encode())
+    if found is not None or key.isascii():
+        return found
+    return _find_by_key(configuration, _encode_as_sent(key))
+
+
+def _encode_as_sent(key: str) -> bytes:
+    """Return the bytes of a key as the client sent them; heads are decoded as Latin-1."""
+    return key.encode("latin-1", "replace")
+
+
+def _find_by_key(configuration: Configuration, key: bytes) -> Workspace | None:
+    digest = hashlib.sha256(key).hexdigest()
     # The lookup goes by a digest, which a client cannot choose, and the comparison takes the
     # same time wherever the two digests differ. Comparing with every key would cost more than
     # the rest of a request at 17,000 workspaces.
--- a/tests/features/borders.feature
+++ b/tests/features/borders.feature
@@ -67,6 +67,53 @@
       | a number                 |
       | pages without end        |
 
+  # Guards against: a configuration was accepted whose values a message, a clock, a socket or a header could
+  # not carry: routers ended, or every connection was left without an answer.
+  Scenario Outline: A configuration of any kind ends no router, and every caller gets an answer
+    When the operator publishes a configuration with <change>
+    Then every router answers, and none has ended
+    And the next configuration is in force at every router
+
+    Examples:
+      | change                               |
+      | a version of 2**63                   |
+      | a version of 2**70                   |
+      | a time-out of 1e300 ms               |
+      | an infinite time-out                 |
+      | a target of 1e300 ms                 |
+      | a pause target of 1e300 ms           |
+      | a negative pause target              |
+      | a priority of 2**70                  |
+      | a tenant's priority of -2**70        |
+      | 2**70 attempts                       |
+      | an infinite weight                   |
+      | weights that are all 0               |
+      | a memory of 400 digits               |
+      | events of 2**70 tokens               |
+      | 2**70 connections                    |
+      | a cold start of 1e300 s              |
+      | a cold rate of 5e-324                |
+      | heads of 2**70 bytes                 |
+      | bodies of 2**70 bytes                |
+      | a head time-out of 1e300 ms          |
+      | an idle time-out of 1e300 ms         |
+      | 1e300 tokens per second              |
+      | a service with a surrogate           |
+      | a route with a surrogate             |
+      | a tenant with a surrogate            |
+      | a tenant with a line break           |
+      | a key with a surrogate               |
+      | an empty key                         |
+      | a region with a surrogate            |
+      | a tenant of 100000 characters        |
+      | lists nested without end             |
+      | 30000 faults                         |
+
+  # Guards against: a tenant's name that no header can carry was accepted, and each of its requests failed.
+  Scenario: A tenant whose name is beyond Latin-1 is served
+    When the operator publishes a configuration with a tenant whose name is beyond Latin-1
+    Then its requests are answered by every router, and the server sees its name in UTF-8
+
   # Guards against: values of other programs, which the router does not use, filled its memory.
   Scenario: Large values that are not used take no memory
     When another program writes 150 values of a megabyte under keys of its own
