A node's settings file is read within bounds, and what is sound in it is used

Cause: an empty value was kept as an empty text; names were nested without regard to the model, so that a field below a known value conflicted with it; numbers had no upper bound, and "inf" is a float.

A changed file that is rejected is counted (`settings.rejected`) and logged with its findings, once until it changes; the values in it that are sound are used, the others, and those that it lacks, stay.

The emulated store now gives pages of at most 1 MB, as the platform does.

--- a/emulator/control.py
+++ b/emulator/control.py
@@ -11,11 +11,15 @@
     add_engine,
     describe_site,
     end_engine,
+    make_configuration,
     put_engine,
     put_server,
     restore_store_copy,
 )
 
+LARGE_BYTES = 420_000
+"""Length of the filler of a large configuration."""
+
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 
 
@@ -54,6 +58,10 @@
         site.store.put_foreign_item(item)
     if order.get("drop_foreign_items"):
         site.store.drop_foreign_items()
+    for number in range(order.get("configurations", 0)):
+        # Many large versions at once: a later watch is answered with all of them.
+        filler = {"Version": order["first_version"] + number, "Filler": "x" * LARGE_BYTES}
+        site.store.put("op/config", json.dumps(make_configuration(0) | filler))
     for key, text in order.get("items", {}).items():
         site.store.put(key, text)
     for key in order.get("drop_items", []):
--- a/emulator/store.py
+++ b/emulator/store.py
@@ -13,6 +13,7 @@
 
 MAX_HISTORY_ITEMS = 1000
 MAX_PAGE_ITEMS = 50
+MAX_PAGE_BYTES = 1_000_000
 FOREIGN_ITEM = "foreign item"
 """The field of a change in the history that holds an item which another program has written."""
 
@@ -89,9 +90,14 @@
         self._record_change(item)
 
     def put_foreign_item(self, item: Any) -> None:
-        """Write an item as another program may have written it, which pages list first."""
+        """Write an item as another program may have written it.
+
+        One without a key that can be sorted among others stands on the first page.
+        """
         self.revision += 1
         self.foreign_items.append(item)
+        if _has_sound_key(item):
+            self.items[item["PrivateKey"]] = item
         self._record_change({"PrivateKey": "", "Revision": self.revision, FOREIGN_ITEM: item})
 
     def drop_foreign_items(self) -> None:
@@ -101,6 +107,8 @@
             if isinstance(item, dict) and "PrivateKey" in item:
                 self.revision += 1
                 gone = {"PrivateKey": item["PrivateKey"], "Revision": self.revision, "gone": True}
+                if _has_sound_key(item):
+                    self.items.pop(item["PrivateKey"], None)
                 self._record_change(
                     {"PrivateKey": "", "Revision": self.revision, FOREIGN_ITEM: gone}
                 )
@@ -148,11 +156,21 @@
     def _read_range(self, query: dict[str, str]) -> tuple[str, dict[str, Any]]:
         prefix, after = query["PathPrefix"], query.get("After", "")
         keys = sorted(key for key in self.items if key.startswith(prefix) and key > after)
-        entries = [self.items[key] for key in keys[:MAX_PAGE_ITEMS]]
-        entries = entries if after else [*self.foreign_items, *entries]
-        more = len(keys) > MAX_PAGE_ITEMS
+        entries = [self.items[key] for key in self._take_page(keys)]
+        more = len(keys) > len(entries)
+        if not after:
+            entries = [item for item in self.foreign_items if not _has_sound_key(item)] + entries
         return "200 OK", {"Entries": entries, "more": more, "at": self.revision}
 
+    def _take_page(self, keys: list[str]) -> list[str]:
+        """Return the first keys, one at least, whose items fit into one page."""
+        page_bytes = 0
+        for number, key in enumerate(keys[:MAX_PAGE_ITEMS]):
+            page_bytes += len(str(self.items[key].get("Value", "")))
+            if number and page_bytes > MAX_PAGE_BYTES:
+                return keys[:number]
+        return keys[:MAX_PAGE_ITEMS]
+
     def _read_key(self, query: dict[str, str]) -> tuple[str, dict[str, Any]]:
         item = self.items.get(query["PrivateKey"])
         if item is None:
@@ -186,3 +204,9 @@
     def _wake_watches(self) -> None:
         changed, self.changed = self.changed, Event()
         changed.send()
+
+
+def _has_sound_key(item: Any) -> bool:
+    """Return whether an item has a key of printable characters."""
+    key = item.get("PrivateKey") if isinstance(item, dict) else None
+    return isinstance(key, str) and key.isprintable()
--- a/packages/core/src/myrtlehook_core/process/settings.py
+++ b/packages/core/src/myrtlehook_core/process/settings.py
@@ -6,6 +6,7 @@
 from result import Err, Result
 
 from myrtlehook_core.process.options import CoreOptions
+from myrtlehook_core.version import bounds
 from myrtlehook_core.version.documents import Document
 from myrtlehook_core.version.findings import Finding
 from myrtlehook_core.version.validation import parse_document
@@ -35,12 +36,12 @@
 class LimitSettings(Document):
     """Resource limits of this process; each has a refusal reason and a counter."""
 
-    body_bytes: int = Field(default=8 * 1024 * 1024, ge=1)
-    header_bytes: int = Field(default=32 * 1024, ge=1024)
-    connections: int = Field(default=4096, ge=1)
-    queued_requests: int = Field(default=20_000, ge=1)
-    queued_bytes: int = Field(default=512 * 1024 * 1024, ge=1)
-    idle_connection_s: float = Field(default=60.0, gt=0)
+    body_bytes: int = Field(default=8 * 1024 * 1024, ge=1, le=bounds.MAX_COUNT)
+    header_bytes: int = Field(default=32 * 1024, ge=1024, le=bounds.MAX_COUNT)
+    connections: int = Field(default=4096, ge=1, le=bounds.MAX_COUNT)
+    queued_requests: int = Field(default=20_000, ge=1, le=bounds.MAX_COUNT)
+    queued_bytes: int = Field(default=512 * 1024 * 1024, ge=1, le=bounds.MAX_COUNT)
+    idle_connection_s: float = Field(default=60.0, gt=0, le=bounds.MAX_WAIT_S)
 
 
 class TimingSettings(Document):
--- a/packages/router/src/myrtlehook_router/process/gateway_daemons.py
+++ b/packages/router/src/myrtlehook_router/process/gateway_daemons.py
@@ -13,6 +13,7 @@
 from eventlet import wsgi
 
 from myrtlehook_core import (
+    Finding,
     IngressLimits,
     Listener,
     MemberState,
@@ -36,10 +37,10 @@
 from myrtlehook_router.connection.server_checks import ServerChecks, ServerState
 from myrtlehook_router.process import clocks
 from myrtlehook_router.process.caller_servers import CallerServer, CallerServices
-from myrtlehook_router.process.core_tasks import CoreTask
+from myrtlehook_router.process.core_tasks import MAX_LOGGED_FINDINGS, CoreTask
 from myrtlehook_router.process.counters import Counters
 from myrtlehook_router.process.engine_gauges import list_engine_gauges
-from myrtlehook_router.process.gateway_settings import GatewaySettings
+from myrtlehook_router.process.gateway_settings import GatewaySettings, ReloadedSettings
 from myrtlehook_router.process.lags import watch_lag
 from myrtlehook_router.process.log_streams import REPORT_INTERVAL_S, BoundedStream, KeptStream
 from myrtlehook_router.process.logs import get_logger, set_up_logs
@@ -88,16 +89,18 @@
         self,
         settings: GatewaySettings,
         make_sources: Callable[[Counters, ReadSwitch], Iterable[Source]],
-        reload_settings: Callable[[], GatewaySettings | None],
+        reload_settings: Callable[[], ReloadedSettings],
         client_socket: socket.socket | None = None,
     ) -> None:
         """Prepare a router.
 
-        :param reload_settings: returns the current settings, or None while they are invalid.
+        :param reload_settings: reads the settings again.
         :param client_socket: the listening socket for clients, if it is open already.
         """
         self._client_socket = client_socket
         self._reload_settings = reload_settings
+        self._findings: tuple[Finding, ...] = ()
+        """What was unsound in the settings file when it was last read again."""
         self._stop_signal = Signal()
         self._reload_signal = Signal()
         self._log_stream = BoundedStream(sys.stdout.fileno())
@@ -385,11 +388,28 @@
         while True:
             self._reload_signal.wait(RELOAD_INTERVAL_S)
             self._reload_signal.clear()
-            self._apply_settings(self._reload_settings())
+            reloaded = self._reload_settings()
+            self._report_findings(reloaded.findings)
+            self._apply_settings(reloaded.settings)
 
-    def _apply_settings(self, settings: GatewaySettings | None) -> None:
+    def _report_findings(self, findings: tuple[Finding, ...]) -> None:
+        """Count and log what is unsound in a changed settings file, once until it changes."""
+        if findings == self._findings:
+            return
+        self._findings = findings
+        if not findings:
+            _log.info("settings sound again")
+            return
+        self._counters.add("settings.rejected")
+        _log.error(
+            "settings rejected in part",
+            count=len(findings),
+            findings=[str(finding) for finding in findings[:MAX_LOGGED_FINDINGS]],
+        )
+
+    def _apply_settings(self, settings: GatewaySettings) -> None:
         """Apply the settings that may change at run time; listening addresses may not."""
-        if settings is None or settings == self._settings:
+        if settings == self._settings:
             return
         new_seeds = [seed for seed in settings.seeds if seed not in self._settings.seeds]
         self._mailbox.post(events.SeedsNamed(tuple(new_seeds)))
--- a/packages/router/src/myrtlehook_router/process/gateway_settings.py
+++ b/packages/router/src/myrtlehook_router/process/gateway_settings.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from myrtlehook_core import NO_REGIONS, ConfigurationParser, CoreOptions, Listener, Regions
+from myrtlehook_core import NO_REGIONS, ConfigurationParser, CoreOptions, Finding, Listener, Regions
 from myrtlehook_router.request.headers import HeaderNames
 
 
@@ -36,3 +36,13 @@
     max_caller_descriptors: int = 0
     """Limit of file descriptors for clients' connections: one that is served here uses one,
     one that a neighbour serves uses two. With 0, the limit is ``max_connections``."""
+
+
+@dataclass(frozen=True, slots=True)
+class ReloadedSettings:
+    """The settings as they were read again."""
+
+    settings: GatewaySettings
+    """Those in the file, or the earlier ones where it is unsound."""
+    findings: tuple[Finding, ...]
+    """What is unsound in the file."""
--- a/tests/features/borders.feature
+++ b/tests/features/borders.feature
@@ -67,6 +67,12 @@
       | a number                 |
       | pages without end        |
 
+  # Guards against: such an answer was asked for again as it was, until another router read everything anew.
+  @nodes.1
+  Scenario: Changes that are too large together for one answer are read by pages
+    When 30 large configurations are published while no router can reach the store
+    Then the last of them is in force at every router
+
   # Guards against: a configuration was accepted whose values a message, a clock, a socket or a header could
   # not carry: routers ended, or every connection was left without an answer.
   Scenario Outline: A configuration of any kind ends no router, and every caller gets an answer
--- a/tests/steps/border_steps.py
+++ b/tests/steps/border_steps.py
@@ -18,6 +18,7 @@
 """Time for a change to reach every router, and to be sent on."""
 
 IN_FORCE_S = 8.0
+LARGE_IN_FORCE_S = 30.0
 ANSWERS: dict[str, dict[str, Any]] = {
     "a revision of 2**64": {"fields": {"at": 2**64}},
     "a revision of 400 digits": {"fields": {"at": int("9" * 400)}},
@@ -199,6 +200,30 @@
     time.sleep(SETTLE_S)
 
 
+@when("{count:d} large configurations are published while no router can reach the store")
+def publish_many(context: Any, count: int) -> None:
+    restart_ended(context.nodes)
+    version = _next_version(context)
+    context.nodes.order(
+        faults={"store": {"silent": True}}, configurations=count, first_version=version
+    )
+    # The watches that wait are answered once; those that follow get no answer.
+    time.sleep(1.0)
+    context.nodes.order(configurations=count, first_version=version + count)
+    context.last_version = version + 2 * count - 1
+    context.nodes.order(heal=True)
+
+
+@then("the last of them is in force at every router")
+def check_last_version(context: Any) -> None:
+    for found in context.nodes.nodes:
+        wait_for(
+            lambda found=found: read_configuration_number(found) == context.last_version,
+            f"{found.name} to have version {context.last_version}",
+            LARGE_IN_FORCE_S,
+        )
+
+
 @then("every router serves, and none has ended")
 def check_serving(context: Any) -> None:
     _check_running(context)
