One tick of the core that fails does not end the process

What an event had decided before it raised an exception is taken from the core by a method of its own.

The test "A core that fails on its own tick ends its process" is replaced by two: one fault is counted and the router goes on; after one more than the limit the fault is raised, and not before.

--- a/packages/core/src/myrtlehook_core/process/routers.py
+++ b/packages/core/src/myrtlehook_core/process/routers.py
@@ -182,6 +182,11 @@
         self._report_member_changes()
         return self.actions.actions
 
+    def take_actions(self) -> list[Action]:
+        """Return the actions of an event whose handling raised an exception, up to that point."""
+        taken, self.actions = self.actions.actions, ActionList()
+        return taken
+
     def find_next_grant_s(self) -> float:
         """Return when the core next needs a ``GrantsDue`` event; infinity if it needs none."""
         return find_next_grant_s(self.engine_queues, self.options, self._now_s)
--- a/packages/router/src/myrtlehook_router/process/core_tasks.py
+++ b/packages/router/src/myrtlehook_router/process/core_tasks.py
@@ -128,7 +128,7 @@
         except Exception:
             # If one event ended the process, the same input would end every router that receives
             # it, one after another. What it had decided before it raised an exception holds.
-            returned = self.core.actions.actions
+            returned = self.core.take_actions()
             self._drop_event(event)
         else:
             if isinstance(event, INTERNAL_EVENTS):
--- a/tests/steps/regression_steps.py
+++ b/tests/steps/regression_steps.py
@@ -35,7 +35,7 @@
 from myrtlehook_core.process.membership_messages import MemberRow, MembersQuery
 from myrtlehook_core.process.outboxes import MessageOutbox
 from myrtlehook_core.process.placements import Placement, find_ledgers
-from myrtlehook_router.process.core_tasks import CoreTask
+from myrtlehook_router.process.core_tasks import MAX_INTERNAL_FAULTS, CoreTask
 from myrtlehook_router.process.counters import Counters
 from myrtlehook_router.process.mailboxes import Mailbox
 from myrtlehook_router.process.peers import PeerSockets
@@ -296,6 +296,9 @@
     def handle(self, event: Any, now_s: float) -> list[Any]:
         raise RuntimeError("cannot be handled")
 
+    def take_actions(self) -> list[Any]:
+        return []
+
 
 INPUTS = {
     "a message of another router": events.MessageReceived(
@@ -304,6 +307,7 @@
     "a list of servers": events.BackendServersRead(()),
     "a request": events.RequestArrived(RequestSpecification("w0/1", "w0", POOL, 10, 0.1, 100.0)),
     "its own tick": events.Tick(),
+    "each of its own ticks": events.Tick(),
 }
 
 
@@ -316,8 +320,10 @@
     peers: Any = None
     task = CoreTask(core, Mailbox(), peers, lambda key: None, tickets, context.counters)
     context.fault = None
+    times = MAX_INTERNAL_FAULTS + 1 if name.startswith("each") else 1
     try:
-        task._handle(INPUTS[name])
+        for context.handled in range(1, times + 1):
+            task._handle(INPUTS[name])
     except RuntimeError as error:
         context.fault = error
 
@@ -343,6 +349,7 @@
 @then("the fault is raised")
 def check_fault_raised(context: Any) -> None:
     assert context.fault is not None
+    assert context.handled == MAX_INTERNAL_FAULTS + 1, context.handled
 
 
 @when("a process reserves the addresses of {count:d} fleets")
