A request whose answer was broken is sent to another server

What callers saw: with one of four servers of a plain service answering nonsense, one or two of the three or four requests that reached it got 502, though the others were idle: `answer_broken` twice, at the same server.

Cause: a request that waits again takes the first slot that is granted, and the server that has just failed has the most free ones.

Change: after an attempt that may have run, the request does without that server if another one may serve it. The rule existed for successors of silent servers (`excluded_servers`).

It costs: while such a request waits, a slot granted at the excluded server is returned, and the server is closed to this router until its bids are next refreshed.

--- a/packages/core/src/myrtlehook_core/process/eligible_servers.py
+++ b/packages/core/src/myrtlehook_core/process/eligible_servers.py
@@ -1,5 +1,7 @@
 """Which backend servers of its pool may serve a request, by their region and software version."""
 
+from dataclasses import replace
+
 from myrtlehook_core.process.regions import Regions, find_region_refusal, is_region_allowed
 from myrtlehook_core.request.outcomes import RefusalReason
 from myrtlehook_core.request.requests import RequestSpecification
@@ -15,6 +17,19 @@
     return is_region_allowed(regions, request, server)
 
 
+def exclude_server(
+    regions: Regions,
+    configuration: Configuration,
+    request: RequestSpecification,
+    backend_server: str,
+) -> RequestSpecification:
+    """Return a request that does without a server that failed it, if another one may serve it."""
+    excluded = request.excluded_servers | {backend_server}
+    elsewhere = replace(request, excluded_servers=excluded)
+    is_refused = find_eligibility_refusal(regions, configuration, elsewhere) is not None
+    return request if is_refused else elsewhere
+
+
 def find_eligibility_refusal(
     regions: Regions, configuration: Configuration, request: RequestSpecification
 ) -> RefusalReason | None:
--- a/packages/core/src/myrtlehook_core/process/runs.py
+++ b/packages/core/src/myrtlehook_core/process/runs.py
@@ -4,7 +4,7 @@
 from myrtlehook_core.process.backoffs import is_backing_off
 from myrtlehook_core.process.bid_spreading import spreads_bids, update_other_owners
 from myrtlehook_core.process.bidding import send_bid
-from myrtlehook_core.process.eligible_servers import may_serve
+from myrtlehook_core.process.eligible_servers import exclude_server, may_serve
 from myrtlehook_core.process.ended_servers import is_version_confirmed
 from myrtlehook_core.process.ingress import (
     IngressContext,
@@ -225,6 +225,10 @@
     cancel_charge(ingress.accounts[key], request_id)
     if claim_retry(ingress, context, request, reason, now_s):
         context.actions.add(RequestRequeued(request_id, reason))
+        if reason in RUN_RETRY_REASONS:
+            request = exclude_server(
+                context.regions, context.configuration, request, running.backend_server
+            )
         queue = ingress.queues.setdefault(key, WorkspaceQueue())
         push_request_first(queue, request, now_s)
         update_queue_counts(ingress, request, 1)
--- a/tests/features/regressions.feature
+++ b/tests/features/regressions.feature
@@ -75,3 +75,16 @@
   Scenario: An owner that restarted unnoticed never learned what ran at its engines
     When an engine's owner restarts before any router suspects it, while requests run
     Then it knows every request that others run at its engines
+
+  # Guards against: a request whose answer was broken was sent to the same server again, so that its caller got
+  # 502 although other servers were idle.
+  Scenario Outline: A request whose answer was broken is sent to another server, if there is one
+    Given two routers that know <servers> servers of a plain service
+    When the answer to a request is broken
+    Then it is sent to <where>
+
+    Examples:
+      | servers | where           |
+      | 2       | the other one   |
+      | 4       | another one     |
+      | 1       | the same again  |
