Bytes without end in an answer hold up nothing and take no memory

An event without end was kept in memory whole.

Cause: http.client reads interim answers and trailers for as long as they come, and eventlet's sockets let other tasks run, and look at the time, only where they wait for bytes.

Change: a socket whose bytes are there lets other tasks run after 5 ms (`fair_sockets`), those of servers, of the store and of clients; a server's one also looks at its deadline. `StrictResponse` bounds a head with its interim answers to 64 KiB and 32 of them, trailers to 64 KiB, refuses a switch of protocols that nobody asked for, and a chunk that is longer than its size. A stream whose event exceeds 1 MiB, or whose id 200 characters, is no event stream: it goes on at another engine, or breaks off. Ids that are no plain numbers are no longer converted, and return as they came; Keep-Alive values beyond nine digits are ignored (one of 5,000 digits made a whole answer a 502).

A body without length and without end cannot be told from a long answer: it takes no memory and holds up nothing, and its request ends at its deadline.

--- a/packages/router/src/myrtlehook_router/connection/engines.py
+++ b/packages/router/src/myrtlehook_router/connection/engines.py
@@ -12,7 +12,7 @@
 from result import Err, Ok, Result
 from urllib3.exceptions import HTTPError
 
-from myrtlehook_core import actions, events
+from myrtlehook_core import actions, bounds, events
 from myrtlehook_router.connection.backends import BackendRequest, read_response_body, send_request
 from myrtlehook_router.connection.send_failures import SendFailure
 
@@ -29,14 +29,14 @@
     """One event of a run's stream."""
 
     request_id: str
-    offset: int
+    offset: bounds.WireInt
     text: str = ""
-    tokens: int = 1
+    tokens: bounds.Count = 1
     """The number of output tokens in the text."""
     finish: str = ""
     """Why the run ended; empty on every event but the last."""
-    input_tokens: int = 0
-    output_tokens: int = 0
+    input_tokens: bounds.Count = 0
+    output_tokens: bounds.Count = 0
 
 
 class RunOrder(msgspec.Struct, frozen=True):
@@ -54,13 +54,13 @@
 class LoadReport(msgspec.Struct, frozen=True):
     """A backend server's own report of its load."""
 
-    running: int
-    incarnation: int
+    running: bounds.WireInt
+    incarnation: bounds.WireInt
     leaving: bool = False
-    fence: int = 0
-    role: str = ""
-    model: str = ""
-    model_version: str = ""
+    fence: bounds.WireInt = 0
+    role: bounds.WireText = ""
+    model: bounds.WireText = ""
+    model_version: bounds.WireText = ""
 
 
 class StartFailure(StrEnum):
--- a/packages/router/src/myrtlehook_router/connection/listeners.py
+++ b/packages/router/src/myrtlehook_router/connection/listeners.py
@@ -11,6 +11,7 @@
 
 from myrtlehook_core import Listener
 from myrtlehook_router.connection.closed_connections import is_readable
+from myrtlehook_router.connection.fair_sockets import make_fair
 from myrtlehook_router.process import clocks
 from myrtlehook_router.process.counters import Counters
 
@@ -76,7 +77,9 @@
         if self._clock() - self._burst_began_s >= MAX_ACCEPT_BURST_S:
             eventlet.sleep(0)
             self._burst_began_s = self._clock()
-        return self._listener.accept()
+        accepted = self._listener.accept()
+        make_fair(accepted[0])
+        return accepted
 
     def has_pending(self) -> bool:
         """Return whether clients have connected that were not accepted yet."""
--- a/packages/router/src/myrtlehook_router/connection/server_connections.py
+++ b/packages/router/src/myrtlehook_router/connection/server_connections.py
@@ -1,6 +1,7 @@
 """Requests to backend servers, with failures classified by how far a request got."""
 
 import contextlib
+import re
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -43,6 +44,8 @@
 IDLE_MARGIN_S = 1.0
 """Connections expire this long before the Keep-Alive timeout that their server announces."""
 
+_SECONDS = re.compile("[0-9]{1,9}")
+
 LIFE_LOOKS = 4
 """How often is looked whether a server's process has outlived a response."""
 
@@ -299,6 +302,6 @@
         return 0.0
     for item in response.headers.get("Keep-Alive", "").split(","):
         name, _, value = item.strip().partition("=")
-        if name.lower() == "timeout" and value.isdigit():
+        if name.lower() == "timeout" and _SECONDS.fullmatch(value):
             return min(IDLE_TIMEOUT_S, int(value) - IDLE_MARGIN_S)
     return IDLE_TIMEOUT_S
--- a/packages/router/src/myrtlehook_router/connection/server_sockets.py
+++ b/packages/router/src/myrtlehook_router/connection/server_sockets.py
@@ -10,6 +10,7 @@
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 
+from myrtlehook_router.connection.fair_sockets import FairSocket
 from myrtlehook_router.connection.send_failures import SendFailure
 from myrtlehook_router.connection.strict_responses import StrictResponse
 from myrtlehook_router.process import clocks
@@ -22,6 +23,9 @@
 MIN_TIMEOUT_S = 0.001
 """Shortest time-out of a call after its deadline; 0 would make the socket non-blocking."""
 
+LATE_READ_S = 0.1
+"""Bytes that have arrived are still read for this long after the deadline."""
+
 CONNECTION_ERRORS = (HTTPError, HTTPException, OSError, EOFError, ValueError)
 """What urllib3, http.client and sockets raise for broken connections and responses."""
 
@@ -31,12 +35,13 @@
 ]
 
 
-class ServerSocket(GreenSocket):
+class ServerSocket(FairSocket):
     """A socket that reports resets, and whose time-out is a deadline.
 
     eventlet's own sockets return no bytes for both a reset and a regular end of stream, so a
     response without a length would look complete after a reset. Their time-out begins anew with
-    each piece that arrives, so a response that trickles in would never time out.
+    each piece that arrives, so a response that trickles in would never time out, and while bytes
+    are there already they do not look at the time at all.
     """
 
     deadline_s = math.inf
@@ -50,6 +55,9 @@
         return max(self.deadline_s - clocks.now_s(), MIN_TIMEOUT_S)
 
     def _recv_loop(self, recv_method: Any, empty_value: Any, *arguments: Any) -> Any:
+        if clocks.now_s() >= self.deadline_s + LATE_READ_S:
+            raise TimeoutError("the deadline has passed")
+
         def receive(*given: Any) -> Any:
             try:
                 return recv_method(*given)
--- a/packages/router/src/myrtlehook_router/connection/strict_responses.py
+++ b/packages/router/src/myrtlehook_router/connection/strict_responses.py
@@ -1,29 +1,47 @@
-"""Reads responses strictly: a line that the end of the connection cuts is no line.
+"""Reads responses strictly and within bounds.
+
+A line that the end of the connection cuts is no line.
 
 ``http.client`` takes such a line as it is. A head that is cut then seems to lack the fields that
 have not arrived, among them the framing of the body; of a chunk's size, the digits that have
 arrived seem to be all; and the end of the connection passes for the blank line after the last
-chunk.
+chunk. It also reads interim responses and trailers for as long as they come.
 """
 
 import io
 import re
-from http.client import HTTPResponse, IncompleteRead
+from http.client import HTTPException, HTTPResponse, IncompleteRead, parse_headers
 from typing import Any
 
+CHUNK_END = b"\r\n"
 MAX_SIZE_LINE_BYTES = 1024
+
+MAX_HEAD_BYTES = 64 * 1024
+"""Limit of a head, with the interim responses before it, and of the fields after the last chunk."""
+
+MAX_INTERIM_RESPONSES = 32
+SWITCHING_PROTOCOLS = 101
+FIRST_FINAL_STATUS = 200
 _SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;[^\r\n]*)?\r?\n")
 
 
 class WholeLineReader(io.BufferedReader):
     """A buffered reader whose lines all end with a line feed."""
 
+    lines_left_bytes: int | None = None
+    """How many bytes of lines may still be read; None if there is no limit."""
+
     def readline(self, size: int | None = -1, /) -> bytes:
         """Return the next line, or its first ``size`` bytes.
 
         :raises IncompleteRead: if the stream ends before the end of the line.
+        :raises HTTPException: if the lines have exceeded their limit.
         """
         line = super().readline(size)
+        if self.lines_left_bytes is not None:
+            self.lines_left_bytes -= len(line)
+            if self.lines_left_bytes < 0:
+                raise HTTPException("a head or trailer without end")
         is_limited = size is not None and 0 <= size <= len(line)
         if not line.endswith(b"\n") and not is_limited:
             raise IncompleteRead(line)
@@ -34,11 +52,54 @@
     """A response of a backend server."""
 
     fp: Any
+    chunk_left: Any
+    _safe_read: Any
 
     def __init__(self, *arguments: Any, **options: Any) -> None:
         super().__init__(*arguments, **options)
         self.fp = WholeLineReader(self.fp.detach())
 
+    def begin(self) -> None:
+        """Read the head of the final response; called by ``http.client``."""
+        if self.headers is not None:
+            return
+        self.fp.lines_left_bytes = MAX_HEAD_BYTES
+        super().begin()
+        if self.fp is not None:
+            self.fp.lines_left_bytes = None
+
+    def _read_status(self) -> tuple[str, int, str]:
+        """Return version, status and reason of the final response; called by ``http.client``.
+
+        :raises HTTPException: if too many interim responses come before it.
+        """
+        for _ in range(MAX_INTERIM_RESPONSES):
+            version, status, reason = super()._read_status()  # type: ignore[misc]
+            if status >= FIRST_FINAL_STATUS:
+                return version, status, reason
+            if status == SWITCHING_PROTOCOLS:
+                raise HTTPException("a switch to a protocol that was not asked for")
+            parse_headers(self.fp)
+        raise HTTPException("interim responses without end")
+
+    def _read_and_discard_trailer(self) -> None:
+        """Read the fields after the last chunk; called by ``http.client``."""
+        self.fp.lines_left_bytes = MAX_HEAD_BYTES
+        super()._read_and_discard_trailer()  # type: ignore[misc]
+        self.fp.lines_left_bytes = None
+
+    def _get_chunk_left(self) -> int | None:
+        """Return what is left of the current chunk, or of the next one; called by ``http.client``.
+
+        :raises IncompleteRead: if a chunk is longer than its size says.
+        """
+        if self.chunk_left == 0:
+            if self._safe_read(len(CHUNK_END)) != CHUNK_END:
+                raise IncompleteRead(b"")
+            self.chunk_left = None
+        left: int | None = super()._get_chunk_left()  # type: ignore[misc]
+        return left
+
     def _read_next_chunk_size(self) -> int:
         """Return the next chunk's size; called by ``http.client``.
 
--- a/packages/router/src/myrtlehook_router/request/answer_streams.py
+++ b/packages/router/src/myrtlehook_router/request/answer_streams.py
@@ -16,7 +16,12 @@
 from myrtlehook_router.request.attempts import READ_BYTES
 from myrtlehook_router.request.event_streams import (
     EVENT_END_BYTES,
+    MAX_EVENT_BYTES,
     EventSplitter,
+    SplitEvents,
+    count_event_bytes,
+    is_later_event,
+    is_malformed,
     judge_event_end,
     split_events,
 )
@@ -32,6 +37,7 @@
     record_heard,
     record_output,
     report_failed_attempt,
+    report_malformed_stream,
     take_dispatch,
 )
 from myrtlehook_router.request.request_ends import RequestEnd
@@ -52,6 +58,7 @@
         self._first = first
         self._has_events = has_events
         self._tail = b""
+        self._event_bytes = 0
 
     def __iter__(self) -> Iterator[bytes]:
         return self
@@ -73,6 +80,10 @@
         record_heard(relay)
         if self._has_events:
             self._tail = (self._tail + read.ok_value)[-EVENT_END_BYTES:]
+            self._event_bytes = count_event_bytes(read.ok_value, self._event_bytes)
+            if self._event_bytes > MAX_EVENT_BYTES:
+                report_malformed_stream(relay)
+                raise self._break_off(SendFailure.BROKEN)
         record_output(relay, read.ok_value.count(b"\n\n"))
         return read.ok_value
 
@@ -137,7 +148,12 @@
             if not read.ok_value:
                 return self._finish()
             record_heard(relay)
-            whole = self._collect_new_events(read.ok_value)
+            found = split_events(self._splitter, read.ok_value)
+            if is_malformed(self._splitter, found):
+                report_malformed_stream(relay)
+                self._resume()
+                continue
+            whole = self._collect_new_events(found)
             if whole:
                 return whole
 
@@ -145,11 +161,11 @@
         """Release everything that the request holds; called by the WSGI server in every case."""
         close_relay(self._relay)
 
-    def _collect_new_events(self, piece: bytes) -> bytes:
-        found = split_events(self._splitter, piece)
+    def _collect_new_events(self, found: SplitEvents) -> bytes:
         kept: list[bytes] = []
         for event_id, content in found.events:
-            if not self._is_new(event_id):
+            if not is_later_event(event_id, self._relay.last_event_id):
+                # A resumed stream may repeat earlier events.
                 continue
             if not self._begun:
                 self._begin_attempt(event_id)
@@ -166,15 +182,6 @@
         event = "stream goes on" if self._relay.last_event_id else "stream began"
         log_stream(self._relay, event, self._relay.last_event_id, next_event_id=event_id)
 
-    def _is_new(self, event_id: str) -> bool:
-        """Return whether an event comes after the last one that was forwarded.
-
-        A resumed stream may repeat earlier events. An event without a numeric id is always new.
-        """
-        if not event_id.isdigit() or not self._relay.last_event_id.isdigit():
-            return True
-        return int(event_id) > int(self._relay.last_event_id)
-
     def _judge_content(self, framing: Framing) -> ContentEnd:
         if not self._has_events:
             return ContentEnd.UNKNOWN
--- a/packages/router/src/myrtlehook_router/request/relays.py
+++ b/packages/router/src/myrtlehook_router/request/relays.py
@@ -277,6 +277,14 @@
     )
 
 
+def report_malformed_stream(relay: Relay) -> None:
+    """Abort the current response, as its bytes are no events; count and log that."""
+    relay.placement.services.counters.add("stream.malformed")
+    log_stream(relay, "stream malformed", relay.last_event_id)
+    assert relay.exchange is not None
+    relay.exchange.abort()
+
+
 def _report_answer_end(relay: Relay) -> dict[str, object]:
     """Count and log how the current response ended; returns its log fields."""
     end = None if relay.exchange is None else relay.exchange.end
