Bytes without end in a request, and heads that no server can be sent, are refused

What was seen on (endless_requests.feature): the size of a chunk without end was read without a limit (1 GB in the test), and what is left of a refused body was read for as long as it came. A target beyond ASCII was accepted: http.client cannot encode it, so its caller got 502 and the servers were blamed; with a no-break space in it, the server ran another path, as the line was split there. A deadline with leading zeros was cut to its first twelve digits, and its request refused as too late.

Change: the lines that frame a body have limits, each and together, and of a body that is not wanted at most the largest allowed one is read, then the connection is closed. Heads with a target beyond ASCII get 400 at once. Whole numbers in heads are read as such, up to a bound. Ids of prompt parts have at most 200 characters, as those of all requests at an engine go into one message; longer ones count as not stated.

--- a/packages/router/src/myrtlehook_router/connection/heads.py
+++ b/packages/router/src/myrtlehook_router/connection/heads.py
@@ -11,6 +11,7 @@
 
 from myrtlehook_core import IngressLimits
 from myrtlehook_router.connection.closed_connections import reset_connection
+from myrtlehook_router.connection.request_bodies import bound_body
 from myrtlehook_router.process.counters import Counters
 
 TARGET_KEY = "myrtlehook.target"
@@ -22,7 +23,7 @@
 WAITED_KEY = "myrtlehook.waited_s"
 """Environ key of the time that a request had waited at the router that passed it on."""
 
-_REQUEST_LINE = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+ /[^\x00-\x20\x7f]* HTTP/1\.[01]\r\n")
+_REQUEST_LINE = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+ /[!-~]* HTTP/1\.[01]\r\n")
 _HEADER_LINE = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[^\x00\r\n]*\r\n")
 _BLANK_LINE = b"\r\n"
 
@@ -99,6 +100,7 @@
             environ = super().get_environ()
             environ[TARGET_KEY] = self.requestline.split()[1]
             environ[BREAK_OFF_KEY] = self._break_off
+            bound_body(environ["wsgi.input"], limits().body_bytes)
             return environ
 
         def _break_off(self) -> None:
--- a/packages/router/src/myrtlehook_router/request/passed_requests.py
+++ b/packages/router/src/myrtlehook_router/request/passed_requests.py
@@ -8,17 +8,15 @@
 from dataclasses import dataclass
 from http.client import responses
 
-from myrtlehook_core import Configuration, Outcome, find_route
+from myrtlehook_core import Configuration, Outcome, bounds, find_route
 from myrtlehook_router.request.answers import encode_error
-from myrtlehook_router.request.headers import HeaderNames
+from myrtlehook_router.request.headers import HeaderNames, read_whole_number
 from myrtlehook_router.request.routed import is_valid_id
 
 LATE_STATUS = 504
 NEIGHBOUR_SILENT = "neighbour_silent"
 """Error code of a request whose neighbour has not answered it by its deadline."""
 
-MAX_DEADLINE_DIGITS = 12
-
 
 @dataclass(frozen=True, slots=True)
 class PassedRequest:
@@ -37,9 +35,10 @@
     def read(head: bytes, arrived_at_s: float) -> PassedRequest:
         fields = _read_fields(head)
         timeout_s = _find_timeout_s(configuration(), head, fields)
-        deadline_ms = fields.get(names.deadline_ms.lower(), "")
-        if deadline_ms.isascii() and deadline_ms.isdigit():
-            timeout_s = min(timeout_s, int(deadline_ms[:MAX_DEADLINE_DIGITS]) / 1000.0)
+        deadline_text = fields.get(names.deadline_ms.lower(), "")
+        deadline_ms = read_whole_number(deadline_text, bounds.MAX_WAIT_MS)
+        if deadline_ms is not None:
+            timeout_s = min(timeout_s, deadline_ms / 1000.0)
         request_id = fields.get(names.request_id.lower(), "")
         if not is_valid_id(request_id):
             request_id = ""
--- a/packages/router/src/myrtlehook_router/request/prompts.py
+++ b/packages/router/src/myrtlehook_router/request/prompts.py
@@ -3,9 +3,17 @@
 from dataclasses import dataclass
 
 from myrtlehook_core import PromptPart
-from myrtlehook_router.request.headers import HeaderNames, HeaderPairs, find_header
+from myrtlehook_router.request.headers import (
+    HeaderNames,
+    HeaderPairs,
+    find_header,
+    read_whole_number,
+)
 
 MAX_PROMPT_PARTS = 64
+MAX_PROMPT_TOKENS = 999_999_999
+MAX_PART_ID_CHARACTERS = 200
+"""Ids of parts are sent to other routers, those of all requests at an engine in one message."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,12 +42,12 @@
     parts = []
     for item in text.split(",")[:MAX_PROMPT_PARTS]:
         part_id, _, tokens = item.strip().partition(":")
-        if not part_id or not _read_count(tokens):
+        is_id = 0 < len(part_id) <= MAX_PART_ID_CHARACTERS
+        if not is_id or not _read_count(tokens):
             return ()
         parts.append(PromptPart(part_id, _read_count(tokens)))
     return tuple(parts)
 
 
 def _read_count(text: str) -> int:
-    text = text.strip()
-    return int(text[:9]) if text.isascii() and text.isdigit() else 0
+    return read_whole_number(text.strip(), MAX_PROMPT_TOKENS) or 0
--- a/packages/router/src/myrtlehook_router/request/routed.py
+++ b/packages/router/src/myrtlehook_router/request/routed.py
@@ -10,6 +10,7 @@
     RefusalReason,
     Route,
     Workspace,
+    bounds,
     find_route,
 )
 from myrtlehook_router.connection.heads import TARGET_KEY, WAITED_KEY
@@ -20,6 +21,7 @@
     HeaderPairs,
     count_header,
     find_header,
+    read_whole_number,
 )
 from myrtlehook_router.version.keys import authenticate
 
@@ -64,8 +66,11 @@
     request_id = find_header(headers, names.request_id) or ""
     if count_header(headers, names.request_id) != 1 or not is_valid_id(request_id):
         return _refuse(RefusalReason.MALFORMED_BODY, f"send one {names.request_id}")
-    deadline_ms = find_header(headers, names.deadline_ms)
-    if deadline_ms is not None and not (deadline_ms.isascii() and deadline_ms.isdigit()):
+    deadline_text = find_header(headers, names.deadline_ms)
+    deadline_ms = None
+    if deadline_text is not None:
+        deadline_ms = read_whole_number(deadline_text, bounds.MAX_WAIT_MS)
+    if deadline_text is not None and deadline_ms is None:
         return _refuse(RefusalReason.MALFORMED_BODY, f"{names.deadline_ms} is no whole number")
     found = _find_workspace(configuration, route, environ.get("HTTP_AUTHORIZATION", ""))
     if found is None:
@@ -73,7 +78,7 @@
     workspace, authenticated = found
     timeout_s = route.timeout_s
     if deadline_ms is not None:
-        timeout_s = min(timeout_s, int(deadline_ms[:12]) / 1000.0)
+        timeout_s = min(timeout_s, deadline_ms / 1000.0)
     return Ok(
         RoutedRequest(
             environ=environ,
