A short idle time-out leaves no connection without an answer

By reading, after the property: an IdleTimeoutMs below a packet's journey passed the checks, and each connection was closed before its first request had arrived. A tenant with 50,000 regions made each of its bids a message of half a megabyte.

Change: timers have at least 1 ms; the first request on a connection, and a body or response under way, have 1 s at least, however short a connection may be idle. A route or tenant names at most 64 regions.

Tests: four more rows of configurations in borders.feature.

--- a/packages/core/src/myrtlehook_core/version/bounds.py
+++ b/packages/core/src/myrtlehook_core/version/bounds.py
@@ -18,6 +18,12 @@
 
 MAX_WAIT_S = MAX_WAIT_MS / 1000.0
 
+MIN_TIMER_MS = 1.0
+"""Timers of the event loop fire late by up to this much."""
+
+MAX_REGIONS = 64
+"""The most regions that a route or workspace may name; rows of bids carry them."""
+
 MAX_COUNT = 2**31 - 1
 """The largest size, in bytes or in items, of a read from a socket."""
 
@@ -36,6 +42,8 @@
 MAX_WIRE_TEXT_CHARACTERS = 4096
 """Longest name in a message between routers. Such names consist of several others."""
 
+MAX_FINGERPRINT_BYTES = 64
+
 _UNPRINTABLE = "\\x00-\\x1f\\x7f-\\x9f\ud800-\udfff"
 """Control characters, and surrogates, which UTF-8 cannot encode."""
 
@@ -57,8 +65,11 @@
 ]
 """A name, or nothing."""
 
+Regions = Annotated[tuple[Name, ...], msgspec.Meta(max_length=MAX_REGIONS)]
+
 WaitMs = Annotated[float, msgspec.Meta(ge=0, le=MAX_WAIT_MS)]
 PositiveWaitMs = Annotated[float, msgspec.Meta(gt=0, le=MAX_WAIT_MS)]
+TimerMs = Annotated[float, msgspec.Meta(ge=MIN_TIMER_MS, le=MAX_WAIT_MS)]
 WaitS = Annotated[float, msgspec.Meta(ge=0, le=MAX_WAIT_S)]
 PositiveWaitS = Annotated[float, msgspec.Meta(gt=0, le=MAX_WAIT_S)]
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
@@ -79,8 +90,7 @@
 WireText = Annotated[str, msgspec.Meta(max_length=MAX_WIRE_TEXT_CHARACTERS)]
 """A name in a message between routers."""
 
-MAX_KEY_BYTES = 64
-WireBytes = Annotated[bytes, msgspec.Meta(max_length=MAX_KEY_BYTES)]
+WireBytes = Annotated[bytes, msgspec.Meta(max_length=MAX_FINGERPRINT_BYTES)]
 """A fingerprint or key in a message between routers."""
 
 WireAddress = Annotated[
--- a/packages/router/src/myrtlehook_router/connection/heads.py
+++ b/packages/router/src/myrtlehook_router/connection/heads.py
@@ -23,6 +23,10 @@
 WAITED_KEY = "myrtlehook.waited_s"
 """Environ key of the time that a request had waited at the router that passed it on."""
 
+MIN_TRANSFER_TIMEOUT_S = 1.0
+"""Shortest time-out of a body, of a response, and of the first request on a connection: bytes that
+are on their way take some time, however short a connection may be idle."""
+
 _REQUEST_LINE = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+ /[!-~]* HTTP/1\.[01]\r\n")
 _HEADER_LINE = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[^\x00\r\n]*\r\n")
 _BLANK_LINE = b"\r\n"
@@ -58,11 +62,14 @@
         request_version: str
         _head: bytes
         _breaks_off = False
+        _is_new = True
+        """Whether no request has been waited for on this connection yet."""
 
         def _read_request_line(self) -> bytes:
             """Wait for a request up to the idle timeout; returns the first line of its head."""
             busy_connections.discard(self)
-            self.connection.settimeout(limits().idle_timeout_s)
+            self.connection.settimeout(self._get_idle_timeout_s())
+            self._is_new = False
             try:
                 if not self.rfile.peek(1):
                     return b""
@@ -74,9 +81,16 @@
             except OSError:
                 return b""
             finally:
-                self.connection.settimeout(limits().idle_timeout_s)
+                self.connection.settimeout(max(limits().idle_timeout_s, MIN_TRANSFER_TIMEOUT_S))
             return self._head.split(_BLANK_LINE, 1)[0] + _BLANK_LINE
 
+        def _get_idle_timeout_s(self) -> float:
+            """Return how long to wait for a request; a new connection may bring its first one."""
+            now = limits()
+            if not self._is_new:
+                return now.idle_timeout_s
+            return max(now.idle_timeout_s, now.header_timeout_s, MIN_TRANSFER_TIMEOUT_S)
+
         def _read_head(self) -> bytes:
             now = limits()
             timeout = eventlet.Timeout(now.header_timeout_s, HeadError(408, "head_too_slow"))
--- a/tests/features/borders.feature
+++ b/tests/features/borders.feature
@@ -103,6 +103,9 @@
       | bodies of 2**70 bytes                |
       | a head time-out of 1e300 ms          |
       | an idle time-out of 1e300 ms         |
+      | an idle time-out of 1e-300 ms        |
+      | an idle time-out of 1 ms             |
+      | a head time-out of 1e-300 ms         |
       | 1e300 tokens per second              |
       | a service with a surrogate           |
       | a route with a surrogate             |
@@ -111,6 +114,7 @@
       | a key with a surrogate               |
       | an empty key                         |
       | a region with a surrogate            |
+      | 50000 regions                        |
       | a tenant of 100000 characters        |
       | lists nested without end             |
       | 30000 faults                         |
