The soak writes values of other programs into the store, beside its faults

Items of any kind (`emulator/foreign_items`) and configurations with a field out of its bounds are drawn from the seed (`--no-foreign-values`); they excuse nothing, and no router may end by itself.

The ids of engines that have ended count now; the check of each seal is the same.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -30,6 +30,9 @@
     ),
     framings: bool = typer.Option(True, help="whether engines frame their answers differently"),
     silences: bool = typer.Option(True, help="whether servers stand still for a time and go on"),
+    foreign_values: bool = typer.Option(
+        True, help="whether other programs write values of any kind into the store"
+    ),
     only_silences: bool = typer.Option(
         False,
         "--only-silences",
@@ -54,6 +57,7 @@
             departures,
             framings,
             silences,
+            foreign_values,
         )
         result = execute_run(leave_out_faults(options) if only_silences else options)
         failed_runs += bool(result.violations)
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -6,10 +6,12 @@
 import subprocess
 import sys
 import time
+from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
 
+from emulator.foreign_items import FOREIGN_ITEMS
 from emulator.sites import PLAIN_SERVICE, make_configuration, make_route
 from soak.callers import PATHS, AttemptRecord
 from soak.checks import (
@@ -23,9 +25,11 @@
 from soak.notice_checks import BACKOFF_S, InjectedFaults, check_notices
 from soak.pause_checks import check_logged_pauses, check_unbroken_streams
 from soak.schedules import (
+    UNSOUND_FIELDS,
     Fault,
     draw_departures,
     draw_endings,
+    draw_foreign_values,
     draw_framings,
     draw_notices,
     draw_paces,
@@ -72,6 +76,7 @@
 RECOVERY_S = 12.0
 FIRST_VERSION = 1
 STOP_STATUS = 0
+OWN_END_STATUS = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,6 +103,8 @@
     """Whether engines frame their answers in different ways."""
     silences: bool = False
     """Whether servers stand still for a time and go on."""
+    foreign_values: bool = False
+    """Whether other programs write into the store, values that cannot be carried among them."""
     only_silences: bool = False
     """Whether silences and planned work are the only faults. Nothing excuses a lost request
     then."""
@@ -218,20 +225,25 @@
         silences = []
         if options.silences:
             silences = draw_silences(options.seed, options.seconds, self._list_servers())
+        foreign = []
+        if options.foreign_values:
+            foreign = draw_foreign_values(options.seed, options.seconds)
         callers = self._start_callers()
         start_s = time.monotonic()
-        self._inject_faults([*faults, *paces, *silences], start_s)
+        self._inject_faults([*faults, *paces, *silences, *foreign], start_s)
         self._sleep_until(start_s + options.seconds)
         self._clear_faults()
         output, _ = callers.communicate()
         attempts = [AttemptRecord(**fields) for fields in json.loads(output)]
         routers = {f"{node.ip}:{node.front_port}": node.name for node in self.fleet.nodes}
         # Clearing the faults resets `keeps_id`, so an engine that is down at that time starts
-        # again under another id.
-        sealing = {*self._list_servers(), *self.fleet.describe()["servers"]}
+        # again under another id; one that had been added is known by neither list then.
+        described = self.fleet.describe()
+        sealing = {*self._list_servers(), *described["servers"], *described["ended"]}
         self.violations += check_answers(attempts, sealing)
         self.violations += check_deadlines(attempts, faults, routers, start_s, silences)
-        breaking = [fault for fault in self.injected if fault.kind not in ("pace", "silence")]
+        harmless = ("pace", "silence", "foreign")
+        breaking = [fault for fault in self.injected if fault.kind not in harmless]
         self.violations += check_unbroken_streams(attempts, breaking, start_s)
         self.violations += check_versions(attempts)
         if options.only_silences:
@@ -248,12 +260,13 @@
         self.violations += self._check_recovery()
         self.violations += check_runs(attempts, self._count_runs(attempts))
         self.violations += self._check_ends(faults)
+        self.violations += self._check_processes()
         statuses: dict[int, int] = {}
         for attempt in attempts:
             statuses[attempt.status] = statuses.get(attempt.status, 0) + 1
         return RunResult(
             options,
-            [*faults, *paces, *silences],
+            [*faults, *paces, *silences, *foreign],
             len(attempts),
             statuses,
             self.violations,
@@ -321,6 +334,8 @@
             self._end_engines(fault, begins)
         elif fault.kind == "departure":
             self._let_leave(fault, begins)
+        elif fault.kind == "foreign":
+            self._set_foreign_value(fault, begins)
         elif fault.kind == "pace":
             self._set_pace(fault, begins)
         elif fault.kind == "silence":
@@ -386,6 +401,23 @@
             Violation("a request ends few engines", f"{ended} ended, at most {max_ended} expected")
         ]
 
+    def _set_foreign_value(self, fault: Fault, begins: bool) -> None:
+        if fault.how == "configuration":
+            unsound = {fault.target: UNSOUND_FIELDS[fault.target]} if begins else {}
+            self._publish_configuration(unsound=unsound)
+        elif begins:
+            self.fleet.order(foreign_items=FOREIGN_ITEMS[fault.target])
+        else:
+            self.fleet.order(drop_foreign_items=True)
+
+    def _check_processes(self) -> list[Violation]:
+        """Check that no router has ended by itself."""
+        return [
+            Violation("a router does not end by itself", str(process.args))
+            for process in self.fleet.processes
+            if process.poll() == OWN_END_STATUS
+        ]
+
     def _set_store_fault(self, fault: Fault, begins: bool) -> None:
         if fault.how == "forgets":
             self.fleet.order(forget_history=begins)
@@ -409,10 +441,18 @@
         departed = {departure.server for departure in self.departures}
         return {name for name in self._list_servers() if _is_engine(name)} - departed
 
-    def _publish_configuration(self, change: str = "") -> None:
+    def _publish_configuration(
+        self, change: str = "", unsound: Mapping[str, Any] | None = None
+    ) -> None:
+        """Publish the next configuration.
+
+        :param unsound: fields of all routes, with values out of bounds.
+        """
         self.configuration_version += 1
         configuration = make_configuration(self.configuration_version)
         _change_configuration(configuration, change)
+        for route in configuration["Routes"]:
+            route.update(unsound or {})
         if self.options.paces:
             for route in configuration["Routes"]:
                 if route["Kind"] == "streaming":
@@ -529,6 +569,7 @@
         copies=False,
         paces=False,
         silences=True,
+        foreign_values=False,
         only_silences=True,
     )
 
--- a/soak/schedules.py
+++ b/soak/schedules.py
@@ -2,6 +2,9 @@
 
 import random
 from dataclasses import dataclass
+from typing import Any
+
+from emulator.foreign_items import FOREIGN_ITEMS
 
 ROUTER_KINDS = ("kill", "stop", "pause", "reload")
 STORE_MODES = ("silent", "one_way", "reset", "delay")
@@ -24,6 +27,21 @@
 MAX_SAYING_S = 1.5
 """How long an entry says that its engine leaves before it goes."""
 
+FOREIGN_VALUES = ("item", "item", "configuration")
+"""``item``: another program writes items of any kind. ``configuration``: one is published in which
+a field of all routes is out of its bounds."""
+
+UNSOUND_FIELDS: dict[str, Any] = {
+    "TimeoutMs": 1e300,
+    "TargetLatencyMs": float("inf"),
+    "TargetItlMs": 1e300,
+    "Priority": 2**70,
+    "MaxAttempts": 2**70,
+    "Name": "route \ud800",
+    "Host": "host\r\n",
+    "AllowedRegions": ["\ud800"],
+}
+
 SILENCES = ("one", "several", "all", "in_turn")
 """How many servers stand still at once; ``in_turn``: one does so several times."""
 
@@ -209,6 +227,23 @@
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
+def draw_foreign_values(seed: int, seconds: float) -> list[Fault]:
+    """Draw what other programs write into the store, in addition to the other faults of the seed.
+
+    Neither excuses a broken promise.
+    """
+    draw = random.Random(f"foreign values/{seed}")
+    faults = []
+    for _ in range(draw.randint(4, 10)):
+        at_s = draw.uniform(FIRST_FAULT_S, seconds * 0.8)
+        until_s = min(at_s + draw.uniform(MIN_FAULT_S, MAX_FAULT_S), seconds)
+        how = draw.choice(FOREIGN_VALUES)
+        choices = FOREIGN_ITEMS if how == "item" else UNSOUND_FIELDS
+        target = draw.choice(sorted(choices))
+        faults.append(Fault(round(at_s, 3), round(until_s, 3), "foreign", how, target))
+    return sorted(faults, key=lambda fault: fault.at_s)
+
+
 def draw_version_count(seed: int, engines: int) -> int:
     """Draw how many software versions the engines are of: one, two, or each its own."""
     return random.Random(f"versions/{seed}").choice((1, 2, engines))
--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -111,6 +111,12 @@
       | 18001 | 8       |
       | 18002 | 8       |
 
+  # Guards against: the checks did not know the id of an engine that was added, had ended, and started again
+  # under another id when the faults were cleared.
+  Scenario: The answers of an engine that was added and started again under another id are known
+    When the soak plays seed 18113 for 10 s under all that it draws
+    Then no promise was broken, and clients were served
+
   Scenario: The checks find requests that are lost beside silences
     Then an answer that breaks off before its deadline is found beside a silence
     And a request that was sent whole and got no answer is found beside a silence
--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -70,6 +70,25 @@
     )
 
 
+@when("the soak plays seed {seed:d} for {seconds:g} s under all that it draws")
+def play_everything(context: Any, seed: int, seconds: float) -> None:
+    context.result = execute_run(
+        RunOptions(
+            seed,
+            seconds,
+            endings=True,
+            notices=True,
+            copies=True,
+            paces=True,
+            versions=True,
+            departures=True,
+            framings=True,
+            silences=True,
+            foreign_values=True,
+        )
+    )
+
+
 @when("the soak plays seed {seed:d} for {seconds:g} s under all its faults, and engines leave")
 def play_departures(context: Any, seed: int, seconds: float) -> None:
     context.result = execute_run(
