--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -61,9 +61,7 @@
     context.result = execute_run(RunOptions(seed, seconds, endings=True, notices=True, copies=True))
 
 
-@when(
-    "the soak plays seed {seed:d} for {seconds:g} s under all its faults, and other programs write"
-)
+@when("the soak plays seed {seed:d} for {seconds:g} s under all faults, and other programs write")
 def play_foreign_values(context: Any, seed: int, seconds: float) -> None:
     context.result = execute_run(
         RunOptions(seed, seconds, endings=True, notices=True, copies=True, foreign_values=True)
