--- a/packages/router/src/myrtlehook_router/connection/server_sockets.py
+++ b/packages/router/src/myrtlehook_router/connection/server_sockets.py
@@ -23,8 +23,9 @@
 MIN_TIMEOUT_S = 0.001
 """Shortest time-out of a call after its deadline; 0 would make the socket non-blocking."""
 
-LATE_READ_S = 0.1
-"""Bytes that have arrived are still read for this long after the deadline."""
+LATE_READ_S = 0.4
+"""Bytes that have arrived are still read for this long after the deadline, as a busy process may
+come to them late."""
 
 CONNECTION_ERRORS = (HTTPError, HTTPException, OSError, EOFError, ValueError)
 """What urllib3, http.client and sockets raise for broken connections and responses."""
