--- a/packages/core/src/myrtlehook_core/process/option_files.py
+++ b/packages/core/src/myrtlehook_core/process/option_files.py
@@ -11,6 +11,7 @@
 from result import Err, Ok, Result
 
 from myrtlehook_core.process.options import CoreOptions
+from myrtlehook_core.version import bounds
 from myrtlehook_core.version.findings import Finding, make_excerpt
 
 
@@ -36,6 +37,10 @@
             continue
         try:
             changes[name] = msgspec.convert(value, types_by_name[name])
-        except msgspec.ValidationError as error:
+        except (msgspec.ValidationError, UnicodeEncodeError) as error:
             findings.append(Finding(place, make_excerpt(value), str(error), "correct the value"))
+            continue
+        if isinstance(value, int | float) and not abs(value) <= bounds.MAX_INTEGER:
+            expected = f"a number of at most {bounds.MAX_INTEGER}"
+            findings.append(Finding(place, make_excerpt(value), expected, "correct the value"))
     return Err(findings) if findings else Ok(replace(options, **changes))
--- a/tests/features/border_properties.feature
+++ b/tests/features/border_properties.feature
@@ -23,6 +23,10 @@
   Scenario: Heads and events of servers
     Then any head of a server leaves a time-out, a back-off and an event id that can be carried
 
+  # Guards against: names that are no tokens, folded values and control characters were passed on.
+  Scenario: Fields of servers' heads
+    Then any fields of a server's head are passed on as a client can read them, or left out
+
   Scenario: Answers of the store
     Then any answer of the store is read, or fails by itself
 
@@ -30,3 +34,6 @@
   # writes so was taken for one event without end.
   Scenario: The length of an incomplete event
     Then of any stream in any pieces, the bytes since its last event are counted
+
+  Scenario: Option files
+    Then any option file is rejected with findings, or a core can run with it
--- a/tests/steps/border_property_steps.py
+++ b/tests/steps/border_property_steps.py
@@ -3,6 +3,8 @@
 import base64
 import contextlib
 import copy
+import dataclasses
+import http.client
 import io
 import json
 import math
@@ -23,10 +25,12 @@
 from emulator.foreign_items import ENTRY
 from emulator.sites import HOST, make_configuration
 from myrtlehook_core import (
+    CoreOptions,
     Envelope,
     RouterCore,
     RouterIdentity,
     SourceOrder,
+    change_options,
     decode_sound_messages,
     encode_envelope,
     encode_message,
@@ -49,7 +53,7 @@
     is_malformed,
     split_events,
 )
-from myrtlehook_router.request.headers import encode_header_value
+from myrtlehook_router.request.headers import encode_header_value, select_sound_headers
 from myrtlehook_router.request.server_notices import MAX_BACKOFF_S, read_notice
 from standins.wired_routers import WiredRouters
 
@@ -486,6 +490,24 @@
     check()
 
 
+FIELD_NAMES = st.sampled_from(["X-A", "X A", "", "X\x00", "X:", "\xe9", "Content-Type"])
+FIELD_VALUES = HEADER_TEXTS | st.sampled_from(["a\r\n b", "a\n\tb", "a\rb", "a\r\nEnd: 1", "\xe9"])
+
+
+@then("any fields of a server's head are passed on as a client can read them, or left out")
+def check_passed_fields(context: Any) -> None:
+    @limited(max_examples=400)
+    @drawn(st.lists(st.tuples(FIELD_NAMES, FIELD_VALUES), max_size=4))
+    def check(headers: list[tuple[str, str]]) -> None:
+        kept = select_sound_headers([*headers, ("X-Sound", "sound")])
+        content = "".join(f"{name}: {value}\r\n" for name, value in kept).encode("latin-1")
+        parsed = http.client.parse_headers(io.BytesIO(content + b"\r\n"))
+        assert parsed.items() == kept and not parsed.defects, (parsed.items(), kept)
+        assert kept[-1] == ("X-Sound", "sound")
+
+    check()
+
+
 SERVER_STATUSES = st.sampled_from([200, 204, 429, 503])
 SERVER_HEADERS = st.lists(
     st.tuples(
@@ -573,3 +595,15 @@
             assert counted == len(read) - max(ends, default=0), (read, counted)
 
     check()
+
+
+@then("any option file is rejected with findings, or a core can run with it")
+def check_option_files(context: Any) -> None:
+    for field in dataclasses.fields(CoreOptions):
+        for value in ALL_VALUES:
+            changed = change_options(CoreOptions(), {field.name: value}, "options.json")
+            if isinstance(changed, Err):
+                assert changed.err_value and all(str(finding) for finding in changed.err_value)
+                continue
+            read = getattr(changed.ok_value, field.name)
+            assert not isinstance(read, int | float) or abs(read) < 2**53, (field.name, read)
