A page of the store that holds only odd keys does not hide the entries behind it

What was seen: in the new scenarios of entries.feature, 60 items in a row whose keys are longer than 200 bytes or hold half a character ended each full read ("pages do not advance"): no server was known.

Cause: the next page was asked for behind the greatest sound key of the page, and there was none.

--- a/emulator/foreign_items.py
+++ b/emulator/foreign_items.py
@@ -64,6 +64,9 @@
     "an id with a line break": [make_entry("i-other\r\nEnd: 1", Service=PLAIN_SERVICE)],
     "an id beyond Latin-1": [make_entry("i-\u0141", Service=PLAIN_SERVICE)],
     "an id of 5000 characters": [make_entry("i" * 5000)],
+    "a page of ids that are too long": [
+        make_entry(f"i-{number:03d}{'x' * 300}") for number in range(120)
+    ],
     "an id that reads like a start of another server": [
         make_entry("i-desk-1@7", Service=PLAIN_SERVICE)
     ],
--- a/tests/features/borders.feature
+++ b/tests/features/borders.feature
@@ -30,6 +30,7 @@
       | an id with a line break                         |
       | an id beyond Latin-1                            |
       | an id of 5000 characters                        |
+      | a page of ids that are too long                 |
       | an id that reads like a start of another server |
       | an evacuated zone with a surrogate              |
       | an evacuated zone of 5000 characters            |
--- a/tests/features/entries.feature
+++ b/tests/features/entries.feature
@@ -22,6 +22,20 @@
   Scenario: An invalid entry does not affect the others
     Then of any page of 50 entries of which some are corrupted, only the valid ones define servers
 
+  # Guards against: a page of the store held only items whose keys are none, "pages do not advance" was
+  # the answer to each full read, and no entry behind them was ever read.
+  Scenario Outline: Pages of odd keys do not hide the entries behind them
+    Given a store with 120 items whose keys are <kind>, before and after two servers' entries
+    Then a full read of pages of 50 items finds both servers
+
+    Examples:
+      | kind                      |
+      | longer than 200 bytes     |
+      | long and beyond ASCII     |
+      | cut in half a character   |
+      | half a character and long |
+      | long, with a long number  |
+
   Scenario: A server that restarts under its id is a new server
     Given a server that is ejected and has been sent parts of prompts
     When it restarts under the same id
--- a/tests/steps/entry_steps.py
+++ b/tests/steps/entry_steps.py
@@ -3,12 +3,13 @@
 import base64
 import json
 from typing import Any
+from urllib.parse import urlencode
 
 import msgspec
 from behave import given, then, when
 from hypothesis import given as drawn
 from hypothesis import strategies as st
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from myrtlehook_core import BackendServer, CoreOptions, SourceOrder
 from myrtlehook_core.version.discovery import (
@@ -17,10 +18,17 @@
     apply_server_changes,
     apply_server_list,
 )
-from myrtlehook_platform.items import decode_items
+from myrtlehook_platform.items import decode_items, decode_page
 from myrtlehook_platform.servers import parse_server
-from myrtlehook_platform.store import StoreReplica, _make_server_list
+from myrtlehook_platform.store import (
+    StoreAnswer,
+    StoreClient,
+    StoreFailure,
+    StoreReplica,
+    _make_server_list,
+)
 from myrtlehook_router.process.counters import Counters
+from myrtlehook_router.process.read_switches import ReadSwitch
 from standins.attempts import make_headers, new_id, send
 from standins.histories import History, Network, Source
 from standins.network import wait_for
@@ -211,3 +219,51 @@
         return len(context.nodes.describe()["ended"]) >= len(engines)
 
     wait_for(ended, "every engine to end")
+
+
+ODD_KEY_ENDS = {
+    "longer than 200 bytes": "x" * 300,
+    "long and beyond ASCII": "x" * 187 + "\u20ac" * 40,
+    "cut in half a character": "\ud800",
+    "half a character and long": "x" * 300 + "\ud800",
+    "long, with a long number": "x" * 300,
+}
+
+
+class PagedStore(StoreClient):
+    """A client of a store that answers full reads with pages of 50 items."""
+
+    def __init__(self, items: dict[str, str], revision_text: str) -> None:
+        super().__init__("10.0.0.1:80", Counters(None), ReadSwitch(True))
+        self._values = items
+        self._revision_text = revision_text
+
+    def _call(
+        self, name: str, query: dict[str, str], timeout_s: float
+    ) -> Result[StoreAnswer, StoreFailure]:
+        assert name == "kv-range", name
+        urlencode(query)
+        keys = sorted(key for key in self._values if key > query.get("After", ""))
+        entries = [
+            {"PrivateKey": key, "Value": self._values[key], "Revision": "*"} for key in keys[:50]
+        ]
+        text = json.dumps({"Entries": entries, "more": len(keys) > 50, "at": 1})
+        body = text.replace('"*"', self._revision_text).encode()
+        return Ok(StoreAnswer(1, decode_page(body).unwrap()))
+
+
+@given("a store with 120 items whose keys are {kind}, before and after two servers' entries")
+def make_paged_store(context: Any, kind: str) -> None:
+    end = ODD_KEY_ENDS[kind]
+    context.revision_text = "9" * 5000 if "number" in kind else "1"
+    odd = [f"servers/i-{number:03d}{end}" for number in range(60)]
+    odd += [f"servers/k{end}{number:03d}" for number in range(60)]
+    context.items = dict.fromkeys(odd, _encode(VALID_ENTRY))
+    context.items |= dict.fromkeys(["servers/j-1", "servers/l-1"], _encode(VALID_ENTRY))
+
+
+@then("a full read of pages of 50 items finds both servers")
+def check_paged_read(context: Any) -> None:
+    replica = next(PagedStore(context.items, context.revision_text).follow())
+    found = _make_server_list(replica, Counters(None))
+    assert {server.instance for server in found.servers} == {"j-1", "l-1"}, replica
