--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -113,6 +113,13 @@
         return self.read_exactly(int(head.get("Content-Length") or 0))
 
 
+def connect(address: tuple[str, int], timeout_s: float) -> Reader:
+    """Open a connection and return its reader."""
+    sock = socket.create_connection(address, timeout=timeout_s)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return Reader(sock)
+
+
 def serve(ip: str, handle: Callable[[socket.socket], None]) -> tuple[str, int]:
     """Handle each connection to a free port in a thread of its own; return the address."""
     listener = socket.socket()
