--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -323,24 +323,31 @@
     }
 
 
-def find_free_port(ip: str) -> int:
-    """Return a port that nobody listens on."""
-    with socket.socket() as sock:
+def find_free_ports(ip: str, count: int) -> tuple[int, ...]:
+    """Return different ports that nobody listens on."""
+    sockets = [socket.socket() for _ in range(count)]
+    for sock in sockets:
         sock.bind((ip, 0))
-        port: int = sock.getsockname()[1]
-        return port
+    ports = tuple(sock.getsockname()[1] for sock in sockets)
+    for sock in sockets:
+        sock.close()
+    return ports
 
 
 class Router:
     """A router process, started with the deploy file's command."""
 
+    ports: tuple[int, ...] = ()
+    """Frontend, readiness, control plane and internal ports, which are the same on all machines."""
+
     def __init__(self, ip: str, store: Store, folder: Path, seeds: list[str] | None = None) -> None:
+        if not Router.ports:
+            Router.ports = find_free_ports(ip, 5)
+        front, ready, control, first, last = Router.ports
         self.ip = ip
-        self.front = (ip, find_free_port(ip))
-        self.ready = (ip, find_free_port(ip))
-        self.control = f"{ip}:{find_free_port(ip)}"
-        first = find_free_port(ip)
-        last = find_free_port(ip)
+        self.front = (ip, front)
+        self.ready = (ip, ready)
+        self.control = f"{ip}:{control}"
         self._folder = folder
         self.process: subprocess.Popen[bytes] | None = None
         settings = {
