--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -8,6 +8,7 @@
 import json
 import os
 import random
+import signal
 import socket
 import subprocess
 import sys
@@ -458,12 +459,13 @@
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     routers: list[Router] = []
     result = NOT_RUN
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(128 + number))
     with tempfile.TemporaryDirectory() as work:
         try:
             record.add(f"begin, {'with' if has_trouble else 'without'} the disruption")
             result = play(record, Path(work), has_trouble, routers)
-        except Exception as error:
-            record.add(f"the case failed: {error!r}")
+        except BaseException as error:
+            record.add(f"the case could not be played to its end: {error!r}")
         finally:
             for router in routers:
                 router.stop()
