--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -455,7 +455,7 @@
 
 def run_case(folder: Path, play: Callable[[Record, Path, bool, list[Router]], str]) -> None:
     """Play a case, end its processes, and exit with the status of its result."""
-    record = Record(folder / "record.txt")
+    record = Record(Path(os.environ.get("RECORD", folder / "record.txt")))
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     routers: list[Router] = []
     result = NOT_RUN
