--- a/review/7/case.py
+++ b/review/7/case.py
@@ -35,7 +35,12 @@
 DEADLINE_S = 1.5
 CLIENTS = 16
 PAUSE_S = 0.1
-PLAY_S = 45.0
+SPELLS = 10
+SPELL_S = 5.0
+"""The site's entry lasts for_s = 5.0; it may come more than once."""
+
+CALM_S = 2.0
+PLAY_S = SPELLS * (SPELL_S + CALM_S)
 FULL_PART = 0.1
 """Part of the requests that find a server full, as others send it work too."""
 
@@ -128,7 +133,6 @@
         return NOT_RUN
     time.sleep(1.0)
 
-    servers[0].is_faulty = has_trouble
     statuses: dict[str, str] = {}
     end_s = time.monotonic() + PLAY_S
     threads = [
@@ -139,6 +143,12 @@
     ]
     for thread in threads:
         thread.start()
+    for _ in range(SPELLS):
+        time.sleep(CALM_S)
+        servers[0].is_faulty = has_trouble
+        record.add(f"server {servers[0].identifier} sends answers twice: {has_trouble}")
+        time.sleep(SPELL_S)
+        servers[0].is_faulty = False
     for thread in threads:
         thread.join()
     time.sleep(DEADLINE_S)
