Count what clients send before it is read, in one budget of a process

What callers saw: a crowd of clients with large bodies of legal size, most of them stopping short, ended routers, or took their event loops, and other callers got no answers.

Cause: nothing counted bytes until a request had been read whole. Bodies were copied as they grew, unread bytes piled up in the kernel's buffers, a task that watches for the end of a connection kept each answered body alive until a garbage collection, chunks were read with a call for each line, and the listeners beside the one for clients had no limits at all.

Change: one budget of bytes a process, from its VM's memory (core/connection/byte_budgets decides, connection/memory_gates waits). A body is counted before it is read and until its request has ended; so are answers that are kept or not taken, and what passed connections hold. Small requests have a reserve, a workspace has a part, and whose client has stalled for longest gives way first. Kernel buffers of clients and servers are limited. Large bodies read in turns that leave the loop half of its time, runs of small chunks are decoded together, and a client that has gone is dropped when its turn comes. While places are short, the connections that have waited longest for their clients are closed. Probes and scrapers have listeners with limits. A body whose reading was cut short closes its connection, so that nothing of it is taken for a request.

--- a/packages/core/src/myrtlehook_core/__init__.py
+++ b/packages/core/src/myrtlehook_core/__init__.py
@@ -6,6 +6,8 @@
 from importlib import import_module
 from typing import TYPE_CHECKING, Any
 
+from myrtlehook_core.connection import byte_budgets
+from myrtlehook_core.connection.byte_budgets import ByteBudget, Holder
 from myrtlehook_core.connection.streams import EventVerdict, StreamPosition, judge_event
 from myrtlehook_core.process import actions, events, messages
 from myrtlehook_core.process.actions import Action
@@ -153,6 +155,7 @@
     "SourceOrder",
     "ConfigurationParser",
     "ListenAddress",
+    "Holder",
     "Listener",
     "find_share_tokens",
     "fingerprint_request",
@@ -179,6 +182,7 @@
     "LimitSettings",
     "Action",
     "BackendServer",
+    "ByteBudget",
     "Candidate",
     "Chooser",
     "ColdStart",
@@ -224,6 +228,7 @@
     "actions",
     "assemble_configuration",
     "bounds",
+    "byte_budgets",
     "build_configuration",
     "change_options",
     "choose_lowest",
--- a/packages/core/src/myrtlehook_core/process/settings.py
+++ b/packages/core/src/myrtlehook_core/process/settings.py
@@ -17,6 +17,7 @@
 VmName = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
 
 DEFAULTS = CoreOptions()
+MIN_CLIENT_MEMORY_BYTES = 4 * 1024 * 1024
 
 
 class ListenSettings(Document):
@@ -41,6 +42,10 @@
     connections: int = Field(default=4096, ge=1, le=bounds.MAX_COUNT)
     queued_requests: int = Field(default=20_000, ge=1, le=bounds.MAX_COUNT)
     queued_bytes: int = Field(default=512 * 1024 * 1024, ge=1, le=bounds.MAX_COUNT)
+    client_memory_bytes: int = Field(
+        default=512 * 1024 * 1024, ge=MIN_CLIENT_MEMORY_BYTES, le=bounds.MAX_COUNT
+    )
+    """What clients may make this process hold: bodies, and responses that they do not take."""
     idle_connection_s: float = Field(default=60.0, gt=0, le=bounds.MAX_WAIT_S)
 
 
--- a/packages/core/src/myrtlehook_core/request/fingerprints.py
+++ b/packages/core/src/myrtlehook_core/request/fingerprints.py
@@ -6,7 +6,7 @@
 """Long enough to rule out collisions over a fleet's lifetime, even deliberate ones."""
 
 
-def fingerprint_request(workspace: str, method: str, target: str, body: bytes) -> bytes:
+def fingerprint_request(workspace: str, method: str, target: str, body: bytes | bytearray) -> bytes:
     """Return the fingerprint of a request, which is the same at every router.
 
     It includes the workspace, so that no workspace can affect another one's requests.
--- a/packages/router/src/myrtlehook_router/connection/backends.py
+++ b/packages/router/src/myrtlehook_router/connection/backends.py
@@ -27,7 +27,7 @@
     address: str
     target: str
     headers: dict[str, str]
-    body: bytes
+    body: bytes | bytearray
     read_timeout_s: float
     fresh_connection: bool = False
     """Never reuse a connection: the server may be closing it at this moment."""
--- a/packages/router/src/myrtlehook_router/connection/heads.py
+++ b/packages/router/src/myrtlehook_router/connection/heads.py
@@ -7,11 +7,11 @@
 from typing import Any
 
 import eventlet
-from eventlet import wsgi
 
 from myrtlehook_core import IngressLimits
+from myrtlehook_router.connection.client_protocols import ClientConnections, ClientProtocol
 from myrtlehook_router.connection.closed_connections import reset_connection
-from myrtlehook_router.connection.request_bodies import bound_body
+from myrtlehook_router.connection.request_bodies import ProcessBudgets
 from myrtlehook_router.process.counters import Counters
 
 TARGET_KEY = "myrtlehook.target"
@@ -27,6 +27,9 @@
 """Shortest time-out of a body, of a response, and of the first request on a connection: bytes that
 are on their way take some time, however short a connection may be idle."""
 
+MAX_HEAD_LINES = 100
+"""Limit of the lines of a head, the same as that of Python's HTTP library."""
+
 _REQUEST_LINE = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+ /[!-~]* HTTP/1\.[01]\r\n")
 _HEADER_LINE = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[^\x00\r\n]*\r\n")
 _BLANK_LINE = b"\r\n"
@@ -47,6 +50,8 @@
     must_close: Callable[[], bool],
     counters: Counters,
     busy_connections: set[object],
+    shared_budgets: ProcessBudgets,
+    open_connections: ClientConnections,
 ) -> type:
     """Make the protocol class for the listener of the routed interface.
 
@@ -55,10 +60,11 @@
         answered.
     """
 
-    class StrictProtocol(wsgi.HttpProtocol):
+    class StrictProtocol(ClientProtocol):
         """A client's connection."""
 
-        rfile: Any
+        budgets = shared_budgets
+        connections = open_connections
         request_version: str
         _head: bytes
         _breaks_off = False
@@ -71,7 +77,7 @@
             self.connection.settimeout(self._get_idle_timeout_s())
             self._is_new = False
             try:
-                if not self.rfile.peek(1):
+                if not self.rfile.wait_for_bytes():
                     return b""
                 busy_connections.add(self)
                 self._head = self._read_head()
@@ -111,10 +117,10 @@
             return True
 
         def get_environ(self) -> dict[str, Any]:
+            self.body_limit_bytes = limits().body_bytes
             environ = super().get_environ()
             environ[TARGET_KEY] = self.requestline.split()[1]
             environ[BREAK_OFF_KEY] = self._break_off
-            bound_body(environ["wsgi.input"], limits().body_bytes)
             return environ
 
         def _break_off(self) -> None:
@@ -145,6 +151,7 @@
 def read_head(stream: Any, limit_bytes: int) -> bytes:
     """Read a request line and its headers, up to and including the blank line.
 
+    :param stream: a file of lines.
     :raises HeadError: if the head is too long or malformed.
     :raises OSError: if the connection ends before the blank line.
     """
@@ -163,6 +170,8 @@
             continue
         _check_line(line, first=not lines)
         lines.append(line)
+        if len(lines) > MAX_HEAD_LINES:
+            raise HeadError(431, "head_too_large")
     _check_framing(lines[1:])
     return b"".join(lines) + _BLANK_LINE
 
--- a/packages/router/src/myrtlehook_router/connection/listeners.py
+++ b/packages/router/src/myrtlehook_router/connection/listeners.py
@@ -10,8 +10,11 @@
 from eventlet.greenio import GreenSocket
 
 from myrtlehook_core import Listener
+from myrtlehook_router.connection.client_protocols import ClientConnections, ClientProtocol
+from myrtlehook_router.connection.client_sockets import limit_buffers
 from myrtlehook_router.connection.closed_connections import is_readable
 from myrtlehook_router.connection.fair_sockets import make_fair
+from myrtlehook_router.connection.request_bodies import ProcessBudgets
 from myrtlehook_router.process import clocks
 from myrtlehook_router.process.counters import Counters
 
@@ -26,6 +29,12 @@
 MAX_REFUSED_CONNECTIONS = 64
 """The number of connections above the limit that are accepted only to be refused."""
 
+MAX_INTERNAL_CONNECTIONS = 64
+"""Limit of the connections of probes and scrapers at one listener."""
+
+INTERNAL_TIMEOUT_S = 10.0
+"""A connection of a probe or scraper that is idle for so long is closed."""
+
 _FULL_BODY = b'{"error":{"code":"connections_full","message":"too many open connections"}}'
 CONNECTIONS_FULL_RESPONSE = (
     b"HTTP/1.1 503 Service Unavailable\r\n"
@@ -40,7 +49,11 @@
 
 
 def serve_http(
-    listener: Listener, application: Application, limits: "LimitSettings", counters: Counters
+    listener: Listener,
+    application: Application,
+    limits: "LimitSettings",
+    counters: Counters,
+    budgets: ProcessBudgets,
 ) -> None:
     """Serve an application until the process ends; the main loop of a task."""
     wsgi.MAX_TOTAL_HEADER_SIZE = limits.header_bytes
@@ -51,7 +64,7 @@
         log=get_silent_logger(),
         log_output=False,
         debug=False,
-        protocol=_make_bounded_protocol(limits, counters),
+        protocol=_make_bounded_protocol(limits, counters, budgets),
         custom_pool=eventlet.GreenPool(limits.connections + MAX_REFUSED_CONNECTIONS),
         socket_timeout=limits.idle_connection_s,
     )
@@ -113,30 +126,74 @@
     return _disable_write_delay(adopted)
 
 
+def serve_internally(
+    listener: Listener, application: Application, budgets: ProcessBudgets, counters: Counters
+) -> None:
+    """Serve an application to probes and scrapers; the main loop of a task.
+
+    Of too many connections, the one that has waited longest for its client is closed.
+    """
+    wsgi.server(
+        PacedListener(open_listener(listener)),
+        application,
+        log=get_silent_logger(),
+        log_output=False,
+        debug=False,
+        protocol=_make_internal_protocol(counters, budgets),
+        custom_pool=eventlet.GreenPool(2 * MAX_INTERNAL_CONNECTIONS),
+        socket_timeout=INTERNAL_TIMEOUT_S,
+        keepalive=INTERNAL_TIMEOUT_S,
+    )
+
+
 def _disable_write_delay(opened: Any) -> Any:
+    limit_buffers(opened)
     # Accepted connections inherit this option. Without it the kernel holds back the last
     # small write of a response until the peer's delayed acknowledgement, about 40 ms.
     opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return opened
 
 
-def _make_bounded_protocol(limits: "LimitSettings", counters: Counters) -> type:
+def _make_internal_protocol(counters: Counters, shared_budgets: ProcessBudgets) -> type:
+    """Make the protocol class for probes and scrapers; no request with a body is wanted there."""
+    open_connections = ClientConnections()
+
+    class InternalProtocol(ClientProtocol):
+        """A connection of a probe or scraper."""
+
+        budgets = shared_budgets
+        connections = open_connections
+
+        def handle(self) -> None:
+            if len(open_connections) > MAX_INTERNAL_CONNECTIONS:
+                open_connections.close_longest_waiting(waited_s=0.0)
+                counters.add("connections.gave_way")
+            super().handle()
+
+    return InternalProtocol
+
+
+def _make_bounded_protocol(
+    limits: "LimitSettings", counters: Counters, shared_budgets: ProcessBudgets
+) -> type:
     """Make a protocol class that counts connections and refuses those above the limit."""
-    open_connections = [0]
+    open_connections = ClientConnections()
 
-    class BoundedProtocol(wsgi.HttpProtocol):
+    class BoundedProtocol(ClientProtocol):
         """A client's connection."""
 
+        budgets = shared_budgets
+        connections = open_connections
+        body_limit_bytes = limits.body_bytes
+
         def handle(self) -> None:
-            if open_connections[0] >= limits.connections:
-                counters.add("refusal.connections_full")
-                self.wfile.write(CONNECTIONS_FULL_RESPONSE)
-                return
-            open_connections[0] += 1
-            try:
-                super().handle()
-            finally:
-                open_connections[0] -= 1
+            if len(open_connections) > limits.connections:
+                if not open_connections.close_longest_waiting():
+                    counters.add("refusal.connections_full")
+                    self.wfile.write(CONNECTIONS_FULL_RESPONSE)
+                    return
+                counters.add("connections.gave_way")
+            super().handle()
 
         def handle_one_request(self) -> None:
             self.environ = None
--- a/packages/router/src/myrtlehook_router/connection/passing.py
+++ b/packages/router/src/myrtlehook_router/connection/passing.py
@@ -16,6 +16,7 @@
     MemberState,
     MemberTable,
     Neighbours,
+    byte_budgets,
     choose_neighbour,
     record_closed,
     record_opened,
@@ -27,6 +28,7 @@
     Introduction,
     write_introduction,
 )
+from myrtlehook_router.connection.memory_gates import MemoryGate
 from myrtlehook_router.connection.splices import Splice
 from myrtlehook_router.process import clocks
 from myrtlehook_router.process.counters import Counters
@@ -131,6 +133,7 @@
         counters: Counters,
         get_configuration_number: Callable[[], int],
         read_request: RequestReader,
+        gate: MemoryGate | None = None,
     ) -> None:
         """Prepare to pass connections on.
 
@@ -138,6 +141,7 @@
         :param read_request: reads the first bytes of a request that arrived at a given time.
         """
         self._read_request = read_request
+        self._gate = gate
         self._get_configuration_number = get_configuration_number
         self._config = config
         self._table = table
@@ -180,6 +184,16 @@
                 _log.warning("neighbour given up", neighbour=passed.neighbour_id)
                 passed.splice.abort()
 
+    def close_silent_connection(self) -> bool:
+        """Close a connection whose client has sent nothing for long; returns False without one."""
+        latest_s = clocks.now_s() - byte_budgets.STALL_S
+        for passed in self._passed.values():
+            splice = passed.splice
+            if splice is not None and not splice.carries_request and passed.spliced_at_s < latest_s:
+                splice.abort()
+                return True
+        return False
+
     def _ask_next_neighbour(self, passed: PassedConnection) -> bool:
         """Ask the next neighbour to serve the connection; returns False if none can be asked."""
         if len(passed.tried_neighbours) >= MAX_NEIGHBOURS_ASKED:
@@ -285,6 +299,7 @@
             neighbour_socket,
             lambda: self._remove_connection(passed),
             lambda head: self._limit_request(passed, head),
+            self._gate,
         )
         passed.splice.start()
 
--- a/packages/router/src/myrtlehook_router/connection/server_connections.py
+++ b/packages/router/src/myrtlehook_router/connection/server_connections.py
@@ -4,7 +4,7 @@
 import re
 import socket
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TypeVar
 
 import eventlet
@@ -61,7 +61,7 @@
     address: str
     target: str
     headers: tuple[tuple[str, str], ...]
-    body: bytes
+    body: bytes | bytearray
 
     @property
     def kind(self) -> str:
@@ -246,6 +246,10 @@
                 open_beside += not is_closed
         self.end = AnswerEnd(self._framing, sign, proof, open_beside, ended_beside)
 
+    def forget_body(self) -> None:
+        """Release the request's body, once it is not sent any more."""
+        self._request = replace(self._request, body=b"")
+
     def abort(self) -> None:
         """End the exchange; a task that is reading from it fails at once.
 
@@ -285,7 +289,7 @@
     connection.request(
         request.method,
         request.target,
-        body=request.body or None,
+        body=memoryview(request.body) if request.body else None,
         headers=headers,
         preload_content=False,
         decode_content=False,
--- a/packages/router/src/myrtlehook_router/connection/server_sockets.py
+++ b/packages/router/src/myrtlehook_router/connection/server_sockets.py
@@ -30,7 +30,12 @@
 CONNECTION_ERRORS = (HTTPError, HTTPException, OSError, EOFError, ValueError)
 """What urllib3, http.client and sockets raise for broken connections and responses."""
 
+RECEIVE_BUFFER_BYTES = 32 * 1024
+"""What may arrive of a response that its client does not take. The kernel doubles it, for its own
+bookkeeping."""
+
 _SOCKET_OPTIONS: list[tuple[int, int, int | bytes]] = [
+    (socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES),
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS),
 ]
--- a/packages/router/src/myrtlehook_router/connection/splices.py
+++ b/packages/router/src/myrtlehook_router/connection/splices.py
@@ -11,9 +11,11 @@
 
 from eventlet import hubs
 
+from myrtlehook_core import Holder
 from myrtlehook_router.connection.closed_connections import is_connection_closed, reset_connection
+from myrtlehook_router.connection.memory_gates import MemoryGate
 
-READ_BYTES = 64 * 1024
+READ_BYTES = 32 * 1024
 
 
 @dataclass(slots=True)
@@ -38,13 +40,17 @@
         neighbour: Any,
         on_end: Callable[[], None],
         on_request: Callable[[bytes], None] | None = None,
+        gate: MemoryGate | None = None,
     ) -> None:
         """Prepare to join two non-blocking connections.
 
         :param on_end: called once, when both are closed.
         :param on_request: called once, with the first bytes from the client.
+        :param gate: counts the bytes that could not be written yet.
         """
         self._on_request = on_request
+        self._gate = gate
+        self._holder = Holder()
         self._caller = SpliceEnd(caller)
         self._neighbour = SpliceEnd(neighbour)
         self._on_end = on_end
@@ -122,6 +128,7 @@
             return
         # Back pressure: nothing more is read from the other end until this has been sent.
         end.unsent = piece[sent:]
+        self._count_unsent(end)
         source = self._get_other_end(end)
         hubs.get_hub().remove(source.reader)
         source.reader = None
@@ -139,14 +146,29 @@
         hubs.get_hub().remove(end.writer)
         end.writer = None
         piece, end.unsent = end.unsent, b""
+        if self._gate is not None:
+            if end is self._caller:
+                self._gate.go_on(self._holder)
+            self._gate.release(self._holder, len(piece))
         self._read_from(self._get_other_end(end))
         self._send(end, piece)
 
+    def _count_unsent(self, end: SpliceEnd) -> None:
+        """Count what this process holds because one end does not take it."""
+        if self._gate is None:
+            return
+        if end is self._caller:
+            self._gate.wait_for_client(self._holder, self.abort)
+        self._gate.hold_at_once(self._holder, len(end.unsent))
+
     def _get_other_end(self, end: SpliceEnd) -> SpliceEnd:
         return self._neighbour if end is self._caller else self._caller
 
     def _close(self, resets_caller: bool = False) -> None:
         self._ended = True
+        if self._gate is not None:
+            self._gate.go_on(self._holder)
+            self._gate.release(self._holder)
         for end in (self._caller, self._neighbour):
             for listener in (end.reader, end.writer):
                 if listener is not None:
--- a/packages/router/src/myrtlehook_router/connection/watches.py
+++ b/packages/router/src/myrtlehook_router/connection/watches.py
@@ -19,11 +19,16 @@
     def __init__(self, connection: Any, on_disconnect: Callable[[], None]) -> None:
         self._connection = connection
         self._on_disconnect = on_disconnect
-        self._thread = eventlet.spawn(self._run)
+        self._thread: Any = eventlet.spawn(self._run)
 
     def stop(self) -> None:
         """Stop watching; the connection may be read again afterwards."""
-        self._thread.kill()
+        thread, self._thread = self._thread, None
+        if thread is not None:
+            thread.kill()
+        # The task refers to this object, and the callback to the request with its body: without
+        # this they would stay in memory until the next garbage collection.
+        self._on_disconnect = _do_nothing
 
     def _run(self) -> None:
         if self._wait_for_disconnect():
@@ -41,3 +46,7 @@
         while not is_connection_closed(self._connection):
             eventlet.sleep(RECHECK_INTERVAL_S)
         return True
+
+
+def _do_nothing() -> None:
+    pass
--- a/packages/router/src/myrtlehook_router/process/caller_servers.py
+++ b/packages/router/src/myrtlehook_router/process/caller_servers.py
@@ -8,11 +8,13 @@
 from eventlet import hubs, wsgi
 
 from myrtlehook_core import CoreOptions, IngressLimits, Listener, should_pass_on
+from myrtlehook_router.connection.client_protocols import ClientConnections
 from myrtlehook_router.connection.heads import make_strict_protocol
 from myrtlehook_router.connection.ingress_listeners import IngressListener
 from myrtlehook_router.connection.listeners import PacedListener, get_silent_logger, open_listener
 from myrtlehook_router.connection.neighbour_protocols import make_neighbour_protocol
 from myrtlehook_router.connection.passing import ConnectionPasser
+from myrtlehook_router.connection.request_bodies import ProcessBudgets
 from myrtlehook_router.process import clocks
 from myrtlehook_router.process.busy_meters import BusyMeter
 from myrtlehook_router.process.counters import Counters
@@ -24,6 +26,13 @@
 ACCEPT_CHECK_INTERVAL_S = 0.001
 """Interval of the check that no client waits, before the listening socket is closed."""
 
+ROOM_CHECK_INTERVAL_S = 0.05
+FREE_FRACTION = 0.05
+"""Below this fraction of free places, connections that wait for their clients are closed."""
+
+ROOM_WITHOUT_DESCRIPTORS = 8
+"""The number of connections to close at a time while descriptors are short."""
+
 DESCRIPTORS_PER_PASSED_CONNECTION = 2
 """Descriptors of a connection that a neighbour serves: the client's and the neighbour's."""
 
@@ -48,6 +57,7 @@
     fleet_key: str
     options: CoreOptions
     get_configuration_number: Callable[[], int]
+    budgets: ProcessBudgets
 
 
 class CallerServer:
@@ -63,6 +73,7 @@
         self._task_pool = eventlet.GreenPool(services.max_connections)
         self.busy_meter = BusyMeter()
         self._busy_connections: set[object] = set()
+        self._connections = ClientConnections()
         self._listener: IngressListener | None = None
         self._accepting: Any = None
 
@@ -78,11 +89,14 @@
         )
         self._listener = ingress_listener
         self._accepting = eventlet.spawn(run_or_exit, ingress_listener.accept_forever)
+        eventlet.spawn(run_or_exit, self._make_room_forever)
         protocol = make_strict_protocol(
             self._services.limits,
             self._should_close_connections,
             self._services.counters,
             self._busy_connections,
+            self._services.budgets,
+            self._connections,
         )
         self._run_server(ingress_listener, protocol)
 
@@ -90,7 +104,12 @@
         """Serve clients whose connections neighbours pass on; the main loop of a task."""
         services = self._services
         single_request = make_strict_protocol(
-            services.limits, lambda: True, services.counters, self._busy_connections
+            services.limits,
+            lambda: True,
+            services.counters,
+            self._busy_connections,
+            services.budgets,
+            self._connections,
         )
         protocol = make_neighbour_protocol(
             single_request,
@@ -102,6 +121,30 @@
         )
         self._run_server(PacedListener(open_listener(listener)), protocol)
 
+    def _make_room_forever(self) -> None:
+        """Close connections that wait for their clients while others have no place.
+
+        The main loop of a task.
+        """
+        while True:
+            eventlet.sleep(ROOM_CHECK_INTERVAL_S)
+            missing = self._count_missing_places()
+            while missing > 0 and self._close_waiting_connection():
+                missing -= 1
+                self._services.counters.add("connections.gave_way")
+
+    def _count_missing_places(self) -> int:
+        """Return how many places are to be made free for the next clients."""
+        free = self._task_pool.free() - int(FREE_FRACTION * self._services.max_connections)
+        if self._has_free_descriptors():
+            return -free
+        return max(-free, ROOM_WITHOUT_DESCRIPTORS)
+
+    def _close_waiting_connection(self) -> bool:
+        if self._connections.close_longest_waiting():
+            return True
+        return self._passer is not None and self._passer.close_silent_connection()
+
     def stop_accepting(self, limit_s: float) -> None:
         """Take the connections that wait, and have the kernel refuse later ones.
 
--- a/packages/router/src/myrtlehook_router/process/daemons.py
+++ b/packages/router/src/myrtlehook_router/process/daemons.py
@@ -16,7 +16,10 @@
     make_core_options,
 )
 from myrtlehook_router.connection.listeners import serve_http
+from myrtlehook_router.connection.memory_gates import MemoryGate
 from myrtlehook_router.connection.platforms import PlatformClient
+from myrtlehook_router.connection.reading_turns import ReadingTurns
+from myrtlehook_router.connection.request_bodies import ProcessBudgets
 from myrtlehook_router.process import clocks
 from myrtlehook_router.process.core_tasks import CoreTask
 from myrtlehook_router.process.counters import Counters
@@ -99,6 +102,9 @@
     def _list_tasks(self) -> list[Callable[[], None]]:
         settings = self._settings
         limits = settings.limits
+        budgets = ProcessBudgets(
+            MemoryGate(limits.client_memory_bytes, self._counters), ReadingTurns()
+        )
         callers = make_application(self._make_request_services())
         operators = make_operator_application(self._make_operator_services())
         return [
@@ -106,8 +112,8 @@
             lambda: self._peers.receive_forever(self._mailbox),
             lambda: self._platform.watch_manifest(self._mailbox),
             lambda: self._platform.watch_vm_list(self._mailbox, self._record_listed_ips),
-            lambda: serve_http(settings.callers, callers, limits, self._counters),
-            lambda: serve_http(settings.operators, operators, limits, self._counters),
+            lambda: serve_http(settings.callers, callers, limits, self._counters, budgets),
+            lambda: serve_http(settings.operators, operators, limits, self._counters, budgets),
         ]
 
     def _make_request_services(self) -> RequestServices:
--- a/packages/router/src/myrtlehook_router/process/gateway_daemons.py
+++ b/packages/router/src/myrtlehook_router/process/gateway_daemons.py
@@ -10,7 +10,6 @@
 from typing import Any
 
 import eventlet
-from eventlet import wsgi
 
 from myrtlehook_core import (
     Finding,
@@ -32,12 +31,14 @@
     renew_witnesses,
 )
 from myrtlehook_router.connection.listeners import (
-    PacedListener,
     adopt_listener,
-    get_silent_logger,
     open_listener,
+    serve_internally,
 )
+from myrtlehook_router.connection.memory_gates import MemoryGate
 from myrtlehook_router.connection.passing import ConnectionPasser, PassingConfig
+from myrtlehook_router.connection.reading_turns import ReadingTurns
+from myrtlehook_router.connection.request_bodies import ProcessBudgets
 from myrtlehook_router.connection.send_failures import SendFailure
 from myrtlehook_router.connection.server_checks import ServerChecks, ServerState
 from myrtlehook_router.process import clocks
@@ -79,8 +80,6 @@
 NEIGHBOUR_CHECK_INTERVAL_S = 0.2
 """Interval of the check that neighbours serving clients of this router are still alive."""
 
-INTERNAL_PROTOCOL = wsgi.HttpProtocol
-
 Source = Callable[[Mailbox], None]
 """A loop that posts published configuration and servers to the core; it never returns."""
 
@@ -116,6 +115,9 @@
         self._refusing = False
         """True once the drain notice has passed, so that the load balancer should have noticed."""
         self._counters = Counters(None)
+        self._budgets = ProcessBudgets(
+            MemoryGate(settings.client_memory_bytes, self._counters), ReadingTurns()
+        )
         self._server_checks = ServerChecks()
         self._tallies = RequestTallies(settings.options.tallies_requests)
         self._metrics = Metrics(
@@ -123,6 +125,7 @@
             self._read_gauges,
             lambda: list_engine_gauges(self._core_task.core.describe_engines()),
             self._tallies,
+            self._budgets.turns,
         )
         self._mailbox = Mailbox()
         self._tickets = TicketRegistry()
@@ -213,8 +216,8 @@
             self._log_sums_forever,
             self._reload_forever,
             lambda: self._peers.receive_forever(self._mailbox),
-            lambda: _serve(settings.readiness, self._answer_readiness),
-            lambda: _serve(settings.metrics, self._metrics.answer),
+            lambda: self._serve_internally(settings.readiness, self._answer_readiness),
+            lambda: self._serve_internally(settings.metrics, self._metrics.answer),
         ]
         if settings.neighbours is not None and self._passer is not None:
             neighbour_listener = settings.neighbours
@@ -263,6 +266,7 @@
             fleet_key=settings.fleet_key,
             options=settings.options,
             get_configuration_number=self._get_configuration_number,
+            budgets=self._budgets,
         )
         return CallerServer(services, self._passer)
 
@@ -280,6 +284,7 @@
             self._counters,
             self._get_configuration_number,
             make_request_reader(lambda: self._core_task.configuration, settings.header_names),
+            self._budgets.gate,
         )
 
     def _serve_callers(self) -> None:
@@ -291,6 +296,11 @@
         )
         self._caller_server.serve(listener)
 
+    def _serve_internally(
+        self, address: Listener, application: Callable[..., Iterable[bytes]]
+    ) -> None:
+        serve_internally(address, application, self._budgets, self._counters)
+
     def _abort_dead_neighbours_forever(self) -> None:
         """Abort the connections that dead neighbours served; the main loop of a task."""
         while True:
@@ -325,6 +335,8 @@
             "quarantined_parts": count_quarantined(core.part_quarantine, clocks.now_s()),
             "reads_source": float(self._read_switch.wanted),
             "log_lines_dropped": self._log_stream.dropped_lines,
+            "client_memory_held_bytes": self._budgets.gate.budget.held_bytes,
+            "client_memory_bytes": self._budgets.gate.budget.total_bytes,
             "busy_part": self._caller_server.busy_meter.busy_fraction,
             "passed_connections": 0 if self._passer is None else self._passer.count_connections(),
         }
@@ -456,17 +468,6 @@
         listener.kill()
 
 
-def _serve(address: Listener, application: Callable[..., Iterable[bytes]]) -> None:
-    wsgi.server(
-        PacedListener(open_listener(address)),
-        application,
-        log=get_silent_logger(),
-        log_output=False,
-        debug=False,
-        protocol=INTERNAL_PROTOCOL,
-    )
-
-
 def _read_no_part(key: str) -> str | None:
     """Return None: with this daemon, configurations are published whole, not in parts."""
     return None
--- a/packages/router/src/myrtlehook_router/process/gateway_settings.py
+++ b/packages/router/src/myrtlehook_router/process/gateway_settings.py
@@ -33,6 +33,8 @@
     options: CoreOptions = field(default_factory=CoreOptions)
     neighbours: Listener | None = None
     """Where neighbours pass on connections to this router; None if they don't."""
+    client_memory_bytes: int = 64 * 1024 * 1024
+    """What clients may make this process hold: bodies, and responses that they do not take."""
     max_caller_descriptors: int = 0
     """Limit of file descriptors for clients' connections: one that is served here uses one,
     one that a neighbour serves uses two. With 0, the limit is ``max_connections``."""
--- a/packages/router/src/myrtlehook_router/process/metrics.py
+++ b/packages/router/src/myrtlehook_router/process/metrics.py
@@ -7,6 +7,8 @@
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
 from prometheus_client.registry import Collector
 
+from myrtlehook_router.connection.reading_turns import ReadingTurns
+from myrtlehook_router.process import clocks
 from myrtlehook_router.process.counters import Counters
 from myrtlehook_router.request.request_tallies import Figure, RequestTallies
 
@@ -33,7 +35,13 @@
         gauges: Gauges,
         server_gauges: LabelledGauges = no_labelled_gauges,
         tallies: RequestTallies | None = None,
+        turns: ReadingTurns | None = None,
     ) -> None:
+        """Prepare the registry.
+
+        :param turns: limits the time that scrapes take, however many there are.
+        """
+        self._turns = turns or ReadingTurns()
         self.registry = CollectorRegistry()
         self.registry.register(_CounterCollector(counters, gauges, server_gauges))
         self.registry.register(_TallyCollector(tallies or RequestTallies()))
@@ -43,7 +51,10 @@
 
     def answer(self, environ: dict[str, Any], start_response: StartResponse) -> Iterable[bytes]:
         """Serve the metrics on every path; a WSGI application."""
+        self._turns.wait()
+        began_s = clocks.now_s()
         body = generate_latest(self.registry)
+        self._turns.charge(clocks.now_s() - began_s)
         headers = [("Content-Type", CONTENT_TYPE), ("Content-Length", str(len(body)))]
         start_response("200 OK", headers)
         return [body]
--- a/packages/router/src/myrtlehook_router/request/answering.py
+++ b/packages/router/src/myrtlehook_router/request/answering.py
@@ -3,10 +3,13 @@
 A request is sent again only if it certainly was not run, or if its route allows to repeat it.
 """
 
+from collections.abc import Callable
+
 import urllib3
 from result import Err, Ok, Result
 
 from myrtlehook_core import Outcome, RequestKind, RetryReason, actions
+from myrtlehook_router.connection.client_protocols import TRY_HOLD_KEY
 from myrtlehook_router.process import clocks
 from myrtlehook_router.request.answer_streams import (
     PassThroughStream,
@@ -39,6 +42,12 @@
 """A response up to this size is read completely before any of it is sent to the client, so that
 the request can still be sent again if the response breaks off."""
 
+SMALL_ANSWER_BYTES = 16 * 1024
+"""Larger responses are read completely only while there is memory for them."""
+
+ANSWER_COPIES = 3
+"""A response is copied once when it is whole, and once when it is written."""
+
 EVENT_STREAM_TYPE = "text/event-stream"
 MIN_SERVER_ERROR_STATUS = 500
 ROUTER_FAULT = "router_fault"
@@ -107,7 +116,7 @@
             break
         record_heard(relay)
         body += piece.ok_value
-        if len(body) > MAX_BUFFERED_BYTES:
+        if len(body) > MAX_BUFFERED_BYTES or not _may_keep(relay, len(body), len(piece.ok_value)):
             headers = _make_answer_headers(relay, response)
             stream = PassThroughStream(relay, has_events=False, first=bytes(body))
             return Ok(Answer(response.status, stream, headers))
@@ -120,6 +129,16 @@
     return Ok(Answer(response.status, [bytes(body)], _make_answer_headers(relay, response)))
 
 
+def _may_keep(relay: Relay, size_bytes: int, newest_bytes: int) -> bool:
+    """Count the newest part of a response; return whether there is memory to keep it."""
+    if size_bytes <= SMALL_ANSWER_BYTES:
+        return True
+    is_first = size_bytes - newest_bytes <= SMALL_ANSWER_BYTES
+    more_bytes = size_bytes if is_first else newest_bytes
+    try_hold: Callable[[int], bool] = relay.request.environ[TRY_HOLD_KEY]
+    return try_hold(ANSWER_COPIES * more_bytes)
+
+
 def _answer_streamed(relay: Relay, response: urllib3.HTTPResponse) -> Answer:
     """Begin a streamed response; its head is sent together with its first piece.
 
--- a/packages/router/src/myrtlehook_router/request/callers.py
+++ b/packages/router/src/myrtlehook_router/request/callers.py
@@ -1,8 +1,9 @@
 """Reads a client's HTTP request from WSGI within size limits, and checks its connection."""
 
+import random
 import re
 import uuid
-from collections.abc import Iterator
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -10,14 +11,38 @@
 
 from myrtlehook_core import RefusalReason
 from myrtlehook_router.connection.closed_connections import is_connection_closed
+from myrtlehook_router.connection.request_bodies import BodyFault
 from myrtlehook_router.request.answers import Refusal
 
 REQUEST_ID_PATTERN = re.compile(r"^[A-Za-z0-9._-]{1,128}$")
 TIMEOUT_HEADER = "HTTP_X_TIMEOUT_MS"
 NO_REPEAT_HEADER = "HTTP_X_NO_REPEAT"
-READ_BYTES = 64 * 1024
 MAX_TIMEOUT_MS = 24 * 3600 * 1000
 
+BODY_TIMEOUT_S = 120.0
+"""How long the body of a request of the built-in interface may take to arrive."""
+
+MIN_MEMORY_RETRY_S = 0.25
+MAX_MEMORY_RETRY_S = 1.0
+"""Bounds of the delay before the retry of a request for which there was no memory. Bodies leave the
+router as soon as they are answered."""
+
+_FAULT_REASONS = {
+    BodyFault.TOO_LARGE: RefusalReason.BODY_TOO_LARGE,
+    BodyFault.MALFORMED: RefusalReason.MALFORMED_BODY,
+    BodyFault.BROKE_OFF: RefusalReason.MALFORMED_BODY,
+    BodyFault.TOO_SLOW: RefusalReason.DEADLINE_PASSED,
+    BodyFault.NO_MEMORY: RefusalReason.MEMORY_FULL,
+    BodyFault.GAVE_WAY: RefusalReason.BODY_STALLED,
+}
+_FAULT_MESSAGES = {
+    BodyFault.MALFORMED: "the body is no sequence of chunks",
+    BodyFault.BROKE_OFF: "the body broke off",
+    BodyFault.TOO_SLOW: "the body came too slowly",
+    BodyFault.NO_MEMORY: "this router has no memory for the body now",
+    BodyFault.GAVE_WAY: "the body stopped arriving, and its memory was needed",
+}
+
 
 @dataclass(frozen=True, slots=True)
 class CallerRequest:
@@ -65,24 +90,28 @@
     )
 
 
-def read_request_body(environ: dict[str, Any], limit_bytes: int) -> Result[bytes, Refusal]:
-    """Read a request's body, which may have at most ``limit_bytes``."""
-    length_text = environ.get("CONTENT_LENGTH") or ""
-    if length_text and not length_text.isdigit():
-        return Err(_make_malformed_refusal("Content-Length must be a whole number"))
-    if length_text and int(length_text) > limit_bytes:
-        return Err(_make_too_large_refusal(int(length_text), limit_bytes))
-    body = bytearray()
-    try:
-        for chunk in _read_chunks(environ["wsgi.input"]):
-            body += chunk
-            if len(body) > limit_bytes:
-                return Err(_make_too_large_refusal(len(body), limit_bytes))
-    except (OSError, ValueError) as error:
-        return Err(_make_malformed_refusal(f"the body broke off: {type(error).__name__}"))
-    if length_text and len(body) != int(length_text):
-        return Err(_make_malformed_refusal(f"got {len(body)} of {length_text} bytes"))
-    return Ok(bytes(body))
+def read_request_body(
+    environ: dict[str, Any],
+    limit_bytes: int,
+    workspace: str,
+    deadline_s: float,
+    draw: Callable[[], float] = random.random,
+) -> Result[bytes | bytearray, Refusal]:
+    """Read a request's body, which may have at most ``limit_bytes``.
+
+    :param workspace: whose memory it takes.
+    :param draw: returns a random number from 0 to 1, which spreads retries.
+    """
+    collected = environ["wsgi.input"].body.collect(limit_bytes, workspace, deadline_s)
+    if isinstance(collected, Ok):
+        return collected
+    fault = collected.err_value
+    if fault is BodyFault.TOO_LARGE:
+        message = f"the body is too large; at most {limit_bytes} bytes are taken"
+    else:
+        message = _FAULT_MESSAGES[fault]
+    wait_s = MIN_MEMORY_RETRY_S + draw() * (MAX_MEMORY_RETRY_S - MIN_MEMORY_RETRY_S)
+    return Err(Refusal(_FAULT_REASONS[fault], message, wait_s))
 
 
 def get_caller_socket(environ: dict[str, Any]) -> Any | None:
@@ -97,15 +126,5 @@
     return connection is not None and is_connection_closed(connection)
 
 
-def _read_chunks(stream: Any) -> Iterator[bytes]:
-    while chunk := stream.read(READ_BYTES):
-        yield chunk
-
-
 def _make_malformed_refusal(message: str) -> Refusal:
     return Refusal(RefusalReason.MALFORMED_BODY, message)
-
-
-def _make_too_large_refusal(seen_bytes: int, limit_bytes: int) -> Refusal:
-    message = f"the body has {seen_bytes} bytes or more; at most {limit_bytes} are taken"
-    return Refusal(RefusalReason.BODY_TOO_LARGE, message)
--- a/packages/router/src/myrtlehook_router/request/calls.py
+++ b/packages/router/src/myrtlehook_router/request/calls.py
@@ -28,7 +28,7 @@
     make_refusal_answer,
 )
 from myrtlehook_router.request.broken_runs import check_server_after_broken_run
-from myrtlehook_router.request.callers import CallerRequest, read_request_body
+from myrtlehook_router.request.callers import BODY_TIMEOUT_S, CallerRequest, read_request_body
 from myrtlehook_router.request.headers import DEFAULT_HEADER_NAMES, list_router_only_headers
 from myrtlehook_router.request.placements import (
     Placement,
@@ -84,7 +84,7 @@
     request: CallerRequest
     placement: Placement
     target: str
-    body: bytes
+    body: bytes | bytearray
     started_at_s: float = 0.0
     backend_server: str = ""
 
@@ -108,7 +108,10 @@
     if pool.name not in workspace.pools:
         message = f"this workspace may not use service {name!r}"
         return Err(Refusal(RefusalReason.POOL_NOT_ALLOWED, message))
-    content = read_request_body(request.environ, services.body_limit_bytes)
+    deadline_s = clocks.now_s() + BODY_TIMEOUT_S
+    content = read_request_body(
+        request.environ, services.body_limit_bytes, workspace.name, deadline_s
+    )
     if isinstance(content, Err):
         return content
     target = _make_target(request, rest)
--- a/packages/router/src/myrtlehook_router/request/chats.py
+++ b/packages/router/src/myrtlehook_router/request/chats.py
@@ -38,7 +38,7 @@
     make_refusal_answer,
 )
 from myrtlehook_router.request.broken_runs import check_server_after_broken_run
-from myrtlehook_router.request.callers import CallerRequest, read_request_body
+from myrtlehook_router.request.callers import BODY_TIMEOUT_S, CallerRequest, read_request_body
 from myrtlehook_router.request.headers import DEFAULT_HEADER_NAMES
 from myrtlehook_router.request.placements import (
     Placement,
@@ -119,7 +119,10 @@
 def _open_chat(
     services: RequestServices, request: CallerRequest, workspace: Workspace
 ) -> Result[Chat, Refusal]:
-    content = read_request_body(request.environ, services.body_limit_bytes)
+    deadline_s = clocks.now_s() + BODY_TIMEOUT_S
+    content = read_request_body(
+        request.environ, services.body_limit_bytes, workspace.name, deadline_s
+    )
     if isinstance(content, Err):
         return content
     parsed = _parse_body(content.ok_value)
@@ -153,7 +156,7 @@
     )
 
 
-def _parse_body(content: bytes) -> Result[ChatBody, Refusal]:
+def _parse_body(content: bytes | bytearray) -> Result[ChatBody, Refusal]:
     try:
         text = content.decode()
     except UnicodeDecodeError:
--- a/packages/router/src/myrtlehook_router/request/gateways.py
+++ b/packages/router/src/myrtlehook_router/request/gateways.py
@@ -6,8 +6,7 @@
 from http.client import responses
 from typing import Any
 
-import eventlet
-from result import Err, Result
+from result import Err
 
 from myrtlehook_core import (
     RefusalReason,
@@ -36,7 +35,7 @@
 from myrtlehook_router.request.prompts import read_prompt
 from myrtlehook_router.request.refusal_sums import RefusedKind, count_refusal
 from myrtlehook_router.request.refusals import make_routed_refusal
-from myrtlehook_router.request.relays import Relay, handle_caller_disconnect
+from myrtlehook_router.request.relays import Relay, forget_body, handle_caller_disconnect
 from myrtlehook_router.request.request_tallies import (
     Figure,
     TallyKey,
@@ -73,12 +72,18 @@
     """The body of a response; the client's connection is watched until it is closed."""
 
     def __init__(
-        self, body: Iterable[bytes], watch: CallerWatch, break_off: Callable[[], None]
+        self,
+        body: Iterable[bytes],
+        watch: CallerWatch,
+        break_off: Callable[[], None],
+        on_close: Callable[[], None],
     ) -> None:
         """Begin to forward a body.
 
         :param break_off: called if the body breaks off.
+        :param on_close: called at its end.
         """
+        self._on_close = on_close
         self._body = body
         self._watch = watch
         self._break_off = break_off
@@ -96,6 +101,7 @@
         close = getattr(self._body, "close", None)
         if close is not None:
             close()
+        self._on_close()
 
 
 def make_gateway(services: GatewayServices) -> Callable[..., Iterable[bytes]]:
@@ -136,7 +142,8 @@
     if isinstance(parsed, Err):
         return _refuse(services, environ, parsed.err_value)
     request = parsed.ok_value
-    body = _read_body(services, request)
+    limits = services.requests.configuration().limits
+    body = read_request_body(environ, limits.body_bytes, request.workspace.name, request.deadline_s)
     if isinstance(body, Err):
         return _refuse(services, environ, body.err_value, request)
     if services.requests.is_refusing():
@@ -144,17 +151,9 @@
     return _run_request(services, request, body.ok_value)
 
 
-def _read_body(services: GatewayServices, request: RoutedRequest) -> Result[bytes, Refusal]:
-    limits = services.requests.configuration().limits
-    remaining_s = max(request.deadline_s - clocks.now_s(), 0.001)
-    try:
-        with eventlet.Timeout(remaining_s):
-            return read_request_body(request.environ, limits.body_bytes)
-    except eventlet.Timeout:
-        return Err(Refusal(RefusalReason.DEADLINE_PASSED, "the body came too slowly"))
-
-
-def _run_request(services: GatewayServices, request: RoutedRequest, body: bytes) -> Answer:
+def _run_request(
+    services: GatewayServices, request: RoutedRequest, body: bytes | bytearray
+) -> Answer:
     specification = specify_request(services, request, body)
     pool = services.requests.configuration().pools.get(specification.pool)
     # Requests to model engines are counted for shares and may be shed: most of the processor time
@@ -193,8 +192,11 @@
         answer = answer_fault(relay)
     if isinstance(answer.body, list):
         watch.stop()
+        forget_body(relay)
         return answer
-    watched = WatchedBody(answer.body, watch, request.environ[BREAK_OFF_KEY])
+    watched = WatchedBody(
+        answer.body, watch, request.environ[BREAK_OFF_KEY], lambda: forget_body(relay)
+    )
     return Answer(answer.status, watched, answer.headers)
 
 
@@ -216,7 +218,7 @@
 
 
 def specify_request(
-    services: GatewayServices, request: RoutedRequest, body: bytes
+    services: GatewayServices, request: RoutedRequest, body: bytes | bytearray
 ) -> RequestSpecification:
     """Make the specification of a request for the core."""
     route = request.route
--- a/packages/router/src/myrtlehook_router/request/placements.py
+++ b/packages/router/src/myrtlehook_router/request/placements.py
@@ -89,7 +89,7 @@
     workspace: Workspace,
     pool: Pool,
     target: str,
-    body: bytes,
+    body: bytes | bytearray,
     prefix_key: str,
 ) -> Result[Placement, Refusal]:
     """Make the specification of a request and submit it to the core.
--- a/packages/router/src/myrtlehook_router/request/relays.py
+++ b/packages/router/src/myrtlehook_router/request/relays.py
@@ -99,7 +99,7 @@
 
     request: RoutedRequest
     placement: Placement
-    body: bytes
+    body: bytes | bytearray
     names: HeaderNames
     connection_pool: ConnectionPool
     prompt_tokens: int = 0
@@ -160,6 +160,13 @@
         relay.exchange.abort()
 
 
+def forget_body(relay: Relay) -> None:
+    """Release the body of a request that has ended; other objects may refer to the relay longer."""
+    relay.body = b""
+    if relay.exchange is not None:
+        relay.exchange.forget_body()
+
+
 def adopt_attempt(relay: Relay, successor: Relay) -> None:
     """Make the attempt of a successor the request's own."""
     for name in ATTEMPT_FIELDS:
--- a/tests/environment.py
+++ b/tests/environment.py
@@ -28,6 +28,10 @@
 SMALL_MEMORY_MB = 88
 """The memory of VMs on which a router accepts few connections."""
 
+CROWD_MEMORY_MB = 100
+CROWD_DESCRIPTORS = 900
+"""The limits of VMs whose routers meet crowds of clients that keep none."""
+
 SEVERAL_SERVICES = 3
 """The number of plain service servers with which others can run what one of them refuses."""
 
@@ -107,6 +111,9 @@
     nodes = NodeFleet()
     if option == "small":
         nodes.memory_mb = SMALL_MEMORY_MB
+    if option == "crowd":
+        nodes.memory_mb = CROWD_MEMORY_MB
+        nodes.descriptors = CROWD_DESCRIPTORS
     if option == "desks":
         nodes.services = SEVERAL_SERVICES
     nodes.options = {f"edge-{number}": BUSY_OPTIONS.get(option, {}) for number in range(1, 10)}
--- a/tests/standins/endless_servers.py
+++ b/tests/standins/endless_servers.py
@@ -50,7 +50,7 @@
 def _serve(connection: socket.socket, beginning: bytes, rest: bytes) -> None:
     """Answer one request, and go on until its caller closes the connection."""
     try:
-        attempt_id = _read_attempt_id(connection)
+        attempt_id = read_attempt_id(connection)
         if not attempt_id:
             return
         print(attempt_id, file=sys.stderr, flush=True)
@@ -66,7 +66,7 @@
         connection.close()
 
 
-def _read_attempt_id(connection: socket.socket) -> str:
+def read_attempt_id(connection: socket.socket) -> str:
     """Read a request's head; returns its id, or nothing if the router leaves before."""
     received = b""
     while b"\r\n\r\n" not in received:
--- a/tests/standins/nodes.py
+++ b/tests/standins/nodes.py
@@ -50,6 +50,7 @@
     processes: list[subprocess.Popen[bytes]] = field(default_factory=list)
     ports: dict[str, int] = field(default_factory=dict)
     memory_mb: int = 512
+    descriptors: int = 4100
     value_bytes: int = 1_048_576
     """The platform's limit of a value, as the settings state it."""
     services: int = 1
@@ -128,7 +129,7 @@
             "ListenAddresses.ControlPlane": f"{ip}:{ports['control']}",
             "InternalPortRange": f"{ports['peer']},{ports['helping']}",
             "SeedNodes": seeds,
-            "Limits.FileDescriptorLimit": "4100",
+            "Limits.FileDescriptorLimit": str(self.descriptors),
             "Limits.MemoryMb": str(self.memory_mb),
             "Bounds.GracePeriodS": "8",
             "Bounds.QuotaWindowS": "4",
