Read the heads of answers by one strict grammar

What callers saw (MIXED): an engine's answer in whose head the name of a field held a blank or a control byte was passed on as an answer, without the fields behind that line or with a body that was not the engine's, or came as 504 at the deadline.

Cause: Python's parser of heads ends at the first line that is no field, and what followed was lost or taken for the body; it also reads '+200', '0200' and '2_00' as statuses, a carriage return as the end of a line, and looks at no line of interim heads and trailers.

Change: connection/answer_heads reads each line of status, fields, interim heads and trailers by one grammar, checks that the body is framed in one way, and gives the library only lines that can be read in one way. All that reads answers of servers and of the store goes through it (routed requests, the store's replica, and the pools of the built-in interface). Anything else is a broken answer at once: 502, or another server.

--- a/packages/router/src/myrtlehook_router/connection/strict_responses.py
+++ b/packages/router/src/myrtlehook_router/connection/strict_responses.py
@@ -10,18 +10,23 @@
 
 import io
 import re
-from http.client import HTTPException, HTTPResponse, IncompleteRead, parse_headers
+from collections.abc import Iterator
+from http.client import HTTPException, HTTPResponse, IncompleteRead
 from typing import Any
 
+from myrtlehook_router.connection.answer_heads import (
+    AnswerHead,
+    check_framing,
+    read_fields,
+    read_final_head,
+)
+
 CHUNK_END = b"\r\n"
 MAX_SIZE_LINE_BYTES = 1024
 
 MAX_HEAD_BYTES = 64 * 1024
 """Limit of a head, with the interim responses before it, and of the fields after the last chunk."""
 
-MAX_INTERIM_RESPONSES = 32
-SWITCHING_PROTOCOLS = 101
-FIRST_FINAL_STATUS = 200
 _SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;[^\r\n]*)?\r?\n")
 
 
@@ -31,12 +36,18 @@
     lines_left_bytes: int | None = None
     """How many bytes of lines may still be read; None if there is no limit."""
 
+    replayed_lines: Iterator[bytes] = iter(())
+    """Lines that are returned before those of the stream."""
+
     def readline(self, size: int | None = -1, /) -> bytes:
         """Return the next line, or its first ``size`` bytes.
 
         :raises IncompleteRead: if the stream ends before the end of the line.
         :raises HTTPException: if the lines have exceeded their limit.
         """
+        replayed = next(self.replayed_lines, None)
+        if replayed is not None:
+            return replayed
         line = super().readline(size)
         if self.lines_left_bytes is not None:
             self.lines_left_bytes -= len(line)
@@ -60,32 +71,27 @@
         self.fp = WholeLineReader(self.fp.detach())
 
     def begin(self) -> None:
-        """Read the head of the final response; called by ``http.client``."""
+        """Read the head of the final response; called by ``http.client``.
+
+        :raises AnswerHeadError: if the bytes are no head.
+        """
         if self.headers is not None:
             return
         self.fp.lines_left_bytes = MAX_HEAD_BYTES
+        head = read_final_head(self.fp.readline)
+        check_framing(head)
+        self.fp.lines_left_bytes = None
+        # The library parses the head once more, from lines that it can only read in one way.
+        self.fp.replayed_lines = _write_lines(head)
         super().begin()
-        if self.fp is not None:
-            self.fp.lines_left_bytes = None
 
-    def _read_status(self) -> tuple[str, int, str]:
-        """Return version, status and reason of the final response; called by ``http.client``.
+    def _read_and_discard_trailer(self) -> None:
+        """Read the fields after the last chunk; called by ``http.client``.
 
-        :raises HTTPException: if too many interim responses come before it.
+        :raises AnswerHeadError: if they are none.
         """
-        for _ in range(MAX_INTERIM_RESPONSES):
-            version, status, reason = super()._read_status()  # type: ignore[misc]
-            if status >= FIRST_FINAL_STATUS:
-                return version, status, reason
-            if status == SWITCHING_PROTOCOLS:
-                raise HTTPException("a switch to a protocol that was not asked for")
-            parse_headers(self.fp)
-        raise HTTPException("interim responses without end")
-
-    def _read_and_discard_trailer(self) -> None:
-        """Read the fields after the last chunk; called by ``http.client``."""
         self.fp.lines_left_bytes = MAX_HEAD_BYTES
-        super()._read_and_discard_trailer()  # type: ignore[misc]
+        read_fields(self.fp.readline)
         self.fp.lines_left_bytes = None
 
     def _get_chunk_left(self) -> int | None:
@@ -110,3 +116,10 @@
         if found is None:
             raise ValueError(f"no chunk size: {line[:40]!r}")
         return int(found.group(1), 16)
+
+
+def _write_lines(head: AnswerHead) -> Iterator[bytes]:
+    yield f"HTTP/1.{head.minor_version} {head.status} {head.reason}\r\n".encode("latin-1")
+    for name, value in head.fields:
+        yield f"{name}: {value}\r\n".encode("latin-1")
+    yield b"\r\n"
--- a/packages/router/src/myrtlehook_router/request/headers.py
+++ b/packages/router/src/myrtlehook_router/request/headers.py
@@ -26,7 +26,6 @@
 
 _FIELD_NAME = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
 _FIELD_VALUE = re.compile(r"[\t\x20-\x7e\x80-\xff]*")
-_FOLD = re.compile(r"[ \t]*\r?\n[ \t]+")
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,14 +122,11 @@
 
 
 def select_sound_headers(headers: Iterable[tuple[str, str]]) -> list[tuple[str, str]]:
-    """Return the headers of a response that any client can read; folded values are joined.
-
-    Servers' heads are parsed leniently: names that are no tokens pass, and control characters.
-    """
-    unfolded = ((name, _FOLD.sub(" ", value).strip(" \t")) for name, value in headers)
+    """Return the headers of a response that any client can read."""
+    stripped = ((name, value.strip(" \t")) for name, value in headers)
     return [
         (name, value)
-        for name, value in unfolded
+        for name, value in stripped
         if _FIELD_NAME.fullmatch(name) and _FIELD_VALUE.fullmatch(value)
     ]
 
