Keys that are taken away open no route

Cause: 'no workspace has a key' was taken for 'there are no workspaces'. Before: last_keys.feature 1 of 2 scenarios failed (status 200 with a key taken away). After: 2 of 2.

--- a/packages/core/src/myrtlehook_core/version/configurations.py
+++ b/packages/core/src/myrtlehook_core/version/configurations.py
@@ -139,6 +139,8 @@
     """Model name to pool name."""
     key_workspaces: dict[str, str] = field(default_factory=dict)
     """Digest of an API key to workspace name."""
+    requires_keys: bool = False
+    """Whether requests need a key, though no workspace may have one at present."""
     served_pools: frozenset[str] = frozenset()
     """Pools that have a backend server."""
     routes: RouteTable = RouteTable()
--- a/packages/router/src/myrtlehook_router/request/routed.py
+++ b/packages/router/src/myrtlehook_router/request/routed.py
@@ -102,7 +102,7 @@
     workspace = authenticate(configuration, authorization)
     if workspace is not None:
         return workspace, True
-    if route.anonymous or not configuration.key_workspaces:
+    if route.anonymous or not configuration.requires_keys:
         return configuration.workspaces[ANONYMOUS], False
     return None
 
