A declined request is not sent again on the connection that carried it

Cause: its server had declined it first; the router sent it again on the same connection, and the first answer, which came once more, has the same id as the second one. Change: a connection keeps what distinguishes the last request that it has carried, and is not taken for the same one again. It costs a connection for each declined request that goes to the same server again.

--- a/packages/router/src/myrtlehook_router/connection/connection_pools.py
+++ b/packages/router/src/myrtlehook_router/connection/connection_pools.py
@@ -106,7 +106,12 @@
 
 
 def acquire_connection(
-    pool: ConnectionPool, address: str, kind: str, deadline_s: float, fresh_connection: bool
+    pool: ConnectionPool,
+    address: str,
+    kind: str,
+    deadline_s: float,
+    fresh_connection: bool,
+    request_key: str = "",
 ) -> Result[ActiveConnection, SendFailure]:
     """Take an idle connection, or open one, for a request.
 
@@ -114,12 +119,17 @@
 
     :param kind: the request's method and path.
     :param fresh_connection: open a new connection, as the server may be closing an idle one.
+    :param request_key: what distinguishes the request; empty if nothing does. A connection that has
+        just carried it is not taken: a second answer to the first attempt may still come there.
     """
     is_doubtful = may_be_unframed(pool.framing_memory, address, kind, clocks.now_s())
     connection = None
     if not fresh_connection:
         take = _take_witnessed_connection if is_doubtful else _take_idle_connection
         connection = take(pool, address)
+    if connection is not None and request_key and connection.carried_request == request_key:
+        connection.close()
+        connection = None
     if connection is None:
         if is_doubtful:
             _wait_for_witness(pool, address)
@@ -127,6 +137,7 @@
         if isinstance(opened, Err):
             return opened
         connection = opened.ok_value
+    connection.carried_request = request_key
     active = _make_active(pool, address, connection)
     active.may_be_unframed = is_doubtful
     pool.active_by_address.setdefault(address, set()).add(active)
--- a/packages/router/src/myrtlehook_router/connection/server_connections.py
+++ b/packages/router/src/myrtlehook_router/connection/server_connections.py
@@ -62,6 +62,8 @@
     target: str
     headers: tuple[tuple[str, str], ...]
     body: bytes | bytearray
+    key: str = ""
+    """What distinguishes the request from others; empty if nothing does."""
 
     @property
     def kind(self) -> str:
@@ -108,6 +110,7 @@
             self._request.kind,
             deadline_s,
             fresh_connection,
+            self._request.key,
         )
         if isinstance(acquired, Err):
             return acquired
--- a/packages/router/src/myrtlehook_router/connection/server_sockets.py
+++ b/packages/router/src/myrtlehook_router/connection/server_sockets.py
@@ -84,6 +84,8 @@
     opened_before = 0
     """How many connections its pool had opened when the opening of this one began."""
     opened_at_s = 0.0
+    carried_request = ""
+    """What distinguishes the last request that it has carried."""
     has_answered = False
     """Whether it has carried a response, so that a process has accepted it."""
 
--- a/packages/router/src/myrtlehook_router/request/attempts.py
+++ b/packages/router/src/myrtlehook_router/request/attempts.py
@@ -118,4 +118,5 @@
         target=relay.request.target,
         headers=tuple(headers),
         body=relay.body,
+        key=relay.request.request_id,
     )
