A client does not stall while its body waits for a turn

Cause: the time that a large body waits for its turn counted as its client's, so that under a crowd of small chunks sound uploads gave way as stalled ones. Found by reading the change; not seen in a run. Change: the wait for a turn is left out of the time since its last progress.

--- a/packages/router/src/myrtlehook_router/connection/request_bodies.py
+++ b/packages/router/src/myrtlehook_router/connection/request_bodies.py
@@ -277,7 +277,12 @@
         """Wait until this process has time for a large body."""
         if self._wire_bytes < SMALL_BODY_BYTES:
             return
+        # A client does not stall while its body waits for a turn.
+        was_waiting, self._holder.waits_for_client = self._holder.waits_for_client, False
+        began_s = clocks.now_s()
         self._budgets.turns.wait()
+        self._holder.progressed_at_s += clocks.now_s() - began_s
+        self._holder.waits_for_client = was_waiting
         if is_connection_closed(self._connection) and not self._stream.pending_bytes:
             raise ClientGoneError
 
