Tests' fleets take only addresses that exist; a failed search for ports ends

It stood still in departures.feature, "A server leaves just after all readers of the store have lost their paths to it -- @1.3", before its first step had ended.

Cause: free_ips gave every 25th fleet of a test run the addresses from 127.x.y.250 on. A fleet of eight routers then got 127.x.y.256, and the search for free ports took every OSError for a port in use and tried again forever. The new crowd features start enough fleets before departures.feature to put its fleets of eight into that place; alone, each feature passed.

Evidence: the 25th call of free_ips(8) returned 127.12.93.250 to .257, and find_free_ports was in its loop when a timer printed its stack after 5 s.

Only "address in use" makes the search try another port; any other error is raised. The regression's check covers fleets of 5, 8 and 10 routers, which was 5 alone, that neighbours share no address, and the search's end.

--- a/tests/features/regressions.feature
+++ b/tests/features/regressions.feature
@@ -64,9 +64,20 @@
     When the core fails on each of its own ticks
     Then the fault is raised
 
-  Scenario: The 26th fleet that one process started waited for its addresses forever
-    When a process reserves the addresses of 60 fleets
+  # The 25th fleet got addresses up to 127.x.y.257, and the search for its ports never ended.
+  Scenario Outline: The 25th or 26th fleet that one process started waited for its addresses forever
+    When a process reserves the addresses of 60 fleets of <routers> routers
     Then all of them are addresses
+    And two fleets started one after another share none
+
+    Examples:
+      | routers |
+      | 5       |
+      | 8       |
+      | 10      |
+
+  Scenario: A search for ports at an address of another machine never ended
+    Then a search for ports at "192.0.2.1" fails at once
 
   Scenario: A resumed stream never notified the core that its new engine had begun
     When a stream has output from one engine, breaks off and has output from another
--- a/tests/standins/nodes.py
+++ b/tests/standins/nodes.py
@@ -1,7 +1,7 @@
 """Starts and stops the emulated platform and routers on it, each as a process."""
 
+import errno
 import http.client
-import itertools
 import json
 import os
 import signal
@@ -20,11 +20,22 @@
 ROOT = Path(__file__).parent.parent.parent
 START_S = 30.0
 PORT_NAMES = ("front", "ready", "control", "peer", "helping")
+FIRST_HOST = 10
+LAST_HOST = 254
+"""The last parts of the addresses that fleets take in turn; later ones reuse the first again."""
+
 ADDRESSES_PER_FLEET = 10
-MAX_CONCURRENT_FLEETS = 25
-"""The number of fleets with separate addresses; later ones reuse those of fleets that ended."""
+"""The addresses that a fleet takes at least, so that routers can be added to it."""
+
+
+@dataclass(slots=True)
+class _Hosts:
+    """Which addresses the next fleet takes."""
 
-_FLEETS = itertools.count()
+    next_host: int = FIRST_HOST
+
+
+_HOSTS = _Hosts()
 
 
 @dataclass(slots=True)
@@ -73,7 +84,7 @@
     def start_nodes(self, routers: int, readiness: int = 200) -> None:
         """Start the routers, and wait until all answer their readiness probe with a status."""
         ips = free_ips(routers)
-        self.ports = dict(zip(PORT_NAMES, _find_free_ports(ips, len(PORT_NAMES)), strict=True))
+        self.ports = dict(zip(PORT_NAMES, find_free_ports(ips, len(PORT_NAMES)), strict=True))
         for number, ip in enumerate(ips, start=1):
             self.start_node(f"edge-{number}", ip, ips)
         self.wait_ready(readiness)
@@ -212,13 +223,20 @@
 
     The routers' metrics port is fixed, so fleets of concurrent processes need separate addresses.
     """
+    taken = max(count, ADDRESSES_PER_FLEET)
+    if FIRST_HOST + taken - 1 > LAST_HOST:
+        most = LAST_HOST - FIRST_HOST + 1
+        raise ValueError(f"a fleet of {count} routers; there are addresses for at most {most}")
+    if _HOSTS.next_host + taken - 1 > LAST_HOST:
+        _HOSTS.next_host = FIRST_HOST
+    first = _HOSTS.next_host
+    _HOSTS.next_host = first + taken
     number = os.getpid()
-    first = ADDRESSES_PER_FLEET * (1 + next(_FLEETS) % MAX_CONCURRENT_FLEETS)
     network = f"127.{number >> 8 & 255}.{number & 255}"
-    return [f"{network}.{last}" for last in range(first, first + count)]
+    return [f"{network}.{host}" for host in range(first, first + count)]
 
 
-def _find_free_ports(ips: list[str], count: int) -> list[int]:
+def find_free_ports(ips: list[str], count: int) -> list[int]:
     """Return different ports that are free on all addresses.
 
     The operating system may return a port again once it has been closed.
@@ -244,8 +262,9 @@
                 opened.append(other)
                 other.bind((ip, port))
             return port
-        except OSError:
-            continue
+        except OSError as error:
+            if error.errno != errno.EADDRINUSE:
+                raise
         finally:
             for other in opened:
                 other.close()
--- a/tests/steps/regression_steps.py
+++ b/tests/steps/regression_steps.py
@@ -9,6 +9,7 @@
 import sys
 import tempfile
 from ipaddress import IPv4Address
+from itertools import pairwise
 from pathlib import Path
 from types import SimpleNamespace
 from typing import Any
@@ -43,7 +44,7 @@
 from myrtlehook_router.request.tickets import TicketRegistry
 from standins.fleets import Fleet
 from standins.network import wait_for
-from standins.nodes import free_ips
+from standins.nodes import find_free_ports, free_ips
 
 PART = '{"pools": []}'
 MANIFEST = {"version": 1, "parts": [{"key": "k", "digest": digest_text(PART)}]}
@@ -352,11 +353,26 @@
     assert context.handled == MAX_INTERNAL_FAULTS + 1, context.handled
 
 
-@when("a process reserves the addresses of {count:d} fleets")
-def reserve_addresses(context: Any, count: int) -> None:
-    context.ips = [ip for _ in range(count) for ip in free_ips(5)]
+@when("a process reserves the addresses of {fleets:d} fleets of {routers:d} routers")
+def reserve_addresses(context: Any, fleets: int, routers: int) -> None:
+    context.fleets = [free_ips(routers) for _ in range(fleets)]
 
 
 @then("all of them are addresses")
 def check_addresses(context: Any) -> None:
-    assert all(IPv4Address(ip).is_loopback for ip in context.ips)
+    assert all(IPv4Address(ip).is_loopback for ips in context.fleets for ip in ips)
+
+
+@then("two fleets started one after another share none")
+def check_separate(context: Any) -> None:
+    for ips, next_ips in pairwise(context.fleets):
+        assert not set(ips) & set(next_ips), (ips, next_ips)
+
+
+@then('a search for ports at "{ip}" fails at once')
+def check_search_fails(context: Any, ip: str) -> None:
+    try:
+        find_free_ports([ip], 1)
+    except OSError:
+        return
+    raise AssertionError(f"found ports at {ip}, an address of another machine")
