The operator's tool reads answers by the grammar that routers use

Seen: of 167 odd answers (heads, status lines, framings, interim heads and trailers that are none), `plan` took most for the published configuration, and `status` ended with the JSON parser's error; at the others both waited for their time limit.

Cause: the tool read answers with urllib3's default response class.

--- /dev/null
+++ b/packages/operator/src/myrtlehook_operator/connection/__init__.py
@@ -0,0 +1,1 @@
+"""Reads of what the platform and routers answer."""
--- a/packages/operator/src/myrtlehook_operator/process/commands.py
+++ b/packages/operator/src/myrtlehook_operator/process/commands.py
@@ -1,14 +1,15 @@
 """The commands of the operator's tool."""
 
+import json
 from dataclasses import asdict
 from pathlib import Path
 from typing import Annotated, NoReturn
 
 import typer
-import urllib3
 from result import Err, Result
 
 from myrtlehook_core import Finding, load_settings
+from myrtlehook_operator.connection.reads import read_answer
 from myrtlehook_operator.process.loss_plots import plot_losses
 from myrtlehook_operator.process.reports import (
     OUT,
@@ -40,6 +41,7 @@
 EXIT_UNREACHABLE = 3
 
 STATUS_TIMEOUT_S = 3.0
+STATUS_OK = 200
 
 app = typer.Typer(
     help="Operate a myrtlehook fleet: state an intent, read the plan, confirm it.",
@@ -232,12 +234,11 @@
 
 
 def _read_status(address: str) -> dict[str, object] | None:
-    url = f"http://{address}/status"
-    try:
-        response = urllib3.request("GET", url, timeout=STATUS_TIMEOUT_S, retries=False)
-    except urllib3.exceptions.HTTPError:
+    read = read_answer(address, "/status", STATUS_TIMEOUT_S)
+    if isinstance(read, Err) or read.ok_value.status != STATUS_OK:
         return None
-    return response.json() if response.status == 200 else None
+    answer: dict[str, object] = json.loads(read.ok_value.content)
+    return answer
 
 
 def _read_file(path: Path) -> str:
--- a/packages/operator/src/myrtlehook_operator/version/published.py
+++ b/packages/operator/src/myrtlehook_operator/version/published.py
@@ -2,7 +2,6 @@
 
 from dataclasses import dataclass
 
-import urllib3
 from result import Err, Ok, Result
 
 from myrtlehook_core import (
@@ -13,8 +12,10 @@
     join_parts,
     parse_document,
 )
+from myrtlehook_operator.connection.reads import read_answer
 
 READ_TIMEOUT_S = 5.0
+STATUS_FOUND = 200
 STATUS_ABSENT = 404
 
 
@@ -80,13 +81,12 @@
 
 
 def _read_value(platform: str, key: str) -> Result[str | None, ReadFailure]:
-    url = f"http://{platform}/v1/values/{key}"
-    try:
-        response = urllib3.request("GET", url, timeout=READ_TIMEOUT_S, retries=False)
-    except urllib3.exceptions.HTTPError as error:
-        return Err(Unreachable(f"no answer from the platform at {platform}: {error}"))
-    if response.status == STATUS_ABSENT:
+    read = read_answer(platform, f"/v1/values/{key}", READ_TIMEOUT_S)
+    if isinstance(read, Err):
+        return Err(Unreachable(f"no answer from the platform at {platform}: {read.err_value}"))
+    answer = read.ok_value
+    if answer.status == STATUS_ABSENT:
         return Ok(None)
-    if response.status != 200:
-        return Err(Unreachable(f"the platform at {platform} answered {response.status}"))
-    return Ok(response.data.decode())
+    if answer.status != STATUS_FOUND:
+        return Err(Unreachable(f"the platform at {platform} answered {answer.status}"))
+    return Ok(answer.content.decode())
--- a/tests/features/odd_answers.feature
+++ b/tests/features/odd_answers.feature
@@ -48,3 +48,15 @@
     Given servers that answer oddly
     When a stream request is sent for each of its trailers
     Then none of them looks whole
+
+  # Guards against: the operator's tool took the body of an odd answer for the published configuration or for a
+  # status, or waited until its time limit.
+  Scenario: What the operator's tool reads from the platform is read by the same grammar
+    Given servers of which each answers with an odd part of its own
+    When an operator plans from each of them
+    Then each of them is reported as a platform without an answer
+
+  Scenario: What the operator's tool reads from routers is read by the same grammar
+    Given servers of which each answers with an odd part of its own
+    When an operator asks all of them for their status
+    Then all of them are reported as silent
--- a/tests/standins/odd_servers.py
+++ b/tests/standins/odd_servers.py
@@ -1,6 +1,7 @@
-"""A server, as a process of its own, whose answers are odd in one part; the path names the part.
+"""Servers, as a process of their own, whose answers are odd in one part.
 
-Each request is told on standard error.
+The path names the part, or each server has a part of its own. Each request is told on standard
+error.
 """
 
 import socket
@@ -136,22 +137,28 @@
     return STATUS + line + own + CHUNKED + b"\r\n" + CHUNKS + b"\r\n"
 
 
+ALL_ODD_PARTS = [part for names in ODD_PARTS.values() for part in names]
+EACH_ITS_OWN = "each"
+"""The argument with which there is a server for each odd part, in their order."""
+
+
 def main() -> None:
     """Print as many addresses as the argument says, and answer at each of them until killed."""
-    listeners = [socket.create_server(("127.0.0.1", 0)) for _ in range(int(sys.argv[1]))]
-    for listener in listeners:
-        threading.Thread(target=_accept, args=(listener,), daemon=True).start()
+    parts = ALL_ODD_PARTS if sys.argv[1] == EACH_ITS_OWN else [""] * int(sys.argv[1])
+    listeners = [socket.create_server(("127.0.0.1", 0)) for _ in parts]
+    for listener, part in zip(listeners, parts, strict=True):
+        threading.Thread(target=_accept, args=(listener, part), daemon=True).start()
     print(*("{}:{}".format(*listener.getsockname()) for listener in listeners), flush=True)
     threading.Event().wait()
 
 
-def _accept(listener: socket.socket) -> None:
+def _accept(listener: socket.socket, part: str) -> None:
     while True:
         connection, _ = listener.accept()
-        threading.Thread(target=_serve, args=(connection,), daemon=True).start()
+        threading.Thread(target=_serve, args=(connection, part), daemon=True).start()
 
 
-def _serve(connection: socket.socket) -> None:
+def _serve(connection: socket.socket, part: str) -> None:
     reader = connection.makefile("rb")
     try:
         while line := reader.readline():
@@ -160,6 +167,9 @@
                 name, _, value = field.partition(":")
                 fields[name.lower()] = value.strip()
             reader.read(int(fields.get("content-length", "0")))
+            if part:
+                connection.sendall(make_answer(part, ""))
+                continue
             path = unquote(line.decode("latin-1").split()[1])
             _answer(connection, path, fields.get("attempt-id", ""))
     except (OSError, ValueError):
--- a/tests/steps/odd_answer_steps.py
+++ b/tests/steps/odd_answer_steps.py
@@ -9,8 +9,11 @@
 
 from behave import given, then, when
 from platform_steps import node
+from result import Err
 
 from emulator.sites import make_configuration, make_route
+from myrtlehook_operator.process.commands import EXIT_UNREACHABLE
+from myrtlehook_operator.version.published import Unreachable, read_published
 from myrtlehook_router.connection.backends import BackendRequest, read_response_body, send_request
 from myrtlehook_router.connection.connection_pools import ConnectionPool
 from myrtlehook_router.connection.server_connections import Exchange, OutgoingRequest
@@ -18,7 +21,7 @@
 from standins.attempts import Attempt, make_headers, new_id, send
 from standins.network import wait_for
 from standins.nodes import ROOT
-from standins.odd_servers import BODY, ODD_PARTS, SOUND_PARTS
+from standins.odd_servers import ALL_ODD_PARTS, BODY, EACH_ITS_OWN, ODD_PARTS, SOUND_PARTS
 from standins.processes import start_process
 
 MAX_PARTS = 32
@@ -31,9 +34,18 @@
 
 @given("servers that answer oddly")
 def start_odd_server(context: Any) -> None:
+    _start_servers(context, str(MAX_PARTS))
+
+
+@given("servers of which each answers with an odd part of its own")
+def start_odd_servers(context: Any) -> None:
+    _start_servers(context, EACH_ITS_OWN)
+
+
+def _start_servers(context: Any, argument: str) -> None:
     context.odd_record = context.nodes.folder / "odd.txt"
     process = start_process(
-        [sys.executable, "-m", "standins.odd_servers", str(MAX_PARTS)],
+        [sys.executable, "-m", "standins.odd_servers", argument],
         stdout=subprocess.PIPE,
         stderr=context.odd_record.open("wb"),
         cwd=ROOT,
@@ -112,7 +124,7 @@
 @when("each of its odd parts is read over a pool")
 def read_over_pool(context: Any) -> None:
     context.read_parts = []
-    for part in (name for names in ODD_PARTS.values() for name in names):
+    for part in ALL_ODD_PARTS:
         headers = {"Attempt-Id": new_id()}
         target = "/odd/" + quote(part)
         sent = send_request(
@@ -128,7 +140,7 @@
 @when("each of its odd parts is read as an answer of the store")
 def read_as_store(context: Any) -> None:
     context.read_parts = []
-    for part in (name for names in ODD_PARTS.values() for name in names):
+    for part in ALL_ODD_PARTS:
         headers = (("Host", context.odd_addresses[0]), ("Attempt-Id", new_id()))
         target = "/odd/" + quote(part)
         request = OutgoingRequest("GET", context.odd_addresses[0], target, headers, b"")
@@ -147,3 +159,36 @@
 @then("none of them is read as an answer")
 def check_pool(context: Any) -> None:
     assert not context.read_parts, context.read_parts
+
+
+@when("an operator plans from each of them")
+def plan_from_each(context: Any) -> None:
+    context.plans = {
+        part: read_published(address)
+        for part, address in zip(ALL_ODD_PARTS, context.odd_addresses, strict=True)
+    }
+
+
+@then("each of them is reported as a platform without an answer")
+def check_plans(context: Any) -> None:
+    taken = {
+        part: str(read)
+        for part, read in context.plans.items()
+        if not (isinstance(read, Err) and isinstance(read.err_value, Unreachable))
+    }
+    assert not taken, json.dumps(taken, indent=1)
+
+
+@when("an operator asks all of them for their status")
+def ask_statuses(context: Any) -> None:
+    command = [sys.executable, "-m", "myrtlehook_operator", "status", "--json"]
+    context.command = subprocess.run(
+        [*command, *context.odd_addresses], capture_output=True, check=False, cwd=ROOT
+    )
+
+
+@then("all of them are reported as silent")
+def check_statuses(context: Any) -> None:
+    assert context.command.returncode == EXIT_UNREACHABLE, context.command
+    reported = json.loads(context.command.stdout)
+    assert reported == {"routers": [], "silent": context.odd_addresses}, reported
