Crowds: every router gives back all that it has held for them

A count of bytes that leaks would in the end refuse every large body, and no test looked at it. After each crowd, and one ordinary request, the gauge client_memory_held_bytes of both routers must return to 0.

With the release at the end of a request taken out (a trial), "bodies that stop short" fails: edge-1 still holds bytes 60 s later.

--- a/tests/features/crowds.feature
+++ b/tests/features/crowds.feature
@@ -11,6 +11,7 @@
     And no router has ended
     And no router has held more than its machine's memory and descriptors
     And an ordinary request is answered by each router after it
+    And every router gives back all that it has held for the crowd
 
     Examples:
       | way                                 |
@@ -39,6 +40,7 @@
     And no router has ended
     And no router has held more than its machine's memory and descriptors
     And an ordinary request is answered by each router after it
+    And every router gives back all that it has held for the crowd
 
   # Guards against: connections that sent nothing took all places of a router until they timed out.
   Scenario: More clients than a router has places
@@ -47,6 +49,7 @@
     And no router has ended
     And no router has held more than its machine's memory and descriptors
     And an ordinary request is answered by each router after it
+    And every router gives back all that it has held for the crowd
 
   # Guards against: the listeners beside the one for clients had no limits.
   Scenario Outline: Clients at another listener
@@ -56,6 +59,7 @@
     And no router has ended
     And no router has held more than its machine's memory and descriptors
     And an ordinary request is answered by each router after it
+    And every router gives back all that it has held for the crowd
 
     Examples:
       | way                       | listener |
--- a/tests/steps/crowd_steps.py
+++ b/tests/steps/crowd_steps.py
@@ -14,7 +14,7 @@
 from standins.attempts import Attempt, new_id
 from standins.crowds import WAYS, Crowd
 from standins.network import wait_for
-from standins.nodes import ROOT, Node
+from standins.nodes import ROOT, Node, fetch
 from standins.process_meters import Meter
 from standins.processes import start_process
 
@@ -32,6 +32,7 @@
 REFUSED_STATUSES = (429, 503)
 LARGE_ANSWER_BYTES = 900_000
 LARGE_PATH = "/large/a"
+HELD_GAUGE = "client_memory_held_bytes"
 
 
 def configure_crowd_site(context: Any) -> None:
@@ -157,6 +158,18 @@
         assert attempt.status == 200 and not attempt.broken, (number, _describe(attempt))
 
 
+@then("every router gives back all that it has held for the crowd")
+def check_given_back(context: Any) -> None:
+    for found in context.nodes.nodes:
+        wait_for(lambda found=found: _read_held_bytes(found) == 0, f"{found.name} to hold nothing")
+
+
+def _read_held_bytes(found: Node) -> int:
+    metrics = fetch(found.ip, METRICS_PORT, "/metrics")[1].decode()
+    line = next(line for line in metrics.splitlines() if HELD_GAUGE in line and line[0] != "#")
+    return int(float(line.rpartition(" ")[2]))
+
+
 def _wait_for_answer(context: Any, number: int) -> None:
     """Send an ordinary request, again after a refusal as its answer says, until it is served."""
     deadline_s = time.monotonic() + ORDINARY_WAIT_S
