--- a/packages/operator/src/myrtlehook_operator/connection/reads.py
+++ b/packages/operator/src/myrtlehook_operator/connection/reads.py
@@ -9,6 +9,8 @@
 
 from myrtlehook_router.connection.strict_responses import StrictResponse
 
+STATUS_OK = 200
+
 
 class _StrictConnection(HTTPConnection):
     response_class = StrictResponse
--- a/packages/operator/src/myrtlehook_operator/process/commands.py
+++ b/packages/operator/src/myrtlehook_operator/process/commands.py
@@ -9,7 +9,7 @@
 from result import Err, Result
 
 from myrtlehook_core import Finding, load_settings
-from myrtlehook_operator.connection.reads import read_answer
+from myrtlehook_operator.connection.reads import STATUS_OK, read_answer
 from myrtlehook_operator.process.loss_plots import plot_losses
 from myrtlehook_operator.process.reports import (
     OUT,
@@ -41,7 +41,6 @@
 EXIT_UNREACHABLE = 3
 
 STATUS_TIMEOUT_S = 3.0
-STATUS_OK = 200
 
 app = typer.Typer(
     help="Operate a myrtlehook fleet: state an intent, read the plan, confirm it.",
--- a/packages/operator/src/myrtlehook_operator/version/published.py
+++ b/packages/operator/src/myrtlehook_operator/version/published.py
@@ -12,10 +12,9 @@
     join_parts,
     parse_document,
 )
-from myrtlehook_operator.connection.reads import read_answer
+from myrtlehook_operator.connection.reads import STATUS_OK, read_answer
 
 READ_TIMEOUT_S = 5.0
-STATUS_FOUND = 200
 STATUS_ABSENT = 404
 
 
@@ -87,6 +86,6 @@
     answer = read.ok_value
     if answer.status == STATUS_ABSENT:
         return Ok(None)
-    if answer.status != STATUS_FOUND:
+    if answer.status != STATUS_OK:
         return Err(Unreachable(f"the platform at {platform} answered {answer.status}"))
     return Ok(answer.content.decode())
